Replicated log, data folder and the groups that drive them

Cause: everything else rests on groups that agree and survive.

Change: packages utils, protocol, consensus, store, group and runs.

Before: nothing.

--- /dev/null
+++ b/eslint.config.mjs
@@ -0,0 +1,31 @@
+import tseslint from 'typescript-eslint'
+
+export default tseslint.config(
+	{ ignores: ['**/dist/**', '**/node_modules/**', 'packages/protocol/src/lib/generated/**'] },
+	...tseslint.configs.recommended,
+	{
+		rules: {
+			'@typescript-eslint/no-unused-vars': ['error', { argsIgnorePattern: '^_' }],
+			'no-restricted-syntax': [
+				'error',
+				{ selector: 'TSEnumDeclaration', message: 'Use a constant object.' },
+				{
+					selector: "CallExpression[callee.object.name='Math'][callee.property.name='random']",
+					message: 'Take a Random.',
+				},
+			],
+			eqeqeq: 'error',
+		},
+	},
+	{
+		files: ['packages/*/src/lib/**/*.ts', 'apps/*/src/lib/**/*.ts'],
+		ignores: ['**/SystemClock.ts'],
+		rules: {
+			'no-restricted-properties': [
+				'error',
+				{ object: 'Date', property: 'now', message: 'Take a Clock.' },
+				{ object: 'performance', property: 'now', message: 'Take a Clock.' },
+			],
+		},
+	}
+)
--- /dev/null
+++ b/packages/consensus/src/lib/Election.ts
@@ -0,0 +1,132 @@
+/** Pre-votes, votes and the timeouts that start them. */
+import type { Member, VoteCall, VoteReply } from '@rillrudder/protocol'
+import { Role, type ReplicaState } from './ReplicaState'
+
+const DISTANT_PENALTY = 2
+const DISKLESS_PENALTY = 0.5
+
+/**
+ * The part of a replica that asks for votes and gives them.
+ *
+ * @internal
+ */
+export class Election {
+	private grants = new Set<string>()
+	private deadline = 0
+
+	/**
+	 * @param state - the replica's state.
+	 * @param lead - called when this replica has won a term.
+	 */
+	constructor(
+		private readonly state: ReplicaState,
+		private readonly lead: (now: number) => void
+	) {}
+
+	/** Waits a randomised time from now before asking for votes. */
+	reset(now: number): void {
+		const { timing, options } = this.state
+		const wait = timing.election * (1 + options.random.fraction() + this.penalty())
+		this.deadline = now + wait
+	}
+
+	/** Asks for votes when the time has come. */
+	tick(now: number): void {
+		if (now < this.deadline || this.state.role === Role.Leader || !this.state.votes) return
+		this.prepare(now)
+	}
+
+	/** Starts an election at once because the leader asked for it. */
+	takeOver(now: number): void {
+		if (this.state.votes) this.campaign(now, true)
+	}
+
+	/** Answers a call for a vote. */
+	answer(from: string, term: number, call: VoteCall, now: number): void {
+		if (call.pre) {
+			const granted = this.wouldGrant(term, call, now)
+			const echoed = granted ? term : this.state.term
+			this.state.sendLate(from, { $case: 'voteReply', value: { pre: true, granted } }, echoed)
+			return
+		}
+		const free = this.state.votedFor === '' || this.state.votedFor === from
+		const granted = term === this.state.term && free && this.wouldGrant(term, call, now)
+		if (granted) {
+			this.state.vote(from)
+			this.reset(now)
+		}
+		this.state.sendLate(from, { $case: 'voteReply', value: { pre: false, granted } })
+	}
+
+	/** Whether a call for a vote may make this replica enter the caller's term. */
+	mayDisturb(call: VoteCall, now: number): boolean {
+		return call.transfer || !this.leaderIsFresh(now)
+	}
+
+	/** Counts an answer. */
+	count(from: Member, term: number, reply: VoteReply, now: number): void {
+		if (!reply.granted) return
+		const awaited = reply.pre ? Role.PreCandidate : Role.Candidate
+		const expected = reply.pre ? this.state.term + 1 : this.state.term
+		if (this.state.role !== awaited || term !== expected) return
+		this.grants.add(from.id)
+		this.proceed(now)
+	}
+
+	private prepare(now: number): void {
+		this.state.role = Role.PreCandidate
+		this.state.leader = ''
+		this.reset(now)
+		this.grants = new Set([this.state.options.id])
+		this.call(true, false)
+		this.proceed(now)
+	}
+
+	private campaign(now: number, transfer: boolean): void {
+		this.state.enterTerm(this.state.term + 1)
+		this.state.vote(this.state.options.id)
+		this.state.role = Role.Candidate
+		this.reset(now)
+		this.grants = new Set([this.state.options.id])
+		this.call(false, transfer)
+		this.proceed(now)
+	}
+
+	private proceed(now: number): void {
+		const voters = this.state.memberships.voters
+		const granted = voters.filter((voter) => this.grants.has(voter.id)).length
+		if (granted * 2 <= voters.length) return
+		if (this.state.role === Role.PreCandidate) this.campaign(now, false)
+		else if (this.state.role === Role.Candidate) this.lead(now)
+	}
+
+	private call(pre: boolean, transfer: boolean): void {
+		const { log, term, memberships, options } = this.state
+		const value = { pre, transfer, lastIndex: log.lastIndex, lastTerm: log.lastTerm }
+		for (const voter of memberships.voters) {
+			if (voter.id === options.id) continue
+			this.state.sendLate(voter.id, { $case: 'voteCall', value }, pre ? term + 1 : term)
+		}
+	}
+
+	private wouldGrant(term: number, call: VoteCall, now: number): boolean {
+		if (!this.state.votes) return false
+		if (!call.transfer && this.leaderIsFresh(now)) return false
+		if (call.pre && term <= this.state.term) return false
+		const { lastIndex, lastTerm } = this.state.log
+		if (call.lastTerm !== lastTerm) return call.lastTerm > lastTerm
+		return call.lastIndex >= lastIndex
+	}
+
+	/** A leader counts itself as fresh: only its own lease decides when it gives way. */
+	private leaderIsFresh(now: number): boolean {
+		if (this.state.role === Role.Leader) return true
+		return now - this.state.leaderHeardAt < this.state.timing.election
+	}
+
+	private penalty(): number {
+		const self = this.state.memberships.find(this.state.options.id)
+		if (!self) return 0
+		return (self.local ? 0 : DISTANT_PENALTY) + (self.durable ? 0 : DISKLESS_PENALTY)
+	}
+}
--- /dev/null
+++ b/packages/consensus/src/lib/MembershipHistory.ts
@@ -0,0 +1,77 @@
+/** Who belongs to a group, as of each index that changed it; a dropped entry takes its change along. */
+import type { Member, Membership } from '@rillrudder/protocol'
+
+/** A membership and the index that brought it. @public */
+export interface MembershipAt {
+	readonly index: number
+	readonly membership: Membership
+}
+
+const NOBODY: Membership = { members: [] }
+
+/**
+ * The memberships that a replica knows; the newest is in force from the moment it is appended.
+ *
+ * @public
+ */
+export class MembershipHistory {
+	private changes: MembershipAt[] = []
+
+	/** The membership in force. */
+	get current(): Membership {
+		return this.changes.length === 0 ? NOBODY : this.changes[this.changes.length - 1].membership
+	}
+
+	/** The index that brought the membership in force; 0 when there is none. */
+	get currentIndex(): number {
+		return this.changes.length === 0 ? 0 : this.changes[this.changes.length - 1].index
+	}
+
+	/** The members with a vote. */
+	get voters(): Member[] {
+		return this.current.members.filter((member) => member.voter)
+	}
+
+	/**
+	 * @param id - an instance.
+	 * @returns its membership, if it has one.
+	 */
+	find(id: string): Member | undefined {
+		return this.current.members.find((member) => member.id === id)
+	}
+
+	/**
+	 * @param index - an index.
+	 * @returns the membership in force at that index.
+	 */
+	asOf(index: number): Membership {
+		let found = NOBODY
+		for (const change of this.changes) if (change.index <= index) found = change.membership
+		return found
+	}
+
+	/** @param change - a change at an index above every earlier one. */
+	add(change: MembershipAt): void {
+		this.changes.push(change)
+	}
+
+	/** @param index - changes after this index are dropped. */
+	truncateAfter(index: number): void {
+		this.changes = this.changes.filter((change) => change.index <= index)
+	}
+
+	/** @param change - the only change that is known from now on. */
+	reset(change: MembershipAt): void {
+		this.changes = [change]
+	}
+}
+
+/**
+ * @param values - one value a voter.
+ * @returns the largest value that a majority has reached.
+ * @internal
+ */
+export function majorityValue(values: number[]): number {
+	const sorted = [...values].sort((a, b) => b - a)
+	return sorted[Math.floor(sorted.length / 2)]
+}
--- /dev/null
+++ b/packages/consensus/src/lib/Replica.ts
@@ -0,0 +1,320 @@
+/**
+ * One replica of a group, as a pure state machine: messages, moments and proposals go in, effects
+ * come out. It owns no socket, timer or file.
+ */
+import {
+	EntryKind,
+	Membership,
+	type Entry,
+	type GroupMessage,
+	type Member,
+	type ProbeReply,
+} from '@rillrudder/protocol'
+import { exhaustive } from '@rillrudder/utils'
+import { Election } from './Election'
+import { Following } from './Following'
+import { Leadership } from './Leadership'
+import type { Output } from './Output'
+import { ReplicaState, Role, type ReplicaOptions, type Restored } from './ReplicaState'
+
+/** What a replica tells of itself. @public */
+export interface ReplicaStatus {
+	readonly role: Role
+	readonly term: number
+	readonly leader: string
+	readonly commit: number
+	readonly lastIndex: number
+	readonly members: readonly Member[]
+}
+
+/** Entries kept behind a snapshot, so that a replica a little behind needs no snapshot. */
+const KEPT_BEHIND_SNAPSHOT = 1000
+
+/**
+ * One replica of a group.
+ *
+ * @example
+ * ```ts
+ * const replica = new Replica({ group, id, incarnation, founders, random }, clock.now())
+ * replica.tick(clock.now())
+ * const output = replica.takeOutput()
+ * ```
+ * @public
+ */
+export class Replica {
+	private readonly state: ReplicaState
+	private readonly election: Election
+	private readonly following: Following
+	private readonly leadership: Leadership
+	private readonly blankPeers = new Map<string, string>()
+	private probeDue = 0
+
+	/**
+	 * @param options - identity, founders, spans and randomness.
+	 * @param now - the moment of the start, milliseconds on a monotonic clock.
+	 * @param restored - what the data folder held, if anything.
+	 */
+	constructor(options: ReplicaOptions, now: number, restored?: Restored) {
+		this.state = new ReplicaState(options, now)
+		this.leadership = new Leadership(this.state)
+		this.election = new Election(this.state, (moment) => this.leadership.begin(moment))
+		this.following = new Following(this.state, (moment) => this.election.reset(moment))
+		if (restored) {
+			this.state.restore(restored)
+			this.leadership.persisted(this.state.log.lastIndex)
+		}
+		this.election.reset(now)
+	}
+
+	/** What this replica knows of its group. */
+	get status(): ReplicaStatus {
+		const { role, term, leader, commit, log, memberships } = this.state
+		const members = memberships.current.members
+		return { role, term, leader, commit, lastIndex: log.lastIndex, members }
+	}
+
+	/** Whether this replica leads. */
+	get leads(): boolean {
+		return this.state.role === Role.Leader
+	}
+
+	/**
+	 * @param now - the moment.
+	 * @returns whether it leads, its state is the group's latest, and no other can lead yet. Ask again
+	 * after every wait that comes before a start.
+	 */
+	holdsLease(now: number): boolean {
+		return this.leads && this.leadership.current && this.leadership.holdsLease(now)
+	}
+
+	/**
+	 * @param now - the moment.
+	 * @returns when the lease ends unless renewed; only of use while `holdsLease`.
+	 */
+	leaseEnd(now: number): number {
+		return this.leadership.leaseEnd(now)
+	}
+
+	/**
+	 * Adds commands to the log, when this replica leads.
+	 *
+	 * @param commands - encoded commands, kept in this order.
+	 * @param now - the moment.
+	 * @returns the index of the first, or undefined when this replica takes none now.
+	 */
+	propose(commands: readonly Uint8Array[], now: number): number | undefined {
+		if (!this.leads || commands.length === 0) return undefined
+		return this.leadership.propose(commands, now)
+	}
+
+	/**
+	 * Tells that an output has been stored.
+	 *
+	 * @param index - index of its last entry.
+	 * @param term - term of that entry; an entry that was replaced meanwhile does not count.
+	 */
+	persisted(index: number, term: number): void {
+		if (this.state.log.termAt(index) === term) this.leadership.persisted(index)
+	}
+
+	/**
+	 * Lets time pass.
+	 *
+	 * @param now - the moment.
+	 */
+	tick(now: number): void {
+		if (this.leads) this.leadership.tick(now)
+		else this.election.tick(now)
+		if (!this.belongs() && now >= this.probeDue) this.probe(now)
+	}
+
+	/**
+	 * Hands leadership over, for a planned stop.
+	 *
+	 * @param now - the moment.
+	 * @returns whether there is somebody to hand to.
+	 */
+	handOver(now: number): boolean {
+		if (!this.leads) return false
+		return this.leadership.handTo(this.leadership.successor(now), now)
+	}
+
+	/**
+	 * Replaces the beginning of the log by a snapshot of the state.
+	 *
+	 * @param index - the last applied index that the data covers.
+	 * @param data - the encoded state.
+	 */
+	compact(index: number, data: Uint8Array): void {
+		const { log, memberships } = this.state
+		const term = log.termAt(index)
+		if (term === undefined || index <= (this.state.snapshot?.index ?? 0)) return
+		this.state.snapshot = { index, term, membership: memberships.asOf(index), data }
+		log.compactTo(Math.max(log.firstIndex - 1, index - KEPT_BEHIND_SNAPSHOT))
+	}
+
+	/** The newest snapshot, for storing. */
+	get snapshot(): ReplicaState['snapshot'] {
+		return this.state.snapshot
+	}
+
+	/** The entries above the newest snapshot, for storing the two together. */
+	entriesAfterSnapshot(): Entry[] {
+		const { log, snapshot } = this.state
+		return log.slice((snapshot?.index ?? 0) + 1, Number.MAX_SAFE_INTEGER, Number.MAX_SAFE_INTEGER)
+	}
+
+	/**
+	 * Takes a message from another replica of the group.
+	 *
+	 * @param message - the message.
+	 * @param now - the moment it is handled.
+	 */
+	receive(message: GroupMessage, now: number): void {
+		const body = message.body
+		if (!body) return
+		if (body.$case === 'probe') {
+			this.answerProbe(message, now)
+			return
+		}
+		if (body.$case === 'probeReply') {
+			this.takeProbeReply(message, body.value, now)
+			return
+		}
+		if (!this.admitTerm(message, now)) return
+		this.dispatch(message, body, now)
+	}
+
+	/** Hands over the effects of all steps since the last call. */
+	takeOutput(): Output {
+		return this.state.takeOutput()
+	}
+
+	private dispatch(message: GroupMessage, body: NonNullable<GroupMessage['body']>, now: number) {
+		const { from, term } = message
+		const member = this.state.memberships.find(from)
+		const known = member?.incarnation === message.incarnation ? member : undefined
+		switch (body.$case) {
+			case 'voteCall':
+				return this.election.answer(from, term, body.value, now)
+			case 'voteReply':
+				return known && this.election.count(known, term, body.value, now)
+			case 'append':
+				return this.follow(() => this.following.append(from, body.value, now))
+			case 'snapshotPiece':
+				return this.follow(() => this.following.piece(from, body.value, now))
+			case 'appendReply':
+				return this.leads && known && this.leadership.appendReply(known, body.value, now)
+			case 'snapshotReply':
+				return this.leads && known && this.leadership.snapshotReply(known, body.value, now)
+			case 'timeoutNow':
+				return this.state.leader === from && this.election.takeOver(now)
+			case 'probe':
+			case 'probeReply':
+				return
+			default:
+				return exhaustive(body)
+		}
+	}
+
+	/** Keeps the leader's idea of what is stored in step with entries that were replaced. */
+	private follow(step: () => void): void {
+		const before = this.state.log.lastIndex
+		const beforeTerm = this.state.log.lastTerm
+		step()
+		if (this.state.log.termAt(before) !== beforeTerm) this.leadership.truncated(this.state.commit)
+	}
+
+	/** @returns whether the message is of the current term, or may be handled all the same. */
+	private admitTerm(message: GroupMessage, now: number): boolean {
+		const body = message.body
+		const preVote = body?.$case === 'voteCall' && body.value.pre
+		const preReply = body?.$case === 'voteReply' && body.value.pre && body.value.granted
+		if (preVote || preReply) return true
+		if (message.term < this.state.term) {
+			this.answerStale(message)
+			return false
+		}
+		if (message.term === this.state.term) return true
+		if (body?.$case === 'voteCall' && !this.election.mayDisturb(body.value, now)) return false
+		this.state.enterTerm(message.term)
+		return true
+	}
+
+	/** Lets a leader or candidate of an old term learn of the newer one. */
+	private answerStale(message: GroupMessage): void {
+		const body = message.body
+		if (body?.$case === 'append') {
+			const value = { accepted: false, index: this.state.log.lastIndex, round: body.value.round }
+			this.state.sendLate(message.from, { $case: 'appendReply', value })
+		} else if (body?.$case === 'voteCall') {
+			const value = { pre: false, granted: false }
+			this.state.sendLate(message.from, { $case: 'voteReply', value })
+		}
+	}
+
+	/** Whether the membership names this life. */
+	private belongs(): boolean {
+		const { id, incarnation } = this.state.options
+		return this.state.memberships.find(id)?.incarnation === incarnation
+	}
+
+	private probe(now: number): void {
+		this.probeDue = now + this.state.timing.election
+		for (const founder of this.state.options.founders) {
+			if (founder.id === this.state.options.id) continue
+			this.state.sendLate(founder.id, { $case: 'probe', value: {} })
+		}
+		this.foundWhenAllBlank(now)
+	}
+
+	private answerProbe(message: GroupMessage, now: number): void {
+		if (this.holdsLease(now)) this.leadership.readmit(message.from, message.incarnation)
+		const blank = this.state.blank && this.state.term === 0
+		const value = { echo: message.incarnation, blank, founding: this.foundingFor(message) }
+		this.state.sendLate(message.from, { $case: 'probeReply', value })
+	}
+
+	private takeProbeReply(message: GroupMessage, reply: ProbeReply, now: number): void {
+		if (reply.echo !== this.state.options.incarnation) return
+		if (reply.blank) this.blankPeers.set(message.from, message.incarnation)
+		else this.blankPeers.delete(message.from)
+		if (reply.founding) this.joinFounding(reply.founding)
+		else this.foundWhenAllBlank(now)
+	}
+
+	/** The founding membership, if the life that asks is named in it and nothing has changed since. */
+	private foundingFor(message: GroupMessage): Membership | undefined {
+		const { memberships } = this.state
+		const named = memberships.find(message.from)?.incarnation === message.incarnation
+		return named && memberships.currentIndex === 1 ? memberships.current : undefined
+	}
+
+	/** A founder that went down right after founding may have told nobody: take it up from the probe. */
+	private joinFounding(membership: Membership): void {
+		if (!this.state.blank || this.state.log.lastIndex > 0) return
+		if (this.state.term === 0) this.state.enterTerm(1)
+		const data = Membership.encode(membership).finish() as Buffer
+		const kind = EntryKind.ENTRY_KIND_MEMBERSHIP
+		this.state.append({ index: 1, term: 1, kind, data })
+	}
+
+	/**
+	 * Only the founder with the first name founds, and only when every founder has told this very
+	 * life of it that it has no membership; so a group is founded once.
+	 */
+	private foundWhenAllBlank(now: number): void {
+		const { founders, id, incarnation } = this.state.options
+		if (!this.state.blank || this.state.term !== 0) return
+		const first = founders.map((founder) => founder.id).sort()[0]
+		if (first !== id) return
+		const lives = new Map(this.blankPeers).set(id, incarnation)
+		if (!founders.every((founder) => lives.has(founder.id))) return
+		this.state.enterTerm(1)
+		this.state.vote(id)
+		this.leadership.found(
+			founders.map((one) => ({ ...one, incarnation: lives.get(one.id) as string, voter: true }))
+		)
+		this.leadership.begin(now)
+	}
+}
--- /dev/null
+++ b/packages/consensus/src/lib/ReplicaState.ts
@@ -0,0 +1,214 @@
+/** The state that the parts of a replica share, and the effects they gather. */
+import { invariant, type Random } from '@rillrudder/utils'
+import { EntryKind, Membership, type Entry, type GroupMessage } from '@rillrudder/protocol'
+import { MembershipHistory } from './MembershipHistory'
+import type { Envelope, HardState, Output, Snapshot } from './Output'
+import { ReplicatedLog } from './ReplicatedLog'
+import { DEFAULT_TIMING, type Timing } from './Timing'
+import type { Witness } from './Witness'
+
+/** What a replica is doing in its group. @public */
+export const Role = {
+	Follower: 'follower',
+	PreCandidate: 'pre-candidate',
+	Candidate: 'candidate',
+	Leader: 'leader',
+} as const
+/** One of the roles. @public */
+export type Role = (typeof Role)[keyof typeof Role]
+
+/** A voter that the group starts with. @public */
+export interface Founder {
+	readonly id: string
+	/** Whether it keeps its log on a disk. */
+	readonly durable: boolean
+	/** Whether it is in the group's own data centre. */
+	readonly local: boolean
+}
+
+/** What a replica is told when it is made. @public */
+export interface ReplicaOptions {
+	readonly group: string
+	readonly id: string
+	/**
+	 * The life of this replica: kept with the log on a disk, new at every start without one. Votes
+	 * and acknowledgements count only from the life that the membership names.
+	 */
+	readonly incarnation: string
+	readonly founders: readonly Founder[]
+	readonly timing?: Timing
+	readonly random: Random
+	readonly witness?: Witness
+}
+
+/** What was found in the data folder. @public */
+export interface Restored {
+	readonly hardState: HardState
+	readonly snapshot?: Snapshot
+	readonly entries: readonly Entry[]
+}
+
+/** The body of a message. @public */
+export type Body = NonNullable<GroupMessage['body']>
+
+/**
+ * The state that the parts of a replica share.
+ *
+ * @internal
+ */
+export class ReplicaState {
+	readonly timing: Timing
+	readonly log = new ReplicatedLog()
+	readonly memberships = new MembershipHistory()
+	role: Role = Role.Follower
+	term = 0
+	votedFor = ''
+	leader = ''
+	commit = 0
+	applied = 0
+	snapshot: Snapshot | undefined
+	/** When a leader was last heard. A fresh start counts: what was promised before is forgotten. */
+	leaderHeardAt: number
+
+	private early: Envelope[] = []
+	private late: Envelope[] = []
+	private unstored: Entry[] = []
+	private installed: Snapshot | undefined
+	private hardStateChanged = false
+
+	constructor(
+		readonly options: ReplicaOptions,
+		now: number
+	) {
+		this.timing = options.timing ?? DEFAULT_TIMING
+		this.leaderHeardAt = now
+	}
+
+	/** Whether the membership in force gives this very life a vote. */
+	get votes(): boolean {
+		const self = this.memberships.find(this.options.id)
+		return self !== undefined && self.voter && self.incarnation === this.options.incarnation
+	}
+
+	/** Whether no membership is known. */
+	get blank(): boolean {
+		return this.memberships.current.members.length === 0
+	}
+
+	/** Id and incarnation. */
+	get life(): string {
+		return `${this.options.id}#${this.options.incarnation}`
+	}
+
+	/** Takes up what the data folder held. */
+	restore(restored: Restored): void {
+		this.term = restored.hardState.term
+		this.votedFor = restored.hardState.votedFor
+		if (restored.snapshot) this.takeSnapshot(restored.snapshot)
+		for (const entry of restored.entries) this.keep(entry)
+	}
+
+	/** Moves to a later term, as a follower that has given nobody its vote. */
+	enterTerm(term: number): void {
+		invariant(term > this.term, 'terms only grow', { from: this.term, to: term })
+		this.term = term
+		this.votedFor = ''
+		this.leader = ''
+		this.role = Role.Follower
+		this.hardStateChanged = true
+	}
+
+	/** Gives this term's vote. */
+	vote(candidate: string): void {
+		invariant(this.votedFor === '' || this.votedFor === candidate, 'one vote a term', {
+			term: this.term,
+			votedFor: this.votedFor,
+			candidate,
+		})
+		this.votedFor = candidate
+		this.hardStateChanged = true
+	}
+
+	/** Adds an entry to the log and to what must be stored. */
+	append(entry: Entry): void {
+		this.keep(entry)
+		this.unstored.push(entry)
+	}
+
+	/** Drops entries that another leader's entries replace. */
+	truncateAfter(index: number): void {
+		invariant(index >= this.commit, 'committed entries stay', { index, commit: this.commit })
+		this.log.truncateAfter(index)
+		this.memberships.truncateAfter(index)
+		this.unstored = this.unstored.filter((entry) => entry.index <= index)
+	}
+
+	/** Replaces the log by a snapshot that reaches further than what was applied. */
+	install(snapshot: Snapshot): void {
+		this.takeSnapshot(snapshot)
+		this.unstored = []
+		this.installed = snapshot
+	}
+
+	/** Marks entries up to an index as committed. */
+	commitTo(index: number): void {
+		invariant(index <= this.log.lastIndex, 'only held entries are committed', {
+			index,
+			last: this.log.lastIndex,
+		})
+		if (index <= this.commit) return
+		for (let at = this.commit + 1; at <= index; at++) {
+			this.options.witness?.committed(this.log.at(at))
+		}
+		this.commit = index
+	}
+
+	/** Sends at once. */
+	sendEarly(to: string, body: Body): void {
+		this.early.push({ to, message: this.seal(body, this.term) })
+	}
+
+	/** Sends once everything gathered so far is lasting. */
+	sendLate(to: string, body: Body, term = this.term): void {
+		this.late.push({ to, message: this.seal(body, term) })
+	}
+
+	/** Hands the gathered effects over. */
+	takeOutput(): Output {
+		const committed: Entry[] = []
+		while (this.applied < this.commit) committed.push(this.log.at(++this.applied))
+		const output: Output = {
+			hardState: this.hardStateChanged ? { term: this.term, votedFor: this.votedFor } : undefined,
+			snapshot: this.installed,
+			entries: this.unstored,
+			early: this.early,
+			late: this.late,
+			committed,
+		}
+		this.early = []
+		this.late = []
+		this.unstored = []
+		this.installed = undefined
+		this.hardStateChanged = false
+		return output
+	}
+
+	private keep(entry: Entry): void {
+		this.log.append(entry)
+		if (entry.kind !== EntryKind.ENTRY_KIND_MEMBERSHIP) return
+		this.memberships.add({ index: entry.index, membership: Membership.decode(entry.data) })
+	}
+
+	private takeSnapshot(snapshot: Snapshot): void {
+		this.snapshot = snapshot
+		this.log.reset(snapshot.index, snapshot.term)
+		this.memberships.reset({ index: snapshot.index, membership: snapshot.membership })
+		this.commit = snapshot.index
+		this.applied = snapshot.index
+	}
+
+	private seal(body: Body, term: number): GroupMessage {
+		const { group, id, incarnation } = this.options
+		return { group, from: id, incarnation, term, body }
+	}
+}
--- /dev/null
+++ b/packages/consensus/src/lib/ReplicatedLog.ts
@@ -0,0 +1,105 @@
+/** The entries a replica holds in memory, above the index its snapshot reaches. */
+import { invariant } from '@rillrudder/utils'
+import type { Entry } from '@rillrudder/protocol'
+
+/**
+ * A log whose beginning may have been compacted away.
+ *
+ * @public
+ */
+export class ReplicatedLog {
+	private entries: Entry[] = []
+
+	/**
+	 * @param baseIndex - the last index that was compacted away.
+	 * @param baseTerm - the term of that index.
+	 */
+	constructor(
+		private baseIndex = 0,
+		private baseTerm = 0
+	) {}
+
+	/** The first index that is still held, if any is. */
+	get firstIndex(): number {
+		return this.baseIndex + 1
+	}
+
+	/** The last index, held or compacted. */
+	get lastIndex(): number {
+		return this.baseIndex + this.entries.length
+	}
+
+	/** The term of the last index. */
+	get lastTerm(): number {
+		return this.entries.length === 0 ? this.baseTerm : this.entries[this.entries.length - 1].term
+	}
+
+	/**
+	 * @param index - any index.
+	 * @returns its term, or undefined when it is not known here.
+	 */
+	termAt(index: number): number | undefined {
+		if (index === this.baseIndex) return this.baseTerm
+		return this.entries[index - this.baseIndex - 1]?.term
+	}
+
+	/**
+	 * @param index - a held index.
+	 * @returns the entry.
+	 */
+	at(index: number): Entry {
+		const entry = this.entries[index - this.baseIndex - 1]
+		invariant(entry !== undefined, 'only held entries are read', { index, base: this.baseIndex })
+		return entry
+	}
+
+	/**
+	 * @param from - first index wanted, held.
+	 * @param most - how many entries at most.
+	 * @param mostBytes - stops after the entry that passes this many bytes.
+	 * @returns the entries from there.
+	 */
+	slice(from: number, most: number, mostBytes: number): Entry[] {
+		const start = from - this.baseIndex - 1
+		const end = Math.min(this.entries.length, start + most)
+		let bytes = 0
+		let next = start
+		while (next < end && bytes < mostBytes) bytes += this.entries[next++].data.length
+		return this.entries.slice(start, next)
+	}
+
+	/** @param entry - the entry that follows the last. */
+	append(entry: Entry): void {
+		invariant(entry.index === this.lastIndex + 1, 'a log has no gaps', {
+			index: entry.index,
+			last: this.lastIndex,
+		})
+		this.entries.push(entry)
+	}
+
+	/** @param index - every entry after this one is dropped. */
+	truncateAfter(index: number): void {
+		this.entries.length = Math.max(0, index - this.baseIndex)
+	}
+
+	/** @param index - every entry up to this one is dropped; its term is remembered. */
+	compactTo(index: number): void {
+		const term = this.termAt(index)
+		if (term === undefined || index <= this.baseIndex) return
+		this.entries = this.entries.slice(index - this.baseIndex)
+		this.baseIndex = index
+		this.baseTerm = term
+	}
+
+	/**
+	 * Forgets everything in favour of a snapshot.
+	 *
+	 * @param index - the index that the snapshot reaches.
+	 * @param term - its term.
+	 */
+	reset(index: number, term: number): void {
+		this.entries = []
+		this.baseIndex = index
+		this.baseTerm = term
+	}
+}
--- /dev/null
+++ b/packages/consensus/src/lib/Timing.ts
@@ -0,0 +1,29 @@
+/** The spans that a group's safety and speed rest on, in milliseconds. */
+
+/** Spans of one group; every replica of the group is given the same. @public */
+export interface Timing {
+	/** Between two heartbeats of the leader. */
+	readonly heartbeat: number
+	/**
+	 * A replica that heard from its leader this recently gives nobody its vote. Followers wait for
+	 * between one and two of these before they ask for votes.
+	 */
+	readonly election: number
+	/**
+	 * How far two clocks may run apart, as a share. A lease is shortened by twice this share: the
+	 * leader's clock may be slow by it while a follower's is fast by it.
+	 */
+	readonly drift: number
+}
+
+/** Spans for data centres a few milliseconds apart. @public */
+export const DEFAULT_TIMING: Timing = { heartbeat: 100, election: 600, drift: 0.1 }
+
+/**
+ * @param timing - the group's spans.
+ * @returns how long a lease lasts from the moment the heartbeat that renews it was sent.
+ * @public
+ */
+export function leaseSpan(timing: Timing): number {
+	return timing.election * (1 - 2 * timing.drift)
+}
--- /dev/null
+++ b/packages/runs/src/lib/GroupRun.ts
@@ -0,0 +1,421 @@
+/**
+ * A seeded run of one group: replicas with their own clocks and disks, and a network that loses,
+ * delays, repeats and reorders. What must hold is asserted by the replicas' own code and its witness.
+ */
+import {
+	DEFAULT_TIMING,
+	Replica,
+	Witness,
+	type Envelope,
+	type Founder,
+	type Restored,
+	type Snapshot,
+} from '@rillrudder/consensus'
+import { EntryKind, type Entry } from '@rillrudder/protocol'
+import { invariant, Random } from '@rillrudder/utils'
+
+const STEP = 10
+const SYNC_MOST = 30
+const DELAY_MOST = 40
+const LOSS = 0.02
+const REPEAT = 0.02
+const COMPACT_EVERY = 60
+
+/** What can go wrong in a run. @public */
+export const Fault = {
+	Restart: 'restart',
+	Pause: 'pause',
+	CutOff: 'cut-off',
+	OneWay: 'one-way',
+	LostDisk: 'lost-disk',
+	HandOver: 'hand-over',
+} as const
+/** One of the faults. @public */
+export type Fault = (typeof Fault)[keyof typeof Fault]
+
+/** What a run has done so far. @public */
+export interface GroupRunTally {
+	steps: number
+	elections: number
+	committed: number
+	snapshotsInstalled: number
+	readonly faults: Record<Fault, number>
+}
+
+/** How a run is made. @public */
+export interface GroupRunOptions {
+	readonly seed: number
+	readonly founders: readonly Founder[]
+	/** Probability of a new fault in a step of 10 ms. */
+	readonly faultRate: number
+}
+
+interface Stored {
+	hardState: Restored['hardState']
+	snapshot?: Snapshot
+	entries: Entry[]
+}
+
+interface Save {
+	readonly due: number
+	readonly apply: (disk: Stored) => void
+	readonly late: readonly Envelope[]
+	readonly last?: { readonly index: number; readonly term: number }
+}
+
+interface Flight {
+	readonly due: number
+	readonly from: string
+	readonly envelope: Envelope
+}
+
+/** One instance: a replica, its clock, its disk, and the state that committed entries make. */
+class Node {
+	replica!: Replica
+	incarnation = ''
+	disk: Stored = { hardState: { term: 0, votedFor: '' }, entries: [] }
+	saves: Save[] = []
+	/** Digest of everything applied, in order. */
+	state = 0
+	applied = 0
+	downUntil = 0
+	pausedUntil = 0
+	held: Flight[] = []
+
+	constructor(
+		readonly founder: Founder,
+		readonly rate: number,
+		readonly offset: number
+	) {}
+
+	localTime(trueTime: number): number {
+		return this.offset + trueTime * this.rate
+	}
+}
+
+/**
+ * One seeded run.
+ *
+ * @example
+ * ```ts
+ * const run = new GroupRun({ seed: 7, founders, faultRate: 0.02 })
+ * run.steps(10_000)
+ * run.settle()
+ * ```
+ * @public
+ */
+export class GroupRun {
+	readonly tally: GroupRunTally = {
+		steps: 0,
+		elections: 0,
+		committed: 0,
+		snapshotsInstalled: 0,
+		faults: { restart: 0, pause: 0, 'cut-off': 0, 'one-way': 0, 'lost-disk': 0, 'hand-over': 0 },
+	}
+	private readonly random: Random
+	private readonly witness = new Witness()
+	private readonly nodes = new Map<string, Node>()
+	private flights: Flight[] = []
+	private now = 0
+	private blocked = new Set<string>()
+	private blockedUntil = 0
+	private faults = true
+	private proposing = true
+	private lives = 0
+	private proposals = 0
+	private lastLeader = ''
+
+	/** @param options - seed, founders and how often faults come. */
+	constructor(private readonly options: GroupRunOptions) {
+		this.random = new Random(options.seed)
+		const { drift } = DEFAULT_TIMING
+		for (const founder of options.founders) {
+			const rate = 1 + (this.random.fraction() * 2 - 1) * drift
+			const node = new Node(founder, rate, this.random.integer(0, 100_000))
+			this.nodes.set(founder.id, node)
+			this.boot(node)
+		}
+	}
+
+	/** @param count - how many steps of 10 ms to make. */
+	steps(count: number): void {
+		for (let step = 0; step < count; step++) this.step()
+	}
+
+	/** Heals everything and checks that all replicas come to the same state with nothing lost. */
+	settle(): void {
+		this.faults = false
+		this.blocked.clear()
+		for (const node of this.nodes.values()) {
+			node.downUntil = Math.min(node.downUntil, this.now)
+			node.pausedUntil = Math.min(node.pausedUntil, this.now)
+		}
+		this.steps(1500)
+		this.proposing = false
+		this.steps(500)
+		const nodes = [...this.nodes.values()]
+		const first = nodes[0]
+		for (const node of nodes) {
+			const { members, commit } = node.replica.status
+			invariant(commit >= this.witness.committedCount, 'nothing committed is lost', {
+				node: node.founder.id,
+				commit,
+				known: this.witness.committedCount,
+				statuses: nodes.map((one) => one.replica.status),
+			})
+			invariant(node.state === first.state && node.applied === first.applied, 'one state')
+			const whole = members.every((member) => member.voter)
+			invariant(whole, 'every life is a voter again', { members })
+		}
+		this.tally.committed = this.witness.committedCount
+	}
+
+	private step(): void {
+		this.now += STEP
+		this.tally.steps += 1
+		if (this.faults && this.random.chance(this.options.faultRate)) this.disturb()
+		if (this.now >= this.blockedUntil) this.blocked.clear()
+		this.deliver()
+		for (const node of this.nodes.values()) this.run(node)
+	}
+
+	private run(node: Node): void {
+		if (!this.awake(node)) return
+		if (node.downUntil > 0) {
+			node.downUntil = 0
+			this.boot(node)
+		}
+		const local = node.localTime(this.now)
+		node.replica.tick(local)
+		if (this.proposing && node.replica.leads && this.random.chance(0.3)) this.propose(node, local)
+		this.finishSaves(node)
+		this.flush(node)
+		this.checkLease(node)
+		this.compact(node)
+	}
+
+	private propose(node: Node, local: number): void {
+		const commands: Buffer[] = []
+		for (let count = this.random.integer(1, 3); count > 0; count--) {
+			commands.push(Buffer.from(String(++this.proposals)))
+		}
+		node.replica.propose(commands, local)
+	}
+
+	private flush(node: Node): void {
+		const output = node.replica.takeOutput()
+		for (const envelope of output.early) this.dispatch(node, envelope)
+		if (output.snapshot) this.restoreState(node, output.snapshot)
+		const { hardState, snapshot, entries, late } = output
+		const last = entries[entries.length - 1] ?? snapshot
+		const due = this.now + (node.founder.durable ? this.random.integer(0, SYNC_MOST) : 0)
+		node.saves.push({
+			due,
+			late,
+			last,
+			apply: (disk) => store(disk, hardState, snapshot, entries),
+		})
+		for (const entry of output.committed) this.apply(node, entry)
+	}
+
+	/** Saves end in the order in which they began. */
+	private finishSaves(node: Node): void {
+		while (node.saves.length > 0 && node.saves[0].due <= this.now) {
+			const save = node.saves.shift() as Save
+			save.apply(node.disk)
+			for (const envelope of save.late) this.dispatch(node, envelope)
+			if (save.last) node.replica.persisted(save.last.index, save.last.term)
+		}
+	}
+
+	private apply(node: Node, entry: Entry): void {
+		node.applied = entry.index
+		if (entry.kind !== EntryKind.ENTRY_KIND_COMMAND) return
+		node.state = (node.state * 31 + Number(Buffer.from(entry.data).toString())) % 1_000_000_007
+	}
+
+	private restoreState(node: Node, snapshot: Snapshot): void {
+		this.tally.snapshotsInstalled += 1
+		node.state = Number(Buffer.from(snapshot.data).toString().trim())
+		node.applied = snapshot.index
+	}
+
+	private compact(node: Node): void {
+		const from = node.replica.snapshot?.index ?? 0
+		if (node.applied - from < COMPACT_EVERY) return
+		// Padded to more than one piece, so that an installation can be interrupted.
+		const data = Buffer.from(String(node.state).padEnd(200_000))
+		node.replica.compact(node.applied, data)
+		const { snapshot } = node.replica
+		const entries = node.replica.entriesAfterSnapshot()
+		node.saves.push({
+			due: this.now,
+			late: [],
+			apply: (disk) => store(disk, undefined, snapshot, entries),
+		})
+	}
+
+	private checkLease(node: Node): void {
+		const local = node.localTime(this.now)
+		if (!node.replica.holdsLease(local)) return
+		const life = `${node.founder.id}#${node.incarnation}`
+		if (life + node.replica.status.term !== this.lastLeader) this.tally.elections += 1
+		this.lastLeader = life + node.replica.status.term
+		const trueEnd = this.now + (node.replica.leaseEnd(local) - local) / node.rate
+		this.witness.lease(life, this.now, trueEnd)
+	}
+
+	private deliver(): void {
+		const due = this.flights.filter((flight) => flight.due <= this.now)
+		this.flights = this.flights.filter((flight) => flight.due > this.now)
+		for (const flight of due) {
+			const node = this.nodes.get(flight.envelope.to)
+			if (!node || node.downUntil > 0) continue
+			if (node.pausedUntil > this.now) node.held.push(flight)
+			else node.replica.receive(flight.envelope.message, node.localTime(this.now))
+		}
+		for (const node of this.nodes.values()) {
+			if (node.pausedUntil > this.now || node.held.length === 0) continue
+			const held = node.held
+			node.held = []
+			for (const flight of held) {
+				node.replica.receive(flight.envelope.message, node.localTime(this.now))
+			}
+		}
+	}
+
+	private dispatch(node: Node, envelope: Envelope): void {
+		const from = node.founder.id
+		if (this.blocked.has(`${from}>${envelope.to}`)) return
+		if (this.faults && this.random.chance(LOSS)) return
+		const copies = this.faults && this.random.chance(REPEAT) ? 2 : 1
+		for (let copy = 0; copy < copies; copy++) {
+			const due = this.now + this.random.integer(0, DELAY_MOST)
+			this.flights.push({ due, from, envelope })
+		}
+	}
+
+	private disturb(): void {
+		const fault = this.random.pick(Object.values(Fault))
+		const node = this.random.pick([...this.nodes.values()])
+		if (!this.inflict(fault, node)) return
+		this.tally.faults[fault] += 1
+	}
+
+	private inflict(fault: Fault, node: Node): boolean {
+		const span = this.random.integer(100, 4000)
+		switch (fault) {
+			case Fault.Restart:
+				return this.takeDown(node, span)
+			case Fault.Pause:
+				node.pausedUntil = Math.max(node.pausedUntil, this.now + span)
+				return true
+			case Fault.CutOff:
+				this.block(span, (from, to) => from === node.founder.id || to === node.founder.id)
+				return true
+			case Fault.OneWay:
+				this.block(span, (from) => from === node.founder.id)
+				return true
+			case Fault.LostDisk:
+				return this.loseDisk(node, span)
+			case Fault.HandOver:
+				return node.downUntil === 0 && node.replica.handOver(node.localTime(this.now))
+		}
+	}
+
+	/** An instance without a disk forgets; a second one that forgets at once would lose the group. */
+	private takeDown(node: Node, span: number): boolean {
+		if (!node.founder.durable && !this.othersWhole(node)) return false
+		if (node.downUntil > 0) return false
+		node.downUntil = this.now + span
+		node.saves = []
+		node.held = []
+		return true
+	}
+
+	private loseDisk(node: Node, span: number): boolean {
+		if (!this.othersWhole(node) || !this.takeDown(node, span)) return false
+		node.disk = { hardState: { term: 0, votedFor: '' }, entries: [] }
+		node.incarnation = ''
+		return true
+	}
+
+	/** Whether every other founder is a voter of the newest membership with all that was committed. */
+	private othersWhole(node: Node): boolean {
+		const others = [...this.nodes.values()].filter((one) => one !== node)
+		const known = this.witness.committedCount
+		return others.every((one) => {
+			const { members, commit } = one.replica.status
+			const self = members.find((member) => member.id === one.founder.id)
+			const stored = one.founder.durable ? lastStored(one.disk) : commit
+			const voter = self?.voter === true && self.incarnation === one.incarnation
+			return one.downUntil === 0 && voter && stored >= known && commit >= known
+		})
+	}
+
+	private block(span: number, between: (from: string, to: string) => boolean): void {
+		for (const from of this.nodes.keys()) {
+			for (const to of this.nodes.keys()) {
+				if (from !== to && between(from, to)) this.blocked.add(`${from}>${to}`)
+			}
+		}
+		this.blockedUntil = this.now + span
+	}
+
+	private awake(node: Node): boolean {
+		return node.downUntil <= this.now && node.pausedUntil <= this.now
+	}
+
+	private boot(node: Node): void {
+		const { id, durable } = node.founder
+		const kept = durable && node.incarnation !== ''
+		if (!kept) {
+			node.incarnation = `life-${++this.lives}`
+			node.disk = { hardState: { term: 0, votedFor: '' }, entries: [] }
+		}
+		const { hardState, snapshot, entries } = node.disk
+		const restored = kept ? { hardState, snapshot, entries: [...entries] } : undefined
+		node.state = restored?.snapshot
+			? Number(Buffer.from(restored.snapshot.data).toString().trim())
+			: 0
+		node.applied = restored?.snapshot?.index ?? 0
+		node.saves = []
+		const { founders } = this.options
+		const options = {
+			group: 'run',
+			id,
+			incarnation: node.incarnation,
+			founders,
+			random: new Random(this.random.integer(1, 1_000_000_000)),
+			witness: this.witness,
+		}
+		node.replica = new Replica(options, node.localTime(this.now), restored)
+	}
+}
+
+function lastStored(disk: Stored): number {
+	const last = disk.entries[disk.entries.length - 1]
+	return last?.index ?? disk.snapshot?.index ?? 0
+}
+
+function store(
+	disk: Stored,
+	hardState: Restored['hardState'] | undefined,
+	snapshot: Snapshot | undefined,
+	entries: readonly Entry[]
+): void {
+	if (hardState) disk.hardState = hardState
+	if (snapshot) {
+		disk.snapshot = snapshot
+		disk.entries = []
+	}
+	for (const entry of entries) {
+		const start = (disk.snapshot?.index ?? 0) + 1
+		invariant(entry.index >= start, 'what a snapshot covers is not stored again', {
+			index: entry.index,
+			start,
+		})
+		disk.entries.length = Math.min(disk.entries.length, entry.index - start)
+		disk.entries.push(entry)
+	}
+}
--- /dev/null
+++ b/packages/store/src/index.ts
@@ -0,0 +1,18 @@
+/** The data folder: synced records, snapshots and the folder lock. */
+export { AppendFile, Disk, SystemDisk } from './lib/Disk'
+export { FolderLock, type FolderHeld } from './lib/FolderLock'
+export {
+	FORMAT_VERSION,
+	GroupStore,
+	type Batch,
+	type GroupFiles,
+	type Opened,
+} from './lib/GroupStore'
+export {
+	decodeRecords,
+	encodeRecord,
+	Ending,
+	MOST_RECORD_BYTES,
+	RECORD_HEADER_BYTES,
+	type ReadRecords,
+} from './lib/recordCodec'
--- /dev/null
+++ b/packages/store/src/lib/FolderLock.ts
@@ -0,0 +1,79 @@
+/** Keeps two processes from using one data folder. */
+import { openSync, closeSync, readFileSync, rmSync, writeSync, mkdirSync } from 'node:fs'
+import { join } from 'node:path'
+import { failure, success, type Result } from '@rillrudder/utils'
+
+const LOCK_FILE = 'lock'
+const START_TIME_FIELD = 19
+
+/** The process that holds the folder. @public */
+export interface FolderHeld {
+	readonly folder: string
+	readonly pid: number
+}
+
+/**
+ * A lock on a data folder. It names the process and the time that the process started, so that the
+ * lock of a killed process is known to be stale even when its id is in use again.
+ *
+ * @public
+ */
+export class FolderLock {
+	private constructor(private readonly path: string) {}
+
+	/**
+	 * @param folder - the data folder; created when missing.
+	 * @returns the lock, or the process that holds it.
+	 */
+	static acquire(folder: string): Result<FolderLock, FolderHeld> {
+		mkdirSync(folder, { recursive: true })
+		const path = join(folder, LOCK_FILE)
+		if (tryCreate(path)) return success(new FolderLock(path))
+		const holder = readHolder(path)
+		if (holder && holder.started === startTime(holder.pid)) {
+			return failure({ folder, pid: holder.pid })
+		}
+		rmSync(path, { force: true })
+		return tryCreate(path) ? success(new FolderLock(path)) : failure({ folder, pid: 0 })
+	}
+
+	/** Gives the folder back. */
+	release(): void {
+		rmSync(this.path, { force: true })
+	}
+}
+
+function tryCreate(path: string): boolean {
+	try {
+		const file = openSync(path, 'wx')
+		writeSync(file, JSON.stringify({ pid: process.pid, started: startTime(process.pid) }))
+		closeSync(file)
+		return true
+	} catch (fault) {
+		if ((fault as NodeJS.ErrnoException).code === 'EEXIST') return false
+		throw fault
+	}
+}
+
+interface Holder {
+	readonly pid: number
+	readonly started: string
+}
+
+function readHolder(path: string): Holder | undefined {
+	try {
+		return JSON.parse(readFileSync(path, 'utf8')) as Holder
+	} catch {
+		return undefined
+	}
+}
+
+/** Start time of a process in clock ticks since boot, field 22 of its `stat`; empty when it is gone. */
+function startTime(pid: number): string {
+	try {
+		const stat = readFileSync(`/proc/${pid}/stat`, 'utf8')
+		return stat.slice(stat.lastIndexOf(')') + 2).split(' ')[START_TIME_FIELD]
+	} catch {
+		return ''
+	}
+}
--- /dev/null
+++ b/packages/utils/src/index.ts
@@ -0,0 +1,10 @@
+/** Clock, seeded randomness, results, findings and typed goroutines. */
+export { Mailbox } from './lib/csp/Mailbox'
+export { Random } from './lib/random/Random'
+export { exhaustive } from './lib/result/exhaustive'
+export { formatFinding, type Finding, type Place } from './lib/result/Finding'
+export { invariant, INVARIANT_BROKEN } from './lib/result/invariant'
+export { failure, success, type Failure, type Result, type Success } from './lib/result/Result'
+export { Clock, Timer } from './lib/time/Clock'
+export { ManualClock } from './lib/time/ManualClock'
+export { SystemClock } from './lib/time/SystemClock'
--- /dev/null
+++ b/packages/utils/src/lib/time/ManualClock.ts
@@ -0,0 +1,77 @@
+/** A clock that moves only when it is told to, for tests and for randomised runs. */
+import { Clock, Timer } from './Clock'
+
+/** A call that waits for its moment. @internal */
+class ManualTimer extends Timer {
+	cancelled = false
+
+	constructor(
+		readonly due: number,
+		readonly call: () => void
+	) {
+		super()
+	}
+
+	override cancel(): void {
+		this.cancelled = true
+	}
+}
+
+/**
+ * A clock moved by hand.
+ *
+ * @example
+ * ```ts
+ * const clock = new ManualClock()
+ * clock.after(10, () => console.log('ten'))
+ * clock.advance(10)
+ * ```
+ * @public
+ */
+export class ManualClock extends Clock {
+	private elapsed = 0
+	private pending: ManualTimer[] = []
+
+	/** @param start - calendar time at the first moment. */
+	constructor(private readonly start = new Date('2026-01-01T00:00:00Z')) {
+		super()
+	}
+
+	override now(): number {
+		return this.elapsed
+	}
+
+	override date(): Date {
+		return new Date(this.start.getTime() + this.elapsed)
+	}
+
+	override after(delay: number, call: () => void): Timer {
+		const timer = new ManualTimer(this.elapsed + delay, call)
+		this.pending.push(timer)
+		return timer
+	}
+
+	/**
+	 * Moves time forward and makes every call that falls due, in order.
+	 *
+	 * @param span - milliseconds.
+	 */
+	advance(span: number): void {
+		const end = this.elapsed + span
+		for (let next = this.takeDue(end); next; next = this.takeDue(end)) {
+			this.elapsed = Math.max(this.elapsed, next.due)
+			next.call()
+		}
+		this.elapsed = end
+	}
+
+	private takeDue(end: number): ManualTimer | undefined {
+		this.pending = this.pending.filter((timer) => !timer.cancelled)
+		let first: ManualTimer | undefined
+		for (const timer of this.pending) {
+			if (timer.due <= end && (!first || timer.due < first.due)) first = timer
+		}
+		if (first) this.pending.splice(this.pending.indexOf(first), 1)
+		return first
+	}
+}
--- /dev/null
+++ b/packages/utils/src/lib/time/SystemClock.ts
@@ -0,0 +1,32 @@
+/** The machine's own clock: the only module that reads it. */
+import { Clock, Timer } from './Clock'
+
+/** A timer of the Node event loop. @internal */
+class NodeTimer extends Timer {
+	constructor(private readonly handle: NodeJS.Timeout) {
+		super()
+	}
+
+	override cancel(): void {
+		clearTimeout(this.handle)
+	}
+}
+
+/**
+ * The machine's clock.
+ *
+ * @public
+ */
+export class SystemClock extends Clock {
+	override now(): number {
+		return performance.now()
+	}
+
+	override date(): Date {
+		return new Date()
+	}
+
+	override after(delay: number, call: () => void): Timer {
+		return new NodeTimer(setTimeout(call, delay))
+	}
+}
