--- /dev/null
+++ b/apps/control/src/index.ts
@@ -0,0 +1,7 @@
+/** `rr-control`: groups, decisions and the operator API. */
+export { ControlProcess, type ControlOverrides } from './lib/ControlProcess'
+export {
+	checkControlSettings,
+	type ControlSettings,
+	type WrittenControlSettings,
+} from './lib/ControlSettings'
--- /dev/null
+++ b/apps/ctl/src/lib/commands.ts
@@ -0,0 +1,259 @@
+/** The commands of `rrctl`. */
+import { randomUUID } from 'node:crypto'
+import { readFileSync } from 'node:fs'
+import { ExitCode } from '@rillrudder/program'
+import { command, flag, number, option, optional, positional, string, subcommands } from 'cmd-ts'
+import { OperatorClient } from './OperatorClient'
+import { show, type Printer } from './output'
+import {
+	printAnswer,
+	printAudit,
+	printConfiguration,
+	printExplanation,
+	printPlan,
+	printStatus,
+	printTasks,
+	printWorkers,
+} from './printers'
+
+const DEFAULT_ADDRESS = '127.0.0.1:7200'
+
+const setting = (long: string, env: string, description: string) =>
+	option({ type: optional(string), long, env, description })
+
+/** Flags that every command takes. */
+const common = {
+	at: option({
+		type: string,
+		long: 'at',
+		env: 'RR_AT',
+		defaultValue: () => DEFAULT_ADDRESS,
+		description: 'host:port of the operator API of any instance',
+	}),
+	dataCentre: setting(
+		'data-centre',
+		'RR_DATA_CENTRE',
+		"data centre; the instance's own by default"
+	),
+	operator: option({
+		type: string,
+		long: 'operator',
+		env: 'RR_OPERATOR',
+		defaultValue: () => process.env.USER ?? 'unnamed',
+		description: 'your name for the audit, where neither TLS nor tokens are set up',
+	}),
+	token: setting('token', 'RR_TOKEN', 'your token'),
+	tlsAuthority: setting('tls-authority', 'RR_TLS_AUTHORITY', 'PEM file of who signs the server'),
+	tlsCertificate: setting('tls-certificate', 'RR_TLS_CERTIFICATE', 'your PEM file'),
+	tlsKey: setting('tls-key', 'RR_TLS_KEY', 'your PEM file'),
+	json: flag({ long: 'json', description: 'print JSON for programs' }),
+}
+
+/** Flags of commands that change something. */
+const changing = {
+	...common,
+	request: option({
+		type: string,
+		long: 'request',
+		defaultValue: () => randomUUID(),
+		description: 'id of this request; the same again gets the first answer',
+	}),
+}
+
+interface Common {
+	readonly at: string
+	readonly dataCentre?: string
+	readonly operator: string
+	readonly token?: string
+	readonly tlsAuthority?: string
+	readonly tlsCertificate?: string
+	readonly tlsKey?: string
+	readonly json: boolean
+}
+
+async function get(flags: Common, path: string, query: Query, print: Printer): Promise<ExitCode> {
+	const reply = await clientFor(flags).get(withQuery(path, { ...query, ...place(flags) }))
+	return show(reply, flags.json, print)
+}
+
+async function post(
+	flags: Common & { readonly request: string },
+	path: string,
+	body: object,
+	print: Printer
+): Promise<ExitCode> {
+	const { request } = flags
+	const reply = await clientFor(flags).post(path, { ...body, ...place(flags), request })
+	return show(reply, flags.json, print)
+}
+
+type Query = { readonly [name: string]: string | number | undefined }
+
+const status = command({
+	name: 'status',
+	description: 'groups, leaders, and who has which configuration',
+	args: common,
+	handler: (flags) => get(flags, '/v1/status', {}, printStatus),
+})
+
+const configGet = command({
+	name: 'get',
+	description: 'the configuration in force',
+	args: common,
+	handler: (flags) => get(flags, '/v1/configuration', {}, printConfiguration),
+})
+
+const configApply = command({
+	name: 'apply',
+	description: 'propose a configuration in place of a revision',
+	args: {
+		...changing,
+		replaces: option({ type: number, long: 'replaces', description: 'the revision it replaces' }),
+		file: positional({ type: string, displayName: 'file', description: 'YAML; - reads input' }),
+	},
+	handler: (flags) =>
+		withFile(flags.file, (document) =>
+			post(flags, '/v1/configuration', { replaces: flags.replaces, document }, printAnswer)
+		),
+})
+
+const plan = command({
+	name: 'plan',
+	description: 'work out what an intent would move, without moving anything',
+	args: {
+		...changing,
+		confirm: flag({ long: 'confirm', description: 'confirm the plan at once if it is possible' }),
+		file: positional({ type: string, displayName: 'file', description: 'YAML; - reads input' }),
+	},
+	handler: (flags) =>
+		withFile(flags.file, async (document) => {
+			let id = ''
+			const code = await post(flags, '/v1/plans', { document }, (content) => {
+				printPlan(content)
+				id = (content as { subject?: string }).subject ?? ''
+			})
+			if (!flags.confirm || code !== ExitCode.Done) return code
+			const request = `${flags.request}-confirm`
+			return post({ ...flags, request }, `/v1/plans/${id}/confirm`, {}, printAnswer)
+		}),
+})
+
+const onPlan = (name: 'confirm' | 'reject', description: string) =>
+	command({
+		name,
+		description,
+		args: { ...changing, plan: positional({ type: string, displayName: 'plan' }) },
+		handler: (flags) => post(flags, `/v1/plans/${encode(flags.plan)}/${name}`, {}, printPlan),
+	})
+
+const cancel = command({
+	name: 'cancel',
+	description: 'cancel what is left of an intent',
+	args: { ...changing, intent: positional({ type: string, displayName: 'intent' }) },
+	handler: (flags) => post(flags, `/v1/intents/${encode(flags.intent)}/cancel`, {}, printAnswer),
+})
+
+const drain = command({
+	name: 'drain',
+	description: 'give a worker no new work',
+	args: { ...changing, worker: positional({ type: string, displayName: 'worker' }) },
+	handler: (flags) => post(flags, `/v1/workers/${encode(flags.worker)}/drain`, {}, printAnswer),
+})
+
+const tasks = command({
+	name: 'tasks',
+	description: 'tasks and where they are',
+	args: { ...common, intent: option({ type: optional(string), long: 'intent' }) },
+	handler: (flags) => get(flags, '/v1/tasks', { intent: flags.intent }, printTasks),
+})
+
+const workers = command({
+	name: 'workers',
+	description: 'workers and what is given away of them',
+	args: common,
+	handler: (flags) => get(flags, '/v1/workers', {}, printWorkers),
+})
+
+const explain = command({
+	name: 'explain',
+	description: 'why a task waits, or why it runs where it runs',
+	args: { ...common, task: positional({ type: string, displayName: 'task' }) },
+	handler: (flags) => get(flags, `/v1/tasks/${encode(flags.task)}/explain`, {}, printExplanation),
+})
+
+const audit = command({
+	name: 'audit',
+	description: 'who did what when',
+	args: {
+		...common,
+		system: flag({ long: 'system', description: 'the system group instead of a data centre' }),
+		who: option({ type: optional(string), long: 'who' }),
+		what: option({ type: optional(string), long: 'what' }),
+		from: option({ type: optional(string), long: 'from', description: 'ISO 8601' }),
+		to: option({ type: optional(string), long: 'to', description: 'ISO 8601' }),
+	},
+	handler: (flags) => {
+		const { who, what } = flags
+		const dataCentre = flags.system ? 'system' : flags.dataCentre
+		const query = { who, what, from: moment(flags.from), to: moment(flags.to) }
+		return get({ ...flags, dataCentre }, '/v1/audit', query, printAudit)
+	},
+})
+
+/** The whole command line. @public */
+export const rrctl = subcommands({
+	name: 'rrctl',
+	version: '0.1.0',
+	description: 'Operate a cell',
+	cmds: {
+		status,
+		config: subcommands({ name: 'config', cmds: { get: configGet, apply: configApply } }),
+		plan,
+		confirm: onPlan('confirm', 'let a plan take effect'),
+		reject: onPlan('reject', 'drop a plan'),
+		cancel,
+		drain,
+		tasks,
+		workers,
+		explain,
+		audit,
+	},
+})
+
+function clientFor(flags: Common): OperatorClient {
+	const colon = flags.at.lastIndexOf(':')
+	const host = flags.at.slice(0, colon)
+	const port = Number(flags.at.slice(colon + 1))
+	return new OperatorClient({ ...flags, host, port })
+}
+
+function place(flags: Common): { dataCentre?: string } {
+	return flags.dataCentre === undefined ? {} : { dataCentre: flags.dataCentre }
+}
+
+function withQuery(path: string, query: Query): string {
+	const search = new URLSearchParams()
+	for (const [name, value] of Object.entries(query)) {
+		if (value !== undefined) search.set(name, String(value))
+	}
+	return search.size === 0 ? path : `${path}?${search.toString()}`
+}
+
+async function withFile(file: string, act: (text: string) => Promise<ExitCode>): Promise<ExitCode> {
+	let text: string
+	try {
+		text = readFileSync(file === '-' ? 0 : file, 'utf8')
+	} catch (fault) {
+		process.stderr.write(`${file}: ${(fault as Error).message}\n`)
+		return ExitCode.Usage
+	}
+	return act(text)
+}
+
+function encode(part: string): string {
+	return part.split('/').map(encodeURIComponent).join('/')
+}
+
+function moment(written: string | undefined): number | undefined {
+	return written === undefined ? undefined : Date.parse(written)
+}
--- /dev/null
+++ b/apps/demo/src/index.ts
@@ -0,0 +1,6 @@
+/** A whole cell on loopback with a short mixed day. */
+export { makeCall, type Call, type CallResult } from './lib/Caller'
+export { FakeFleet, TODAYS_WORKERS, type FleetPlan } from './lib/FakeFleet'
+export { freePorts } from './lib/freePorts'
+export { LocalCell, SEVEN_INSTANCES, type CellInstance, type InstancePlan } from './lib/LocalCell'
+export { MixedDay } from './lib/MixedDay'
--- /dev/null
+++ b/apps/entry/src/lib/callers/problems.ts
@@ -0,0 +1,37 @@
+/** The system's own answers to callers: what each problem is called and which status it has. */
+import { Outcome, Problem } from '@rillrudder/cell'
+
+const TITLES: Record<Problem, string> = {
+	[Problem.Overloaded]: 'More is waiting than can be served in time',
+	[Problem.TimedOut]: 'Its time ran out before it was started',
+	[Problem.Withdrawn]: 'It was withdrawn before it was started',
+	[Problem.KeyReused]: 'The key was used before with another request',
+	[Problem.WorkerSilent]: 'A worker was given it and has not answered',
+	[Problem.HolderLost]: 'The instance that held it went down before it was started',
+	[Problem.HomeUnreachable]: 'The home of the customer cannot be reached',
+	[Problem.NoWorker]: 'No worker could take it in time',
+	[Problem.AnswerForgotten]: 'It ran; the answer is no longer kept',
+	[Problem.Stopping]: 'The instance is stopping',
+	[Problem.Moved]: 'The customer is moving to another data centre',
+}
+
+const STATUS: Partial<Record<Problem, number>> = {
+	[Problem.KeyReused]: 422,
+	[Problem.TimedOut]: 504,
+	[Problem.WorkerSilent]: 504,
+	[Problem.AnswerForgotten]: 410,
+}
+
+const UNAVAILABLE = 503
+const GATEWAY_TIMEOUT = 504
+
+/** @returns what a problem is called, for people. */
+export function titleOf(problem: Problem): string {
+	return TITLES[problem]
+}
+
+/** @returns the HTTP status of a problem. */
+export function statusOf(problem: Problem, outcome: Outcome): number {
+	const fallback = outcome === Outcome.Unknown ? GATEWAY_TIMEOUT : UNAVAILABLE
+	return STATUS[problem] ?? fallback
+}
--- /dev/null
+++ b/packages/cell/src/index.ts
@@ -0,0 +1,53 @@
+/** The records of a data centre and of the whole system, and the desk that decides on them. */
+export {
+	DATA_CENTRE_COMMAND_VERSION,
+	decodeDataCentreCommand,
+	encodeDataCentreCommand,
+	type CommandOf,
+	type DataCentreCommand,
+} from './lib/commands/DataCentreCommand'
+export {
+	decodeSystemCommand,
+	encodeSystemCommand,
+	type SystemCommand,
+} from './lib/commands/SystemCommand'
+export { DataCentreDesk, type DeskParts } from './lib/desk/DataCentreDesk'
+export {
+	Effects,
+	type Moment,
+	type Sending,
+	type SettleCall,
+	type WorkerExchange,
+} from './lib/desk/Effects'
+export { lifeOf, type Holder } from './lib/desk/Holders'
+export { operatorCallSchema, type OperatorCall, type OperatorReply } from './lib/desk/operatorCalls'
+export type { ReplyTo } from './lib/desk/OperatorDesk'
+export {
+	BEAT,
+	DRIFT,
+	LOAN_SPAN,
+	outlast,
+	SETTLE_SPAN,
+	START_WINDOW,
+	TASK_LEASE,
+} from './lib/desk/timing'
+export type { ListedWorker } from './lib/desk/WorkerDesk'
+export {
+	exchangeReplySchema,
+	settleReplySchema,
+	type ExchangeCall,
+	type ExchangeReply,
+	type SettleReply,
+	type StartOrder,
+	type TaskOrder,
+	type ThrottleOrder,
+} from './lib/desk/workerProtocol'
+export { keepAnswer, restoreAnswer, type KeptAnswer } from './lib/records/Answer'
+export { Outcome, Problem } from './lib/records/Outcome'
+export { type AuditFilter, type AuditRecord } from './lib/state/AuditTrail'
+export { DataCentreState, type Applied } from './lib/state/DataCentreState'
+export { type OperatorAnswer } from './lib/state/OperatorAnswers'
+export { Phase, type RequestRecord } from './lib/state/RequestBook'
+export { SystemState, type Revision } from './lib/state/SystemState'
+export { PlanPhase, TaskPhase, type PlanRecord, type TaskRecord } from './lib/state/TaskBook'
+export { type Loan, type WorkerRecord } from './lib/state/WorkerBook'
--- /dev/null
+++ b/packages/cell/src/lib/commands/SystemCommand.ts
@@ -0,0 +1,52 @@
+/** The commands of the system's log: configuration and what belongs to all data centres. */
+import type { Buffer } from 'node:buffer'
+import { z } from 'zod'
+import { readRecord, writeRecord } from './versioned'
+
+const propose = z.object({
+	kind: z.literal('propose'),
+	operator: z.string(),
+	request: z.string(),
+	at: z.number(),
+	/** The revision that this one is to replace. */
+	replaces: z.number().int().min(0),
+	/** YAML, as the operator wrote it. */
+	document: z.string(),
+})
+
+/** A data centre is declared down for good, so that its customers may be served elsewhere. */
+const declareDown = z.object({
+	kind: z.literal('declare-down'),
+	operator: z.string(),
+	request: z.string(),
+	at: z.number(),
+	dataCentre: z.string(),
+})
+
+/** The schema of a command. @public */
+export const systemCommandSchema = z.discriminatedUnion('kind', [propose, declareDown])
+
+/** A command of the system's log. @public */
+export type SystemCommand = z.infer<typeof systemCommandSchema>
+
+/** Version of the commands that are written now. @public */
+export const SYSTEM_COMMAND_VERSION = 1
+
+/**
+ * @param command - a command.
+ * @returns its bytes for the log.
+ * @public
+ */
+export function encodeSystemCommand(command: SystemCommand): Buffer {
+	return writeRecord(SYSTEM_COMMAND_VERSION, command, systemCommandSchema)
+}
+
+/**
+ * @param bytes - a command's bytes.
+ * @returns the command.
+ * @throws VError named `RecordInvalid` for bytes that are no command, or of a later version.
+ * @public
+ */
+export function decodeSystemCommand(bytes: Uint8Array): SystemCommand {
+	return readRecord(bytes, SYSTEM_COMMAND_VERSION, [], systemCommandSchema)
+}
--- /dev/null
+++ b/packages/cell/src/lib/desk/LoanDesk.ts
@@ -0,0 +1,166 @@
+/**
+ * Lends request slots to entry instances in bulk, so that a repeatable request needs no hop.
+ *
+ * A loan is in the log as taken until the entry instance has given it back, or until the instance has
+ * been silent for so long that its loan is certainly over.
+ */
+import type { Beat } from '@rillrudder/protocol'
+import type { CommandOf } from '../commands/DataCentreCommand'
+import type { DataCentreState } from '../state/DataCentreState'
+import type { Loan } from '../state/WorkerBook'
+import type { Effects, Moment } from './Effects'
+import type { Holder, Holders } from './Holders'
+import type { SlotChoice } from './SlotChoice'
+import { LOAN_SPAN, outlast } from './timing'
+
+/** Slots that are never lent, kept for requests that are not repeatable. */
+const KEPT_SHARE = 0.25
+/** Slots lent beyond what is in use, so that the next request finds one. */
+const SPARE = 4
+const MOST_AT_ONCE = 64
+/** What a request may still run after its loan is over, in milliseconds. */
+const RUN_OUT = 1000
+
+/**
+ * The leader's desk for lent slots.
+ *
+ * @internal
+ */
+export class LoanDesk {
+	/** Entry instances whose loan is being changed, with the slots held back for the change. */
+	private readonly busy = new Map<string, Map<string, number>>()
+
+	constructor(
+		private readonly dataCentre: string,
+		private readonly state: DataCentreState,
+		private readonly holders: Holders,
+		private readonly slots: SlotChoice,
+		private readonly effects: Effects
+	) {}
+
+	/** Forgets what only a leader needs. */
+	clear(): void {
+		this.busy.clear()
+	}
+
+	/** Answers a heartbeat: renews the loan, takes back what was returned, lends more where it is wanted. */
+	beat(holder: Holder, beat: Beat, moment: Moment): void {
+		const loan = this.state.workers.loanOf(holder.life)
+		if (!this.busy.has(holder.life)) this.adjust(holder, beat, loan, moment)
+		this.answer(holder, loan, moment)
+	}
+
+	/** A change was committed. */
+	changed(command: CommandOf<'lend'>, moment: Moment): void {
+		this.release(command.holder)
+		const holder = this.holders.find(command.holder)
+		if (holder) this.answer(holder, this.state.workers.loanOf(command.holder), moment)
+	}
+
+	/** Takes back the loans of entry instances that are certainly over. */
+	tick(moment: Moment): void {
+		for (const loan of this.state.workers.loans()) {
+			const silent = moment.now - this.holders.silentSince(loan.holder, moment.now)
+			if (silent < outlast(LOAN_SPAN) + RUN_OUT || this.busy.has(loan.holder)) continue
+			this.busy.set(loan.holder, new Map())
+			this.effects.commands.push({ kind: 'lend', holder: loan.holder, slots: [] })
+		}
+	}
+
+	private adjust(holder: Holder, beat: Beat, loan: Loan | undefined, moment: Moment): void {
+		const settled = !loan || beat.grant === loan.grant
+		const lent = new Map(loan?.slots)
+		const wanted = settled ? heldOf(beat, lent) : lent
+		const more = settled ? this.wantedMore(beat, wanted, moment.now) : 0
+		const added = this.pick(more, moment.now)
+		if (added.size === 0 && sameSlots(lent, wanted)) return
+		for (const [worker, slots] of added) {
+			wanted.set(worker, (wanted.get(worker) ?? 0) + slots)
+		}
+		this.busy.set(holder.life, added)
+		const slots = [...wanted].map(([worker, count]) => ({ worker, slots: count }))
+		this.effects.commands.push({ kind: 'lend', holder: holder.life, slots })
+	}
+
+	private wantedMore(beat: Beat, held: Map<string, number>, now: number): number {
+		// Slots are lent inside the data centre; from elsewhere only requests in order are taken.
+		if (beat.leaving || beat.dataCentre !== beat.group) return 0
+		const has = sum(held)
+		const least = has === 0 ? SPARE : 0
+		const wanted = Math.max(beat.wanted, least)
+		const lendable = this.slots.totalSlots(now) * (1 - KEPT_SHARE) - this.lentInAll()
+		const fair = Math.ceil(
+			(this.slots.totalSlots(now) * (1 - KEPT_SHARE)) / Math.max(1, this.holders.size)
+		)
+		const room = this.othersWait(beat) ? fair - has : Number.POSITIVE_INFINITY
+		return Math.max(0, Math.floor(Math.min(wanted, lendable, room, MOST_AT_ONCE)))
+	}
+
+	private pick(count: number, now: number): Map<string, number> {
+		const picked = new Map<string, number>()
+		for (let left = count; left > 0; left--) {
+			const worker = this.slots.choose(now)
+			if (!worker) break
+			this.slots.hold(worker.id)
+			picked.set(worker.id, (picked.get(worker.id) ?? 0) + 1)
+		}
+		return picked
+	}
+
+	/** Says what is lent, less what is wanted back: from closed workers, and above the fair share. */
+	private answer(holder: Holder, loan: Loan | undefined, moment: Moment): void {
+		const loans = [...(loan?.slots ?? [])].map(([id, slots]) => {
+			const worker = this.state.workers.find(id)
+			const open = worker !== undefined && this.slots.mayTake(worker, moment.now)
+			return { worker: id, address: worker?.address ?? '', slots: open ? slots : 0 }
+		})
+		const value = {
+			beat: holder.beat,
+			loans,
+			dataCentre: this.dataCentre,
+			grant: loan?.grant ?? 0,
+			term: moment.term,
+		}
+		this.effects.sendings.push({ to: holder.id, event: { body: { $case: 'loans', value } } })
+	}
+
+	private release(holder: string): void {
+		for (const [worker, slots] of this.busy.get(holder) ?? []) this.slots.unhold(worker, slots)
+		this.busy.delete(holder)
+	}
+
+	private lentInAll(): number {
+		let lent = 0
+		for (const loan of this.state.workers.loans()) lent += sum(loan.slots)
+		return lent
+	}
+
+	private othersWait(beat: Beat): boolean {
+		for (const holder of this.holders.all()) {
+			if (holder.wanted > 0 && !holder.life.endsWith(`#${beat.incarnation}`)) return true
+		}
+		return false
+	}
+}
+
+/** What the entry instance still holds; never more than it was lent. */
+function heldOf(beat: Beat, lent: Map<string, number>): Map<string, number> {
+	const held = new Map<string, number>()
+	for (const use of beat.uses) {
+		const slots = Math.min(use.held, lent.get(use.worker) ?? 0)
+		if (slots > 0) held.set(use.worker, slots)
+	}
+	return held
+}
+
+function sameSlots(left: ReadonlyMap<string, number>, right: ReadonlyMap<string, number>) {
+	if (left.size !== right.size) return false
+	for (const [worker, slots] of left) if (right.get(worker) !== slots) return false
+	return true
+}
+
+function sum(slots: ReadonlyMap<string, number>): number {
+	let total = 0
+	for (const count of slots.values()) total += count
+	return total
+}
--- /dev/null
+++ b/packages/cell/src/lib/desk/PlanDesk.ts
@@ -0,0 +1,141 @@
+/** Turns an intent into a plan that a person can read, without moving anything. */
+import {
+	chooseWorker,
+	NOWHERE,
+	times,
+	whyImpossible,
+	type Ledger,
+	type Resources,
+} from '@rillrudder/scheduler'
+import { IntentKind, type Configuration, type Intent } from '@rillrudder/settings'
+import type { PlanStep } from '../state/TaskBook'
+
+/** Tasks that are tried out one by one; beyond them the plan counts on. */
+const MOST_TRIED = 2000
+
+/** A plan before it is kept. @public */
+export interface DraftPlan {
+	readonly steps: PlanStep[]
+	readonly impossible: string[]
+}
+
+interface Tried {
+	readonly worker: string
+	readonly rack: string
+}
+
+/**
+ * Makes plans.
+ *
+ * @internal
+ */
+export class PlanDesk {
+	constructor(
+		private readonly ledger: () => Ledger,
+		private readonly configuration: () => Configuration,
+		private readonly usage: (team: string) => Resources
+	) {}
+
+	/**
+	 * @param intent - what is wanted.
+	 * @param name - a name for the plan, part of its tasks' names.
+	 * @returns what starts where, what waits, and why.
+	 */
+	draft(intent: Intent, name: string): DraftPlan {
+		const quota = this.configuration().teams.find((team) => team.name === intent.team)?.quota
+		const impossible = whyImpossible(this.ledger(), intent, quota)
+		if (impossible.length > 0) return { steps: [], impossible }
+		const allowed = this.allowedByQuota(intent, quota)
+		const tried = this.tryOut(intent, Math.min(intent.tasks, allowed, MOST_TRIED))
+		const whole = intent.kind !== IntentKind.Gang || tried.length === intent.tasks
+		const starting = whole ? tried : []
+		const steps = startSteps(intent, name, starting)
+		const left = intent.tasks - starting.length
+		if (left > 0) steps.push(this.waitStep(intent, name, starting.length, allowed, tried.length))
+		return { steps, impossible }
+	}
+
+	private allowedByQuota(intent: Intent, quota: Resources | undefined): number {
+		if (!quota) return intent.tasks
+		const used = this.usage(intent.team)
+		let allowed = 0
+		while (allowed < intent.tasks) {
+			const after = times(intent.each, allowed + 1)
+			const within =
+				used.cpu + after.cpu <= quota.cpu &&
+				used.memory + after.memory <= quota.memory &&
+				used.accelerators + after.accelerators <= quota.accelerators
+			if (!within) break
+			allowed += 1
+		}
+		return allowed
+	}
+
+	/** Reserves one task after the other, and gives everything back. */
+	private tryOut(intent: Intent, most: number): Tried[] {
+		const ledger = this.ledger()
+		const tried: Tried[] = []
+		while (tried.length < most) {
+			const worker = chooseWorker(ledger, intent.each, intent.kind, NOWHERE)
+			if (!worker || !ledger.reserve(worker.id, intent.each)) break
+			tried.push({ worker: worker.id, rack: worker.rack })
+		}
+		for (const { worker } of tried) ledger.release(worker, intent.each)
+		return tried
+	}
+
+	private waitStep(
+		intent: Intent,
+		name: string,
+		started: number,
+		allowed: number,
+		fitting: number
+	): PlanStep {
+		const action = 'wait'
+		const task = range(intent, name, started + 1, intent.tasks)
+		return { action, task, where: '', why: whyWaits(intent, allowed, fitting) }
+	}
+}
+
+function whyWaits(intent: Intent, allowed: number, fitting: number): string {
+	if (allowed < intent.tasks) return `the quota of team ${intent.team} is used up`
+	if (intent.kind === IntentKind.Gang) {
+		return `only ${fitting} of ${intent.tasks} tasks fit now, and a gang starts whole`
+	}
+	if (intent.urgent) return 'no worker has enough free; batch work makes room for it'
+	return 'no worker has enough free now'
+}
+
+/** One step a rack, with how many tasks go to each of its workers. */
+function startSteps(intent: Intent, name: string, tried: readonly Tried[]): PlanStep[] {
+	const racks = new Map<string, Map<string, number>>()
+	for (const { worker, rack } of tried) {
+		const workers = racks.get(rack) ?? new Map<string, number>()
+		workers.set(worker, (workers.get(worker) ?? 0) + 1)
+		racks.set(rack, workers)
+	}
+	let first = 1
+	return [...racks].map(([rack, workers]) => {
+		const count = [...workers.values()].reduce((sum, one) => sum + one, 0)
+		const task = range(intent, name, first, first + count - 1)
+		first += count
+		const named = [...workers].map(([worker, one]) => (one === 1 ? worker : `${worker} x${one}`))
+		return { action: 'start', task, where: `${rack}: ${named.join(', ')}`, why: whyStarts(intent) }
+	})
+}
+
+function whyStarts(intent: Intent): string {
+	switch (intent.kind) {
+		case IntentKind.Service:
+			return 'fits, spread over racks and workers'
+		case IntentKind.Batch:
+			return 'fits with the least left over'
+		case IntentKind.Gang:
+			return 'all tasks of the gang fit at once'
+	}
+}
+
+function range(intent: Intent, name: string, first: number, last: number): string {
+	const from = `${intent.name}/${name}/${first}`
+	return first === last ? from : `${from}-${last}`
+}
--- /dev/null
+++ b/packages/cell/src/lib/desk/RequestDesk.ts
@@ -0,0 +1,420 @@
+/**
+ * Serves requests that are not repeatable: each customer's one after another, each started at most
+ * once. Nothing is started before its start is committed, and nothing is answered before its end is.
+ */
+import { AttemptEnd, type Report, type Submit, type Withdraw } from '@rillrudder/protocol'
+import Heap from 'heap-js'
+import type { CommandOf } from '../commands/DataCentreCommand'
+import { keepAnswer, restoreAnswer } from '../records/Answer'
+import { Outcome, Problem } from '../records/Outcome'
+import type { DataCentreState } from '../state/DataCentreState'
+import { Phase, type RequestRecord } from '../state/RequestBook'
+import { Doubts } from './Doubts'
+import type { Effects, Moment } from './Effects'
+import type { Holder, Holders } from './Holders'
+import type { SlotChoice } from './SlotChoice'
+import { outlast, START_WINDOW } from './timing'
+import type { SettleReply } from './workerProtocol'
+
+const SERVICE_TIME_WEIGHT = 0.1
+const FIRST_SERVICE_TIME = 20
+const LEAST_RETRY_AFTER = 500
+const MOST_RETRY_AFTER = 30_000
+
+/** Bounds on what may wait. @public */
+export interface RequestLimits {
+	/** Requests that wait in the data centre. */
+	readonly queue: number
+	/** @returns requests of one customer that may wait. */
+	readonly customerQueue: (customer: string) => number
+}
+
+interface Waiter {
+	readonly customer: string
+	readonly key: string
+	readonly callersKey: boolean
+	/** Monotonic moment at which the caller's time is over. */
+	readonly deadline: number
+	/** Processes that wait for the verdict. */
+	readonly processes: Set<string>
+}
+
+/**
+ * The leader's desk for requests that are not repeatable.
+ *
+ * @internal
+ */
+export class RequestDesk {
+	private readonly waiters = new Map<string, Waiter>()
+	private readonly deadlines = new Heap<Waiter>((a, b) => a.deadline - b.deadline)
+	/** Requests for which a command is under way. */
+	private readonly busy = new Set<string>()
+	/** Customers whose oldest request waits for a slot, the longest wait first. */
+	private readonly starved = new Set<string>()
+	private readonly doubts: Doubts
+	private readonly serviceTimes = new Map<string, number>()
+	private readonly startedAt = new Map<string, number>()
+	private takenOverAt = 0
+
+	constructor(
+		private readonly state: DataCentreState,
+		private readonly holders: Holders,
+		private readonly slots: SlotChoice,
+		private readonly effects: Effects,
+		private readonly limits: () => RequestLimits
+	) {
+		this.doubts = new Doubts(state, effects)
+	}
+
+	/** Starts to serve what leaders before this one have admitted. */
+	takeOver(moment: Moment): void {
+		this.clear()
+		this.takenOverAt = moment.now
+	}
+
+	/** Forgets what only a leader needs. */
+	clear(): void {
+		this.waiters.clear()
+		this.deadlines.clear()
+		this.busy.clear()
+		this.starved.clear()
+		this.doubts.clear()
+		this.startedAt.clear()
+	}
+
+	/** Takes a request, new or sent again. */
+	submit(from: string, submit: Submit, moment: Moment): void {
+		const { customer, key } = submit
+		const moved = this.state.homes.closedTo(customer)
+		const record = this.state.requests.find(customer, key)
+		if (record) this.resubmit(from, submit, record, moment)
+		else if (moved) this.redirect(from, submit, moved.other)
+		else if (this.busy.has(nameOf(submit))) this.wait(from, submit, moment)
+		else this.take(from, submit, moment)
+	}
+
+	/** Takes an entry instance's word on how an attempt ended. */
+	report(report: Report, moment: Moment): void {
+		const record = this.state.requests.find(report.customer, report.key)
+		if (!record || record.phase !== Phase.Started || record.attempt !== report.attempt) return
+		if (report.end === AttemptEnd.ATTEMPT_END_ANSWERED && report.answer) {
+			const answer = keepAnswer(report.answer)
+			this.finish(record, { outcome: Outcome.Ran, answer }, moment)
+		} else if (report.end === AttemptEnd.ATTEMPT_END_NOT_STARTED) {
+			this.unstart(record)
+		} else {
+			this.doubts.lost(record, moment.now)
+		}
+	}
+
+	/** The caller no longer waits; what has started runs on. */
+	withdraw(from: string, withdraw: Withdraw, moment: Moment): void {
+		const waiter = this.waiters.get(nameOf(withdraw))
+		waiter?.processes.delete(from)
+		if (waiter && waiter.processes.size > 0) return
+		const record = this.state.requests.find(withdraw.customer, withdraw.key)
+		if (record?.phase !== Phase.Admitted) return
+		const problem = Problem.Withdrawn
+		this.finish(record, { outcome: Outcome.NotRun, problem }, moment)
+	}
+
+	/** Takes a worker's word on an attempt that was in doubt. */
+	settled(customer: string, key: string, fence: number, reply: SettleReply, moment: Moment): void {
+		const record = this.state.requests.find(customer, key)
+		if (!record || record.phase !== Phase.Started || record.fence !== fence) return
+		switch (reply.state) {
+			case 'ran': {
+				const { status, headers, body } = reply
+				this.finish(record, { outcome: Outcome.Ran, answer: { status, headers, body } }, moment)
+				return
+			}
+			case 'never':
+				return this.unstart(record)
+			case 'running':
+				return this.doubts.extend(record, moment.now)
+		}
+	}
+
+	/** A life is over for certain: what it may have started is in doubt. */
+	holderGone(life: string, moment: Moment): void {
+		for (const record of this.state.requests.allOpen()) {
+			if (record.holder === life && record.phase === Phase.Started) {
+				this.doubts.abandoned(record, moment.now)
+			}
+		}
+	}
+
+	/** Deadlines, silent holders, and what can start now. */
+	tick(moment: Moment): void {
+		this.expire(moment)
+		for (const record of this.state.requests.allOpen()) this.watch(record, moment)
+		for (const record of this.doubts.tick(moment.now)) {
+			const problem = Problem.WorkerSilent
+			this.finish(record, { outcome: Outcome.Unknown, problem }, moment)
+		}
+		this.feedStarved(moment)
+	}
+
+	/** A request was admitted. */
+	admitted(command: CommandOf<'admit'>, counted: boolean, moment: Moment): void {
+		this.busy.delete(nameOf(command))
+		if (counted) this.advance(command.customer, moment)
+	}
+
+	/** A start was committed: the holder may go, and nobody else ever for this attempt. */
+	started(command: CommandOf<'start'>, counted: boolean, moment: Moment): void {
+		this.busy.delete(nameOf(command))
+		this.slots.unhold(command.worker)
+		const record = this.state.requests.find(command.customer, command.key)
+		if (!counted || !record) return this.advance(command.customer, moment)
+		this.startedAt.set(nameOf(command), moment.now)
+		const holder = this.holders.find(command.holder)
+		if (holder) this.sayGo(record, holder, moment)
+	}
+
+	/** An attempt was taken back. */
+	unstarted(command: CommandOf<'unstart'>, moment: Moment): void {
+		this.busy.delete(nameOf(command))
+		this.advance(command.customer, moment)
+		this.feedStarved(moment)
+	}
+
+	/** A request has ended, and its end is lasting. */
+	finished(command: CommandOf<'finish'>, moment: Moment): void {
+		const name = nameOf(command)
+		this.busy.delete(name)
+		this.learn(command.customer, name, moment.now)
+		const record = this.state.requests.find(command.customer, command.key)
+		const waiter = this.waiters.get(name)
+		this.waiters.delete(name)
+		if (record && waiter) for (const process of waiter.processes) this.tell(process, record)
+		this.advance(command.customer, moment)
+		this.feedStarved(moment)
+	}
+
+	private take(from: string, submit: Submit, moment: Moment): void {
+		const wait = this.expectedWait(submit.customer)
+		if (this.isOverloaded(submit, wait)) {
+			this.shed(from, submit, wait, moment)
+			return
+		}
+		const holder = this.holders.ofProcess(from)
+		if (!holder) return
+		this.wait(from, submit, moment)
+		this.busy.add(nameOf(submit))
+		const { customer, key, digest, timeoutMs } = submit
+		this.effects.commands.push({
+			kind: 'admit',
+			customer,
+			key,
+			digest,
+			holder: holder.life,
+			timeout: timeoutMs,
+			at: moment.at,
+		})
+	}
+
+	private resubmit(from: string, submit: Submit, record: RequestRecord, moment: Moment): void {
+		if (record.digest !== '' && record.digest !== submit.digest) {
+			this.refuseReuse(from, submit)
+			return
+		}
+		if (record.phase === Phase.Finished) {
+			this.tell(from, record)
+			return
+		}
+		this.wait(from, submit, moment)
+		if (record.phase === Phase.Started) this.reconcile(from, submit, record)
+		else this.advance(submit.customer, moment)
+	}
+
+	/** The holder has not begun the attempt, and honours no word of an earlier leader any more. */
+	private reconcile(from: string, submit: Submit, record: RequestRecord): void {
+		const same = this.holders.ofProcess(from)?.life === record.holder
+		const told = this.startedAt.has(nameOf(submit))
+		if (same && !told && submit.runningAttempt !== record.attempt) this.unstart(record)
+	}
+
+	private wait(from: string, submit: Submit, moment: Moment): void {
+		const name = nameOf(submit)
+		const known = this.waiters.get(name)
+		if (known) {
+			known.processes.add(from)
+			return
+		}
+		const { customer, key, callersKey } = submit
+		const deadline = moment.now + submit.timeoutMs
+		const waiter = { customer, key, callersKey, deadline, processes: new Set([from]) }
+		this.waiters.set(name, waiter)
+		this.deadlines.push(waiter)
+	}
+
+	private isOverloaded(submit: Submit, wait: number): boolean {
+		const { queue, customerQueue } = this.limits()
+		if (this.state.requests.open >= queue) return true
+		if (this.state.requests.openOf(submit.customer) >= customerQueue(submit.customer)) return true
+		return wait > submit.timeoutMs
+	}
+
+	/** What is shed is not run; a key that somebody may send again is kept as not run. */
+	private shed(from: string, submit: Submit, wait: number, moment: Moment): void {
+		const { customer, key, digest } = submit
+		const problem = Problem.Overloaded
+		if (!submit.callersKey) {
+			this.sayVerdict(from, { customer, key }, Outcome.NotRun, problem, wait)
+			return
+		}
+		this.wait(from, submit, moment)
+		this.busy.add(nameOf(submit))
+		const outcome = Outcome.NotRun
+		const at = moment.at
+		this.effects.commands.push({ kind: 'finish', customer, key, digest, outcome, problem, at })
+	}
+
+	/** Starts the customer's oldest request if it can start. */
+	private advance(customer: string, moment: Moment): void {
+		const record = this.state.requests.head(customer)
+		this.starved.delete(customer)
+		if (record?.phase !== Phase.Admitted || this.busy.has(nameOf(record))) return
+		const holder = this.holderFor(record, moment.now)
+		if (!holder) return
+		const worker = this.slots.choose(moment.now, record.worker)
+		if (!worker) {
+			this.starved.add(customer)
+			return
+		}
+		this.slots.hold(worker.id)
+		this.busy.add(nameOf(record))
+		const { key, attempt } = record
+		const start = { customer, key, attempt: attempt + 1, worker: worker.id, holder: holder.life }
+		this.effects.commands.push({ kind: 'start', ...start })
+	}
+
+	private feedStarved(moment: Moment): void {
+		for (const customer of [...this.starved]) {
+			if (!this.slots.choose(moment.now)) return
+			this.advance(customer, moment)
+		}
+	}
+
+	/** A process that has the body and was heard recently enough to start it in time. */
+	private holderFor(record: RequestRecord, now: number): Holder | undefined {
+		const processes = this.waiters.get(nameOf(record))?.processes ?? []
+		for (const process of processes) {
+			const holder = this.holders.ofProcess(process)
+			if (holder && now - holder.heardAt < START_WINDOW / 2) return holder
+		}
+		return undefined
+	}
+
+	private sayGo(record: RequestRecord, holder: Holder, moment: Moment): void {
+		const address = this.state.workers.find(record.worker)?.address ?? ''
+		const { customer, key, attempt, worker, fence } = record
+		const { term } = moment
+		const value = { customer, key, attempt, worker, address, fence, beat: holder.beat, term }
+		this.effects.sendings.push({ to: holder.id, event: { body: { $case: 'go', value } } })
+	}
+
+	private unstart(record: RequestRecord): void {
+		if (this.busy.has(nameOf(record))) return
+		this.doubts.remove(record)
+		this.busy.add(nameOf(record))
+		const { customer, key, attempt } = record
+		this.effects.commands.push({ kind: 'unstart', customer, key, attempt })
+	}
+
+	private finish(
+		record: RequestRecord,
+		end: Pick<CommandOf<'finish'>, 'outcome' | 'problem' | 'answer'>,
+		moment: Moment
+	): void {
+		if (this.busy.has(nameOf(record))) return
+		this.doubts.remove(record)
+		this.busy.add(nameOf(record))
+		const { customer, key } = record
+		this.effects.commands.push({ kind: 'finish', customer, key, ...end, at: moment.at })
+	}
+
+	private expire(moment: Moment): void {
+		for (let first = this.deadlines.peek(); first; first = this.deadlines.peek()) {
+			if (first.deadline > moment.now) return
+			this.deadlines.pop()
+			if (this.waiters.get(nameOf(first)) !== first) continue
+			const record = this.state.requests.find(first.customer, first.key)
+			if (record?.phase === Phase.Finished || record?.phase === Phase.Started) continue
+			if (!record || this.busy.has(nameOf(first))) {
+				this.deadlines.push({ ...first, deadline: moment.now + LEAST_RETRY_AFTER })
+				continue
+			}
+			const problem = this.starved.has(first.customer) ? Problem.NoWorker : Problem.TimedOut
+			this.finish(record, { outcome: Outcome.NotRun, problem }, moment)
+		}
+	}
+
+	/** Looks after a request whose holder has gone silent. */
+	private watch(record: RequestRecord, moment: Moment): void {
+		const { now } = moment
+		if (record.phase === Phase.Admitted) {
+			if (this.waiters.has(nameOf(record))) return
+			const patience = outlast(START_WINDOW)
+			if (now - this.takenOverAt < patience) return
+			if (now - this.holders.silentSince(record.holder, now) < patience) return
+			const problem = Problem.HolderLost
+			this.finish(record, { outcome: Outcome.NotRun, problem }, moment)
+			return
+		}
+		if (this.doubts.has(record)) return
+		const silent = now - this.holders.silentSince(record.holder, now)
+		if (silent > outlast(START_WINDOW)) this.doubts.abandoned(record, now)
+	}
+
+	private redirect(from: string, submit: Submit, group: string): void {
+		const { customer, key } = submit
+		const value = { group, leader: '', customer, key }
+		this.effects.sendings.push({ to: from, event: { body: { $case: 'redirect', value } } })
+	}
+
+	private tell(process: string, record: RequestRecord): void {
+		const outcome = record.outcome ?? Outcome.Unknown
+		const forgotten = outcome === Outcome.Ran && !record.answer
+		const problem = forgotten ? Problem.AnswerForgotten : (record.problem ?? '')
+		const wait = this.expectedWait(record.customer)
+		const answer = record.answer ? restoreAnswer(record.answer) : undefined
+		this.sayVerdict(process, record, outcome, problem, wait, answer)
+	}
+
+	private refuseReuse(from: string, submit: Submit): void {
+		this.sayVerdict(from, submit, Outcome.NotRun, Problem.KeyReused, 0)
+	}
+
+	private sayVerdict(
+		to: string,
+		name: { customer: string; key: string },
+		outcome: Outcome,
+		problem: string,
+		wait: number,
+		answer?: ReturnType<typeof restoreAnswer>
+	): void {
+		const { customer, key } = name
+		const retryAfterMs = Math.min(MOST_RETRY_AFTER, Math.max(LEAST_RETRY_AFTER, Math.ceil(wait)))
+		const value = { customer, key, outcome, problem, answer, retryAfterMs }
+		this.effects.sendings.push({ to, event: { body: { $case: 'verdict', value } } })
+	}
+
+	private expectedWait(customer: string): number {
+		const each = this.serviceTimes.get(customer) ?? FIRST_SERVICE_TIME
+		return this.state.requests.openOf(customer) * each
+	}
+
+	private learn(customer: string, name: string, now: number): void {
+		const since = this.startedAt.get(name)
+		if (since === undefined) return
+		this.startedAt.delete(name)
+		const known = this.serviceTimes.get(customer) ?? now - since
+		this.serviceTimes.set(customer, known + (now - since - known) * SERVICE_TIME_WEIGHT)
+	}
+}
+
+function nameOf(request: { customer: string; key: string }): string {
+	return `${request.customer}\n${request.key}`
+}
--- /dev/null
+++ b/packages/cell/src/lib/desk/WorkerDesk.ts
@@ -0,0 +1,110 @@
+/** Which workers there are, from the platform's lagging list, their own word, and their silence. */
+import type { Resources } from '@rillrudder/scheduler'
+import type { Configuration } from '@rillrudder/settings'
+import type { DataCentreState } from '../state/DataCentreState'
+import type { Effects, Moment } from './Effects'
+
+/** A worker as the platform lists it. @public */
+export interface ListedWorker {
+	readonly id: string
+	/** Host and port. */
+	readonly address: string
+	readonly dataCentre: string
+	readonly rack: string
+	readonly state: 'live' | 'leaving'
+	/** Processors in thousandths, memory in MiB. */
+	readonly capacity: Resources
+}
+
+/** How long a worker must be missing from a list that lags before it counts as gone. */
+const MISSING_FOR = 15_000
+
+/**
+ * The leader's desk for the workers themselves.
+ *
+ * @internal
+ */
+export class WorkerDesk {
+	private readonly missingSince = new Map<string, number>()
+	private readonly busy = new Set<string>()
+
+	constructor(
+		private readonly state: DataCentreState,
+		private readonly effects: Effects,
+		private readonly configuration: () => Configuration
+	) {}
+
+	clear(): void {
+		this.missingSince.clear()
+		this.busy.clear()
+	}
+
+	/** A change was committed. */
+	changed(id: string): void {
+		this.busy.delete(id)
+	}
+
+	/** Takes the platform's list. */
+	list(workers: readonly ListedWorker[], moment: Moment): void {
+		const listed = new Set<string>()
+		for (const worker of workers) {
+			listed.add(worker.id)
+			this.missingSince.delete(worker.id)
+			this.compare(worker, moment)
+		}
+		for (const { id, state } of this.state.workers.all()) {
+			if (listed.has(id) || state === 'gone') continue
+			const since = this.missingSince.get(id) ?? moment.now
+			this.missingSince.set(id, since)
+			if (moment.now - since >= MISSING_FOR) this.change(id, 'gone', 'not listed', moment)
+		}
+	}
+
+	/** A worker or somebody who met it says that it leaves; the list says so later. */
+	leaving(id: string, reason: string, moment: Moment): void {
+		if (this.state.workers.find(id)?.state === 'live') this.change(id, 'leaving', reason, moment)
+	}
+
+	private compare(listed: ListedWorker, moment: Moment): void {
+		const known = this.state.workers.find(listed.id)
+		const { slots } = this.configuration()
+		const capacity = offeredToTasks(listed.capacity, slots)
+		// A list that lags must not reopen a worker that is known to leave under the same address.
+		const leaves = known?.state === 'leaving' && known.address === listed.address
+		const state = leaves ? 'leaving' : listed.state
+		const same =
+			known !== undefined &&
+			known.state === state &&
+			known.address === listed.address &&
+			known.slots === slots.perWorker &&
+			known.capacity.cpu === capacity.cpu &&
+			known.capacity.memory === capacity.memory &&
+			known.capacity.accelerators === capacity.accelerators
+		if (same || this.busy.has(listed.id)) return
+		this.busy.add(listed.id)
+		const { id, address, rack } = listed
+		const at = moment.at
+		const reason = known?.reason ?? ''
+		const offer = { id, address, rack, capacity, slots: slots.perWorker, state, reason, at }
+		this.effects.commands.push({ kind: 'worker', ...offer })
+	}
+
+	private change(id: string, state: 'leaving' | 'gone', reason: string, moment: Moment): void {
+		const known = this.state.workers.find(id)
+		if (!known || this.busy.has(id)) return
+		this.busy.add(id)
+		const { address, rack, capacity, slots } = known
+		const at = moment.at
+		const change = { id, address, rack, capacity, slots, state, reason, at }
+		this.effects.commands.push({ kind: 'worker', ...change })
+	}
+}
+
+/** What is left for tasks once every request slot has its share. */
+function offeredToTasks(capacity: Resources, slots: Configuration['slots']): Resources {
+	return {
+		cpu: Math.max(0, capacity.cpu - slots.perWorker * slots.cpu),
+		memory: Math.max(0, capacity.memory - slots.perWorker * slots.memory),
+		accelerators: capacity.accelerators,
+	}
+}
--- /dev/null
+++ b/packages/cell/src/lib/state/DataCentreState.ts
@@ -0,0 +1,287 @@
+/** The replicated state of one data centre: what its log's commands make. */
+import { Buffer } from 'node:buffer'
+import { StateMachine } from '@rillrudder/group'
+import { exhaustive, invariant } from '@rillrudder/utils'
+import {
+	decodeDataCentreCommand,
+	type CommandOf,
+	type DataCentreCommand,
+} from '../commands/DataCentreCommand'
+import { AuditTrail } from './AuditTrail'
+import { HomeBook } from './HomeBook'
+import { OperatorAnswers, type OperatorAnswer } from './OperatorAnswers'
+import { Phase, RequestBook, type RequestRecord } from './RequestBook'
+import { hasEnded, PlanPhase, TaskBook, TaskPhase } from './TaskBook'
+import { WorkerBook } from './WorkerBook'
+
+/** A command and whether it counted. @public */
+export interface Applied {
+	readonly command: DataCentreCommand
+	readonly index: number
+	readonly counted: boolean
+}
+
+/** Version of the snapshot; a snapshot of another version is refused. */
+const SNAPSHOT_VERSION = 1
+const SYSTEM = 'system'
+
+/**
+ * The state of one data centre.
+ *
+ * @public
+ */
+export class DataCentreState extends StateMachine {
+	readonly requests = new RequestBook()
+	readonly workers = new WorkerBook()
+	readonly tasks = new TaskBook()
+	readonly homes = new HomeBook()
+	readonly audit = new AuditTrail()
+	readonly answers = new OperatorAnswers()
+	/** Grows with every change of workers and of confirmed intents, which is what a plan stands on. */
+	ground = 0
+
+	/** @param notify - told of every command after it was applied. */
+	constructor(private readonly notify: (applied: Applied) => void = () => undefined) {
+		super()
+	}
+
+	override apply(bytes: Uint8Array, index: number): void {
+		const command = decodeDataCentreCommand(bytes)
+		const counted = this.carryOut(command, index)
+		this.notify({ command, index, counted })
+	}
+
+	override snapshot(): Uint8Array {
+		return Buffer.from(
+			JSON.stringify({
+				version: SNAPSHOT_VERSION,
+				ground: this.ground,
+				requests: this.requests.save(),
+				workers: this.workers.save(),
+				tasks: this.tasks.save(),
+				homes: this.homes.save(),
+				audit: this.audit.save(),
+				answers: this.answers.save(),
+			})
+		)
+	}
+
+	override restore(data: Uint8Array): void {
+		const saved = JSON.parse(Buffer.from(data).toString())
+		invariant(saved.version === SNAPSHOT_VERSION, 'a snapshot is of a known version')
+		this.ground = saved.ground
+		this.requests.load(saved.requests)
+		this.workers.load(saved.workers)
+		this.tasks.load(saved.tasks)
+		this.homes.load(saved.homes)
+		this.audit.load(saved.audit)
+		this.answers.load(saved.answers)
+	}
+
+	private carryOut(command: DataCentreCommand, index: number): boolean {
+		switch (command.kind) {
+			case 'admit':
+				return this.admit(command)
+			case 'start':
+				return this.start(command, index)
+			case 'unstart':
+				return this.endAttempt(command, () => this.requests.unstart(command))
+			case 'finish':
+				return this.endAttempt(command, () => this.requests.finish(command))
+			case 'forget':
+				this.requests.forget(command)
+				return true
+			case 'lend':
+				return this.workers.lend(command, index)
+			case 'worker':
+				return this.changeWorker(command, index)
+			case 'plan':
+				return this.propose(command, index)
+			case 'confirm':
+				return this.confirm(command, index)
+			case 'reject':
+				return this.reject(command, index)
+			case 'cancel':
+				return this.cancel(command, index)
+			case 'drain':
+				return this.drain(command, index)
+			case 'place':
+				return this.place(command, index)
+			case 'unplace':
+				return this.unplace(command)
+			case 'throttle':
+				return this.throttle(command)
+			case 'close-home':
+				return this.closeHome(command, index)
+			case 'open-home':
+				return this.openHome(command, index)
+			default:
+				return exhaustive(command)
+		}
+	}
+
+	private admit(command: CommandOf<'admit'>): boolean {
+		if (this.homes.closedTo(command.customer)) return false
+		this.requests.admit(command)
+		return true
+	}
+
+	private start(command: CommandOf<'start'>, index: number): boolean {
+		if (this.requests.head(command.customer)?.phase !== Phase.Admitted) return false
+		if (!this.workers.takeSlot(command.worker)) return false
+		const counted = this.requests.start(command, index)
+		if (!counted) this.workers.freeSlot(command.worker)
+		return counted
+	}
+
+	/** The end of an attempt gives its slot back. */
+	private endAttempt(command: CommandOf<'finish' | 'unstart'>, end: () => boolean): boolean {
+		const record = this.requests.find(command.customer, command.key)
+		const worker = record?.phase === Phase.Started ? record.worker : ''
+		const counted = end()
+		if (counted && worker !== '') this.workers.freeSlot(worker)
+		return counted
+	}
+
+	private changeWorker(command: CommandOf<'worker'>, index: number): boolean {
+		this.workers.set(command)
+		this.ground += 1
+		const { at, id, state, reason } = command
+		const outcome = reason === '' ? state : `${state}: ${reason}`
+		this.audit.add({ index, at, who: SYSTEM, what: 'worker', subject: id, outcome })
+		return true
+	}
+
+	private propose(command: CommandOf<'plan'>, index: number): boolean {
+		return this.once(command, index, command.id, () => {
+			this.tasks.propose(command)
+			const possible = command.impossible.length === 0
+			const message = possible ? 'planned' : `impossible: ${command.impossible.join('; ')}`
+			return { accepted: possible, message, subject: command.id }
+		})
+	}
+
+	private confirm(command: CommandOf<'confirm'>, index: number): boolean {
+		return this.once(command, index, command.plan, () => {
+			const subject = command.plan
+			const plan = this.tasks.plan(command.plan)
+			if (!plan) return { accepted: false, message: 'no such plan', subject }
+			if (plan.phase === PlanPhase.Confirmed) {
+				return { accepted: true, message: 'already confirmed', subject }
+			}
+			if (plan.phase === PlanPhase.Rejected || plan.impossible.length > 0) {
+				return { accepted: false, message: 'the plan was rejected or is impossible', subject }
+			}
+			if (plan.ground !== this.ground && command.verified !== this.ground) {
+				return { accepted: false, message: 'the plan is stale; ask for a fresh one', subject }
+			}
+			if (this.tasks.isActive(plan.intent.name)) {
+				return { accepted: false, message: 'an intent of this name still runs', subject }
+			}
+			this.tasks.confirm(plan, command.at)
+			this.ground += 1
+			return { accepted: true, message: `${plan.intent.tasks} tasks confirmed`, subject }
+		})
+	}
+
+	private reject(command: CommandOf<'reject'>, index: number): boolean {
+		return this.once(command, index, command.plan, () => {
+			const subject = command.plan
+			const plan = this.tasks.plan(command.plan)
+			if (!plan) return { accepted: false, message: 'no such plan', subject }
+			if (plan.phase === PlanPhase.Confirmed) {
+				return { accepted: false, message: 'the plan was confirmed before', subject }
+			}
+			plan.phase = PlanPhase.Rejected
+			return { accepted: true, message: 'rejected', subject }
+		})
+	}
+
+	private cancel(command: CommandOf<'cancel'>, index: number): boolean {
+		return this.once(command, index, command.intent, () => {
+			const subject = command.intent
+			const open = this.tasks.ofIntent(command.intent).filter((record) => !hasEnded(record))
+			if (open.length === 0) {
+				return { accepted: false, message: 'nothing of that intent is left to cancel', subject }
+			}
+			for (const record of open) this.tasks.cancel(record)
+			this.ground += 1
+			return { accepted: true, message: `${open.length} tasks cancelled`, subject }
+		})
+	}
+
+	private drain(command: CommandOf<'drain'>, index: number): boolean {
+		return this.once(command, index, command.worker, () => {
+			const subject = command.worker
+			const worker = this.workers.find(command.worker)
+			if (!worker) return { accepted: false, message: 'no such worker', subject }
+			const reason = `drained by ${command.operator}`
+			const { id, address, rack, capacity, slots } = worker
+			const state = 'leaving'
+			const at = command.at
+			this.workers.set({ kind: 'worker', id, address, rack, capacity, slots, state, reason, at })
+			this.ground += 1
+			return { accepted: true, message: 'takes no new work', subject }
+		})
+	}
+
+	private place(command: CommandOf<'place'>, index: number): boolean {
+		const record = this.tasks.find(command.task)
+		if (record?.phase !== TaskPhase.Waiting) return false
+		if (!this.workers.reserve(command.worker, command.reserved)) return false
+		this.tasks.place(record, command, index)
+		return true
+	}
+
+	private unplace(command: CommandOf<'unplace'>): boolean {
+		const record = this.tasks.find(command.task)
+		if (record?.phase !== TaskPhase.Placed || record.worker !== command.worker) return false
+		if (record.reserved) this.workers.release(record.worker, record.reserved)
+		this.tasks.unplace(record, command)
+		return true
+	}
+
+	private throttle(command: CommandOf<'throttle'>): boolean {
+		const record = this.tasks.find(command.task)
+		if (!record?.reserved || command.cpu >= record.reserved.cpu) return false
+		const freed = { cpu: record.reserved.cpu - command.cpu, memory: 0, accelerators: 0 }
+		this.workers.release(record.worker, freed)
+		record.reserved = { ...record.reserved, cpu: command.cpu }
+		return true
+	}
+
+	private closeHome(command: CommandOf<'close-home'>, index: number): boolean {
+		return this.once(command, index, command.customer, () => {
+			const { customer, to, revision } = command
+			const counted = this.homes.close({ customer, other: to, revision })
+			const message = counted ? `home moves to ${to}` : 'a newer move stands'
+			return { accepted: counted, message, subject: customer }
+		})
+	}
+
+	private openHome(command: CommandOf<'open-home'>, index: number): boolean {
+		const { customer, from, revision, at, forced } = command
+		if (!this.homes.open({ customer, other: from, revision })) return false
+		this.requests.adopt(command.records as RequestRecord[])
+		const outcome = `home taken over from ${from}${forced ? ', which was declared down' : ''}`
+		this.audit.add({ index, at, who: SYSTEM, what: 'open-home', subject: customer, outcome })
+		return true
+	}
+
+	/** Does an operator's command once, however often it is sent. */
+	private once(
+		command: CommandOf<'plan' | 'confirm' | 'reject' | 'cancel' | 'drain' | 'close-home'>,
+		index: number,
+		subject: string,
+		act: () => OperatorAnswer
+	): boolean {
+		const known = this.answers.find(command.request)
+		if (known) return known.accepted
+		const answer = act()
+		this.answers.keep(command.request, answer)
+		const { at, operator, kind } = command
+		const outcome = answer.accepted ? answer.message : `refused: ${answer.message}`
+		this.audit.add({ index, at, who: operator, what: kind, subject, outcome })
+		return answer.accepted
+	}
+}
--- /dev/null
+++ b/packages/cell/src/lib/state/RequestBook.ts
@@ -0,0 +1,265 @@
+/** The requests of each customer, in the order in which the log admitted them. */
+import { invariant } from '@rillrudder/utils'
+import type { CommandOf } from '../commands/DataCentreCommand'
+import type { KeptAnswer } from '../records/Answer'
+import { Outcome, type Problem } from '../records/Outcome'
+
+/** Where a request is in its life. @public */
+export const Phase = { Admitted: 'admitted', Started: 'started', Finished: 'finished' } as const
+/** One of the phases. @public */
+export type Phase = (typeof Phase)[keyof typeof Phase]
+
+/** A request that is not repeatable. @public */
+export interface RequestRecord {
+	readonly customer: string
+	readonly key: string
+	readonly digest: string
+	phase: Phase
+	/** Attempts begun so far; only an attempt that certainly did not start is followed by another. */
+	attempt: number
+	/** Index of the start in the log: a later attempt anywhere has a higher one. */
+	fence: number
+	worker: string
+	/** Life of the entry instance that holds the body or makes the attempt. */
+	holder: string
+	outcome?: Outcome
+	problem?: Problem
+	answer?: KeptAnswer
+	/** How long an attempt may run, in milliseconds. */
+	readonly timeout: number
+	/** When it was last changed by admission or finish, milliseconds since the epoch. */
+	at: number
+}
+
+interface CustomerBook {
+	/** Keys that are admitted or started, oldest first. */
+	readonly open: string[]
+	readonly records: Map<string, RequestRecord>
+}
+
+/** A finished request in the order of finishing. */
+interface Finished {
+	readonly customer: string
+	readonly key: string
+	readonly at: number
+	readonly bytes: number
+}
+
+const BYTES_PER_MIB = 1024 * 1024
+
+/**
+ * All requests that are not repeatable, of the customers whose home is here.
+ *
+ * @public
+ */
+export class RequestBook {
+	private readonly customers = new Map<string, CustomerBook>()
+	private finished: Finished[] = []
+	private answerBytes = 0
+	private openCount = 0
+
+	/** Requests that are admitted or started. */
+	get open(): number {
+		return this.openCount
+	}
+
+	/** Bytes of the answers that are kept. */
+	get bytes(): number {
+		return this.answerBytes
+	}
+
+	/** @returns the customers that have open requests. */
+	customersWithOpen(): string[] {
+		return [...this.customers].filter(([, book]) => book.open.length > 0).map(([name]) => name)
+	}
+
+	/** @returns a request, if its key is known. */
+	find(customer: string, key: string): RequestRecord | undefined {
+		return this.customers.get(customer)?.records.get(key)
+	}
+
+	/** @returns the customer's oldest request that has not finished. */
+	head(customer: string): RequestRecord | undefined {
+		const book = this.customers.get(customer)
+		return book && book.open.length > 0 ? book.records.get(book.open[0]) : undefined
+	}
+
+	/** @returns how many of the customer's requests have not finished. */
+	openOf(customer: string): number {
+		return this.customers.get(customer)?.open.length ?? 0
+	}
+
+	/** @returns every request that has not finished, by customer in their order. */
+	*allOpen(): IterableIterator<RequestRecord> {
+		for (const book of this.customers.values()) {
+			for (const key of book.open) yield book.records.get(key) as RequestRecord
+		}
+	}
+
+	admit(command: CommandOf<'admit'>): void {
+		const book = this.book(command.customer)
+		if (book.records.has(command.key)) return
+		const { customer, key, digest, holder, timeout, at } = command
+		const record = blankRecord({ customer, key, digest, holder, timeout, at })
+		book.records.set(key, record)
+		book.open.push(key)
+		this.openCount += 1
+	}
+
+	/** @returns whether the start counts. */
+	start(command: CommandOf<'start'>, index: number): boolean {
+		const record = this.find(command.customer, command.key)
+		if (!record || record.phase !== Phase.Admitted) return false
+		if (command.attempt !== record.attempt + 1) return false
+		if (this.head(command.customer) !== record) return false
+		record.phase = Phase.Started
+		record.attempt = command.attempt
+		record.fence = index
+		record.worker = command.worker
+		record.holder = command.holder
+		return true
+	}
+
+	/** @returns whether the attempt was taken back. */
+	unstart(command: CommandOf<'unstart'>): boolean {
+		const record = this.find(command.customer, command.key)
+		if (record?.phase !== Phase.Started || record.attempt !== command.attempt) return false
+		record.phase = Phase.Admitted
+		record.worker = ''
+		return true
+	}
+
+	/** @returns whether the request ended by this command; the first end stands. */
+	finish(command: CommandOf<'finish'>): boolean {
+		const book = this.book(command.customer)
+		let record = book.records.get(command.key)
+		if (record?.phase === Phase.Finished) return false
+		if (!record) {
+			record = this.neverAdmitted(command)
+			book.records.set(command.key, record)
+		} else {
+			const started = record.phase === Phase.Started
+			if (started && command.outcome === Outcome.NotRun) return false
+			book.open.splice(book.open.indexOf(command.key), 1)
+			this.openCount -= 1
+		}
+		record.phase = Phase.Finished
+		record.outcome = command.outcome
+		record.problem = command.problem
+		record.answer = command.answer
+		record.at = command.at
+		this.remember(record)
+		return true
+	}
+
+	/** Forgets answers and keys that are past their time, and the oldest answers beyond the bound. */
+	forget(command: CommandOf<'forget'>): void {
+		let keys = 0
+		for (const one of this.finished) {
+			if (one.at >= command.answersBefore) break
+			if (one.at < command.keysBefore) keys += 1
+			this.dropAnswer(one)
+		}
+		for (const one of this.finished.slice(0, keys)) this.dropKey(one)
+		this.finished = this.finished.slice(keys)
+		this.dropAnswersAbove(command.answerMemory * BYTES_PER_MIB)
+	}
+
+	/** @returns whether there is something to forget. */
+	isDue(answersBefore: number, answerMemory: number): boolean {
+		if (this.answerBytes > answerMemory * BYTES_PER_MIB) return true
+		return this.finished.length > 0 && this.finished[0].at < answersBefore
+	}
+
+	/** @returns all of a customer's records, for its next home. */
+	recordsOf(customer: string): RequestRecord[] {
+		return [...(this.customers.get(customer)?.records.values() ?? [])]
+	}
+
+	/** Takes up records from a customer's earlier home. */
+	adopt(records: readonly RequestRecord[]): void {
+		for (const record of records) {
+			const book = this.book(record.customer)
+			if (book.records.has(record.key)) continue
+			invariant(record.phase === Phase.Finished, 'a home moves only when nothing is open')
+			book.records.set(record.key, { ...record })
+			this.remember(record)
+		}
+	}
+
+	/** @returns the book for a snapshot. */
+	save(): unknown {
+		return {
+			customers: [...this.customers].map(([name, book]) => ({
+				name,
+				open: book.open,
+				records: [...book.records.values()],
+			})),
+			finished: this.finished,
+			answerBytes: this.answerBytes,
+		}
+	}
+
+	/** @param saved - what `save` returned. */
+	load(saved: unknown): void {
+		const book = saved as {
+			customers: { name: string; open: string[]; records: RequestRecord[] }[]
+			finished: Finished[]
+			answerBytes: number
+		}
+		this.customers.clear()
+		this.openCount = 0
+		for (const { name, open, records } of book.customers) {
+			this.customers.set(name, { open, records: new Map(records.map((one) => [one.key, one])) })
+			this.openCount += open.length
+		}
+		this.finished = book.finished
+		this.answerBytes = book.answerBytes
+	}
+
+	private book(customer: string): CustomerBook {
+		let book = this.customers.get(customer)
+		if (!book) {
+			book = { open: [], records: new Map() }
+			this.customers.set(customer, book)
+		}
+		return book
+	}
+
+	private neverAdmitted(command: CommandOf<'finish'>): RequestRecord {
+		const { customer, key, at } = command
+		const digest = command.digest ?? ''
+		return blankRecord({ customer, key, digest, holder: '', timeout: 0, at })
+	}
+
+	private remember(record: RequestRecord): void {
+		const bytes = record.answer?.body.length ?? 0
+		this.answerBytes += bytes
+		this.finished.push({ customer: record.customer, key: record.key, at: record.at, bytes })
+	}
+
+	/** Drops the oldest answers until what is kept is within the bound. */
+	private dropAnswersAbove(bytes: number): void {
+		for (const one of this.finished) {
+			if (this.answerBytes <= bytes) return
+			this.dropAnswer(one)
+		}
+	}
+
+	private dropAnswer(one: Finished): void {
+		const record = this.find(one.customer, one.key)
+		if (!record?.answer) return
+		record.answer = undefined
+		this.answerBytes -= one.bytes
+	}
+
+	private dropKey(one: Finished): void {
+		this.customers.get(one.customer)?.records.delete(one.key)
+	}
+}
+
+type Admission = Pick<RequestRecord, 'customer' | 'key' | 'digest' | 'holder' | 'timeout' | 'at'>
+
+function blankRecord(admission: Admission): RequestRecord {
+	return { ...admission, phase: Phase.Admitted, attempt: 0, fence: 0, worker: '' }
+}
--- /dev/null
+++ b/packages/cell/src/lib/state/WorkerBook.ts
@@ -0,0 +1,162 @@
+/** The workers of a data centre, and the request slots lent to entry instances. */
+import type { Resources } from '@rillrudder/scheduler'
+import { fits, minus, NOTHING, plus } from '@rillrudder/scheduler'
+import { invariant } from '@rillrudder/utils'
+import type { CommandOf } from '../commands/DataCentreCommand'
+
+/** A worker as the log knows it. @public */
+export interface WorkerRecord {
+	readonly id: string
+	readonly address: string
+	readonly rack: string
+	/** What it offers to tasks, after what is set aside for its request slots. */
+	readonly capacity: Resources
+	readonly slots: number
+	readonly state: 'live' | 'leaving' | 'gone'
+	readonly reason: string
+	/** What is reserved for tasks. */
+	reserved: Resources
+	/** Slots lent to entry instances. */
+	lent: number
+	/** Slots taken by requests that are not repeatable. */
+	taken: number
+}
+
+/** Slots lent to one entry instance. @public */
+export interface Loan {
+	readonly holder: string
+	/** Index in the log of the grant. */
+	readonly grant: number
+	readonly slots: ReadonlyMap<string, number>
+}
+
+/**
+ * Workers and loans.
+ *
+ * @public
+ */
+export class WorkerBook {
+	private readonly workers = new Map<string, WorkerRecord>()
+	private readonly lentTo = new Map<string, Loan>()
+
+	/** @returns a worker, if it is known. */
+	find(id: string): WorkerRecord | undefined {
+		return this.workers.get(id)
+	}
+
+	/** @returns all workers. */
+	all(): IterableIterator<WorkerRecord> {
+		return this.workers.values()
+	}
+
+	/** @returns all loans. */
+	loans(): IterableIterator<Loan> {
+		return this.lentTo.values()
+	}
+
+	/** @returns what an entry instance has been lent. */
+	loanOf(holder: string): Loan | undefined {
+		return this.lentTo.get(holder)
+	}
+
+	/** @returns whether anything changed. */
+	set(command: CommandOf<'worker'>): boolean {
+		const known = this.workers.get(command.id)
+		const { id, address, rack, capacity, slots, state, reason } = command
+		const { reserved, lent, taken } = known ?? { reserved: NOTHING, lent: 0, taken: 0 }
+		if (state === 'gone' && isIdle(reserved, lent, taken)) return this.workers.delete(id)
+		this.workers.set(id, {
+			id,
+			address,
+			rack,
+			capacity,
+			slots,
+			state,
+			reason,
+			reserved,
+			lent,
+			taken,
+		})
+		return true
+	}
+
+	/** @returns whether the loan counts; one that would lend more than there is does not. */
+	lend(command: CommandOf<'lend'>, index: number): boolean {
+		const before = this.lentTo.get(command.holder)?.slots ?? new Map<string, number>()
+		const after = new Map(command.slots.map((one) => [one.worker, one.slots]))
+		for (const [id, slots] of after) {
+			const worker = this.workers.get(id)
+			if (!worker) return false
+			const more = slots - (before.get(id) ?? 0)
+			if (more > 0 && worker.lent + worker.taken + more > worker.slots) return false
+		}
+		for (const [id, slots] of before) this.changeLent(id, -slots)
+		for (const [id, slots] of after) this.changeLent(id, slots)
+		if (after.size === 0) this.lentTo.delete(command.holder)
+		else this.lentTo.set(command.holder, { holder: command.holder, grant: index, slots: after })
+		return true
+	}
+
+	/** Takes a slot for a request. @returns whether there was one. */
+	takeSlot(id: string): boolean {
+		const worker = this.workers.get(id)
+		if (!worker || worker.lent + worker.taken >= worker.slots) return false
+		worker.taken += 1
+		return true
+	}
+
+	/** Gives a slot back. */
+	freeSlot(id: string): void {
+		const worker = this.workers.get(id)
+		if (!worker) return
+		worker.taken -= 1
+		invariant(worker.taken >= 0, 'no more slots are given back than were taken', { id })
+	}
+
+	/** Reserves for a task. @returns whether the worker has that much left. */
+	reserve(id: string, need: Resources): boolean {
+		const worker = this.workers.get(id)
+		if (!worker || !fits(need, minus(worker.capacity, worker.reserved))) return false
+		worker.reserved = plus(worker.reserved, need)
+		return true
+	}
+
+	/** Gives back what was reserved. */
+	release(id: string, amount: Resources): void {
+		const worker = this.workers.get(id)
+		if (!worker) return
+		worker.reserved = minus(worker.reserved, amount)
+		invariant(fits(NOTHING, worker.reserved), 'no more is given back than was taken', { id })
+	}
+
+	/** @returns the book for a snapshot. */
+	save(): unknown {
+		const loans = [...this.lentTo.values()].map((loan) => ({ ...loan, slots: [...loan.slots] }))
+		return { workers: [...this.workers.values()], loans }
+	}
+
+	/** @param saved - what `save` returned. */
+	load(saved: unknown): void {
+		const book = saved as {
+			workers: WorkerRecord[]
+			loans: { holder: string; grant: number; slots: [string, number][] }[]
+		}
+		this.workers.clear()
+		this.lentTo.clear()
+		for (const worker of book.workers) this.workers.set(worker.id, worker)
+		for (const loan of book.loans) {
+			this.lentTo.set(loan.holder, { ...loan, slots: new Map(loan.slots) })
+		}
+	}
+
+	private changeLent(id: string, by: number): void {
+		const worker = this.workers.get(id)
+		if (!worker) return
+		worker.lent += by
+		invariant(worker.lent >= 0, 'no more slots are returned than were lent', { id })
+	}
+}
+
+function isIdle(reserved: Resources, lent: number, taken: number): boolean {
+	return fits(reserved, NOTHING) && lent === 0 && taken === 0
+}
--- a/packages/protocol/src/index.ts
+++ b/packages/protocol/src/index.ts
@@ -44,3 +44,6 @@
 	StoredRecord,
 	StoredSnapshot,
 } from './lib/generated/rillrudder/v1/storage'
+export { LinkHub, type LinkHubParts } from './lib/LinkHub'
+export { PROTOCOL_VERSION } from './lib/Outbox'
+export { linkSecurity, type LinkSecurity, type TlsFiles } from './lib/security'
--- /dev/null
+++ b/packages/protocol/src/lib/LinkHub.ts
@@ -0,0 +1,197 @@
+/** One long-lived stream to every peer: some are dialled, others dial in. */
+import {
+	Server,
+	type ChannelCredentials,
+	type ClientDuplexStream,
+	type ServerCredentials,
+	type ServerDuplexStream,
+} from '@grpc/grpc-js'
+import type { Clock, Timer } from '@rillrudder/utils'
+import { LinkClient, LinkService, type Event, type Parcel } from './generated/rillrudder/v1/link'
+import { Outbox, PROTOCOL_VERSION } from './Outbox'
+
+const FIRST_RETRY = 100
+const LONGEST_RETRY = 2000
+const MOST_MESSAGE_BYTES = 16 * 1024 * 1024
+const CHANNEL_OPTIONS = {
+	'grpc.keepalive_time_ms': 5000,
+	'grpc.keepalive_timeout_ms': 3000,
+	'grpc.keepalive_permit_without_calls': 1,
+	'grpc.max_receive_message_length': MOST_MESSAGE_BYTES,
+	'grpc.max_send_message_length': MOST_MESSAGE_BYTES,
+	'grpc.initial_reconnect_backoff_ms': FIRST_RETRY,
+	'grpc.max_reconnect_backoff_ms': LONGEST_RETRY,
+	'grpc.enable_http_proxy': 0,
+}
+
+/** What a hub is made with. @public */
+export interface LinkHubParts {
+	readonly self: string
+	readonly clock: Clock
+	readonly serverCredentials: ServerCredentials
+	readonly channelCredentials: ChannelCredentials
+	/** Takes an event from a peer. */
+	readonly receive: (from: string, event: Event) => void
+	/** Told when a peer comes and goes. */
+	readonly changed: (peer: string, connected: boolean) => void
+}
+
+interface Dialled {
+	readonly address: string
+	readonly client: LinkClient
+	retry: number
+	timer?: Timer
+}
+
+type Stream = ClientDuplexStream<Parcel, Parcel> | ServerDuplexStream<Parcel, Parcel>
+
+/**
+ * The streams of one process.
+ *
+ * @public
+ */
+export class LinkHub {
+	private readonly outboxes = new Map<string, Outbox>()
+	private readonly dialled = new Map<string, Dialled>()
+	private readonly server: Server
+	private closed = false
+
+	/** @param parts - identity, credentials and callbacks. */
+	constructor(private readonly parts: LinkHubParts) {
+		this.server = new Server(CHANNEL_OPTIONS)
+		this.server.addService(LinkService, {
+			connect: (stream: ServerDuplexStream<Parcel, Parcel>) => this.accept(stream),
+		})
+	}
+
+	/**
+	 * Lets peers dial in.
+	 *
+	 * @param address - host and port; port 0 takes a free one.
+	 * @returns the port.
+	 */
+	listen(address: string): Promise<number> {
+		return new Promise((resolve, reject) => {
+			this.server.bindAsync(address, this.parts.serverCredentials, (fault, port) => {
+				if (fault) reject(fault)
+				else resolve(port)
+			})
+		})
+	}
+
+	/** Keeps a stream to a peer from now on. */
+	dial(peer: string, address: string): void {
+		if (this.dialled.has(peer)) return
+		const client = new LinkClient(address, this.parts.channelCredentials, CHANNEL_OPTIONS)
+		this.dialled.set(peer, { address, client, retry: FIRST_RETRY })
+		this.connect(peer)
+	}
+
+	/**
+	 * Sends an event.
+	 *
+	 * @returns false when it was dropped for certain; true promises nothing.
+	 */
+	send(peer: string, event: Event): boolean {
+		return this.outboxes.get(peer)?.send(event) ?? false
+	}
+
+	/** Whether there is a stream to a peer. */
+	isConnected(peer: string): boolean {
+		return this.outboxes.get(peer)?.connected ?? false
+	}
+
+	/** Ends all streams. */
+	close(): void {
+		this.closed = true
+		for (const { client, timer } of this.dialled.values()) {
+			timer?.cancel()
+			client.close()
+		}
+		this.server.forceShutdown()
+	}
+
+	private connect(peer: string): void {
+		const dialled = this.dialled.get(peer)
+		if (!dialled || this.closed) return
+		const stream = dialled.client.connect()
+		const outbox = this.outbox(peer)
+		stream.on('data', (parcel: Parcel) => {
+			if (!this.isSpoken(parcel)) return
+			dialled.retry = FIRST_RETRY
+			this.receive(peer, parcel)
+		})
+		const lost = once(() => {
+			outbox.disconnect(stream)
+			this.parts.changed(peer, false)
+			this.reconnect(peer, dialled)
+		})
+		stream.on('error', lost)
+		stream.on('end', lost)
+		outbox.connect(stream)
+		outbox.greet()
+		this.parts.changed(peer, true)
+	}
+
+	private reconnect(peer: string, dialled: Dialled): void {
+		if (this.closed) return
+		const wait = dialled.retry
+		dialled.retry = Math.min(LONGEST_RETRY, wait * 2)
+		dialled.timer = this.parts.clock.after(wait, () => this.connect(peer))
+	}
+
+	private accept(stream: ServerDuplexStream<Parcel, Parcel>): void {
+		let peer = ''
+		stream.on('data', (parcel: Parcel) => {
+			if (!this.isSpoken(parcel)) {
+				stream.end()
+				return
+			}
+			if (peer === '') {
+				peer = parcel.sender
+				this.outbox(peer).connect(stream)
+				this.parts.changed(peer, true)
+			}
+			this.receive(peer, parcel)
+		})
+		const lost = once(() => this.lost(peer, stream))
+		stream.on('error', lost)
+		stream.on('cancelled', lost)
+		stream.on('end', () => {
+			lost()
+			stream.end()
+		})
+	}
+
+	private lost(peer: string, stream: Stream): void {
+		if (peer === '') return
+		this.outbox(peer).disconnect(stream)
+		if (!this.isConnected(peer)) this.parts.changed(peer, false)
+	}
+
+	private receive(peer: string, parcel: Parcel): void {
+		for (const event of parcel.events) this.parts.receive(peer, event)
+	}
+
+	private isSpoken(parcel: Parcel): boolean {
+		return parcel.version === PROTOCOL_VERSION
+	}
+
+	private outbox(peer: string): Outbox {
+		let outbox = this.outboxes.get(peer)
+		if (!outbox) {
+			outbox = new Outbox(this.parts.self)
+			this.outboxes.set(peer, outbox)
+		}
+		return outbox
+	}
+}
+
+function once(act: () => void): () => void {
+	let done = false
+	return () => {
+		if (done) return
+		done = true
+		act()
+	}
+}
--- /dev/null
+++ b/packages/protocol/src/lib/Outbox.ts
@@ -0,0 +1,77 @@
+/** Events on their way to one peer: sent at once when the stream is idle, gathered while it is not. */
+import type { Event, Parcel } from './generated/rillrudder/v1/link'
+
+/** Version of the protocol that is spoken; a peer with another one is refused. @public */
+export const PROTOCOL_VERSION = 1
+
+const MOST_WAITING = 20_000
+const MOST_IN_A_PARCEL = 512
+
+/** The part of a stream that an outbox writes to. @internal */
+export interface ParcelStream {
+	write(parcel: Parcel, done: (fault?: Error | null) => void): boolean
+}
+
+/**
+ * Events on their way to one peer.
+ *
+ * @internal
+ */
+export class Outbox {
+	private waiting: Event[] = []
+	private stream: ParcelStream | undefined
+	private writing = false
+
+	/** @param self - the id that parcels carry. */
+	constructor(private readonly self: string) {}
+
+	/** Whether there is a stream to write to. */
+	get connected(): boolean {
+		return this.stream !== undefined
+	}
+
+	/** Writes to this stream from now on; what waited for an older one was never sent. */
+	connect(stream: ParcelStream): void {
+		this.stream = stream
+		this.writing = false
+		this.flush()
+	}
+
+	/** The stream has ended. What waits is dropped: who needs it to arrive sends it again. */
+	disconnect(stream: ParcelStream): void {
+		if (this.stream !== stream) return
+		this.stream = undefined
+		this.writing = false
+		this.waiting = []
+	}
+
+	/** @returns false when the event was dropped, because there is no stream or too much waits. */
+	send(event: Event): boolean {
+		if (!this.stream || this.waiting.length >= MOST_WAITING) return false
+		this.waiting.push(event)
+		this.flush()
+		return true
+	}
+
+	/** Sends an empty parcel, which tells the peer who is calling. */
+	greet(): void {
+		this.write([])
+	}
+
+	private flush(): void {
+		if (this.writing || this.waiting.length === 0) return
+		const events = this.waiting.splice(0, MOST_IN_A_PARCEL)
+		this.write(events)
+	}
+
+	private write(events: Event[]): void {
+		const stream = this.stream
+		if (!stream) return
+		this.writing = true
+		stream.write({ version: PROTOCOL_VERSION, sender: this.self, events }, () => {
+			if (this.stream !== stream) return
+			this.writing = false
+			this.flush()
+		})
+	}
+}
--- /dev/null
+++ b/packages/scheduler/src/index.ts
@@ -0,0 +1,21 @@
+/** Ledger, placement, queues and limits as pure decisions. */
+export { Ledger } from './lib/capacity/Ledger'
+export { LedgerWorker, type WorkerOffer } from './lib/capacity/LedgerWorker'
+export { fits, minus, NOTHING, plus, times, type Resources } from './lib/capacity/Resources'
+export { WorkerHealth } from './lib/health/WorkerHealth'
+export { chooseWorker, NOWHERE, type Whereabouts } from './lib/placement/chooseWorker'
+export { Estimator } from './lib/placement/Estimator'
+export { whyImpossible } from './lib/placement/feasibility'
+export { Placement } from './lib/placement/Placement'
+export {
+	Relief,
+	Waiting,
+	type Decision,
+	type Relieve,
+	type Running,
+	type Start,
+	type Task,
+} from './lib/placement/Task'
+export type { Team } from './lib/placement/TeamAccount'
+export { RetryBudget } from './lib/requests/RetryBudget'
+export { SlotPool, type LentSlots, type TakenSlot } from './lib/requests/SlotPool'
--- /dev/null
+++ b/packages/scheduler/src/lib/capacity/LedgerWorker.ts
@@ -0,0 +1,45 @@
+/** A worker as the ledger keeps it. */
+import { minus, type Resources } from './Resources'
+
+/** What is known of a worker when it joins. @public */
+export interface WorkerOffer {
+	readonly id: string
+	readonly rack: string
+	/** What it offers to tasks, after what is set aside for request slots. */
+	readonly capacity: Resources
+	/** Requests that it takes at the same time. */
+	readonly slots: number
+}
+
+/**
+ * A worker as the ledger keeps it.
+ *
+ * @public
+ */
+export class LedgerWorker {
+	readonly id: string
+	readonly rack: string
+	capacity: Resources
+	free: Resources
+	slots: number
+	slotsUsed = 0
+	/** Whether new work may go there. */
+	open = true
+	/** Where the index has filed it; -1 for nowhere. */
+	cell = -1
+	position = 0
+
+	/** @param offer - what it offers. */
+	constructor(offer: WorkerOffer) {
+		this.id = offer.id
+		this.rack = offer.rack
+		this.capacity = offer.capacity
+		this.free = offer.capacity
+		this.slots = offer.slots
+	}
+
+	/** What is reserved there. */
+	get reserved(): Resources {
+		return minus(this.capacity, this.free)
+	}
+}
--- /dev/null
+++ b/packages/scheduler/src/lib/capacity/Resources.ts
@@ -0,0 +1,68 @@
+/** Amounts of what a worker offers and a task takes. */
+
+/** An amount of each resource. @public */
+export interface Resources {
+	/** Thousandths of a processor. */
+	readonly cpu: number
+	/** MiB. */
+	readonly memory: number
+	/** Whole accelerators. */
+	readonly accelerators: number
+}
+
+/** Nothing of anything. @public */
+export const NOTHING: Resources = { cpu: 0, memory: 0, accelerators: 0 }
+
+/**
+ * @param need - an amount.
+ * @param free - another.
+ * @returns whether the first is within the second.
+ * @public
+ */
+export function fits(need: Resources, free: Resources): boolean {
+	return (
+		need.cpu <= free.cpu && need.memory <= free.memory && need.accelerators <= free.accelerators
+	)
+}
+
+/**
+ * @param left - an amount.
+ * @param right - another.
+ * @returns their sum.
+ * @public
+ */
+export function plus(left: Resources, right: Resources): Resources {
+	return {
+		cpu: left.cpu + right.cpu,
+		memory: left.memory + right.memory,
+		accelerators: left.accelerators + right.accelerators,
+	}
+}
+
+/**
+ * @param left - an amount.
+ * @param right - what to take away.
+ * @returns the difference.
+ * @public
+ */
+export function minus(left: Resources, right: Resources): Resources {
+	return {
+		cpu: left.cpu - right.cpu,
+		memory: left.memory - right.memory,
+		accelerators: left.accelerators - right.accelerators,
+	}
+}
+
+/**
+ * @param amount - an amount for one.
+ * @param count - how many.
+ * @returns the amount for all.
+ * @public
+ */
+export function times(amount: Resources, count: number): Resources {
+	return {
+		cpu: amount.cpu * count,
+		memory: amount.memory * count,
+		accelerators: amount.accelerators * count,
+	}
+}
--- /dev/null
+++ b/packages/scheduler/src/lib/placement/Estimator.ts
@@ -0,0 +1,81 @@
+/** Learns run times and sizes from what workers report, since declared ones are often far off. */
+import type { Resources } from '../capacity/Resources'
+import type { Task } from './Task'
+
+const NEW_WEIGHT = 0.3
+const MOST_KEPT = 50_000
+const HEADROOM = 1.15
+const LEAST_OF_DECLARED = 0.5
+
+interface Learned {
+	runTime?: number
+	cpu?: number
+	memory?: number
+}
+
+/**
+ * What is known of the tasks of each intent.
+ *
+ * @public
+ */
+export class Estimator {
+	private readonly intents = new Map<string, Learned>()
+
+	/** A task has ended after running this long, in milliseconds. */
+	ended(task: Task, runTime: number): void {
+		const learned = this.of(task)
+		learned.runTime = blend(learned.runTime, runTime)
+	}
+
+	/** A task has been seen to use this much. */
+	used(task: Task, usage: Resources): void {
+		const learned = this.of(task)
+		learned.cpu = Math.max(usage.cpu, blend(learned.cpu, usage.cpu))
+		learned.memory = Math.max(usage.memory, learned.memory ?? 0)
+	}
+
+	/** @returns the expected run time in milliseconds; the declared one until something is learned. */
+	runTime(task: Task): number {
+		return this.intents.get(keyOf(task))?.runTime ?? task.runTime
+	}
+
+	/**
+	 * @returns what to reserve for the next task of the intent: more where more was used, less only for
+	 * processors, since a task that lacks memory fails while one that lacks processors is slow.
+	 */
+	need(task: Task): Resources {
+		const learned = this.intents.get(keyOf(task))
+		if (!learned?.cpu || !learned.memory) return task.need
+		const cpu = Math.max(learned.cpu * HEADROOM, task.need.cpu * LEAST_OF_DECLARED)
+		const memory = Math.max(learned.memory * HEADROOM, task.need.memory)
+		return {
+			cpu: Math.ceil(cpu),
+			memory: Math.ceil(memory),
+			accelerators: task.need.accelerators,
+		}
+	}
+
+	private of(task: Task): Learned {
+		const key = keyOf(task)
+		let learned = this.intents.get(key)
+		if (!learned) {
+			if (this.intents.size >= MOST_KEPT) this.forgetOldest()
+			learned = {}
+			this.intents.set(key, learned)
+		}
+		return learned
+	}
+
+	private forgetOldest(): void {
+		const oldest = this.intents.keys().next()
+		if (!oldest.done) this.intents.delete(oldest.value)
+	}
+}
+
+function keyOf(task: Task): string {
+	return `${task.team}/${task.intent}`
+}
+
+function blend(known: number | undefined, seen: number): number {
+	return known === undefined ? seen : known * (1 - NEW_WEIGHT) + seen * NEW_WEIGHT
+}
--- /dev/null
+++ b/packages/scheduler/src/lib/placement/TeamAccount.ts
@@ -0,0 +1,79 @@
+/** What a team uses and may use, and its tasks that wait. */
+import Heap from 'heap-js'
+import { fits, minus, NOTHING, plus, type Resources } from '../capacity/Resources'
+import { Waiting, type Task } from './Task'
+
+const DEFAULT_RUN_TIME = 600_000
+
+/** A team's share and limit. @public */
+export interface Team {
+	readonly name: string
+	readonly weight: number
+	/** Absent for no limit. */
+	readonly quota?: Resources
+}
+
+/** A task that waits, or a whole gang of them. @internal */
+export interface Pending {
+	readonly tasks: readonly Task[]
+	/** Latest moment to start and still meet the deadline; the order within a team. */
+	readonly latestStart: number
+	/** Tasks of the same need have the same number. */
+	readonly shape: number
+	waiting: Waiting
+	/** Tasks of it that were cancelled while it waited. */
+	cancelled: number
+}
+
+/** Orders what waits in one team: urgent first, then the least time left. @internal */
+export function before(left: Pending, right: Pending): number {
+	const urgent = Number(right.tasks[0].urgent) - Number(left.tasks[0].urgent)
+	if (urgent !== 0) return urgent
+	if (left.latestStart !== right.latestStart) return left.latestStart - right.latestStart
+	return left.tasks[0].submitted - right.tasks[0].submitted
+}
+
+/**
+ * One team's account.
+ *
+ * @internal
+ */
+export class TeamAccount {
+	readonly waiting = new Heap<Pending>(before)
+	used: Resources = NOTHING
+
+	constructor(public team: Team) {}
+
+	/** The largest share of any resource that the team uses, against its weight. */
+	share(total: Resources): number {
+		const cpu = this.used.cpu / Math.max(1, total.cpu)
+		const memory = this.used.memory / Math.max(1, total.memory)
+		const accelerators = this.used.accelerators / Math.max(1, total.accelerators)
+		return Math.max(cpu, memory, accelerators) / this.team.weight
+	}
+
+	/** Whether the quota has room for that much more. */
+	allows(need: Resources): boolean {
+		return this.team.quota === undefined || fits(plus(this.used, need), this.team.quota)
+	}
+
+	take(need: Resources): void {
+		this.used = plus(this.used, need)
+	}
+
+	giveBack(need: Resources): void {
+		this.used = minus(this.used, need)
+	}
+}
+
+/**
+ * @param task - a task.
+ * @param runTime - how long it is expected to run, in milliseconds.
+ * @returns the latest moment to start it; work without a deadline is due when it was submitted, batch
+ * without one after everything that has one.
+ * @internal
+ */
+export function latestStart(task: Task, runTime = task.runTime || DEFAULT_RUN_TIME): number {
+	if (task.deadline !== undefined) return task.deadline - runTime
+	return task.kind === 'batch' ? Number.MAX_SAFE_INTEGER : task.submitted
+}
--- /dev/null
+++ b/packages/settings/src/index.ts
@@ -0,0 +1,21 @@
+/** Documents and settings, checked with every finding in one report. */
+export {
+	configurationSchema,
+	DEFAULT_CONFIGURATION,
+	parseConfiguration,
+	type Configuration,
+} from './lib/configuration'
+export { IntentKind, intentSchema, parseIntent, readIntentSchema, type Intent } from './lib/intent'
+export { parseDocument } from './lib/parseDocument'
+export { duration, memory, name, processors } from './lib/quantities'
+export { homeOf } from './lib/homes'
+export {
+	dataCentresOf,
+	groupsOf,
+	parseInstances,
+	SYSTEM_GROUP,
+	type GroupLayout,
+	type GroupVoter,
+	type Instance,
+} from './lib/instances'
+export { SettingsReader, type Endpoint } from './lib/processSettings'
--- /dev/null
+++ b/packages/settings/src/lib/homes.ts
@@ -0,0 +1,33 @@
+/** Which data centre keeps a customer's order. */
+import { createHash } from 'node:crypto'
+import type { Configuration } from './configuration'
+
+/**
+ * @param configuration - the configuration in force.
+ * @param dataCentres - all data centres.
+ * @param customer - a customer.
+ * @returns its home: the configured one, or else one that follows from its name and stays the same
+ * while the data centres are the same (highest random weight).
+ * @public
+ */
+export function homeOf(
+	configuration: Configuration,
+	dataCentres: readonly string[],
+	customer: string
+): string {
+	const named = configuration.customers.find((one) => one.name === customer)
+	return named?.home ?? defaultHome(dataCentres, customer)
+}
+
+function defaultHome(dataCentres: readonly string[], customer: string): string {
+	let best = ''
+	let bestWeight = ''
+	for (const dataCentre of dataCentres) {
+		const weight = createHash('sha256').update(`${dataCentre}\n${customer}`).digest('hex')
+		if (weight > bestWeight) {
+			best = dataCentre
+			bestWeight = weight
+		}
+	}
+	return best
+}
--- a/packages/store/src/index.ts
+++ b/packages/store/src/index.ts
@@ -16,3 +16,4 @@
 	RECORD_HEADER_BYTES,
 	type ReadRecords,
 } from './lib/recordCodec'
+export { RevisionFile, type KeptRevision } from './lib/RevisionFile'
