Start the next request in the batch that ends the one before

Change: admission and start go into one batch when nothing else of the customer is open, and the next start goes into the batch of the end before it. A proposal is sent at once instead of on the next turn of the event loop. The founder that is preferred as leader founds, so a new cell does not hand over at once.

Ruled out: the disk (sync p50 0.11 ms) and the mailbox (0.08 ms).

--- a/packages/cell/src/lib/desk/RequestDesk.ts
+++ b/packages/cell/src/lib/desk/RequestDesk.ts
@@ -49,6 +49,8 @@
 	private readonly deadlines = new Heap<Waiter>((a, b) => a.deadline - b.deadline)
 	/** Requests for which a command is under way. */
 	private readonly busy = new Set<string>()
+	/** Requests whose start follows their admission in one batch. */
+	private readonly chained = new Set<string>()
 	/** Customers whose oldest request waits for a slot, the longest wait first. */
 	private readonly starved = new Set<string>()
 	private readonly doubts: Doubts
@@ -77,6 +79,7 @@
 		this.waiters.clear()
 		this.deadlines.clear()
 		this.busy.clear()
+		this.chained.clear()
 		this.starved.clear()
 		this.doubts.clear()
 		this.startedAt.clear()
@@ -157,6 +160,7 @@
 
 	/** A request was admitted. */
 	admitted(command: CommandOf<'admit'>, counted: boolean, moment: Moment): void {
+		if (this.chained.has(nameOf(command))) return
 		this.busy.delete(nameOf(command))
 		if (counted) this.advance(command.customer, moment)
 	}
@@ -164,6 +168,7 @@
 	/** A start was committed: the holder may go, and nobody else ever for this attempt. */
 	started(command: CommandOf<'start'>, counted: boolean, moment: Moment): void {
 		this.busy.delete(nameOf(command))
+		this.chained.delete(nameOf(command))
 		this.slots.unhold(command.worker)
 		const record = this.state.requests.find(command.customer, command.key)
 		if (!counted || !record) return this.advance(command.customer, moment)
@@ -212,6 +217,10 @@
 			timeout: timeoutMs,
 			at: moment.at,
 		})
+		if (this.state.requests.openOf(customer) > 0) return
+		if (this.proposeStart({ customer, key, attempt: 0, worker: '' }, holder, moment)) {
+			this.chained.add(nameOf(submit))
+		}
 	}
 
 	private resubmit(from: string, submit: Submit, record: RequestRecord, moment: Moment): void {
@@ -278,16 +287,31 @@
 		if (record?.phase !== Phase.Admitted || this.busy.has(nameOf(record))) return
 		const holder = this.holderFor(record, moment.now)
 		if (!holder) return
+		if (!this.proposeStart(record, holder, moment)) this.starved.add(customer)
+	}
+
+	/** @returns false when no worker has a slot. */
+	private proposeStart(
+		record: Pick<RequestRecord, 'customer' | 'key' | 'attempt' | 'worker'>,
+		holder: Holder,
+		moment: Moment
+	): boolean {
 		const worker = this.slots.choose(moment.now, record.worker)
-		if (!worker) {
-			this.starved.add(customer)
-			return
-		}
+		if (!worker) return false
 		this.slots.hold(worker.id)
 		this.busy.add(nameOf(record))
-		const { key, attempt } = record
+		const { customer, key, attempt } = record
 		const start = { customer, key, attempt: attempt + 1, worker: worker.id, holder: holder.life }
 		this.effects.commands.push({ kind: 'start', ...start })
+		return true
+	}
+
+	/** The customer's next request starts in the same batch in which its oldest ends. */
+	private chainNext(customer: string, moment: Moment): void {
+		const next = this.state.requests.next(customer)
+		if (next?.phase !== Phase.Admitted || this.busy.has(nameOf(next))) return
+		const holder = this.holderFor(next, moment.now)
+		if (holder) this.proposeStart(next, holder, moment)
 	}
 
 	private feedStarved(moment: Moment): void {
@@ -333,6 +357,7 @@
 		this.busy.add(nameOf(record))
 		const { customer, key } = record
 		this.effects.commands.push({ kind: 'finish', customer, key, ...end, at: moment.at })
+		if (this.state.requests.head(customer) === record) this.chainNext(customer, moment)
 	}
 
 	private expire(moment: Moment): void {
--- a/packages/cell/src/lib/state/RequestBook.ts
+++ b/packages/cell/src/lib/state/RequestBook.ts
@@ -84,6 +84,12 @@
 		return book && book.open.length > 0 ? book.records.get(book.open[0]) : undefined
 	}
 
+	/** @returns the request that follows the customer's oldest that has not finished. */
+	next(customer: string): RequestRecord | undefined {
+		const book = this.customers.get(customer)
+		return book && book.open.length > 1 ? book.records.get(book.open[1]) : undefined
+	}
+
 	/** @returns how many of the customer's requests have not finished. */
 	openOf(customer: string): number {
 		return this.customers.get(customer)?.open.length ?? 0
--- a/packages/consensus/src/lib/Leadership.ts
+++ b/packages/consensus/src/lib/Leadership.ts
@@ -9,6 +9,7 @@
 } from '@rillrudder/protocol'
 import { LeaderLease } from './LeaderLease'
 import { majorityValue } from './MembershipHistory'
+import { byPreference, preference } from './preference'
 import { Mode, Progress } from './Progress'
 import { Role, type ReplicaState } from './ReplicaState'
 
@@ -174,8 +175,7 @@
 	/** The voter that should take over from this one on a planned stop; empty when there is none. */
 	successor(now: number): string {
 		const fresh = this.freshVoters(now)
-		fresh.sort((a, b) => preference(b) - preference(a) || a.id.localeCompare(b.id))
-		return fresh[0]?.id ?? ''
+		return fresh.sort(byPreference)[0]?.id ?? ''
 	}
 
 	private heartbeat(now: number): void {
@@ -325,8 +325,3 @@
 		return peer
 	}
 }
-
-/** Local voters lead before distant ones, and those with a disk before those without. */
-function preference(member: Member): number {
-	return (member.local ? 2 : 0) + (member.durable ? 1 : 0)
-}
--- a/packages/consensus/src/lib/Replica.ts
+++ b/packages/consensus/src/lib/Replica.ts
@@ -14,6 +14,7 @@
 import { Election } from './Election'
 import { Following } from './Following'
 import { Leadership } from './Leadership'
+import { byPreference } from './preference'
 import type { Output } from './Output'
 import { ReplicaState, Role, type ReplicaOptions, type Restored } from './ReplicaState'
 
@@ -300,14 +301,14 @@
 	}
 
 	/**
-	 * Only the founder with the first name founds, and only when every founder has told this very
+	 * Only the founder that is preferred as leader founds, and only when every founder has told this very
 	 * life of it that it has no membership; so a group is founded once.
 	 */
 	private foundWhenAllBlank(now: number): void {
 		const { founders, id, incarnation } = this.state.options
 		if (!this.state.blank || this.state.term !== 0) return
-		const first = founders.map((founder) => founder.id).sort()[0]
-		if (first !== id) return
+		const first = [...founders].sort(byPreference)[0]
+		if (first.id !== id) return
 		const lives = new Map(this.blankPeers).set(id, incarnation)
 		if (!founders.every((founder) => lives.has(founder.id))) return
 		this.state.enterTerm(1)
--- a/packages/group/src/lib/Group.ts
+++ b/packages/group/src/lib/Group.ts
@@ -98,7 +98,7 @@
 	 */
 	propose(commands: readonly Uint8Array[]): boolean {
 		const index = this.parts.replica.propose(commands, this.parts.clock.now())
-		if (index !== undefined) this.post(() => undefined)
+		if (index !== undefined) this.flush()
 		return index !== undefined
 	}
 
