Take the decisions of entry instances and of leaders out of their processes

Cause: they could only be run with sockets and timers around them, so no randomised run could reach them.

Change: package intake holds what an entry instance decides; DeskDriver joins a data centre's desk to its group and to abstract surroundings. The apps keep sockets, files and clocks.

Conclusion: whole-cell runs can now be made on a clock moved by hand.

--- a/apps/control/src/lib/groups/DataCentreHost.ts
+++ b/apps/control/src/lib/groups/DataCentreHost.ts
@@ -1,13 +1,14 @@
-/** One data centre's group at work: its replica, its state, and the desk while it leads. */
+/** One data centre's group at work in this process, and the driver of its desk. */
 import {
-	DataCentreDesk,
-	DataCentreState,
-	encodeDataCentreCommand,
-	type Applied,
+	DeskDriver,
+	GroupAccess,
+	Surroundings,
+	type DataCentreState,
 	type ListedWorker,
-	type Moment,
 	type OperatorCall,
 	type ReplyTo,
+	type SettleCall,
+	type WorkerExchange,
 } from '@rillrudder/cell'
 import type { Group } from '@rillrudder/group'
 import type { Event } from '@rillrudder/protocol'
@@ -34,7 +35,73 @@
 	readonly fail: (fault: Error) => void
 }
 
-type Step = (moment: Moment) => void
+/** The replica of this process, as the driver sees it. */
+class ReplicaAccess extends GroupAccess {
+	constructor(private readonly group: Group) {
+		super()
+	}
+
+	override get leads(): boolean {
+		return this.group.replica.leads
+	}
+
+	override get mayAct(): boolean {
+		return this.group.mayAct
+	}
+
+	override get leader(): string {
+		return this.group.replica.status.leader
+	}
+
+	override get term(): number {
+		return this.group.replica.status.term
+	}
+
+	override propose(commands: readonly Uint8Array[]): void {
+		this.group.propose(commands)
+	}
+}
+
+/** The clock, the links and the workers of this process, as the driver sees them. */
+class ProcessSurroundings extends Surroundings {
+	constructor(
+		private readonly parts: DataCentreHostParts,
+		private readonly post: (step: (driver: DeskDriver) => void) => void
+	) {
+		super()
+	}
+
+	override now(): number {
+		return this.parts.clock.now()
+	}
+
+	override at(): number {
+		return this.parts.clock.date().getTime()
+	}
+
+	override send(to: string, event: Event): void {
+		this.parts.send(to, event)
+	}
+
+	override exchange(exchange: WorkerExchange): void {
+		this.parts.metrics.count(Metric.Exchanges)
+		void this.parts.workers
+			.exchange(exchange)
+			.then((reply) => this.post((driver) => driver.replied(exchange.worker, reply)))
+	}
+
+	override settle(call: SettleCall): void {
+		void this.parts.workers
+			.settle(call)
+			.then((reply) => reply && this.post((driver) => driver.settled(call, reply)))
+	}
+
+	override leadership(gained: boolean): void {
+		const { log, metrics, layout } = this.parts
+		if (gained) metrics.count(Metric.LeadershipGained, 1, layout.name)
+		log.info(gained ? 'leadership-gained' : 'leadership-lost', { group: layout.name })
+	}
+}
 
 /**
  * One data centre's group in this process.
@@ -42,18 +109,15 @@
  * @internal
  */
 export class DataCentreHost {
-	private readonly state: DataCentreState
-	private readonly desk: DataCentreDesk
-	private readonly mailbox = new Mailbox<Step>()
+	private readonly driver: DeskDriver
+	private readonly mailbox = new Mailbox<(driver: DeskDriver) => void>()
 	private group!: Group
-	private applied: Applied[] = []
 	private timer: Timer | undefined
 
 	constructor(private readonly parts: DataCentreHostParts) {
-		this.state = new DataCentreState((applied) => this.applied.push(applied))
-		const { layout, random, configuration } = parts
-		const { name } = layout
-		this.desk = new DataCentreDesk({ name, state: this.state, random, configuration })
+		const { layout, self, random, configuration } = parts
+		const surroundings = new ProcessSurroundings(parts, (step) => void this.mailbox.post(step))
+		this.driver = new DeskDriver({ name: layout.name, self, random, configuration, surroundings })
 	}
 
 	/** Name of the data centre. */
@@ -68,74 +132,52 @@
 
 	/** Whether this process decides for the data centre. */
 	get leads(): boolean {
-		return this.desk.active
+		return this.driver.leads
 	}
 
 	/** What the log says, for questions that need not be the newest. */
 	get book(): DataCentreState {
-		return this.state
+		return this.driver.state
 	}
 
 	async start(): Promise<void> {
-		const { self, layout, data, clock, random, log, fail } = this.parts
+		const { self, layout, data, clock, random, log, fail, send } = this.parts
 		this.group = await openGroup({
 			self,
 			layout,
 			data,
-			machine: this.state,
+			machine: this.driver.state,
 			clock,
 			random,
 			log,
 			fail,
-			send: (to, message) => this.sendGroup(to, message),
-			settled: () => this.settle(),
+			send: (to, message) => void send(to, { body: { $case: 'group', value: message } }),
+			settled: () => this.followGroup(),
 		})
+		this.driver.join(new ReplicaAccess(this.group))
 		this.mailbox.serve(`desk ${this.name}`, (batch) => this.run(batch), fail)
-		this.timer = clock.every(TICK, () => this.post((moment) => this.tick(moment)))
+		this.timer = clock.every(TICK, () => this.post(() => this.tick()))
 	}
 
-	/** Takes an event from a peer; one that is for the leader is turned away elsewhere. */
+	/** Takes an event of a peer. */
 	receive(from: string, event: Event): void {
-		const body = event.body
-		switch (body?.$case) {
-			case 'group':
-				return this.group.receive(body.value)
-			case 'beat':
-				return this.decide(from, '', '', (moment) => this.desk.beat(from, body.value, moment))
-			case 'submit': {
-				const { customer, key } = body.value
-				return this.decide(from, customer, key, (moment) =>
-					this.desk.submit(from, body.value, moment)
-				)
-			}
-			case 'report':
-				return this.decide(from, '', '', (moment) => this.desk.report(body.value, moment))
-			case 'withdraw':
-				return this.decide(from, '', '', (moment) => this.desk.withdraw(from, body.value, moment))
-			default:
-				return
-		}
+		if (event.body?.$case === 'group') this.group.receive(event.body.value)
+		else this.post((driver) => driver.receive(from, event))
 	}
 
 	/** Takes an operator's call, or says who leads. */
 	call(call: OperatorCall, reply: ReplyTo): void {
-		this.post((moment) => {
-			if (this.mayDecide()) this.desk.call(call, moment, reply)
-			else reply({ code: 421, message: this.leader })
-		})
+		this.post((driver) => driver.call(call, reply))
 	}
 
 	/** Takes the platform's list. */
 	list(workers: readonly ListedWorker[]): void {
-		const here = workers.filter((worker) => worker.dataCentre === this.name)
-		this.post((moment) => {
-			if (this.mayDecide()) this.desk.list(here, moment)
-		})
+		this.post((driver) => driver.list(workers))
 	}
 
 	/** The configuration has changed. */
 	configured(): void {
-		this.post(() => this.desk.configured())
+		this.post((driver) => driver.configured())
 	}
 
 	/** Hands leadership over, for a planned stop. */
@@ -149,37 +191,19 @@
 		await this.group.stop()
 	}
 
-	/** Who leads, as far as is known here. */
-	get leader(): string {
-		return this.group.replica.status.leader
-	}
-
-	private decide(from: string, customer: string, key: string, step: Step): void {
-		this.post((moment) => {
-			if (this.mayDecide()) {
-				step(moment)
-				return
-			}
-			const leader = this.leader === this.parts.self ? '' : this.leader
-			const value = { group: this.name, leader, customer, key }
-			this.parts.send(from, { body: { $case: 'redirect', value } })
-		})
-	}
-
-	private post(step: Step): void {
+	private post(step: (driver: DeskDriver) => void): void {
 		this.mailbox.post(step)
 	}
 
-	private run(batch: Step[]): void {
-		const moment = this.moment()
-		for (const step of batch) step(moment)
-		this.carryOut()
+	private run(batch: ((driver: DeskDriver) => void)[]): void {
+		for (const step of batch) step(this.driver)
+		this.driver.carryOut()
 	}
 
-	private tick(moment: Moment): void {
-		if (!this.mayDecide()) return
-		this.desk.tick(moment)
-		const { requestsOpen, tasksWaiting, tasksRunning, workersClosed } = this.desk.figures
+	private tick(): void {
+		this.driver.tick()
+		if (!this.driver.leads) return
+		const { requestsOpen, tasksWaiting, tasksRunning, workersClosed } = this.driver.figures
 		const { metrics } = this.parts
 		metrics.gauge(Metric.RequestsOpen, requestsOpen, this.name)
 		metrics.gauge(Metric.TasksWaiting, tasksWaiting, this.name)
@@ -187,74 +211,9 @@
 		metrics.gauge(Metric.WorkersClosed, workersClosed, this.name)
 	}
 
-	/** Whether the desk decides now; the lease is looked at anew at every step. */
-	private mayDecide(): boolean {
-		return this.desk.active && this.group.mayAct
-	}
-
-	/** The group has taken a step: leadership may have moved, and commands may have been applied. */
-	private settle(): void {
-		if (!this.group) return
-		this.followLeadership()
-		if (!this.desk.active) {
-			this.applied = []
-			return
-		}
-		if (!this.group.mayAct) return
-		const applied = this.applied
-		this.applied = []
-		const moment = this.moment()
-		for (const one of applied) this.desk.applied(one, moment)
-		this.parts.metrics.count(Metric.Commands, applied.length, this.name)
-		this.carryOut()
-	}
-
-	private followLeadership(): void {
-		const { leads, status } = this.group.replica
-		const { log, metrics } = this.parts
-		if (this.desk.active && !leads) {
-			this.desk.resign()
-			log.info('leadership-lost', { group: this.name, leader: status.leader })
-		} else if (!this.desk.active && this.group.mayAct) {
-			this.applied = []
-			this.desk.takeOver(this.moment())
-			metrics.count(Metric.LeadershipGained, 1, this.name)
-			log.info('leadership-gained', { group: this.name, term: status.term })
-		}
-	}
-
-	private carryOut(): void {
-		if (this.desk.effects.empty) return
-		const { commands, sendings, settles, exchanges } = this.desk.effects.take()
-		if (commands.length > 0) this.group.propose(commands.map(encodeDataCentreCommand))
-		for (const { to, event } of sendings) this.parts.send(to, event)
-		this.parts.metrics.count(Metric.Exchanges, exchanges.length)
-		for (const exchange of exchanges) {
-			void this.parts.workers.exchange(exchange).then((reply) =>
-				this.post((moment) => {
-					if (!this.mayDecide()) return
-					if (reply) this.desk.reply(exchange.worker, reply, moment)
-					else this.desk.silent(exchange.worker)
-				})
-			)
-		}
-		for (const settle of settles) {
-			const { customer, key, fence } = settle
-			void this.parts.workers.settle(settle).then((reply) =>
-				this.post((moment) => {
-					if (reply && this.mayDecide()) this.desk.settled(customer, key, fence, reply, moment)
-				})
-			)
-		}
-	}
-
-	private sendGroup(to: string, message: Extract<Event['body'], { $case: 'group' }>['value']) {
-		this.parts.send(to, { body: { $case: 'group', value: message } })
-	}
-
-	private moment(): Moment {
-		const { clock } = this.parts
-		const { term } = this.group.replica.status
-		return { now: clock.now(), at: clock.date().getTime(), term }
+	private followGroup(): void {
+		const applied = this.driver.followGroup()
+		this.parts.metrics.count(Metric.Commands, applied, this.name)
+		this.driver.carryOut()
 	}
 }
--- a/apps/entry/src/lib/EntryProcess.ts
+++ b/apps/entry/src/lib/EntryProcess.ts
@@ -1,23 +1,13 @@
 /** `rr-entry`: takes callers' requests and brings them to workers. */
 import { randomInt, randomUUID } from 'node:crypto'
+import { Intake } from '@rillrudder/intake'
 import { linkSecurity, LinkHub, type Event } from '@rillrudder/protocol'
 import { RunningProgram } from '@rillrudder/program'
-import {
-	dataCentresOf,
-	DEFAULT_CONFIGURATION,
-	groupsOf,
-	homeOf,
-	parseConfiguration,
-	type Configuration,
-} from '@rillrudder/settings'
+import { DEFAULT_CONFIGURATION } from '@rillrudder/settings'
 import { Log, Metric, Metrics } from '@rillrudder/telemetry'
-import { Random, SystemClock, type Clock } from '@rillrudder/utils'
-import type { CallerRequest } from './callers/CallerRequest'
+import { Mailbox, Random, SystemClock, type Clock } from '@rillrudder/utils'
 import { CallerServer } from './callers/CallerServer'
 import type { EntrySettings } from './EntrySettings'
-import { Groups } from './home/Groups'
-import { HomeDesk } from './home/HomeDesk'
-import { RepeatableDesk } from './repeatable/RepeatableDesk'
 import { WorkerCaller } from './workers/WorkerCaller'
 
 const MOST_SEED = 0x7fffffff
@@ -32,6 +22,12 @@
 	readonly log?: Log
 }
 
+/** An event and the process that it is from. */
+interface Received {
+	readonly from: string
+	readonly event: Event
+}
+
 /**
  * One `rr-entry`.
  *
@@ -43,16 +39,10 @@
 	private readonly clock: Clock
 	private readonly log: Log
 	private readonly hub: LinkHub
-	private readonly groups: Groups
 	private readonly workers: WorkerCaller
-	private readonly home: HomeDesk
-	private readonly repeatable: RepeatableDesk
+	private readonly intake: Intake
+	private readonly mailbox = new Mailbox<Received>()
 	private readonly callers: CallerServer
-	private readonly connected = new Set<string>()
-	private readonly dataCentres: readonly string[]
-	private configuration: Configuration = DEFAULT_CONFIGURATION
-	private revision = 0
-	private leaving = false
 	private port = 0
 
 	/**
@@ -69,20 +59,17 @@
 		this.clock = overrides.clock ?? new SystemClock()
 		this.log = overrides.log ?? new Log(this.id, this.clock, settings.logLevel as 'info')
 		this.metrics = new Metrics(this.id, settings.metrics)
-		this.dataCentres = dataCentresOf(instances)
 		this.hub = this.makeHub()
-		const { slots } = this.configuration
-		const share = Math.floor((slots.connections - OTHER_CONNECTIONS) / instances.length)
+		const { connections } = DEFAULT_CONFIGURATION.slots
+		const share = Math.floor((connections - OTHER_CONNECTIONS) / instances.length)
 		this.workers = new WorkerCaller(Math.max(1, share))
-		this.groups = this.makeGroups()
-		this.repeatable = this.makeRepeatable()
-		this.home = this.makeHome()
+		this.intake = this.makeIntake()
 		this.callers = new CallerServer({
 			listen: settings.callers,
 			clock: this.clock,
 			metrics: this.metrics,
-			healthy: () => !this.leaving,
-			take: (request) => this.take(request),
+			healthy: () => !this.intake.isLeaving,
+			take: (request) => this.intake.take(request),
 		})
 	}
 
@@ -92,6 +79,11 @@
 	}
 
 	override async start(): Promise<void> {
+		this.mailbox.serve(
+			'intake',
+			(batch) => this.takeIn(batch),
+			(fault) => this.endAtOnce(fault)
+		)
 		for (const { id, address } of this.settings.instances) this.hub.dial(id, address)
 		this.port = await this.callers.start()
 		this.log.info('started', { callers: this.callerAddress })
@@ -99,13 +91,13 @@
 
 	/** Goes on taking requests while the balancer learns of it, then finishes what is in flight. */
 	override async stop(): Promise<void> {
-		this.leaving = true
+		this.intake.leave()
 		this.log.info('stopping')
 		this.callers.beginClosing()
 		await this.pause(this.settings.stopDelay)
 		await this.callers.finish()
-		while (this.home.open > 0) await this.pause(LOOK_EVERY)
-		this.groups.beat(this.settings.self.dataCentre)
+		while (this.intake.open > 0) await this.pause(LOOK_EVERY)
+		this.intake.leave()
 		await this.pause(LOOK_EVERY)
 		this.halt()
 		this.log.info('stopped')
@@ -114,25 +106,14 @@
 	/** Ends as a killed process does, for tests. */
 	halt(): void {
 		this.callers.halt()
-		this.groups.stop()
-		this.home.stop()
-		this.repeatable.stop()
+		this.intake.stop()
 		this.hub.close()
 		this.workers.close()
 		this.metrics.close()
 	}
 
-	private take(request: CallerRequest): void {
-		if (request.repeatable && this.mayOverlap(request.customer)) this.repeatable.take(request)
-		else this.home.take(request)
-	}
-
-	/** Whether a customer's repeatable requests need not stand in its order. */
-	private mayOverlap(name: string): boolean {
-		const customer = this.configuration.customers.find((one) => one.name === name)
-		if (!customer) return true
-		const here = customer.home === this.settings.self.dataCentre
-		return customer.readsOverlap && (here || customer.repeatableElsewhere)
+	private takeIn(batch: Received[]): void {
+		for (const { from, event } of batch) this.intake.receive(from, event)
 	}
 
 	private makeHub(): LinkHub {
@@ -142,106 +123,32 @@
 			self: this.id,
 			clock: this.clock,
 			...linkSecurity(tls),
-			receive: (from, event) => this.receive(from, event),
+			receive: (from, event) => void this.mailbox.post({ from, event }),
 			changed: (peer, connected) => this.peerChanged(peer, connected),
 		})
 	}
 
-	private makeGroups(): Groups {
-		return new Groups({
-			clock: this.clock,
-			dataCentre: this.settings.self.dataCentre,
+	private makeIntake(): Intake {
+		const { self, instances } = this.settings
+		const { clock, log, metrics, workers } = this
+		return new Intake({
+			self,
+			instances,
 			incarnation: randomUUID(),
-			layouts: groupsOf(this.settings.instances),
-			send: (to, event) => this.send(to, event),
-			leaving: () => this.leaving,
-			content: () => ({
-				wanted: this.repeatable?.wanted ?? 0,
-				uses: this.repeatable?.held ?? [],
-				signs: this.repeatable?.takeSigns() ?? [],
-				grant: this.repeatable?.grant ?? 0,
-			}),
-		})
-	}
-
-	private makeRepeatable(): RepeatableDesk {
-		const { dataCentre } = this.settings.self
-		return new RepeatableDesk({
-			clock: this.clock,
+			clock,
 			random: new Random(randomInt(MOST_SEED)),
-			metrics: this.metrics,
-			workers: this.workers,
-			beat: () => this.groups.beat(dataCentre),
-			reachable: () => this.groups.isReachable(dataCentre),
-			retryShare: () => this.configuration.limits.retryShare,
-		})
-	}
-
-	private makeHome(): HomeDesk {
-		return new HomeDesk({
-			clock: this.clock,
-			metrics: this.metrics,
-			groups: this.groups,
-			workers: this.workers,
-			home: (customer) => homeOf(this.configuration, this.dataCentres, customer),
-			leaving: (worker) => this.repeatable.leaving(worker),
+			log,
+			metrics,
+			workers,
+			send: (to, event) => this.send(to, event),
 		})
 	}
 
-	private receive(from: string, event: Event): void {
-		const body = event.body
-		switch (body?.$case) {
-			case 'loans': {
-				const { dataCentre, beat } = body.value
-				this.groups.heard(dataCentre, from, body.value)
-				if (dataCentre !== this.settings.self.dataCentre) return
-				return this.repeatable.loans(body.value, this.groups.loanEnd(beat))
-			}
-			case 'go':
-				return this.home.go(body.value)
-			case 'verdict':
-				return this.home.verdict(body.value)
-			case 'redirect': {
-				const { group, leader, key } = body.value
-				this.groups.redirected(group, from, leader)
-				return key === '' ? undefined : this.home.redirected(body.value)
-			}
-			case 'configurationOffer': {
-				const { revision, document } = body.value
-				return this.install(revision, document.toString())
-			}
-			default:
-				return
-		}
-	}
-
-	private install(revision: number, document: string): void {
-		if (revision > this.revision) {
-			const read = parseConfiguration('configuration', document)
-			if (!read.ok) return
-			this.revision = revision
-			this.configuration = read.value
-			this.metrics.gauge(Metric.ConfigurationRevision, revision)
-			this.log.info('configuration-in-force', { revision })
-		}
-		for (const peer of this.connected) this.tellRevision(peer)
-	}
-
 	private peerChanged(peer: string, connected: boolean): void {
-		if (connected) {
-			this.connected.add(peer)
-			this.tellRevision(peer)
-		} else {
-			this.connected.delete(peer)
-		}
+		this.intake.peerChanged(peer, connected)
 		this.log.debug(connected ? 'peer-connected' : 'peer-lost', { peer })
 	}
 
-	private tellRevision(peer: string): void {
-		const value = { revision: this.revision }
-		this.send(peer, { body: { $case: 'configurationAck', value } })
-	}
-
 	private send(to: string, event: Event): boolean {
 		const sent = this.hub.send(to, event)
 		this.metrics.count(sent ? Metric.EventsSent : Metric.EventsDropped)
@@ -251,4 +158,9 @@
 	private pause(span: number): Promise<void> {
 		return new Promise((resolve) => this.clock.after(span, () => resolve()))
 	}
+
+	private endAtOnce(fault: Error): void {
+		this.log.error('can-not-go-on', { fault: fault.message })
+		process.exit(1)
+	}
 }
--- a/apps/entry/src/lib/callers/CallerServer.ts
+++ b/apps/entry/src/lib/callers/CallerServer.ts
@@ -6,7 +6,7 @@
 import { Metric, type Metrics } from '@rillrudder/telemetry'
 import type { Clock } from '@rillrudder/utils'
 import { BodyFault, readBody } from '@rillrudder/web'
-import { CallerRequest } from './CallerRequest'
+import { HttpRequest } from './HttpRequest'
 import { readTerms } from './readTerms'
 
 const MOST_BODY_BYTES = 1024 * 1024
@@ -24,7 +24,7 @@
 	readonly metrics: Metrics
 	/** Whether the balancer should send requests here. */
 	readonly healthy: () => boolean
-	readonly take: (request: CallerRequest) => void
+	readonly take: (request: HttpRequest) => void
 }
 
 /**
@@ -93,7 +93,7 @@
 			metrics.count(Metric.RequestsOut, 1, outcome)
 			metrics.timing(Metric.RequestTime, clock.now() - arrived)
 		}
-		this.parts.take(new CallerRequest(request, response, terms.value, body.value, arrived, done))
+		this.parts.take(new HttpRequest(request, response, terms.value, body.value, arrived, done))
 	}
 
 	private answerHealth(response: ServerResponse): void {
--- a/apps/entry/src/lib/callers/CallerRequest.ts
+++ b/apps/entry/src/lib/callers/HttpRequest.ts
@@ -1,7 +1,8 @@
-/** A caller's request as it was read, and the one place where its answer is given. */
+/** A caller's request as it came by HTTP, and the one place where its answer is given. */
 import { createHash, randomUUID } from 'node:crypto'
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import { Outcome, type Problem } from '@rillrudder/cell'
+import { CallerRequest, type AttemptTerms } from '@rillrudder/intake'
 import type { Answer } from '@rillrudder/protocol'
 import { endToEndHeaders, type PassedHeader } from '@rillrudder/web'
 import { statusOf, titleOf } from './problems'
@@ -31,20 +32,12 @@
 	readonly timeout: number
 }
 
-/** What a worker is told about an attempt. @internal */
-export interface AttemptTerms {
-	readonly attempt: number
-	readonly fence: number
-	/** Milliseconds that are left. */
-	readonly timeout: number
-}
-
 /**
  * A caller's request.
  *
  * @internal
  */
-export class CallerRequest {
+export class HttpRequest extends CallerRequest {
 	readonly customer: string
 	readonly key: string
 	/** Whether the caller chose the key, and may send it again. */
@@ -75,6 +68,7 @@
 		readonly arrivedAt: number,
 		private readonly done: (outcome: Outcome) => void
 	) {
+		super()
 		this.customer = terms.customer
 		this.callersKey = terms.key !== undefined
 		this.key = terms.key ?? randomUUID()
@@ -87,20 +81,17 @@
 		this.digest = terms.repeatable ? '' : digestOf(this.method, this.path, body)
 	}
 
-	/** Whether its answer has been given. */
-	get isAnswered(): boolean {
+	override get isAnswered(): boolean {
 		return this.answered
 	}
 
-	/** Calls back if the caller goes away before the answer. */
-	onGone(gone: () => void): void {
+	override onGone(gone: () => void): void {
 		this.response.on('close', () => {
 			if (!this.answered) gone()
 		})
 	}
 
-	/** The headers that a worker gets. */
-	headersFor(terms: AttemptTerms): PassedHeader[] {
+	override headersFor(terms: AttemptTerms): PassedHeader[] {
 		return [
 			...this.headers,
 			{ name: 'rillrudder-customer', value: this.customer },
@@ -112,8 +103,7 @@
 		]
 	}
 
-	/** Gives a worker's whole answer. */
-	answer(answer: Answer): void {
+	override answer(answer: Answer): void {
 		if (!this.take(Outcome.Ran)) return
 		const headers: { [name: string]: string | string[] } = {}
 		for (const { name, value } of answer.headers) {
@@ -128,14 +118,8 @@
 		this.response.end(answer.body)
 	}
 
-	/**
-	 * Gives an answer of the system's own (RFC 9457).
-	 *
-	 * @param outcome - what is known of the request.
-	 * @param problem - why there is no answer of a worker.
-	 * @param retryAfter - milliseconds after which another try may help; absent where none does.
-	 */
-	refuse(outcome: Outcome, problem: Problem, retryAfter?: number): void {
+	/** As RFC 9457 has it. */
+	override refuse(outcome: Outcome, problem: Problem, retryAfter?: number): void {
 		if (!this.take(outcome)) return
 		const status = statusOf(problem, outcome)
 		const seconds = retryAfter === undefined ? undefined : Math.max(1, Math.ceil(retryAfter / 1000))
--- a/apps/entry/src/lib/callers/readTerms.ts
+++ b/apps/entry/src/lib/callers/readTerms.ts
@@ -1,7 +1,7 @@
 /** Reads the system's own headers; what is malformed gets a clear answer. */
 import type { IncomingHttpHeaders } from 'node:http'
 import { failure, success, type Result } from '@rillrudder/utils'
-import type { RequestTerms } from './CallerRequest'
+import type { RequestTerms } from './HttpRequest'
 
 const CUSTOMER = /^[a-z0-9][a-z0-9._-]{0,62}$/
 const KEY = /^[\x21-\x7e]{1,255}$/
--- a/apps/entry/src/lib/workers/WorkerCaller.ts
+++ b/apps/entry/src/lib/workers/WorkerCaller.ts
@@ -1,7 +1,7 @@
 /** Passes callers' requests on to workers, and tells how an attempt ended. */
 import { Agent, request as httpRequest, type ClientRequest, type IncomingMessage } from 'node:http'
-import type { Answer } from '@rillrudder/protocol'
-import { endToEndHeaders, type PassedHeader } from '@rillrudder/web'
+import { Attempt, End, WorkerCalls, type AttemptResult, type WorkerCall } from '@rillrudder/intake'
+import { endToEndHeaders } from '@rillrudder/web'
 
 const REFUSED_HEADER = 'rillrudder-refused'
 const IDLE_SOCKETS = 8
@@ -9,58 +9,17 @@
 /** Bytes that a worker's answer may have. @public */
 export const MOST_ANSWER_BYTES = 4 * 1024 * 1024
 
-/** A request for a worker. @internal */
-export interface WorkerCall {
-	/** Host and port. */
-	readonly address: string
-	readonly method: string
-	/** Path and query. */
-	readonly path: string
-	readonly headers: readonly PassedHeader[]
-	readonly body: Buffer
-	/** Milliseconds until the attempt is given up. */
-	readonly timeout: number
-}
-
-/** How an attempt ended. @internal */
-export const End = {
-	/** The whole answer is here. */
-	Answered: 'answered',
-	/** The worker refused it before it started, or was never reached. */
-	NotStarted: 'not-started',
-	/** It was written, and no whole answer came. */
-	Lost: 'lost',
-	/** The worker ran it, and its answer is longer than can be kept. */
-	TooLong: 'too-long',
-} as const
-/** One of the ends. @internal */
-export type End = (typeof End)[keyof typeof End]
-
-/** The end of an attempt. @internal */
-export interface AttemptResult {
-	readonly end: End
-	readonly answer?: Answer
-	/** Why the worker refused it; empty when it did not. */
-	readonly refusal: string
-}
-
-/** An attempt under way. @internal */
-export interface Attempt {
-	readonly result: Promise<AttemptResult>
-	/** Gives it up. */
-	abandon(): void
-}
-
 /**
  * The client of all workers.
  *
  * @internal
  */
-export class WorkerCaller {
+export class WorkerCaller extends WorkerCalls {
 	private readonly agent: Agent
 
 	/** @param connections - connections to one worker at most. */
 	constructor(connections: number) {
+		super()
 		this.agent = new Agent({
 			keepAlive: true,
 			maxSockets: connections,
@@ -69,10 +28,8 @@
 		})
 	}
 
-	/** Starts an attempt. */
-	call(call: WorkerCall): Attempt {
-		const attempt = new OpenAttempt(call, this.agent)
-		return { result: attempt.result, abandon: () => attempt.abandon() }
+	override call(call: WorkerCall, ended: (result: AttemptResult) => void): Attempt {
+		return new OpenAttempt(call, this.agent, ended)
 	}
 
 	/** Closes idle connections. */
@@ -82,16 +39,19 @@
 }
 
 /** One attempt, from its first byte to its end. */
-class OpenAttempt {
-	readonly result: Promise<AttemptResult>
+class OpenAttempt extends Attempt {
 	private readonly request: ClientRequest
 	private readonly timer: NodeJS.Timeout
-	private resolve!: (result: AttemptResult) => void
+	private over = false
 	/** Whether a byte may have reached the worker. */
 	private written = false
 
-	constructor(call: WorkerCall, agent: Agent) {
-		this.result = new Promise((resolve) => (this.resolve = resolve))
+	constructor(
+		call: WorkerCall,
+		agent: Agent,
+		private readonly ended: (result: AttemptResult) => void
+	) {
+		super()
 		const colon = call.address.lastIndexOf(':')
 		this.request = httpRequest({
 			host: call.address.slice(0, colon),
@@ -111,7 +71,7 @@
 		this.request.end(call.body)
 	}
 
-	abandon(): void {
+	override abandon(): void {
 		this.request.destroy()
 		this.fail()
 	}
@@ -137,8 +97,10 @@
 	}
 
 	private finish(result: AttemptResult): void {
+		if (this.over) return
+		this.over = true
 		clearTimeout(this.timer)
-		this.resolve(result)
+		this.ended(result)
 	}
 }
 
--- a/packages/cell/src/index.ts
+++ b/packages/cell/src/index.ts
@@ -12,6 +12,7 @@
 	type SystemCommand,
 } from './lib/commands/SystemCommand'
 export { DataCentreDesk, type DeskParts } from './lib/desk/DataCentreDesk'
+export { DeskDriver, GroupAccess, Surroundings, type DeskDriverParts } from './lib/desk/DeskDriver'
 export {
 	Effects,
 	type Moment,
--- /dev/null
+++ b/packages/cell/src/lib/desk/DeskDriver.ts
@@ -0,0 +1,207 @@
+/**
+ * Joins a data centre's desk to its group and its surroundings: follows leadership, hands committed
+ * commands to the desk, and carries its effects out only while its replica may act.
+ */
+import type { Event } from '@rillrudder/protocol'
+import type { Configuration } from '@rillrudder/settings'
+import type { Random } from '@rillrudder/utils'
+import { encodeDataCentreCommand } from '../commands/DataCentreCommand'
+import { DataCentreState, type Applied } from '../state/DataCentreState'
+import { DataCentreDesk } from './DataCentreDesk'
+import type { Moment, SettleCall, WorkerExchange } from './Effects'
+import type { OperatorCall } from './operatorCalls'
+import type { ReplyTo } from './OperatorDesk'
+import type { ListedWorker } from './WorkerDesk'
+import type { ExchangeReply, SettleReply } from './workerProtocol'
+
+/** The group as its driver sees it. @public */
+export abstract class GroupAccess {
+	/** Whether this replica leads. */
+	abstract readonly leads: boolean
+	/** Whether it holds the lease at this very moment and has applied all that is committed. */
+	abstract readonly mayAct: boolean
+	/** Who leads, as far as is known. */
+	abstract readonly leader: string
+	abstract readonly term: number
+	/** Adds commands to the log. */
+	abstract propose(commands: readonly Uint8Array[]): void
+}
+
+/** What is around a driver. @public */
+export abstract class Surroundings {
+	/** Monotonic milliseconds. */
+	abstract now(): number
+	/** Milliseconds since the epoch. */
+	abstract at(): number
+	abstract send(to: string, event: Event): void
+	/** Calls a worker about its tasks; the reply goes to `DeskDriver.replied`. */
+	abstract exchange(exchange: WorkerExchange): void
+	/** Asks a worker about an attempt; the word goes to `DeskDriver.settled`. */
+	abstract settle(call: SettleCall): void
+	/** Leadership was gained or lost. */
+	abstract leadership(gained: boolean): void
+}
+
+/** What a driver is made with. @public */
+export interface DeskDriverParts {
+	/** Name of the data centre. */
+	readonly name: string
+	/** This instance. */
+	readonly self: string
+	readonly random: Random
+	/** @returns the configuration in force. */
+	readonly configuration: () => Configuration
+	readonly surroundings: Surroundings
+}
+
+type Step = (moment: Moment) => void
+
+/** The HTTP status of a replica that does not lead. */
+const NOT_THE_LEADER = 421
+
+/**
+ * The driver of one data centre's desk in one process.
+ *
+ * @public
+ */
+export class DeskDriver {
+	readonly state: DataCentreState
+	private readonly desk: DataCentreDesk
+	private group: GroupAccess | undefined
+	private applied: Applied[] = []
+
+	/** @param parts - identity and surroundings. */
+	constructor(private readonly parts: DeskDriverParts) {
+		const { name, random, configuration } = parts
+		this.state = new DataCentreState((applied) => this.applied.push(applied))
+		this.desk = new DataCentreDesk({ name, state: this.state, random, configuration })
+	}
+
+	/** Joins the group, once it is open. */
+	join(group: GroupAccess): void {
+		this.group = group
+	}
+
+	/** Whether this process decides for the data centre. */
+	get leads(): boolean {
+		return this.desk.active
+	}
+
+	/** Numbers for metrics. */
+	get figures() {
+		return this.desk.figures
+	}
+
+	/** Takes an event of an entry instance, or says who leads. */
+	receive(from: string, event: Event): void {
+		const body = event.body
+		switch (body?.$case) {
+			case 'beat':
+				return this.decide(from, '', '', (moment) => this.desk.beat(from, body.value, moment))
+			case 'submit': {
+				const { customer, key } = body.value
+				const step: Step = (moment) => this.desk.submit(from, body.value, moment)
+				return this.decide(from, customer, key, step)
+			}
+			case 'report':
+				return this.decide(from, '', '', (moment) => this.desk.report(body.value, moment))
+			case 'withdraw':
+				return this.decide(from, '', '', (moment) => this.desk.withdraw(from, body.value, moment))
+			default:
+				return
+		}
+	}
+
+	/** Takes an operator's call, or says who leads. */
+	call(call: OperatorCall, reply: ReplyTo): void {
+		if (this.mayDecide) this.desk.call(call, this.moment(), reply)
+		else reply({ code: NOT_THE_LEADER, message: this.group?.leader ?? '' })
+	}
+
+	/** Takes the platform's list. */
+	list(workers: readonly ListedWorker[]): void {
+		const here = workers.filter((worker) => worker.dataCentre === this.parts.name)
+		if (this.mayDecide) this.desk.list(here, this.moment())
+	}
+
+	/** Takes a worker's reply; undefined when none came. */
+	replied(worker: string, reply: ExchangeReply | undefined): void {
+		if (!this.mayDecide) return
+		if (reply) this.desk.reply(worker, reply, this.moment())
+		else this.desk.silent(worker)
+	}
+
+	/** Takes a worker's word on an attempt. */
+	settled(call: SettleCall, reply: SettleReply): void {
+		const { customer, key, fence } = call
+		if (this.mayDecide) this.desk.settled(customer, key, fence, reply, this.moment())
+	}
+
+	/** The configuration has changed. */
+	configured(): void {
+		this.desk.configured()
+	}
+
+	/** Lets time pass. */
+	tick(): void {
+		if (this.mayDecide) this.desk.tick(this.moment())
+	}
+
+	/** The group has taken a step: leadership may have moved, and commands may have been applied. */
+	followGroup(): number {
+		this.followLeadership()
+		if (!this.desk.active) this.applied = []
+		if (!this.mayDecide) return 0
+		const applied = this.applied
+		this.applied = []
+		const moment = this.moment()
+		for (const one of applied) this.desk.applied(one, moment)
+		return applied.length
+	}
+
+	/** Carries out what was decided. To be called after every step, before anything is waited for. */
+	carryOut(): void {
+		const { effects } = this.desk
+		if (effects.empty || !this.mayDecide) return
+		const { commands, sendings, settles, exchanges } = effects.take()
+		const { surroundings } = this.parts
+		if (commands.length > 0) this.group?.propose(commands.map(encodeDataCentreCommand))
+		for (const { to, event } of sendings) surroundings.send(to, event)
+		for (const exchange of exchanges) surroundings.exchange(exchange)
+		for (const call of settles) surroundings.settle(call)
+	}
+
+	/** Whether the desk decides now; the lease is looked at anew at every step. */
+	private get mayDecide(): boolean {
+		return this.desk.active && this.group?.mayAct === true
+	}
+
+	private decide(from: string, customer: string, key: string, step: Step): void {
+		if (this.mayDecide) {
+			step(this.moment())
+			return
+		}
+		const { name, self, surroundings } = this.parts
+		const known = this.group?.leader ?? ''
+		const leader = known === self ? '' : known
+		const value = { group: name, leader, customer, key }
+		surroundings.send(from, { body: { $case: 'redirect', value } })
+	}
+
+	private followLeadership(): void {
+		if (!this.group) return
+		if (this.desk.active && !this.group.leads) {
+			this.desk.resign()
+			this.parts.surroundings.leadership(false)
+		} else if (!this.desk.active && this.group.mayAct) {
+			this.applied = []
+			this.desk.takeOver(this.moment())
+			this.parts.surroundings.leadership(true)
+		}
+	}
+
+	private moment(): Moment {
+		const { surroundings } = this.parts
+		return { now: surroundings.now(), at: surroundings.at(), term: this.group?.term ?? 0 }
+	}
+}
--- a/apps/entry/src/lib/home/HomeDesk.ts
+++ b/packages/intake/src/lib/HomeDesk.ts
@@ -14,9 +14,9 @@
 } from '@rillrudder/protocol'
 import { Metric, type Metrics } from '@rillrudder/telemetry'
 import type { Clock, Timer } from '@rillrudder/utils'
-import type { CallerRequest } from '../callers/CallerRequest'
-import { End, type AttemptResult, type WorkerCaller } from '../workers/WorkerCaller'
+import type { CallerRequest } from './CallerRequest'
 import type { Groups } from './Groups'
+import { End, type AttemptResult, type WorkerCalls } from './WorkerCalls'
 
 const SEND_AGAIN_EVERY = 500
 /** How long after the caller's time the leader's verdict is still waited for. */
@@ -30,7 +30,7 @@
 	readonly clock: Clock
 	readonly metrics: Metrics
 	readonly groups: Groups
-	readonly workers: WorkerCaller
+	readonly workers: WorkerCalls
 	/** @returns the data centre that a customer's requests go to. */
 	readonly home: (customer: string) => string
 	/** Told that a worker refused because it is leaving. */
@@ -180,8 +180,8 @@
 		const { method, path, body } = first
 		const headers = first.headersFor({ attempt: go.attempt, fence: go.fence, timeout })
 		const { address } = go
-		const attempt = workers.call({ address, method, path, headers, body, timeout })
-		void attempt.result.then((result) => this.ended(submission, go, result))
+		const call = { address, method, path, headers, body, timeout }
+		workers.call(call, (result) => this.ended(submission, go, result))
 	}
 
 	private ended(submission: Submission, go: Go, result: AttemptResult): void {
--- a/apps/entry/src/lib/repeatable/RepeatableDesk.ts
+++ b/packages/intake/src/lib/RepeatableDesk.ts
@@ -7,8 +7,8 @@
 import { RetryBudget, SlotPool, type TakenSlot } from '@rillrudder/scheduler'
 import { Metric, type Metrics } from '@rillrudder/telemetry'
 import type { Clock, Random, Timer } from '@rillrudder/utils'
-import type { CallerRequest } from '../callers/CallerRequest'
-import { End, type Attempt, type AttemptResult, type WorkerCaller } from '../workers/WorkerCaller'
+import type { CallerRequest } from './CallerRequest'
+import { End, type Attempt, type AttemptResult, type WorkerCalls } from './WorkerCalls'
 
 const TICK = 50
 const MOST_WAITING = 5000
@@ -28,7 +28,7 @@
 	readonly clock: Clock
 	readonly random: Random
 	readonly metrics: Metrics
-	readonly workers: WorkerCaller
+	readonly workers: WorkerCalls
 	/** Says a heartbeat at once, because slots are wanted. */
 	readonly beat: () => void
 	/** Whether the leader that lends slots has answered lately. */
@@ -170,12 +170,12 @@
 		const timeout = Math.max(1, request.deadline - begun)
 		const { method, path, body } = request
 		const headers = request.headersFor({ attempt: run.attempts, fence: 0, timeout })
-		const attempt = workers.call({ address: slot.address, method, path, headers, body, timeout })
-		this.attempts.add(attempt)
-		void attempt.result.then((result) => {
+		const call = { address: slot.address, method, path, headers, body, timeout }
+		const attempt = workers.call(call, (result) => {
 			this.attempts.delete(attempt)
 			this.ended(run, slot, result, clock.now() - begun)
 		})
+		this.attempts.add(attempt)
 	}
 
 	private ended(run: Run, slot: TakenSlot, result: AttemptResult, span: number): void {
