Customers' homes are owned, claimed and handed over

Cause: entry instances followed the configured home at once, and any leader admitted any customer, so two data centres could have run the same key while a new configuration spread.

Change: a data centre serves a customer's order only when it owns it by its own log. A home is claimed from whoever has it; that one closes it, ends what is open and hands the keys over. A data centre that was declared down is fenced: its replicas take no part, and what it owned it has to claim anew.

Before: two leaders could admit one key.

Weighed: a home epoch in the configuration alone; it cannot tell whether the earlier home has ended what it had open.

--- a/apps/control/src/lib/ControlProcess.ts
+++ b/apps/control/src/lib/ControlProcess.ts
@@ -1,8 +1,14 @@
 /** `rr-control`: the replicas of this instance, the decisions of those that lead, and the operator API. */
 import { linkSecurity, LinkHub, type Event } from '@rillrudder/protocol'
 import { RunningProgram } from '@rillrudder/program'
-import { groupsOf, SYSTEM_GROUP, type GroupLayout } from '@rillrudder/settings'
-import { FolderLock, type KeptRevision } from '@rillrudder/store'
+import {
+	dataCentresOf,
+	groupsOf,
+	SYSTEM_GROUP,
+	type GroupLayout,
+	type KeptRevision,
+} from '@rillrudder/settings'
+import { FolderLock } from '@rillrudder/store'
 import { Log, Metric, Metrics } from '@rillrudder/telemetry'
 import { Random, SystemClock, type Clock } from '@rillrudder/utils'
 import type { OperatorCall, ReplyTo } from '@rillrudder/cell'
@@ -195,7 +201,9 @@
 			random: new Random(randomInt(MOST_SEED)),
 			log,
 			metrics,
-			configuration: () => this.holder.configuration,
+			dataCentres: dataCentresOf(this.settings.instances),
+			inForce: () => this.holder.inForce,
+			callGroup: (group, call) => this.router.call(group, call),
 			send: (to, event) => this.send(to, event),
 			workers,
 			fail,
@@ -264,8 +272,8 @@
 			case 'withdraw':
 				return this.toHost(body.value.group, from, event)
 			case 'configurationOffer': {
-				const { revision, document } = body.value
-				return this.holder.install({ revision, document: document.toString() })
+				const { revision, document, fences } = body.value
+				return this.holder.install({ revision, document: document.toString(), fences })
 			}
 			case 'configurationAck':
 				return this.relay.acknowledge(from, body.value.revision)
--- a/apps/control/src/lib/configuration/ConfigurationHolder.ts
+++ b/apps/control/src/lib/configuration/ConfigurationHolder.ts
@@ -1,6 +1,12 @@
 /** The configuration in force in this process; its revision never goes down, also after a restart. */
-import { DEFAULT_CONFIGURATION, parseConfiguration, type Configuration } from '@rillrudder/settings'
-import { RevisionFile, SystemDisk, type KeptRevision } from '@rillrudder/store'
+import {
+	NO_REVISION,
+	NOTHING_IN_FORCE,
+	parseConfiguration,
+	type InForce,
+	type KeptRevision,
+} from '@rillrudder/settings'
+import { RevisionFile, SystemDisk } from '@rillrudder/store'
 import { invariant } from '@rillrudder/utils'
 
 /**
@@ -9,8 +15,8 @@
  * @internal
  */
 export class ConfigurationHolder {
-	private shown: KeptRevision = { revision: 0, document: '' }
-	private parsed: Configuration = DEFAULT_CONFIGURATION
+	private shown: KeptRevision = NO_REVISION
+	private decided: InForce = NOTHING_IN_FORCE
 	private wanted: KeptRevision = this.shown
 	private saving = false
 	private readonly file: RevisionFile | undefined
@@ -33,9 +39,9 @@
 		return this.shown
 	}
 
-	/** The configuration in force. */
-	get configuration(): Configuration {
-		return this.parsed
+	/** The same, as decisions see it. */
+	get inForce(): InForce {
+		return this.decided
 	}
 
 	/** Takes up what was shown before a restart. */
@@ -75,8 +81,10 @@
 			to: next.revision,
 		})
 		const read = parseConfiguration('configuration', next.document)
+		invariant(read.ok, 'only a good configuration is accepted', { revision: next.revision })
 		this.shown = next
-		if (read.ok) this.parsed = read.value
+		const { revision, fences } = next
+		this.decided = { revision, fences, configuration: read.value }
 		this.changed(next)
 	}
 }
--- a/apps/control/src/lib/configuration/ConfigurationRelay.ts
+++ b/apps/control/src/lib/configuration/ConfigurationRelay.ts
@@ -4,7 +4,7 @@
  * restarted.
  */
 import type { Event } from '@rillrudder/protocol'
-import type { KeptRevision } from '@rillrudder/store'
+import type { KeptRevision } from '@rillrudder/settings'
 import type { Clock, Timer } from '@rillrudder/utils'
 
 const OFFER_EVERY = 500
@@ -75,10 +75,10 @@
 	}
 
 	private offer(peer: string): void {
-		const { revision, document } = this.parts.current()
+		const { revision, document, fences } = this.parts.current()
 		if (revision === 0 || !this.parts.serves(peer) || !this.maySpeak()) return
 		if ((this.acknowledged.get(peer) ?? 0) >= revision) return
-		const value = { revision, document: Buffer.from(document) }
+		const value = { revision, document: Buffer.from(document), fences: [...fences] }
 		this.parts.send(peer, { body: { $case: 'configurationOffer', value } })
 	}
 
--- a/apps/control/src/lib/groups/DataCentreHost.ts
+++ b/apps/control/src/lib/groups/DataCentreHost.ts
@@ -5,14 +5,16 @@
 	Surroundings,
 	type DataCentreState,
 	type ListedWorker,
+	type GroupCall,
 	type OperatorCall,
+	type OperatorReply,
 	type ReplyTo,
 	type SettleCall,
 	type WorkerExchange,
 } from '@rillrudder/cell'
 import type { Group } from '@rillrudder/group'
 import type { Event } from '@rillrudder/protocol'
-import type { Configuration, GroupLayout } from '@rillrudder/settings'
+import { isDown, type GroupLayout, type InForce } from '@rillrudder/settings'
 import { Metric, type Log, type Metrics } from '@rillrudder/telemetry'
 import { Mailbox, type Clock, type Random, type Timer } from '@rillrudder/utils'
 import type { WorkerClient } from '../workers/WorkerClient'
@@ -29,7 +31,10 @@
 	readonly random: Random
 	readonly log: Log
 	readonly metrics: Metrics
-	readonly configuration: () => Configuration
+	readonly dataCentres: readonly string[]
+	readonly inForce: () => InForce
+	/** Calls the leader of another group. */
+	readonly callGroup: (group: string, call: OperatorCall) => Promise<OperatorReply>
 	readonly send: (to: string, event: Event) => boolean
 	readonly workers: WorkerClient
 	readonly fail: (fault: Error) => void
@@ -37,7 +42,10 @@
 
 /** The replica of this process, as the driver sees it. */
 class ReplicaAccess extends GroupAccess {
-	constructor(private readonly group: Group) {
+	constructor(
+		private readonly group: Group,
+		private readonly fenced: () => boolean
+	) {
 		super()
 	}
 
@@ -46,7 +54,7 @@
 	}
 
 	override get mayAct(): boolean {
-		return this.group.mayAct
+		return this.group.mayAct && !this.fenced()
 	}
 
 	override get leader(): string {
@@ -96,6 +104,12 @@
 			.then((reply) => reply && this.post((driver) => driver.settled(call, reply)))
 	}
 
+	override callGroup(call: GroupCall): void {
+		void this.parts
+			.callGroup(call.group, call.call)
+			.then((reply) => this.post((driver) => driver.claimAnswered(call, reply)))
+	}
+
 	override leadership(gained: boolean): void {
 		const { log, metrics, layout } = this.parts
 		if (gained) metrics.count(Metric.LeadershipGained, 1, layout.name)
@@ -115,9 +129,10 @@
 	private timer: Timer | undefined
 
 	constructor(private readonly parts: DataCentreHostParts) {
-		const { layout, self, random, configuration } = parts
+		const { layout, self, random, dataCentres, inForce } = parts
+		const { name } = layout
 		const surroundings = new ProcessSurroundings(parts, (step) => void this.mailbox.post(step))
-		this.driver = new DeskDriver({ name: layout.name, self, random, configuration, surroundings })
+		this.driver = new DeskDriver({ name, self, random, dataCentres, inForce, surroundings })
 	}
 
 	/** Name of the data centre. */
@@ -154,13 +169,14 @@
 			send: (to, message) => void send(to, { body: { $case: 'group', value: message } }),
 			settled: () => this.followGroup(),
 		})
-		this.driver.join(new ReplicaAccess(this.group))
+		this.driver.join(new ReplicaAccess(this.group, () => this.isFenced))
 		this.mailbox.serve(`desk ${this.name}`, (batch) => this.run(batch), fail)
 		this.timer = clock.every(TICK, () => this.post(() => this.tick()))
 	}
 
 	/** Takes an event of a peer. */
 	receive(from: string, event: Event): void {
+		if (this.isFenced) return
 		if (event.body?.$case === 'group') this.group.receive(event.body.value)
 		else this.post((driver) => driver.receive(from, event))
 	}
@@ -191,6 +207,11 @@
 		await this.group.stop()
 	}
 
+	/** Declared down: this replica takes no part, so that a return finds no quorum. */
+	private get isFenced(): boolean {
+		return isDown(this.parts.inForce().fences, this.name)
+	}
+
 	private post(step: (driver: DeskDriver) => void): void {
 		this.mailbox.post(step)
 	}
--- a/apps/control/src/lib/groups/SystemHost.ts
+++ b/apps/control/src/lib/groups/SystemHost.ts
@@ -4,12 +4,16 @@
 	SystemState,
 	type OperatorCall,
 	type ReplyTo,
-	type Revision,
 	type SystemCommand,
 } from '@rillrudder/cell'
 import type { Group } from '@rillrudder/group'
 import type { Event } from '@rillrudder/protocol'
-import { parseConfiguration, SYSTEM_GROUP, type GroupLayout } from '@rillrudder/settings'
+import {
+	parseConfiguration,
+	SYSTEM_GROUP,
+	type GroupLayout,
+	type KeptRevision,
+} from '@rillrudder/settings'
 import type { Log } from '@rillrudder/telemetry'
 import { formatFinding, type Clock, type Random } from '@rillrudder/utils'
 import { openGroup } from './openGroup'
@@ -25,7 +29,7 @@
 	readonly send: (to: string, event: Event) => boolean
 	readonly fail: (fault: Error) => void
 	/** Told of the configuration in force whenever a command was applied. */
-	readonly accepted: (revision: Revision) => void
+	readonly accepted: (revision: KeptRevision) => void
 }
 
 /**
@@ -99,9 +103,10 @@
 		switch (call.kind) {
 			case 'propose':
 				return this.propose(call, at, reply)
-			case 'declare-down': {
-				const { dataCentre } = call
-				return this.commit({ kind: 'declare-down', operator, request, at, dataCentre }, reply)
+			case 'declare-down':
+			case 'declare-up': {
+				const { kind, dataCentre } = call
+				return this.commit({ kind, operator, request, at, dataCentre }, reply)
 			}
 			case 'audit':
 				return reply({ code: 200, message: '', content: this.state.audit.select(call) })
--- a/apps/control/src/lib/operators/OperatorServer.ts
+++ b/apps/control/src/lib/operators/OperatorServer.ts
@@ -39,6 +39,20 @@
 }
 
 const ROUTES: readonly Route[] = [
+	{
+		method: 'POST',
+		path: /^\/v1\/data-centres\/([^/]+)\/declare-down$/,
+		kind: 'declare-down',
+		subject: 'dataCentre',
+		system: true,
+	},
+	{
+		method: 'POST',
+		path: /^\/v1\/data-centres\/([^/]+)\/declare-up$/,
+		kind: 'declare-up',
+		subject: 'dataCentre',
+		system: true,
+	},
 	{ method: 'POST', path: /^\/v1\/configuration$/, kind: 'propose', system: true },
 	{ method: 'POST', path: /^\/v1\/plans$/, kind: 'plan' },
 	{ method: 'POST', path: /^\/v1\/plans\/([^/]+)\/confirm$/, kind: 'confirm', subject: 'plan' },
--- a/apps/ctl/src/lib/commands.ts
+++ b/apps/ctl/src/lib/commands.ts
@@ -200,6 +200,15 @@
 	},
 })
 
+const declare = (name: 'declare-down' | 'declare-up', description: string) =>
+	command({
+		name,
+		description,
+		args: { ...changing, subject: positional({ type: string, displayName: 'data-centre' }) },
+		handler: (flags) =>
+			post(flags, `/v1/data-centres/${encode(flags.subject)}/${name}`, {}, printAnswer),
+	})
+
 /** The whole command line. @public */
 export const rrctl = subcommands({
 	name: 'rrctl',
@@ -217,6 +226,8 @@
 		workers,
 		explain,
 		audit,
+		'declare-down': declare('declare-down', 'say that a data centre is down, and fence it off'),
+		'declare-up': declare('declare-up', 'let a data centre that was declared down take part again'),
 	},
 })
 
--- a/packages/cell/src/index.ts
+++ b/packages/cell/src/index.ts
@@ -15,6 +15,7 @@
 export { DeskDriver, GroupAccess, Surroundings, type DeskDriverParts } from './lib/desk/DeskDriver'
 export {
 	Effects,
+	type GroupCall,
 	type Moment,
 	type Sending,
 	type SettleCall,
@@ -49,6 +50,6 @@
 export { DataCentreState, type Applied } from './lib/state/DataCentreState'
 export { type OperatorAnswer } from './lib/state/OperatorAnswers'
 export { Phase, type RequestRecord } from './lib/state/RequestBook'
-export { SystemState, type Revision } from './lib/state/SystemState'
+export { SystemState } from './lib/state/SystemState'
 export { PlanPhase, TaskPhase, type PlanRecord, type TaskRecord } from './lib/state/TaskBook'
 export { type Loan, type WorkerRecord } from './lib/state/WorkerBook'
--- a/packages/cell/src/lib/commands/SystemCommand.ts
+++ b/packages/cell/src/lib/commands/SystemCommand.ts
@@ -23,8 +23,11 @@
 	dataCentre: z.string(),
 })
 
+/** A data centre that was declared down may take part again. */
+const declareUp = declareDown.extend({ kind: z.literal('declare-up') })
+
 /** The schema of a command. @public */
-export const systemCommandSchema = z.discriminatedUnion('kind', [propose, declareDown])
+export const systemCommandSchema = z.discriminatedUnion('kind', [propose, declareDown, declareUp])
 
 /** A command of the system's log. @public */
 export type SystemCommand = z.infer<typeof systemCommandSchema>
--- a/packages/cell/src/lib/desk/DataCentreDesk.ts
+++ b/packages/cell/src/lib/desk/DataCentreDesk.ts
@@ -4,13 +4,14 @@
  */
 import type { Beat, Report, Submit, Withdraw } from '@rillrudder/protocol'
 import { WorkerHealth } from '@rillrudder/scheduler'
-import type { Configuration } from '@rillrudder/settings'
+import type { InForce } from '@rillrudder/settings'
 import type { Random } from '@rillrudder/utils'
 import type { Applied, DataCentreState } from '../state/DataCentreState'
 import { Effects, type Moment } from './Effects'
 import { Holders } from './Holders'
+import { HomeDesk } from './HomeDesk'
 import { LoanDesk } from './LoanDesk'
-import type { OperatorCall } from './operatorCalls'
+import type { OperatorCall, OperatorReply } from './operatorCalls'
 import { OperatorDesk, type ReplyTo } from './OperatorDesk'
 import { PlanDesk } from './PlanDesk'
 import { RequestDesk } from './RequestDesk'
@@ -27,8 +28,10 @@
 	readonly name: string
 	readonly state: DataCentreState
 	readonly random: Random
-	/** @returns the configuration in force. */
-	readonly configuration: () => Configuration
+	/** All data centres. */
+	readonly dataCentres: readonly string[]
+	/** @returns what is in force. */
+	readonly inForce: () => InForce
 }
 
 /**
@@ -46,15 +49,20 @@
 	private readonly tasks: TaskDesk
 	private readonly workers: WorkerDesk
 	private readonly operators: OperatorDesk
+	private readonly homes: HomeDesk
 	private leading = false
 	private forgetDue = 0
 
 	/** @param parts - the state and what else decisions need. */
 	constructor(private readonly parts: DeskParts) {
-		const { name, state, random, configuration } = parts
+		const { name, dataCentres, state, random, inForce } = parts
+		const configuration = () => inForce().configuration
 		const { effects, holders } = this
 		this.slots = new SlotChoice(state.workers, this.health, random)
-		this.requests = new RequestDesk(state, holders, this.slots, effects, () => this.limits())
+		this.homes = new HomeDesk(name, dataCentres, state, effects, inForce)
+		this.requests = new RequestDesk(state, holders, this.slots, effects, this.homes, () =>
+			this.limits()
+		)
 		this.loans = new LoanDesk(name, state, holders, this.slots, effects)
 		this.tasks = new TaskDesk(state, effects, random, configuration)
 		this.workers = new WorkerDesk(state, effects, configuration)
@@ -89,6 +97,7 @@
 		this.slots.clear()
 		this.loans.clear()
 		this.workers.clear()
+		this.homes.clear()
 		this.requests.takeOver(moment)
 		this.tasks.takeOver(moment)
 	}
@@ -101,6 +110,7 @@
 		this.slots.clear()
 		this.loans.clear()
 		this.workers.clear()
+		this.homes.clear()
 		this.requests.clear()
 		this.tasks.clear()
 		this.operators.clear()
@@ -166,11 +176,18 @@
 
 	/** Takes an operator's call. */
 	call(call: OperatorCall, moment: Moment, reply: ReplyTo): void {
-		this.operators.call(call, moment, reply)
+		if (call.kind === 'take-home') this.homes.claimed(call, moment, reply)
+		else this.operators.call(call, moment, reply)
+	}
+
+	/** Takes another data centre's answer to a claim of a customer's home. */
+	claimAnswered(customer: string, from: string, reply: OperatorReply, moment: Moment): void {
+		this.homes.answered(customer, from, reply, moment)
 	}
 
 	/** Lets time pass. */
 	tick(moment: Moment): void {
+		this.homes.tick(moment)
 		this.requests.tick(moment)
 		this.loans.tick(moment)
 		for (const worker of this.parts.state.workers.all()) {
@@ -216,8 +233,9 @@
 			case 'reject':
 			case 'close-home':
 				return this.operators.committed(command)
-			case 'forget':
 			case 'open-home':
+				return this.homes.opened(command.customer)
+			case 'forget':
 				return
 		}
 	}
@@ -239,7 +257,7 @@
 	private forget(moment: Moment): void {
 		if (moment.now < this.forgetDue) return
 		this.forgetDue = moment.now + FORGET_EVERY
-		const { keepAnswers, keepKeys, answerMemory } = this.parts.configuration().limits
+		const { keepAnswers, keepKeys, answerMemory } = this.parts.inForce().configuration.limits
 		const answersBefore = moment.at - keepAnswers
 		const keysBefore = moment.at - keepKeys
 		if (!this.parts.state.requests.isDue(answersBefore, answerMemory)) return
@@ -247,7 +265,7 @@
 	}
 
 	private limits() {
-		const { limits, customers } = this.parts.configuration()
+		const { limits, customers } = this.parts.inForce().configuration
 		return {
 			queue: limits.queue,
 			customerQueue: (name: string) =>
--- a/packages/cell/src/lib/desk/DeskDriver.ts
+++ b/packages/cell/src/lib/desk/DeskDriver.ts
@@ -3,13 +3,13 @@
  * commands to the desk, and carries its effects out only while its replica may act.
  */
 import type { Event } from '@rillrudder/protocol'
-import type { Configuration } from '@rillrudder/settings'
+import type { InForce } from '@rillrudder/settings'
 import type { Random } from '@rillrudder/utils'
 import { encodeDataCentreCommand } from '../commands/DataCentreCommand'
 import { DataCentreState, type Applied } from '../state/DataCentreState'
 import { DataCentreDesk } from './DataCentreDesk'
-import type { Moment, SettleCall, WorkerExchange } from './Effects'
-import type { OperatorCall } from './operatorCalls'
+import type { GroupCall, Moment, SettleCall, WorkerExchange } from './Effects'
+import type { OperatorCall, OperatorReply } from './operatorCalls'
 import type { ReplyTo } from './OperatorDesk'
 import type { ListedWorker } from './WorkerDesk'
 import type { ExchangeReply, SettleReply } from './workerProtocol'
@@ -38,6 +38,8 @@
 	abstract exchange(exchange: WorkerExchange): void
 	/** Asks a worker about an attempt; the word goes to `DeskDriver.settled`. */
 	abstract settle(call: SettleCall): void
+	/** Calls the leader of another group; the reply goes to `DeskDriver.claimAnswered`. */
+	abstract callGroup(call: GroupCall): void
 	/** Leadership was gained or lost. */
 	abstract leadership(gained: boolean): void
 }
@@ -49,8 +51,9 @@
 	/** This instance. */
 	readonly self: string
 	readonly random: Random
-	/** @returns the configuration in force. */
-	readonly configuration: () => Configuration
+	readonly dataCentres: readonly string[]
+	/** @returns what is in force. */
+	readonly inForce: () => InForce
 	readonly surroundings: Surroundings
 }
 
@@ -72,9 +75,9 @@
 
 	/** @param parts - identity and surroundings. */
 	constructor(private readonly parts: DeskDriverParts) {
-		const { name, random, configuration } = parts
+		const { name, random, dataCentres, inForce } = parts
 		this.state = new DataCentreState((applied) => this.applied.push(applied))
-		this.desk = new DataCentreDesk({ name, state: this.state, random, configuration })
+		this.desk = new DataCentreDesk({ name, dataCentres, state: this.state, random, inForce })
 	}
 
 	/** Joins the group, once it is open. */
@@ -137,6 +140,12 @@
 		if (this.mayDecide) this.desk.settled(customer, key, fence, reply, this.moment())
 	}
 
+	/** Takes another data centre's answer to a claim of a customer's home. */
+	claimAnswered(call: GroupCall, reply: OperatorReply): void {
+		const { customer } = call.call
+		if (this.mayDecide) this.desk.claimAnswered(customer, call.group, reply, this.moment())
+	}
+
 	/** The configuration has changed. */
 	configured(): void {
 		this.desk.configured()
@@ -163,12 +172,13 @@
 	carryOut(): void {
 		const { effects } = this.desk
 		if (effects.empty || !this.mayDecide) return
-		const { commands, sendings, settles, exchanges } = effects.take()
+		const { commands, sendings, settles, exchanges, groupCalls } = effects.take()
 		const { surroundings } = this.parts
 		if (commands.length > 0) this.group?.propose(commands.map(encodeDataCentreCommand))
 		for (const { to, event } of sendings) surroundings.send(to, event)
 		for (const exchange of exchanges) surroundings.exchange(exchange)
 		for (const call of settles) surroundings.settle(call)
+		for (const call of groupCalls) surroundings.callGroup(call)
 	}
 
 	/** Whether the desk decides now; the lease is looked at anew at every step. */
--- a/packages/cell/src/lib/desk/Effects.ts
+++ b/packages/cell/src/lib/desk/Effects.ts
@@ -1,8 +1,15 @@
 /** What a desk asks its process to do. */
 import type { Event } from '@rillrudder/protocol'
 import type { DataCentreCommand } from '../commands/DataCentreCommand'
+import type { OperatorCall } from './operatorCalls'
 import type { ExchangeCall } from './workerProtocol'
 
+/** A call for the leader of another group. @public */
+export interface GroupCall {
+	readonly group: string
+	readonly call: Extract<OperatorCall, { kind: 'take-home' }>
+}
+
 /** An event for another process. @public */
 export interface Sending {
 	readonly to: string
@@ -36,21 +43,23 @@
 	sendings: Sending[] = []
 	settles: SettleCall[] = []
 	exchanges: WorkerExchange[] = []
+	groupCalls: GroupCall[] = []
 
 	/** @returns everything gathered, and forgets it. */
-	take(): Pick<Effects, 'commands' | 'sendings' | 'settles' | 'exchanges'> {
-		const { commands, sendings, settles, exchanges } = this
+	take(): Pick<Effects, 'commands' | 'sendings' | 'settles' | 'exchanges' | 'groupCalls'> {
+		const { commands, sendings, settles, exchanges, groupCalls } = this
 		this.commands = []
 		this.sendings = []
 		this.settles = []
 		this.exchanges = []
-		return { commands, sendings, settles, exchanges }
+		this.groupCalls = []
+		return { commands, sendings, settles, exchanges, groupCalls }
 	}
 
 	/** Whether there is nothing to do. */
 	get empty(): boolean {
-		const { commands, sendings, settles, exchanges } = this
-		return commands.length + sendings.length + settles.length + exchanges.length === 0
+		const lists = [this.commands, this.sendings, this.settles, this.exchanges, this.groupCalls]
+		return lists.every((list) => list.length === 0)
 	}
 }
 
--- a/packages/cell/src/lib/desk/OperatorDesk.ts
+++ b/packages/cell/src/lib/desk/OperatorDesk.ts
@@ -65,10 +65,6 @@
 				return this.commit({ kind: 'cancel', ...part, intent: call.intent }, reply)
 			case 'drain':
 				return this.commit({ kind: 'drain', ...part, worker: call.worker }, reply)
-			case 'close-home': {
-				const { customer, to, revision } = call
-				return this.commit({ kind: 'close-home', ...part, customer, to, revision }, reply)
-			}
 			case 'explain':
 				return reply(this.explain(call.task))
 			case 'tasks':
@@ -79,6 +75,8 @@
 				return reply({ code: 200, message: '', content: this.state.audit.select(call) })
 			case 'propose':
 			case 'declare-down':
+			case 'declare-up':
+			case 'take-home':
 				return reply({ code: 400, message: 'this is for the system group' })
 		}
 	}
--- a/packages/cell/src/lib/desk/RequestDesk.ts
+++ b/packages/cell/src/lib/desk/RequestDesk.ts
@@ -12,6 +12,7 @@
 import { Doubts } from './Doubts'
 import type { Effects, Moment } from './Effects'
 import type { Holder, Holders } from './Holders'
+import type { HomeDesk } from './HomeDesk'
 import type { SlotChoice } from './SlotChoice'
 import { outlast, START_WINDOW } from './timing'
 import type { SettleReply } from './workerProtocol'
@@ -63,6 +64,7 @@
 		private readonly holders: Holders,
 		private readonly slots: SlotChoice,
 		private readonly effects: Effects,
+		private readonly homes: HomeDesk,
 		private readonly limits: () => RequestLimits
 	) {
 		this.doubts = new Doubts(state, effects)
@@ -88,10 +90,9 @@
 	/** Takes a request, new or sent again. */
 	submit(from: string, submit: Submit, moment: Moment): void {
 		const { customer, key } = submit
-		const moved = this.state.homes.closedTo(customer)
 		const record = this.state.requests.find(customer, key)
 		if (record) this.resubmit(from, submit, record, moment)
-		else if (moved) this.redirect(from, submit, moved.other)
+		else if (!this.homes.owns(customer)) this.sendHome(from, submit)
 		else if (this.busy.has(nameOf(submit))) this.wait(from, submit, moment)
 		else this.take(from, submit, moment)
 	}
@@ -393,8 +394,14 @@
 		if (silent > outlast(START_WINDOW)) this.doubts.abandoned(record, now)
 	}
 
-	private redirect(from: string, submit: Submit, group: string): void {
+	/** The home is elsewhere, or is on its way here; then the entry instance asks again. */
+	private sendHome(from: string, submit: Submit): void {
 		const { customer, key } = submit
+		const group = this.homes.homeOf(customer)
+		if (group === submit.group) {
+			this.homes.claim(customer)
+			return
+		}
 		const value = { group, leader: '', customer, key }
 		this.effects.sendings.push({ to: from, event: { body: { $case: 'redirect', value } } })
 	}
--- a/packages/cell/src/lib/desk/operatorCalls.ts
+++ b/packages/cell/src/lib/desk/operatorCalls.ts
@@ -34,8 +34,10 @@
 		document: z.string(),
 	}),
 	z.object({ kind: z.literal('declare-down'), ...caller, dataCentre: z.string() }),
+	z.object({ kind: z.literal('declare-up'), ...caller, dataCentre: z.string() }),
+	/** Asked by the leader of another data centre, which the configuration names as the home. */
 	z.object({
-		kind: z.literal('close-home'),
+		kind: z.literal('take-home'),
 		...caller,
 		customer: z.string(),
 		to: z.string(),
--- a/packages/cell/src/lib/state/SystemState.ts
+++ b/packages/cell/src/lib/state/SystemState.ts
@@ -1,18 +1,12 @@
 /** The replicated state of the whole system: the configuration and its history. */
 import { Buffer } from 'node:buffer'
 import { StateMachine } from '@rillrudder/group'
-import { invariant } from '@rillrudder/utils'
+import { NO_REVISION, type Fence, type KeptRevision } from '@rillrudder/settings'
+import { exhaustive, invariant } from '@rillrudder/utils'
 import { decodeSystemCommand, type SystemCommand } from '../commands/SystemCommand'
 import { AuditTrail } from './AuditTrail'
 import { OperatorAnswers, type OperatorAnswer } from './OperatorAnswers'
 
-/** A configuration document and the revision it was accepted under. @public */
-export interface Revision {
-	readonly revision: number
-	/** YAML. */
-	readonly document: string
-}
-
 const SNAPSHOT_VERSION = 1
 
 /**
@@ -23,9 +17,7 @@
 export class SystemState extends StateMachine {
 	readonly audit = new AuditTrail()
 	readonly answers = new OperatorAnswers()
-	/** Data centres that were declared down for good. */
-	readonly down = new Set<string>()
-	private accepted: Revision = { revision: 0, document: '' }
+	private accepted: KeptRevision = NO_REVISION
 
 	/** @param notify - told after every command. */
 	constructor(private readonly notify: (command: SystemCommand) => void = () => undefined) {
@@ -33,14 +25,14 @@
 	}
 
 	/** The configuration in force. */
-	get current(): Revision {
+	get current(): KeptRevision {
 		return this.accepted
 	}
 
 	override apply(bytes: Uint8Array, index: number): void {
 		const command = decodeSystemCommand(bytes)
 		if (!this.answers.find(command.request)) {
-			const answer = command.kind === 'propose' ? this.propose(command) : this.declare(command)
+			const answer = this.carryOut(command)
 			this.answers.keep(command.request, answer)
 			const { at, operator, kind } = command
 			const outcome = answer.accepted ? answer.message : `refused: ${answer.message}`
@@ -54,7 +46,6 @@
 			JSON.stringify({
 				version: SNAPSHOT_VERSION,
 				accepted: this.accepted,
-				down: [...this.down],
 				audit: this.audit.save(),
 				answers: this.answers.save(),
 			})
@@ -65,12 +56,23 @@
 		const saved = JSON.parse(Buffer.from(data).toString())
 		invariant(saved.version === SNAPSHOT_VERSION, 'a snapshot is of a known version')
 		this.advance(saved.accepted)
-		this.down.clear()
-		for (const dataCentre of saved.down) this.down.add(dataCentre)
 		this.audit.load(saved.audit)
 		this.answers.load(saved.answers)
 	}
 
+	private carryOut(command: SystemCommand): OperatorAnswer {
+		switch (command.kind) {
+			case 'propose':
+				return this.propose(command)
+			case 'declare-down':
+				return this.declare(command.dataCentre, true)
+			case 'declare-up':
+				return this.declare(command.dataCentre, false)
+			default:
+				return exhaustive(command)
+		}
+	}
+
 	private propose(command: Extract<SystemCommand, { kind: 'propose' }>): OperatorAnswer {
 		const subject = 'configuration'
 		const { revision } = this.accepted
@@ -78,16 +80,24 @@
 			const message = `it replaces revision ${command.replaces}, but ${revision} is in force`
 			return { accepted: false, message, subject, revision }
 		}
-		this.advance({ revision: revision + 1, document: command.document })
+		const { fences } = this.accepted
+		this.advance({ revision: revision + 1, document: command.document, fences })
 		return { accepted: true, message: 'accepted', subject, revision: revision + 1 }
 	}
 
-	private declare(command: Extract<SystemCommand, { kind: 'declare-down' }>): OperatorAnswer {
-		this.down.add(command.dataCentre)
-		return { accepted: true, message: 'declared down', subject: command.dataCentre }
+	/** A fence is a revision of its own, so that it is in force everywhere and lasts like any other. */
+	private declare(dataCentre: string, down: boolean): OperatorAnswer {
+		const { document, fences } = this.accepted
+		const revision = this.accepted.revision + 1
+		const known = fences.find((fence) => fence.dataCentre === dataCentre)
+		const fence: Fence = { dataCentre, down, revision: down ? revision : (known?.revision ?? 0) }
+		const others = fences.filter((one) => one !== known)
+		this.advance({ revision, document, fences: [...others, fence] })
+		const message = down ? 'declared down' : 'declared up'
+		return { accepted: true, message, subject: dataCentre, revision }
 	}
 
-	private advance(next: Revision): void {
+	private advance(next: KeptRevision): void {
 		invariant(next.revision >= this.accepted.revision, 'a revision is never lower', {
 			from: this.accepted.revision,
 			to: next.revision,
--- a/packages/protocol/src/index.ts
+++ b/packages/protocol/src/index.ts
@@ -7,6 +7,7 @@
 	Beat,
 	ConfigurationAck,
 	ConfigurationOffer,
+	DataCentreFence,
 	Entry,
 	EntryKind,
 	Event,
--- a/packages/settings/src/index.ts
+++ b/packages/settings/src/index.ts
@@ -19,3 +19,12 @@
 	type Instance,
 } from './lib/instances'
 export { SettingsReader, type Endpoint } from './lib/processSettings'
+export {
+	fencedAt,
+	isDown,
+	NO_REVISION,
+	NOTHING_IN_FORCE,
+	type Fence,
+	type InForce,
+	type KeptRevision,
+} from './lib/inForce'
--- a/packages/settings/src/lib/homes.ts
+++ b/packages/settings/src/lib/homes.ts
@@ -11,7 +11,7 @@
  * @public
  */
 export function homeOf(
-	configuration: Configuration,
+	configuration: Pick<Configuration, 'customers'>,
 	dataCentres: readonly string[],
 	customer: string
 ): string {
--- a/packages/store/src/index.ts
+++ b/packages/store/src/index.ts
@@ -16,4 +16,4 @@
 	RECORD_HEADER_BYTES,
 	type ReadRecords,
 } from './lib/recordCodec'
-export { RevisionFile, type KeptRevision } from './lib/RevisionFile'
+export { RevisionFile } from './lib/RevisionFile'
--- a/packages/store/src/lib/RevisionFile.ts
+++ b/packages/store/src/lib/RevisionFile.ts
@@ -1,18 +1,13 @@
 /** The newest configuration revision that this instance has shown, so that it never shows a lower one. */
 import { join } from 'node:path'
 import { VError } from 'verror'
+import type { KeptRevision } from '@rillrudder/settings'
 import type { Disk } from './Disk'
 import { decodeRecords, encodeRecord, Ending } from './recordCodec'
 
 const FILE = 'configuration'
 const NEW_SUFFIX = '.new'
 
-/** A revision and its document. @public */
-export interface KeptRevision {
-	readonly revision: number
-	readonly document: string
-}
-
 /**
  * A file that holds one revision.
  *
