Move the system's driver and the configuration's holder and relay into the cell package

Cause: they were out of reach of runs on a clock moved by hand. Change: SystemDriver, ConfigurationHolder and ConfigurationRelay are free of files and sockets; the app brings DiskKeeper and ReplicaAccess.

--- a/apps/control/src/lib/ControlProcess.ts
+++ b/apps/control/src/lib/ControlProcess.ts
@@ -8,15 +8,19 @@
 	type GroupLayout,
 	type KeptRevision,
 } from '@rillrudder/settings'
-import { FolderLock } from '@rillrudder/store'
+import { FolderLock, RevisionFile, SystemDisk } from '@rillrudder/store'
 import { Log, Metric, Metrics } from '@rillrudder/telemetry'
 import { Random, SystemClock, type Clock } from '@rillrudder/utils'
-import type { OperatorCall, ReplyTo } from '@rillrudder/cell'
+import {
+	ConfigurationHolder,
+	ConfigurationRelay,
+	type OperatorCall,
+	type ReplyTo,
+} from '@rillrudder/cell'
 import { randomInt } from 'node:crypto'
 import { VError } from 'verror'
-import { ConfigurationHolder } from './configuration/ConfigurationHolder'
-import { ConfigurationRelay } from './configuration/ConfigurationRelay'
 import type { ControlSettings } from './ControlSettings'
+import { DiskKeeper } from './DiskKeeper'
 import { DataCentreHost } from './groups/DataCentreHost'
 import { SystemHost } from './groups/SystemHost'
 import { OperatorIdentity } from './operators/OperatorIdentity'
@@ -58,6 +62,7 @@
 	private readonly platform: PlatformList | undefined
 	private readonly connected = new Set<string>()
 	private readonly fail: (fault: Error) => void
+	private readonly file: RevisionFile | undefined
 	private lock: FolderLock | undefined
 	private operatorPort = 0
 
@@ -77,11 +82,9 @@
 		this.fail = overrides.fail ?? ((fault) => this.endAtOnce(fault))
 		this.groups = groupsOf(instances)
 		this.hub = this.makeHub()
-		this.holder = new ConfigurationHolder(
-			settings.data,
-			(revision) => this.configured(revision),
-			this.fail
-		)
+		this.file = settings.data ? new RevisionFile(new SystemDisk(), settings.data) : undefined
+		const keeper = this.file ? new DiskKeeper(this.file, this.fail) : undefined
+		this.holder = new ConfigurationHolder(keeper, (revision) => this.configured(revision))
 		this.relay = this.makeRelay()
 		this.system = this.makeSystem()
 		for (const layout of this.groups) this.addHost(layout)
@@ -102,7 +105,8 @@
 
 	override async start(): Promise<void> {
 		this.lockFolder()
-		await this.holder.load()
+		const kept = await this.file?.load()
+		if (kept) this.holder.restore(kept)
 		await this.system?.start()
 		for (const host of this.hosts.values()) await host.start()
 		await this.hub.listen(this.settings.self.address)
--- a/apps/control/src/lib/groups/DataCentreHost.ts
+++ b/apps/control/src/lib/groups/DataCentreHost.ts
@@ -1,7 +1,6 @@
 /** One data centre's group at work in this process, and the driver of its desk. */
 import {
 	DeskDriver,
-	GroupAccess,
 	Surroundings,
 	type DataCentreState,
 	type ListedWorker,
@@ -19,6 +18,7 @@
 import { Mailbox, type Clock, type Random, type Timer } from '@rillrudder/utils'
 import type { WorkerClient } from '../workers/WorkerClient'
 import { openGroup } from './openGroup'
+import { ReplicaAccess } from './ReplicaAccess'
 
 const TICK = 50
 
@@ -40,36 +40,6 @@
 	readonly fail: (fault: Error) => void
 }
 
-/** The replica of this process, as the driver sees it. */
-class ReplicaAccess extends GroupAccess {
-	constructor(
-		private readonly group: Group,
-		private readonly fenced: () => boolean
-	) {
-		super()
-	}
-
-	override get leads(): boolean {
-		return this.group.replica.leads
-	}
-
-	override get mayAct(): boolean {
-		return this.group.mayAct && !this.fenced()
-	}
-
-	override get leader(): string {
-		return this.group.replica.status.leader
-	}
-
-	override get term(): number {
-		return this.group.replica.status.term
-	}
-
-	override propose(commands: readonly Uint8Array[]): void {
-		this.group.propose(commands)
-	}
-}
-
 /** The clock, the links and the workers of this process, as the driver sees them. */
 class ProcessSurroundings extends Surroundings {
 	constructor(
--- a/packages/cell/src/index.ts
+++ b/packages/cell/src/index.ts
@@ -11,6 +11,11 @@
 	encodeSystemCommand,
 	type SystemCommand,
 } from './lib/commands/SystemCommand'
+export { ConfigurationHolder, RevisionKeeper } from './lib/configuration/ConfigurationHolder'
+export {
+	ConfigurationRelay,
+	type ConfigurationRelayParts,
+} from './lib/configuration/ConfigurationRelay'
 export { DataCentreDesk, type DeskParts } from './lib/desk/DataCentreDesk'
 export { DeskDriver, GroupAccess, Surroundings, type DeskDriverParts } from './lib/desk/DeskDriver'
 export {
@@ -24,6 +29,7 @@
 export { lifeOf, type Holder } from './lib/desk/Holders'
 export { operatorCallSchema, type OperatorCall, type OperatorReply } from './lib/desk/operatorCalls'
 export type { ReplyTo } from './lib/desk/OperatorDesk'
+export { SystemDriver, type SystemDriverParts } from './lib/desk/SystemDriver'
 export {
 	BEAT,
 	DRIFT,
--- a/apps/control/src/lib/configuration/ConfigurationHolder.ts
+++ b/packages/cell/src/lib/configuration/ConfigurationHolder.ts
@@ -6,33 +6,38 @@
 	type InForce,
 	type KeptRevision,
 } from '@rillrudder/settings'
-import { RevisionFile, SystemDisk } from '@rillrudder/store'
 import { invariant } from '@rillrudder/utils'
 
+/** Keeps the newest revision on a disk. @public */
+export abstract class RevisionKeeper {
+	/**
+	 * Makes a revision lasting.
+	 *
+	 * @param revision - the revision.
+	 * @param done - told once it lasts; not told when it can't be kept, and the process must end.
+	 */
+	abstract save(revision: KeptRevision, done: () => void): void
+}
+
 /**
  * The configuration in force here.
  *
- * @internal
+ * @public
  */
 export class ConfigurationHolder {
 	private shown: KeptRevision = NO_REVISION
 	private decided: InForce = NOTHING_IN_FORCE
-	private wanted: KeptRevision = this.shown
+	private wanted: KeptRevision = NO_REVISION
 	private saving = false
-	private readonly file: RevisionFile | undefined
 
 	/**
-	 * @param data - the data folder, or undefined without a disk.
+	 * @param keeper - absent on an instance without a disk.
 	 * @param changed - told after a new revision is in force.
-	 * @param fail - told when it can't be kept.
 	 */
 	constructor(
-		data: string | undefined,
-		private readonly changed: (revision: KeptRevision) => void,
-		private readonly fail: (fault: Error) => void
-	) {
-		this.file = data === undefined ? undefined : new RevisionFile(new SystemDisk(), data)
-	}
+		private readonly keeper: RevisionKeeper | undefined,
+		private readonly changed: (revision: KeptRevision) => void
+	) {}
 
 	/** The revision in force. */
 	get current(): KeptRevision {
@@ -45,34 +50,27 @@
 	}
 
 	/** Takes up what was shown before a restart. */
-	async load(): Promise<void> {
-		const kept = await this.file?.load()
-		if (!kept) return
+	restore(kept: KeptRevision): void {
 		this.wanted = kept
-		this.show(kept)
+		if (kept.revision > 0) this.show(kept)
 	}
 
 	/** Puts a revision in force, unless a newer one is; on a disk it lasts before it is shown. */
 	install(offered: KeptRevision): void {
 		if (offered.revision <= this.wanted.revision) return
 		this.wanted = offered
-		if (!this.file) this.show(offered)
-		else if (!this.saving) void this.save(this.file)
+		if (!this.keeper) this.show(offered)
+		else if (!this.saving) this.save(this.keeper)
 	}
 
-	private async save(file: RevisionFile): Promise<void> {
+	private save(keeper: RevisionKeeper): void {
 		this.saving = true
-		try {
-			while (this.wanted.revision > this.shown.revision) {
-				const next = this.wanted
-				await file.save(next)
-				this.show(next)
-			}
-		} catch (fault) {
-			this.fail(fault as Error)
-		} finally {
+		const next = this.wanted
+		keeper.save(next, () => {
 			this.saving = false
-		}
+			this.show(next)
+			if (this.wanted.revision > next.revision) this.save(keeper)
+		})
 	}
 
 	private show(next: KeptRevision): void {
--- a/apps/control/src/lib/configuration/ConfigurationRelay.ts
+++ b/packages/cell/src/lib/configuration/ConfigurationRelay.ts
@@ -11,7 +11,7 @@
 /** How long a voter that hears no leader keeps quiet after its start: it may be behind. */
 const QUIET = 5000
 
-/** What a relay works with. @internal */
+/** What a relay works with. @public */
 export interface ConfigurationRelayParts {
 	readonly clock: Clock
 	readonly send: (to: string, event: Event) => boolean
@@ -27,7 +27,7 @@
 /**
  * Hands the configuration on, and knows who has which revision.
  *
- * @internal
+ * @public
  */
 export class ConfigurationRelay {
 	private readonly acknowledged = new Map<string, number>()
--- /dev/null
+++ b/packages/cell/src/lib/desk/SystemDriver.ts
@@ -0,0 +1,136 @@
+/** Joins the system's state to its group: configuration proposals, and what belongs to all data centres. */
+import { parseConfiguration, type KeptRevision } from '@rillrudder/settings'
+import { formatFinding } from '@rillrudder/utils'
+import { encodeSystemCommand, type SystemCommand } from '../commands/SystemCommand'
+import { SystemState } from '../state/SystemState'
+import type { GroupAccess } from './DeskDriver'
+import type { OperatorCall } from './operatorCalls'
+import type { ReplyTo } from './OperatorDesk'
+
+const NOT_THE_LEADER = 421
+
+/** What a driver is made with. @public */
+export interface SystemDriverParts {
+	readonly self: string
+	/** Milliseconds since the epoch. */
+	readonly at: () => number
+	/** Told of the configuration in force whenever the group has taken a step. */
+	readonly accepted: (revision: KeptRevision) => void
+	/** Leadership was gained or lost. */
+	readonly leadership: (gained: boolean) => void
+}
+
+/**
+ * The driver of the system's group in one process.
+ *
+ * @public
+ */
+export class SystemDriver {
+	readonly state: SystemState
+	private readonly replies = new Map<string, ReplyTo[]>()
+	private group: GroupAccess | undefined
+	private led = false
+
+	/** @param parts - identity and surroundings. */
+	constructor(private readonly parts: SystemDriverParts) {
+		this.state = new SystemState((command) => this.answer(command.request))
+	}
+
+	/** Joins the group, once it is open. */
+	join(group: GroupAccess): void {
+		this.group = group
+	}
+
+	/** Whether a leader has been heard since the start, so that what is committed is known. */
+	get isCurrent(): boolean {
+		if (!this.group) return false
+		return this.group.leads ? this.group.mayAct : this.group.leader !== ''
+	}
+
+	/** Takes an operator's call, or says who leads. */
+	call(call: OperatorCall, reply: ReplyTo): void {
+		if (!this.group?.mayAct) {
+			const leader = this.group?.leader ?? ''
+			reply({ code: NOT_THE_LEADER, message: leader === this.parts.self ? '' : leader })
+			return
+		}
+		if (this.state.answers.find(call.request)) {
+			this.say(call.request, reply)
+			return
+		}
+		const { operator, request } = call
+		const at = this.parts.at()
+		switch (call.kind) {
+			case 'propose':
+				return this.propose(call, at, reply)
+			case 'declare-down':
+			case 'declare-up': {
+				const { kind, dataCentre } = call
+				return this.commit({ kind, operator, request, at, dataCentre }, reply)
+			}
+			case 'audit':
+				return reply({ code: 200, message: '', content: this.state.audit.select(call) })
+			default:
+				return reply({ code: 400, message: 'this is for a data centre' })
+		}
+	}
+
+	/** The group has taken a step: leadership may have moved, and commands may have been applied. */
+	followGroup(): void {
+		if (!this.group) return
+		const { leads } = this.group
+		if (leads !== this.led) {
+			this.led = leads
+			this.parts.leadership(leads)
+			if (!leads) this.turnAway()
+		}
+		this.parts.accepted(this.state.current)
+	}
+
+	private propose(
+		call: Extract<OperatorCall, { kind: 'propose' }>,
+		at: number,
+		reply: ReplyTo
+	): void {
+		const read = parseConfiguration('configuration', call.document)
+		if (!read.ok) {
+			const content = { findings: read.error }
+			reply({ code: 422, message: read.error.map(formatFinding).join('\n'), content })
+			return
+		}
+		const { operator, request, replaces, document } = call
+		this.commit({ kind: 'propose', operator, request, at, replaces, document }, reply)
+	}
+
+	private commit(command: SystemCommand, reply: ReplyTo): void {
+		const waiting = this.replies.get(command.request)
+		if (waiting) {
+			waiting.push(reply)
+			return
+		}
+		this.replies.set(command.request, [reply])
+		this.group?.propose([encodeSystemCommand(command)])
+	}
+
+	private answer(request: string): void {
+		const waiting = this.replies.get(request) ?? []
+		this.replies.delete(request)
+		for (const reply of waiting) this.say(request, reply)
+	}
+
+	/** A refused proposal is answered with what is in force instead. */
+	private say(request: string, reply: ReplyTo): void {
+		const answer = this.state.answers.find(request)
+		if (!answer) return
+		const content = answer.accepted ? answer : { ...answer, current: this.state.current }
+		reply({ code: answer.accepted ? 200 : 409, message: answer.message, content })
+	}
+
+	/** Those who wait ask again, and get the answer that was kept if there is one. */
+	private turnAway(): void {
+		for (const waiting of this.replies.values()) {
+			for (const reply of waiting) reply({ code: 503, message: 'leadership has moved; ask again' })
+		}
+		this.replies.clear()
+	}
+}
