--- a/apps/control/src/lib/ControlProcess.ts
+++ b/apps/control/src/lib/ControlProcess.ts
@@ -14,17 +14,18 @@
 import {
 	ConfigurationHolder,
 	ConfigurationRelay,
+	OperatorRouter,
 	type OperatorCall,
+	type OperatorReply,
 	type ReplyTo,
 } from '@rillrudder/cell'
-import { randomInt } from 'node:crypto'
+import { randomInt, randomUUID } from 'node:crypto'
 import { VError } from 'verror'
 import type { ControlSettings } from './ControlSettings'
 import { DiskKeeper } from './DiskKeeper'
 import { DataCentreHost } from './groups/DataCentreHost'
 import { SystemHost } from './groups/SystemHost'
 import { OperatorIdentity } from './operators/OperatorIdentity'
-import { OperatorRouter } from './operators/OperatorRouter'
 import { OperatorServer } from './operators/OperatorServer'
 import { PlatformList } from './workers/PlatformList'
 import { WorkerClient } from './workers/WorkerClient'
@@ -207,7 +208,7 @@
 			metrics,
 			dataCentres: dataCentresOf(this.settings.instances),
 			inForce: () => this.holder.inForce,
-			callGroup: (group, call) => this.router.call(group, call),
+			callGroup: (group, call) => this.callGroup(group, call),
 			send: (to, event) => this.send(to, event),
 			workers,
 			fail,
@@ -220,6 +221,7 @@
 			self: this.settings.self.id,
 			clock: this.clock,
 			groups: this.groups,
+			name: () => randomUUID(),
 			send: (to, event) => this.send(to, event),
 			callHere: (group, call, reply) => this.callHere(group, call, reply),
 		})
@@ -234,7 +236,7 @@
 			tls,
 			identity,
 			dataCentre: self.dataCentre,
-			call: (group, call) => this.router.call(group, call),
+			call: (group, call) => this.callGroup(group, call),
 			status: () => this.status(),
 			configuration: () => this.holder.current,
 		})
@@ -300,6 +302,10 @@
 		this.send(from, { body: { $case: 'redirect', value } })
 	}
 
+	private callGroup(group: string, call: OperatorCall): Promise<OperatorReply> {
+		return new Promise((resolve) => this.router.call(group, call, resolve))
+	}
+
 	private callHere(group: string, call: OperatorCall, reply: ReplyTo): boolean {
 		if (group === SYSTEM_GROUP) {
 			this.system?.call(call, reply)
--- a/packages/cell/src/index.ts
+++ b/packages/cell/src/index.ts
@@ -29,6 +29,7 @@
 export { lifeOf, type Holder } from './lib/desk/Holders'
 export { operatorCallSchema, type OperatorCall, type OperatorReply } from './lib/desk/operatorCalls'
 export type { ReplyTo } from './lib/desk/OperatorDesk'
+export { OperatorRouter, type OperatorRouterParts } from './lib/desk/OperatorRouter'
 export { SystemDriver, type SystemDriverParts } from './lib/desk/SystemDriver'
 export {
 	BEAT,
--- a/packages/cell/src/lib/commands/DataCentreCommand.ts
+++ b/packages/cell/src/lib/commands/DataCentreCommand.ts
@@ -151,10 +151,9 @@
 const openHome = z.object({
 	kind: z.literal('open-home'),
 	customer: z.string(),
-	from: z.string(),
 	revision: count,
-	/** Whether the earlier home was declared down, and could not hand its keys over. */
-	forced: z.boolean(),
+	/** Data centres that were declared down, and could not hand their keys over. */
+	without: z.array(z.string()),
 	records: z.array(z.unknown()),
 	at: moment,
 })
--- a/packages/cell/src/lib/desk/DataCentreDesk.ts
+++ b/packages/cell/src/lib/desk/DataCentreDesk.ts
@@ -7,7 +7,7 @@
 import type { InForce } from '@rillrudder/settings'
 import type { Random } from '@rillrudder/utils'
 import type { Applied, DataCentreState } from '../state/DataCentreState'
-import { Effects, type Moment } from './Effects'
+import { Effects, type GroupCall, type Moment } from './Effects'
 import { Holders } from './Holders'
 import { HomeDesk } from './HomeDesk'
 import { LoanDesk } from './LoanDesk'
@@ -139,8 +139,8 @@
 	}
 
 	/** Takes the end of an attempt. */
-	report(report: Report, moment: Moment): void {
-		this.requests.report(report, moment)
+	report(from: string, report: Report, moment: Moment): void {
+		this.requests.report(from, report, moment)
 	}
 
 	/** The caller no longer waits. */
@@ -181,8 +181,8 @@
 	}
 
 	/** Takes another data centre's answer to a claim of a customer's home. */
-	claimAnswered(customer: string, from: string, reply: OperatorReply, moment: Moment): void {
-		this.homes.answered(customer, from, reply, moment)
+	claimAnswered(call: GroupCall, reply: OperatorReply): void {
+		this.homes.answered(call.call, call.group, reply)
 	}
 
 	/** Lets time pass. */
--- a/packages/cell/src/lib/desk/DeskDriver.ts
+++ b/packages/cell/src/lib/desk/DeskDriver.ts
@@ -107,7 +107,7 @@
 				return this.decide(from, customer, key, step)
 			}
 			case 'report':
-				return this.decide(from, '', '', (moment) => this.desk.report(body.value, moment))
+				return this.decide(from, '', '', (moment) => this.desk.report(from, body.value, moment))
 			case 'withdraw':
 				return this.decide(from, '', '', (moment) => this.desk.withdraw(from, body.value, moment))
 			default:
@@ -142,8 +142,7 @@
 
 	/** Takes another data centre's answer to a claim of a customer's home. */
 	claimAnswered(call: GroupCall, reply: OperatorReply): void {
-		const { customer } = call.call
-		if (this.mayDecide) this.desk.claimAnswered(customer, call.group, reply, this.moment())
+		if (this.mayDecide) this.desk.claimAnswered(call, reply)
 	}
 
 	/** The configuration has changed. */
--- a/packages/cell/src/lib/desk/Doubts.ts
+++ b/packages/cell/src/lib/desk/Doubts.ts
@@ -5,11 +5,15 @@
 import { outlast, SETTLE_SPAN, START_WINDOW } from './timing'
 
 const ASK_EVERY = 500
+/** A worker that goes on saying that it is at work is believed for so long, in milliseconds. */
+const MOST_DOUBT = 30_000
 
 interface Doubt {
 	readonly record: RequestRecord
 	readonly fence: number
 	until: number
+	/** Nothing extends the doubt beyond this. */
+	readonly last: number
 	askAt: number
 }
 
@@ -44,13 +48,15 @@
 	private add(record: RequestRecord, now: number, span: number): void {
 		if (this.has(record)) return
 		const until = now + span
-		this.doubts.set(nameOf(record), { record, fence: record.fence, until, askAt: now })
+		const last = until + MOST_DOUBT
+		const { fence } = record
+		this.doubts.set(nameOf(record), { record, fence, until, last, askAt: now })
 	}
 
 	/** The worker is still at work on it. */
 	extend(record: RequestRecord, now: number): void {
 		const doubt = this.doubts.get(nameOf(record))
-		if (doubt) doubt.until = Math.max(doubt.until, now + SETTLE_SPAN)
+		if (doubt) doubt.until = Math.max(doubt.until, Math.min(doubt.last, now + SETTLE_SPAN))
 	}
 
 	remove(record: RequestRecord): void {
--- a/packages/cell/src/lib/desk/HomeDesk.ts
+++ b/packages/cell/src/lib/desk/HomeDesk.ts
@@ -1,9 +1,11 @@
 /**
- * Which customers' order this data centre keeps. A home moves only when the data centre that has it
- * closes it, ends what is open, and hands its keys over; or when that one has been declared down.
+ * Which customers' order this data centre keeps.
  *
- * A customer's first home follows from its name. Later ones are claimed: the claimant asks all other
- * data centres, and whoever has the home gives it up to a claimant that the configuration names.
+ * A customer's first home follows from its name. A later one is claimed: the data centre that the
+ * configuration of some revision names asks all others, each of which closes the home for that revision,
+ * ends what it has open, and hands its keys over. Only when all have done so, or have been declared
+ * down, does the claimant open it. Who has closed a home for a revision can't open it for an earlier
+ * one, so two never have it, however late an answer comes.
  */
 import { fencedAt, homeOf, isDown, type InForce } from '@rillrudder/settings'
 import type { DataCentreState } from '../state/DataCentreState'
@@ -15,18 +17,29 @@
 const ASK_EVERY = 500
 /** Bytes of kept answers that go along with a home; the newest stay. */
 const MOST_ANSWER_BYTES = 8 * 1024 * 1024
+const SYSTEM = 'system'
 
 /** HTTP statuses of a claim's answer. */
-const Claimed = { Given: 200, Wait: 202, NotMine: 404, NotYours: 409 } as const
+const ClaimAnswer = {
+	/** Closed, with nothing open: here are the keys. */
+	Given: 200,
+	/** Ask again: it is being closed, or something is still open. */
+	Wait: 202,
+	/** A newer configuration names another home, or a newer claim was answered. */
+	Refused: 409,
+} as const
 
 interface Claim {
 	readonly customer: string
-	/** Data centres that have said they don't have the home. */
-	readonly without: Set<string>
+	readonly revision: number
+	readonly given: Set<string>
+	readonly records: RequestRecord[]
 	askAt: number
 	opening: boolean
 }
 
+type ClaimCall = Extract<OperatorCall, { kind: 'take-home' }>
+
 /**
  * The leader's desk for customers' homes.
  *
@@ -36,7 +49,8 @@
 	private readonly claims = new Map<string, Claim>()
 
 	constructor(
-		private readonly name: string,
+		/** Name of the data centre. */
+		readonly name: string,
 		private readonly dataCentres: readonly string[],
 		private readonly state: DataCentreState,
 		private readonly effects: Effects,
@@ -50,11 +64,9 @@
 
 	/** Whether this data centre keeps a customer's order. */
 	owns(customer: string): boolean {
-		const { fences } = this.inForce()
-		const opened = this.state.homes.openedFrom(customer)?.revision
-		const since = opened ?? (this.firstHome(customer) === this.name ? 0 : undefined)
-		if (since === undefined || this.state.homes.closedTo(customer)) return false
-		return fencedAt(fences, this.name) <= since
+		const record = this.state.homes.find(customer)
+		const open = record ? record.open : this.firstHome(customer) === this.name
+		return open && fencedAt(this.inForce().fences, this.name) <= (record?.revision ?? 0)
 	}
 
 	/** Where a customer's requests should go. */
@@ -66,7 +78,10 @@
 	/** Starts to claim a customer whose home should be here. */
 	claim(customer: string): void {
 		if (this.claims.has(customer)) return
-		this.claims.set(customer, { customer, without: new Set(), askAt: 0, opening: false })
+		const { revision } = this.inForce()
+		if (revision === 0) return
+		const claim = { customer, revision, given: new Set<string>(), records: [] }
+		this.claims.set(customer, { ...claim, askAt: 0, opening: false })
 	}
 
 	/** Claims what the configuration names, and asks again where it is time. */
@@ -78,12 +93,16 @@
 	}
 
 	/** Takes another data centre's answer to a claim. */
-	answered(customer: string, from: string, reply: OperatorReply, moment: Moment): void {
-		const claim = this.claims.get(customer)
-		if (!claim) return
-		if (reply.code === Claimed.Given)
-			this.open(claim, from, reply.content as RequestRecord[], moment)
-		else if (reply.code === Claimed.NotMine) claim.without.add(from)
+	answered(call: ClaimCall, from: string, reply: OperatorReply): void {
+		const claim = this.claims.get(call.customer)
+		if (!claim || claim.revision !== call.revision) return
+		if (reply.code === ClaimAnswer.Refused) {
+			this.claims.delete(call.customer)
+		} else if (reply.code === ClaimAnswer.Given && !claim.given.has(from)) {
+			claim.given.add(from)
+			claim.records.push(...(reply.content as RequestRecord[]))
+			claim.askAt = 0
+		}
 	}
 
 	/** A home was opened here, or was not: a newer move stands. */
@@ -92,79 +111,62 @@
 	}
 
 	/** Another data centre claims a home. */
-	claimed(
-		call: Extract<OperatorCall, { kind: 'take-home' }>,
-		moment: Moment,
-		reply: ReplyTo
-	): void {
+	claimed(call: ClaimCall, moment: Moment, reply: ReplyTo): void {
 		const { customer, to, revision } = call
-		const closed = this.state.homes.closedTo(customer)
-		if (closed?.other === to) {
-			if (this.state.requests.openOf(customer) > 0) reply({ code: Claimed.Wait, message: 'ending' })
-			else reply({ code: Claimed.Given, message: '', content: this.recordsOf(customer) })
-			return
-		}
-		if (!this.owns(customer)) {
-			reply({ code: Claimed.NotMine, message: '' })
+		const record = this.state.homes.find(customer)
+		if (record?.revision === revision && record.to === to) {
+			if (this.state.requests.openOf(customer) > 0) {
+				reply({ code: ClaimAnswer.Wait, message: 'ending what is open' })
+			} else {
+				reply({ code: ClaimAnswer.Given, message: '', content: this.recordsOf(customer) })
+			}
 			return
 		}
-		if (this.inForce().revision >= revision && this.homeOf(customer) !== to) {
-			reply({ code: Claimed.NotYours, message: 'a newer configuration names another home' })
+		const newer = (record?.revision ?? 0) >= revision
+		const other = this.inForce().revision >= revision && this.homeOf(customer) !== to
+		if (newer || other) {
+			reply({ code: ClaimAnswer.Refused, message: 'a newer claim or configuration stands' })
 			return
 		}
-		reply({ code: Claimed.Wait, message: 'closing' })
+		reply({ code: ClaimAnswer.Wait, message: 'closing' })
+		this.close(call, moment)
+	}
+
+	private close(call: ClaimCall, moment: Moment): void {
+		const { customer, to, revision } = call
 		const request = `close-${customer}-${to}-${revision}`
-		const operator = 'system'
-		const at = moment.at
-		this.effects.commands.push({
-			kind: 'close-home',
-			operator,
-			request,
-			at,
-			customer,
-			to,
-			revision,
-		})
+		const part = { operator: SYSTEM, request, at: moment.at }
+		this.effects.commands.push({ kind: 'close-home', ...part, customer, to, revision })
 	}
 
 	private pursue(claim: Claim, moment: Moment): void {
-		if (this.owns(claim.customer) || this.homeOf(claim.customer) !== this.name) {
-			this.claims.delete(claim.customer)
+		const { customer, revision } = claim
+		if (this.owns(customer) || this.homeOf(customer) !== this.name) {
+			this.claims.delete(customer)
 			return
 		}
 		if (claim.opening || moment.now < claim.askAt) return
 		claim.askAt = moment.now + ASK_EVERY
-		const { fences, revision } = this.inForce()
+		const { fences } = this.inForce()
 		const others = this.dataCentres.filter((one) => one !== this.name)
-		const asked = others.filter((one) => !claim.without.has(one))
-		if (asked.every((one) => isDown(fences, one))) {
-			this.open(claim, asked.join(' '), [], moment)
+		const missing = others.filter((one) => !claim.given.has(one))
+		if (missing.every((one) => isDown(fences, one))) {
+			this.open(claim, missing, moment)
 			return
 		}
-		const { customer } = claim
-		for (const group of asked) {
+		for (const group of missing) {
 			const request = `take-${customer}-${this.name}-${revision}`
-			const call = { kind: 'take-home', operator: 'system', request, customer } as const
+			const call = { kind: 'take-home', operator: SYSTEM, request, customer } as const
 			this.effects.groupCalls.push({ group, call: { ...call, to: this.name, revision } })
 		}
 	}
 
-	private open(claim: Claim, from: string, records: RequestRecord[], moment: Moment): void {
+	private open(claim: Claim, without: readonly string[], moment: Moment): void {
 		claim.opening = true
-		const { customer } = claim
-		const { revision, fences } = this.inForce()
-		const forced = from !== '' && isDown(fences, from.split(' ')[0])
+		const { customer, revision, records } = claim
 		const at = moment.at
-		const name = from === '' ? 'nobody' : from
-		this.effects.commands.push({
-			kind: 'open-home',
-			customer,
-			from: name,
-			revision: Math.max(1, revision),
-			forced,
-			records,
-			at,
-		})
+		const opening = { customer, revision, without: [...without], records, at }
+		this.effects.commands.push({ kind: 'open-home', ...opening })
 	}
 
 	private firstHome(customer: string): string {
--- /dev/null
+++ b/packages/cell/src/lib/desk/OperatorRouter.ts
@@ -0,0 +1,139 @@
+/** Brings a call to the instance that leads the group it is for, wherever it was made. */
+import { Buffer } from 'node:buffer'
+import type {
+	Event,
+	OperatorCall as CallEvent,
+	OperatorReply as ReplyEvent,
+} from '@rillrudder/protocol'
+import type { GroupLayout } from '@rillrudder/settings'
+import type { Clock } from '@rillrudder/utils'
+import { operatorCallSchema, type OperatorCall, type OperatorReply } from './operatorCalls'
+import type { ReplyTo } from './OperatorDesk'
+
+const TRY_FOR = 1500
+const TRIES = 6
+const BETWEEN_TRIES = 200
+/** The HTTP status of a replica that does not lead. */
+const NOT_THE_LEADER = 421
+const UNAVAILABLE = 503
+
+/** What a router works with. @public */
+export interface OperatorRouterParts {
+	readonly self: string
+	readonly clock: Clock
+	readonly groups: readonly GroupLayout[]
+	/** Makes a name for a call that this process has not used before. */
+	readonly name: () => string
+	readonly send: (to: string, event: Event) => boolean
+	/** Answers a call for a group that has a replica here. @returns false when it has none. */
+	readonly callHere: (group: string, call: OperatorCall, reply: ReplyTo) => boolean
+}
+
+/** A call that is looking for its leader. */
+interface Search {
+	readonly group: string
+	readonly call: OperatorCall
+	readonly voters: readonly string[]
+	readonly reply: ReplyTo
+	target: string
+	tries: number
+}
+
+/**
+ * Routes calls to leaders.
+ *
+ * @public
+ */
+export class OperatorRouter {
+	private readonly waiting = new Map<string, (reply: OperatorReply) => void>()
+	private readonly leaders = new Map<string, string>()
+
+	/** @param parts - identity and surroundings. */
+	constructor(private readonly parts: OperatorRouterParts) {}
+
+	/**
+	 * Makes a call, trying the group's replicas until one that leads answers.
+	 *
+	 * @param group - the group.
+	 * @param call - the call.
+	 * @param reply - told once. Code 503 says that nobody who leads could be reached; it may have been
+	 * done then, and the same request again tells.
+	 */
+	call(group: string, call: OperatorCall, reply: ReplyTo): void {
+		const layout = this.parts.groups.find((one) => one.name === group)
+		if (!layout) {
+			reply({ code: 404, message: `there is no group ${group}` })
+			return
+		}
+		const voters = layout.voters.map((voter) => voter.id)
+		const target = this.leaders.get(group) ?? this.preferred(voters)
+		this.tryNext({ group, call, voters, reply, target, tries: 0 })
+	}
+
+	/** Takes a call that another instance passes on. */
+	receiveCall(from: string, event: CallEvent): void {
+		const parsed = operatorCallSchema.safeParse(JSON.parse(event.request.toString()))
+		const answer = (reply: OperatorReply): void => {
+			const value = { id: event.id, reply: Buffer.from(JSON.stringify(reply)) }
+			this.parts.send(from, { body: { $case: 'operatorReply', value } })
+		}
+		if (!parsed.success) answer({ code: 400, message: 'the call is not as it should be' })
+		else if (!this.parts.callHere(event.group, parsed.data, answer)) {
+			answer({ code: NOT_THE_LEADER, message: '' })
+		}
+	}
+
+	/** Takes a reply to a call that was passed on. */
+	receiveReply(event: ReplyEvent): void {
+		this.waiting.get(event.id)?.(JSON.parse(event.reply.toString()) as OperatorReply)
+	}
+
+	private tryNext(search: Search): void {
+		if (search.tries === TRIES) {
+			this.leaders.delete(search.group)
+			const message = `no leader of ${search.group} could be reached; ask again to learn whether it was done`
+			search.reply({ code: UNAVAILABLE, message })
+			return
+		}
+		search.tries += 1
+		this.ask(search, (reply) => this.took(search, reply))
+	}
+
+	private took(search: Search, reply: OperatorReply | undefined): void {
+		const { group, target, voters } = search
+		if (reply && reply.code !== NOT_THE_LEADER && reply.code !== UNAVAILABLE) {
+			this.leaders.set(group, target)
+			search.reply(reply)
+			return
+		}
+		const hint = reply?.code === NOT_THE_LEADER ? reply.message : ''
+		const hinted = hint !== '' && hint !== target
+		search.target = hinted ? hint : voters[(voters.indexOf(target) + 1) % voters.length]
+		this.parts.clock.after(hinted ? 0 : BETWEEN_TRIES, () => this.tryNext(search))
+	}
+
+	private ask(search: Search, took: (reply: OperatorReply | undefined) => void): void {
+		const { target, group, call } = search
+		const id = this.parts.name()
+		let done = false
+		const finish = (reply: OperatorReply | undefined): void => {
+			if (done) return
+			done = true
+			timer.cancel()
+			this.waiting.delete(id)
+			took(reply)
+		}
+		const timer = this.parts.clock.after(TRY_FOR, () => finish(undefined))
+		if (target === this.parts.self) {
+			if (!this.parts.callHere(group, call, finish)) finish(undefined)
+			return
+		}
+		this.waiting.set(id, finish)
+		const value = { id, group, request: Buffer.from(JSON.stringify(call)) }
+		if (!this.parts.send(target, { body: { $case: 'operatorCall', value } })) finish(undefined)
+	}
+
+	private preferred(voters: string[]): string {
+		return voters.includes(this.parts.self) ? this.parts.self : voters[0]
+	}
+}
--- a/packages/cell/src/lib/desk/RequestDesk.ts
+++ b/packages/cell/src/lib/desk/RequestDesk.ts
@@ -21,6 +21,9 @@
 const FIRST_SERVICE_TIME = 20
 const LEAST_RETRY_AFTER = 500
 const MOST_RETRY_AFTER = 30_000
+const SAY_AGAIN_EVERY = 1000
+const FIRST_PAUSE = 10
+const MOST_DOUBLINGS = 7
 
 /** Bounds on what may wait. @public */
 export interface RequestLimits {
@@ -35,6 +38,8 @@
 	readonly key: string
 	readonly callersKey: boolean
 	/** Monotonic moment at which the caller's time is over. */
+	readonly callersDeadline: number
+	/** When to look at it next: first at the caller's deadline. */
 	readonly deadline: number
 	/** Processes that wait for the verdict. */
 	readonly processes: Set<string>
@@ -57,6 +62,9 @@
 	private readonly doubts: Doubts
 	private readonly serviceTimes = new Map<string, number>()
 	private readonly startedAt = new Map<string, number>()
+	private readonly goSaidAt = new Map<string, number>()
+	/** An attempt that was taken back is followed by the next one only after a pause that grows. */
+	private readonly notBefore = new Map<string, number>()
 	private takenOverAt = 0
 
 	constructor(
@@ -85,6 +93,8 @@
 		this.starved.clear()
 		this.doubts.clear()
 		this.startedAt.clear()
+		this.goSaidAt.clear()
+		this.notBefore.clear()
 	}
 
 	/** Takes a request, new or sent again. */
@@ -98,7 +108,7 @@
 	}
 
 	/** Takes an entry instance's word on how an attempt ended. */
-	report(report: Report, moment: Moment): void {
+	report(from: string, report: Report, moment: Moment): void {
 		const record = this.state.requests.find(report.customer, report.key)
 		if (!record || record.phase !== Phase.Started || record.attempt !== report.attempt) return
 		if (report.end === AttemptEnd.ATTEMPT_END_ANSWERED && report.answer) {
@@ -106,6 +116,9 @@
 			this.finish(record, { outcome: Outcome.Ran, answer }, moment)
 		} else if (report.end === AttemptEnd.ATTEMPT_END_NOT_STARTED) {
 			this.unstart(record)
+		} else if (report.end === AttemptEnd.ATTEMPT_END_ABSENT) {
+			this.waiters.get(nameOf(record))?.processes.delete(from)
+			this.unstart(record)
 		} else {
 			this.doubts.lost(record, moment.now)
 		}
@@ -180,7 +193,12 @@
 
 	/** An attempt was taken back. */
 	unstarted(command: CommandOf<'unstart'>, moment: Moment): void {
-		this.busy.delete(nameOf(command))
+		const name = nameOf(command)
+		this.busy.delete(name)
+		this.goSaidAt.delete(name)
+		this.startedAt.delete(name)
+		const doubled = FIRST_PAUSE * 2 ** Math.min(command.attempt - 1, MOST_DOUBLINGS)
+		this.notBefore.set(name, moment.now + doubled)
 		this.advance(command.customer, moment)
 		this.feedStarved(moment)
 	}
@@ -189,6 +207,8 @@
 	finished(command: CommandOf<'finish'>, moment: Moment): void {
 		const name = nameOf(command)
 		this.busy.delete(name)
+		this.goSaidAt.delete(name)
+		this.notBefore.delete(name)
 		this.learn(command.customer, name, moment.now)
 		const record = this.state.requests.find(command.customer, command.key)
 		const waiter = this.waiters.get(name)
@@ -254,7 +274,9 @@
 		}
 		const { customer, key, callersKey } = submit
 		const deadline = moment.now + submit.timeoutMs
-		const waiter = { customer, key, callersKey, deadline, processes: new Set([from]) }
+		const processes = new Set([from])
+		const callersDeadline = deadline
+		const waiter = { customer, key, callersKey, callersDeadline, deadline, processes }
 		this.waiters.set(name, waiter)
 		this.deadlines.push(waiter)
 	}
@@ -286,11 +308,25 @@
 		const record = this.state.requests.head(customer)
 		this.starved.delete(customer)
 		if (record?.phase !== Phase.Admitted || this.busy.has(nameOf(record))) return
+		if (this.isTooLate(record, moment)) return
 		const holder = this.holderFor(record, moment.now)
 		if (!holder) return
+		if (moment.now < (this.notBefore.get(nameOf(record)) ?? 0)) {
+			this.starved.add(customer)
+			return
+		}
 		if (!this.proposeStart(record, holder, moment)) this.starved.add(customer)
 	}
 
+	/** The caller's time is over, so it is not started any more. */
+	private isTooLate(record: RequestRecord, moment: Moment): boolean {
+		const waiter = this.waiters.get(nameOf(record))
+		if (!waiter || waiter.callersDeadline > moment.now) return false
+		const problem = this.starved.has(record.customer) ? Problem.NoWorker : Problem.TimedOut
+		this.finish(record, { outcome: Outcome.NotRun, problem }, moment)
+		return true
+	}
+
 	/** @returns false when no worker has a slot. */
 	private proposeStart(
 		record: Pick<RequestRecord, 'customer' | 'key' | 'attempt' | 'worker'>,
@@ -333,13 +369,25 @@
 	}
 
 	private sayGo(record: RequestRecord, holder: Holder, moment: Moment): void {
+		this.goSaidAt.set(nameOf(record), moment.now)
 		const address = this.state.workers.find(record.worker)?.address ?? ''
 		const { customer, key, attempt, worker, fence } = record
 		const { term } = moment
-		const value = { customer, key, attempt, worker, address, fence, beat: holder.beat, term }
+		const { name: group } = this.homes
+		const beat = holder.beat
+		const value = { customer, key, attempt, worker, address, fence, beat, term, group }
 		this.effects.sendings.push({ to: holder.id, event: { body: { $case: 'go', value } } })
 	}
 
+	/** The word may have been lost; the holder honours it once, or says how the attempt stands. */
+	private sayGoAgain(record: RequestRecord, moment: Moment): void {
+		const name = nameOf(record)
+		const due = (this.goSaidAt.get(name) ?? moment.now) + SAY_AGAIN_EVERY
+		if (!this.goSaidAt.has(name)) this.goSaidAt.set(name, moment.now)
+		const holder = this.holders.find(record.holder)
+		if (moment.now >= due && holder) this.sayGo(record, holder, moment)
+	}
+
 	private unstart(record: RequestRecord): void {
 		if (this.busy.has(nameOf(record))) return
 		this.doubts.remove(record)
@@ -367,24 +415,30 @@
 			this.deadlines.pop()
 			if (this.waiters.get(nameOf(first)) !== first) continue
 			const record = this.state.requests.find(first.customer, first.key)
-			if (record?.phase === Phase.Finished || record?.phase === Phase.Started) continue
-			if (!record || this.busy.has(nameOf(first))) {
-				this.deadlines.push({ ...first, deadline: moment.now + LEAST_RETRY_AFTER })
+			if (record?.phase === Phase.Finished) continue
+			if (record?.phase !== Phase.Admitted || this.busy.has(nameOf(first))) {
+				this.lookAgain(first, moment)
 				continue
 			}
-			const problem = this.starved.has(first.customer) ? Problem.NoWorker : Problem.TimedOut
-			this.finish(record, { outcome: Outcome.NotRun, problem }, moment)
+			this.isTooLate(record, moment)
 		}
 	}
 
-	/** Looks after a request whose holder has gone silent. */
+	/** A start that is taken back, or an admission that does not count, leaves the caller's time over. */
+	private lookAgain(waiter: Waiter, moment: Moment): void {
+		const later = { ...waiter, deadline: moment.now + LEAST_RETRY_AFTER }
+		this.waiters.set(nameOf(waiter), later)
+		this.deadlines.push(later)
+	}
+
+	/** Looks after a request whose holder has gone silent, or has not heard that it may go. */
 	private watch(record: RequestRecord, moment: Moment): void {
 		const { now } = moment
 		if (record.phase === Phase.Admitted) {
-			if (this.waiters.has(nameOf(record))) return
 			const patience = outlast(START_WINDOW)
-			if (now - this.takenOverAt < patience) return
-			if (now - this.holders.silentSince(record.holder, now) < patience) return
+			const waiter = this.waiters.get(nameOf(record))
+			const held = waiter !== undefined && waiter.processes.size > 0
+			if (held || this.busy.has(nameOf(record)) || now - this.takenOverAt < patience) return
 			const problem = Problem.HolderLost
 			this.finish(record, { outcome: Outcome.NotRun, problem }, moment)
 			return
@@ -392,6 +446,7 @@
 		if (this.doubts.has(record)) return
 		const silent = now - this.holders.silentSince(record.holder, now)
 		if (silent > outlast(START_WINDOW)) this.doubts.abandoned(record, now)
+		else this.sayGoAgain(record, moment)
 	}
 
 	/** The home is elsewhere, or is on its way here; then the entry instance asks again. */
--- a/packages/cell/src/lib/state/DataCentreState.ts
+++ b/packages/cell/src/lib/state/DataCentreState.ts
@@ -121,7 +121,7 @@
 	}
 
 	private admit(command: CommandOf<'admit'>): boolean {
-		if (this.homes.closedTo(command.customer)) return false
+		if (this.homes.isClosed(command.customer)) return false
 		this.requests.admit(command)
 		return true
 	}
@@ -253,17 +253,18 @@
 	private closeHome(command: CommandOf<'close-home'>, index: number): boolean {
 		return this.once(command, index, command.customer, () => {
 			const { customer, to, revision } = command
-			const counted = this.homes.close({ customer, other: to, revision })
+			const counted = this.homes.close(customer, to, revision)
 			const message = counted ? `home moves to ${to}` : 'a newer move stands'
 			return { accepted: counted, message, subject: customer }
 		})
 	}
 
 	private openHome(command: CommandOf<'open-home'>, index: number): boolean {
-		const { customer, from, revision, at, forced } = command
-		if (!this.homes.open({ customer, other: from, revision })) return false
+		const { customer, revision, at, without } = command
+		if (!this.homes.open(customer, revision)) return false
 		this.requests.adopt(command.records as RequestRecord[])
-		const outcome = `home taken over from ${from}${forced ? ', which was declared down' : ''}`
+		const missing = without.length === 0 ? '' : `, without ${without.join(', ')}, declared down`
+		const outcome = `home opened${missing}`
 		this.audit.add({ index, at, who: SYSTEM, what: 'open-home', subject: customer, outcome })
 		return true
 	}
--- a/packages/cell/src/lib/state/HomeBook.ts
+++ b/packages/cell/src/lib/state/HomeBook.ts
@@ -1,65 +1,59 @@
-/** Which customers' homes this data centre has given up, and which it has taken over. */
+/** Which customers' homes this data centre has opened and closed, as of which configuration revision. */
 
-/** A customer whose home moved. @public */
-export interface Move {
+/** The newest that is known here of a customer's home. @public */
+export interface HomeRecord {
 	readonly customer: string
-	readonly other: string
-	/** The configuration revision that moved it; a lower one changes nothing any more. */
+	/** The configuration revision that moved it; nothing of a lower or equal one counts any more. */
 	readonly revision: number
+	/** Whether this data centre keeps the customer's order. */
+	readonly open: boolean
+	/** The data centre that it was closed for; empty when it is open. */
+	readonly to: string
 }
 
 /**
- * Moves of homes, out of this data centre and into it.
+ * Homes that were opened or closed here. A data centre that has closed a home for one revision can
+ * never open it for that revision or a lower one.
  *
  * @public
  */
 export class HomeBook {
-	private closed = new Map<string, Move>()
-	private opened = new Map<string, Move>()
+	private records = new Map<string, HomeRecord>()
 
-	/** @returns where a customer's home went, if it was here and is closed. */
-	closedTo(customer: string): Move | undefined {
-		return this.closed.get(customer)
+	/** @returns the newest that is known here of a customer's home. */
+	find(customer: string): HomeRecord | undefined {
+		return this.records.get(customer)
 	}
 
-	/** @returns where a customer's home came from, if it has been taken over. */
-	openedFrom(customer: string): Move | undefined {
-		return this.opened.get(customer)
+	/** @returns whether the home is closed here. */
+	isClosed(customer: string): boolean {
+		return this.records.get(customer)?.open === false
 	}
 
-	/** @returns whether the move counts. */
-	close(move: Move): boolean {
-		const known = this.newest(move.customer)
-		if (known >= move.revision) return false
-		this.closed.set(move.customer, move)
-		return true
+	/** @returns whether the closing counts. */
+	close(customer: string, to: string, revision: number): boolean {
+		return this.change({ customer, revision, open: false, to })
 	}
 
-	/** @returns whether the move counts. */
-	open(move: Move): boolean {
-		const known = this.newest(move.customer)
-		if (known >= move.revision) return false
-		this.closed.delete(move.customer)
-		this.opened.set(move.customer, move)
-		return true
+	/** @returns whether the opening counts. */
+	open(customer: string, revision: number): boolean {
+		return this.change({ customer, revision, open: true, to: '' })
 	}
 
 	/** @returns the book for a snapshot. */
-	save(): unknown {
-		return { closed: [...this.closed.values()], opened: [...this.opened.values()] }
+	save(): HomeRecord[] {
+		return [...this.records.values()]
 	}
 
 	/** @param saved - what `save` returned. */
-	load(saved: unknown): void {
-		const book = saved as { closed: Move[]; opened: Move[] }
-		this.closed = new Map(book.closed.map((move) => [move.customer, move]))
-		this.opened = new Map(book.opened.map((move) => [move.customer, move]))
+	load(saved: HomeRecord[]): void {
+		this.records = new Map(saved.map((record) => [record.customer, record]))
 	}
 
-	private newest(customer: string): number {
-		return Math.max(
-			this.closed.get(customer)?.revision ?? 0,
-			this.opened.get(customer)?.revision ?? 0
-		)
+	private change(record: HomeRecord): boolean {
+		const known = this.records.get(record.customer)?.revision ?? 0
+		if (record.revision <= known) return false
+		this.records.set(record.customer, record)
+		return true
 	}
 }
--- a/packages/intake/src/lib/HomeDesk.ts
+++ b/packages/intake/src/lib/HomeDesk.ts
@@ -24,6 +24,8 @@
 /** How long the end of an attempt is reported to a leader that does not answer. */
 const REPORT_FOR = 60_000
 const RETRY_AFTER = 1000
+/** Attempts that are remembered after their callers have gone. */
+const MOST_REMEMBERED = 100_000
 
 /** What the desk works with. @internal */
 export interface HomeDeskParts {
@@ -31,6 +33,8 @@
 	readonly metrics: Metrics
 	readonly groups: Groups
 	readonly workers: WorkerCalls
+	/** Sends to a process. */
+	readonly send: (to: string, event: Event) => boolean
 	/** @returns the data centre that a customer's requests go to. */
 	readonly home: (customer: string) => string
 	/** Told that a worker refused because it is leaving. */
@@ -46,8 +50,6 @@
 	/** Term that the leader was told; an earlier leader's word no longer counts. */
 	term = 0
 	running = 0
-	/** Attempts up to this one will not be started here any more. */
-	refusedUpTo = 0
 	report: Report | undefined
 	readonly since: number
 
@@ -68,6 +70,10 @@
  */
 export class HomeDesk {
 	private readonly submissions = new Map<string, Submission>()
+	/** Attempts that were begun, the newest last; a leader that asks late is told the truth. */
+	private readonly begun = new Map<string, number>()
+	/** Attempts that will not be begun here any more, so that a late word starts nothing. */
+	private readonly refused = new Map<string, number>()
 	private readonly timer: Timer
 
 	constructor(private readonly parts: HomeDeskParts) {
@@ -99,17 +105,20 @@
 	}
 
 	/** The leader says that a request may start here, now. */
-	go(go: Go): void {
+	go(from: string, go: Go): void {
 		const submission = this.submissions.get(nameOf(go))
 		if (!submission) {
-			this.reportNotStarted(go, this.parts.home(go.customer))
+			this.reportForgotten(from, go)
+			return
+		}
+		if (go.term < submission.term || submission.running >= go.attempt) return
+		if (go.attempt <= (this.refused.get(nameOf(go)) ?? 0)) {
+			this.report(from, go, AttemptEnd.ATTEMPT_END_NOT_STARTED)
 			return
 		}
-		const stale = go.term < submission.term || go.attempt <= submission.refusedUpTo
-		if (stale || submission.running >= go.attempt) return
 		if (!this.parts.groups.mayStart(go.beat)) {
-			submission.refusedUpTo = go.attempt
-			this.reportNotStarted(go, submission.group)
+			remember(this.refused, go)
+			this.report(from, go, AttemptEnd.ATTEMPT_END_NOT_STARTED)
 			return
 		}
 		this.start(submission, go)
@@ -175,6 +184,7 @@
 		const { workers, clock, metrics } = this.parts
 		const { first } = submission
 		submission.running = go.attempt
+		remember(this.begun, go)
 		const timeout = Math.max(1, first.deadline - clock.now())
 		metrics.timing(Metric.RequestWait, clock.now() - first.arrivedAt)
 		const { method, path, body } = first
@@ -191,17 +201,25 @@
 		const group = submission.group
 		submission.report = { customer, key, attempt, end, answer, group }
 		if (end === AttemptEnd.ATTEMPT_END_NOT_STARTED) {
-			submission.refusedUpTo = attempt
+			remember(this.refused, go)
 			submission.running = 0
 		}
 		this.send(submission, { body: { $case: 'report', value: submission.report } })
 	}
 
-	private reportNotStarted(go: Go, group: string): void {
-		const { customer, key, attempt } = go
-		const end = AttemptEnd.ATTEMPT_END_NOT_STARTED
+	/** Nobody waits for it here any more: it was not begun, unless it was and is remembered. */
+	private reportForgotten(from: string, go: Go): void {
+		const begun = (this.begun.get(nameOf(go)) ?? 0) >= go.attempt
+		if (!begun) remember(this.refused, go)
+		const end = begun ? AttemptEnd.ATTEMPT_END_LOST : AttemptEnd.ATTEMPT_END_ABSENT
+		this.report(from, go, end)
+	}
+
+	/** Answers whoever said that it may go. */
+	private report(to: string, go: Go, end: AttemptEnd): void {
+		const { customer, key, attempt, group } = go
 		const value = { customer, key, attempt, end, answer: undefined, group }
-		this.parts.groups.send(group, { body: { $case: 'report', value } })
+		this.parts.send(to, { body: { $case: 'report', value } })
 	}
 
 	private tell(caller: CallerRequest, verdict: Verdict): void {
@@ -261,6 +279,17 @@
 	}
 }
 
+/** Keeps the newest attempt of each request, and forgets the oldest requests. */
+function remember(attempts: Map<string, number>, go: Go): void {
+	const name = nameOf(go)
+	const known = attempts.get(name) ?? 0
+	attempts.delete(name)
+	attempts.set(name, Math.max(known, go.attempt))
+	if (attempts.size <= MOST_REMEMBERED) return
+	const oldest = attempts.keys().next()
+	if (!oldest.done) attempts.delete(oldest.value)
+}
+
 interface ReportedEnd {
 	readonly end: AttemptEnd
 	readonly answer?: Answer
--- a/packages/intake/src/lib/Intake.ts
+++ b/packages/intake/src/lib/Intake.ts
@@ -87,7 +87,7 @@
 				return this.repeatable.loans(body.value, this.groups.loanEnd(beat))
 			}
 			case 'go':
-				return this.home.go(body.value)
+				return this.home.go(from, body.value)
 			case 'verdict':
 				return this.home.verdict(body.value)
 			case 'redirect': {
@@ -167,8 +167,9 @@
 	}
 
 	private makeHome(): HomeDesk {
-		const { clock, metrics, workers } = this.parts
+		const { clock, metrics, workers, send } = this.parts
 		return new HomeDesk({
+			send,
 			clock,
 			metrics,
 			groups: this.groups,
--- a/packages/runs/src/index.ts
+++ b/packages/runs/src/index.ts
@@ -1,2 +1,4 @@
 /** Seeded runs of the group and decision code under faults. */
 export { Fault, GroupRun, type GroupRunOptions, type GroupRunTally } from './lib/GroupRun'
+export { CellRun, type CellRunOptions, type CellRunTally } from './lib/cell/CellRun'
+export { CellFault } from './lib/cell/Faults'
--- a/packages/runs/src/lib/GroupRun.ts
+++ b/packages/runs/src/lib/GroupRun.ts
@@ -4,15 +4,14 @@
  */
 import {
 	DEFAULT_TIMING,
-	Replica,
 	Witness,
-	type Envelope,
 	type Founder,
-	type Restored,
+	type Replica,
 	type Snapshot,
 } from '@rillrudder/consensus'
-import { EntryKind, type Entry } from '@rillrudder/protocol'
-import { invariant, Random } from '@rillrudder/utils'
+import { EntryKind, type Entry, type GroupMessage } from '@rillrudder/protocol'
+import { invariant, ManualClock, Random } from '@rillrudder/utils'
+import { emptyDisk, RunReplica, type ReplicaDisk } from './RunReplica'
 
 const STEP = 10
 const SYNC_MOST = 30
@@ -50,37 +49,22 @@
 	readonly faultRate: number
 }
 
-interface Stored {
-	hardState: Restored['hardState']
-	snapshot?: Snapshot
-	entries: Entry[]
-}
-
-interface Save {
-	readonly due: number
-	readonly apply: (disk: Stored) => void
-	readonly late: readonly Envelope[]
-	readonly last?: { readonly index: number; readonly term: number }
-}
-
 interface Flight {
-	readonly due: number
-	readonly from: string
-	readonly envelope: Envelope
+	readonly to: string
+	readonly message: GroupMessage
 }
 
 /** One instance: a replica, its clock, its disk, and the state that committed entries make. */
 class Node {
-	replica!: Replica
+	running!: RunReplica
 	incarnation = ''
-	disk: Stored = { hardState: { term: 0, votedFor: '' }, entries: [] }
-	saves: Save[] = []
+	disk: ReplicaDisk = emptyDisk()
 	/** Digest of everything applied, in order. */
 	state = 0
-	applied = 0
 	downUntil = 0
 	pausedUntil = 0
-	held: Flight[] = []
+	/** What came while it was paused. */
+	held: (() => void)[] = []
 
 	constructor(
 		readonly founder: Founder,
@@ -88,6 +72,10 @@
 		readonly offset: number
 	) {}
 
+	get replica(): Replica {
+		return this.running.replica
+	}
+
 	localTime(trueTime: number): number {
 		return this.offset + trueTime * this.rate
 	}
@@ -115,8 +103,7 @@
 	private readonly random: Random
 	private readonly witness = new Witness()
 	private readonly nodes = new Map<string, Node>()
-	private flights: Flight[] = []
-	private now = 0
+	private readonly clock = new ManualClock()
 	private blocked = new Set<string>()
 	private blockedUntil = 0
 	private faults = true
@@ -147,8 +134,8 @@
 		this.faults = false
 		this.blocked.clear()
 		for (const node of this.nodes.values()) {
-			node.downUntil = Math.min(node.downUntil, this.now)
-			node.pausedUntil = Math.min(node.pausedUntil, this.now)
+			node.downUntil = Math.min(node.downUntil, this.clock.now())
+			node.pausedUntil = Math.min(node.pausedUntil, this.clock.now())
 		}
 		this.steps(1500)
 		this.proposing = false
@@ -163,7 +150,10 @@
 				known: this.witness.committedCount,
 				statuses: nodes.map((one) => one.replica.status),
 			})
-			invariant(node.state === first.state && node.applied === first.applied, 'one state')
+			invariant(
+				node.state === first.state && node.running.applied === first.running.applied,
+				'one state'
+			)
 			const whole = members.every((member) => member.voter)
 			invariant(whole, 'every life is a voter again', { members })
 		}
@@ -171,11 +161,10 @@
 	}
 
 	private step(): void {
-		this.now += STEP
+		this.clock.advance(STEP)
 		this.tally.steps += 1
 		if (this.faults && this.random.chance(this.options.faultRate)) this.disturb()
-		if (this.now >= this.blockedUntil) this.blocked.clear()
-		this.deliver()
+		if (this.clock.now() >= this.blockedUntil) this.blocked.clear()
 		for (const node of this.nodes.values()) this.run(node)
 	}
 
@@ -185,51 +174,24 @@
 			node.downUntil = 0
 			this.boot(node)
 		}
-		const local = node.localTime(this.now)
-		node.replica.tick(local)
-		if (this.proposing && node.replica.leads && this.random.chance(0.3)) this.propose(node, local)
-		this.finishSaves(node)
-		this.flush(node)
+		const held = node.held
+		node.held = []
+		for (const call of held) call()
+		node.running.tick()
+		if (this.proposing && node.replica.leads && this.random.chance(0.3)) this.propose(node)
 		this.checkLease(node)
 		this.compact(node)
 	}
 
-	private propose(node: Node, local: number): void {
+	private propose(node: Node): void {
 		const commands: Buffer[] = []
 		for (let count = this.random.integer(1, 3); count > 0; count--) {
 			commands.push(Buffer.from(String(++this.proposals)))
 		}
-		node.replica.propose(commands, local)
-	}
-
-	private flush(node: Node): void {
-		const output = node.replica.takeOutput()
-		for (const envelope of output.early) this.dispatch(node, envelope)
-		if (output.snapshot) this.restoreState(node, output.snapshot)
-		const { hardState, snapshot, entries, late } = output
-		const last = entries[entries.length - 1] ?? snapshot
-		const due = this.now + (node.founder.durable ? this.random.integer(0, SYNC_MOST) : 0)
-		node.saves.push({
-			due,
-			late,
-			last,
-			apply: (disk) => store(disk, hardState, snapshot, entries),
-		})
-		for (const entry of output.committed) this.apply(node, entry)
-	}
-
-	/** Saves end in the order in which they began. */
-	private finishSaves(node: Node): void {
-		while (node.saves.length > 0 && node.saves[0].due <= this.now) {
-			const save = node.saves.shift() as Save
-			save.apply(node.disk)
-			for (const envelope of save.late) this.dispatch(node, envelope)
-			if (save.last) node.replica.persisted(save.last.index, save.last.term)
-		}
+		node.running.propose(commands)
 	}
 
 	private apply(node: Node, entry: Entry): void {
-		node.applied = entry.index
 		if (entry.kind !== EntryKind.ENTRY_KIND_COMMAND) return
 		node.state = (node.state * 31 + Number(Buffer.from(entry.data).toString())) % 1_000_000_007
 	}
@@ -237,64 +199,48 @@
 	private restoreState(node: Node, snapshot: Snapshot): void {
 		this.tally.snapshotsInstalled += 1
 		node.state = Number(Buffer.from(snapshot.data).toString().trim())
-		node.applied = snapshot.index
 	}
 
 	private compact(node: Node): void {
 		const from = node.replica.snapshot?.index ?? 0
-		if (node.applied - from < COMPACT_EVERY) return
+		if (node.running.applied - from < COMPACT_EVERY) return
 		// Padded to more than one piece, so that an installation can be interrupted.
-		const data = Buffer.from(String(node.state).padEnd(200_000))
-		node.replica.compact(node.applied, data)
-		const { snapshot } = node.replica
-		const entries = node.replica.entriesAfterSnapshot()
-		node.saves.push({
-			due: this.now,
-			late: [],
-			apply: (disk) => store(disk, undefined, snapshot, entries),
-		})
+		node.running.compact(Buffer.from(String(node.state).padEnd(200_000)))
 	}
 
 	private checkLease(node: Node): void {
-		const local = node.localTime(this.now)
+		const local = node.localTime(this.clock.now())
 		if (!node.replica.holdsLease(local)) return
 		const life = `${node.founder.id}#${node.incarnation}`
 		if (life + node.replica.status.term !== this.lastLeader) this.tally.elections += 1
 		this.lastLeader = life + node.replica.status.term
-		const trueEnd = this.now + (node.replica.leaseEnd(local) - local) / node.rate
-		this.witness.lease(life, this.now, trueEnd)
+		const trueEnd = this.clock.now() + (node.replica.leaseEnd(local) - local) / node.rate
+		this.witness.lease(life, this.clock.now(), trueEnd)
 	}
 
-	private deliver(): void {
-		const due = this.flights.filter((flight) => flight.due <= this.now)
-		this.flights = this.flights.filter((flight) => flight.due > this.now)
-		for (const flight of due) {
-			const node = this.nodes.get(flight.envelope.to)
-			if (!node || node.downUntil > 0) continue
-			if (node.pausedUntil > this.now) node.held.push(flight)
-			else node.replica.receive(flight.envelope.message, node.localTime(this.now))
-		}
-		for (const node of this.nodes.values()) {
-			if (node.pausedUntil > this.now || node.held.length === 0) continue
-			const held = node.held
-			node.held = []
-			for (const flight of held) {
-				node.replica.receive(flight.envelope.message, node.localTime(this.now))
-			}
-		}
-	}
-
-	private dispatch(node: Node, envelope: Envelope): void {
+	private dispatch(node: Node, flight: Flight): void {
 		const from = node.founder.id
-		if (this.blocked.has(`${from}>${envelope.to}`)) return
+		if (this.blocked.has(`${from}>${flight.to}`)) return
 		if (this.faults && this.random.chance(LOSS)) return
 		const copies = this.faults && this.random.chance(REPEAT) ? 2 : 1
 		for (let copy = 0; copy < copies; copy++) {
-			const due = this.now + this.random.integer(0, DELAY_MOST)
-			this.flights.push({ due, from, envelope })
+			this.clock.after(this.random.integer(0, DELAY_MOST), () => this.deliver(flight))
 		}
 	}
 
+	private deliver({ to, message }: Flight): void {
+		const node = this.nodes.get(to)
+		if (!node || node.downUntil > 0) return
+		this.whenAwake(node, () => node.running.receive(message))
+	}
+
+	/** A paused process does what has come meanwhile once it goes on. */
+	private whenAwake(node: Node, call: () => void): void {
+		const waiting = node.held.length > 0
+		if (waiting || node.pausedUntil > this.clock.now()) node.held.push(call)
+		else call()
+	}
+
 	private disturb(): void {
 		const fault = this.random.pick(Object.values(Fault))
 		const node = this.random.pick([...this.nodes.values()])
@@ -308,7 +254,7 @@
 			case Fault.Restart:
 				return this.takeDown(node, span)
 			case Fault.Pause:
-				node.pausedUntil = Math.max(node.pausedUntil, this.now + span)
+				node.pausedUntil = Math.max(node.pausedUntil, this.clock.now() + span)
 				return true
 			case Fault.CutOff:
 				this.block(span, (from, to) => from === node.founder.id || to === node.founder.id)
@@ -319,7 +265,7 @@
 			case Fault.LostDisk:
 				return this.loseDisk(node, span)
 			case Fault.HandOver:
-				return node.downUntil === 0 && node.replica.handOver(node.localTime(this.now))
+				return node.downUntil === 0 && node.running.handOver()
 		}
 	}
 
@@ -327,15 +273,14 @@
 	private takeDown(node: Node, span: number): boolean {
 		if (!node.founder.durable && !this.othersWhole(node)) return false
 		if (node.downUntil > 0) return false
-		node.downUntil = this.now + span
-		node.saves = []
+		node.downUntil = this.clock.now() + span
 		node.held = []
 		return true
 	}
 
 	private loseDisk(node: Node, span: number): boolean {
 		if (!this.othersWhole(node) || !this.takeDown(node, span)) return false
-		node.disk = { hardState: { term: 0, votedFor: '' }, entries: [] }
+		node.disk = emptyDisk()
 		node.incarnation = ''
 		return true
 	}
@@ -359,63 +304,47 @@
 				if (from !== to && between(from, to)) this.blocked.add(`${from}>${to}`)
 			}
 		}
-		this.blockedUntil = this.now + span
+		this.blockedUntil = this.clock.now() + span
 	}
 
 	private awake(node: Node): boolean {
-		return node.downUntil <= this.now && node.pausedUntil <= this.now
+		return node.downUntil <= this.clock.now() && node.pausedUntil <= this.clock.now()
 	}
 
 	private boot(node: Node): void {
 		const { id, durable } = node.founder
-		const kept = durable && node.incarnation !== ''
-		if (!kept) {
-			node.incarnation = `life-${++this.lives}`
-			node.disk = { hardState: { term: 0, votedFor: '' }, entries: [] }
-		}
-		const { hardState, snapshot, entries } = node.disk
-		const restored = kept ? { hardState, snapshot, entries: [...entries] } : undefined
-		node.state = restored?.snapshot
-			? Number(Buffer.from(restored.snapshot.data).toString().trim())
-			: 0
-		node.applied = restored?.snapshot?.index ?? 0
-		node.saves = []
+		if (!durable || node.incarnation === '') node.incarnation = `life-${++this.lives}`
+		node.state = 0
 		const { founders } = this.options
-		const options = {
-			group: 'run',
-			id,
-			incarnation: node.incarnation,
-			founders,
-			random: new Random(this.random.integer(1, 1_000_000_000)),
-			witness: this.witness,
-		}
-		node.replica = new Replica(options, node.localTime(this.now), restored)
+		const running: RunReplica = new RunReplica({
+			options: {
+				group: 'run',
+				id,
+				incarnation: node.incarnation,
+				founders,
+				random: new Random(this.random.integer(1, 1_000_000_000)),
+				witness: this.witness,
+			},
+			disk: durable ? node.disk : undefined,
+			now: () => node.localTime(this.clock.now()),
+			saveTime: () => this.random.integer(0, SYNC_MOST),
+			after: (span, call) => this.afterIn(node, running, span, call),
+			send: (to, message) => this.dispatch(node, { to, message }),
+			apply: (entry) => this.apply(node, entry),
+			restore: (snapshot) => this.restoreState(node, snapshot),
+		})
+		node.running = running
+	}
+
+	/** A call of one life of a process: dropped when it has died, late when it was paused. */
+	private afterIn(node: Node, life: RunReplica, span: number, call: () => void): void {
+		this.clock.after(span, () => {
+			if (node.running === life && node.downUntil === 0) this.whenAwake(node, call)
+		})
 	}
 }
 
-function lastStored(disk: Stored): number {
+function lastStored(disk: ReplicaDisk): number {
 	const last = disk.entries[disk.entries.length - 1]
 	return last?.index ?? disk.snapshot?.index ?? 0
 }
-
-function store(
-	disk: Stored,
-	hardState: Restored['hardState'] | undefined,
-	snapshot: Snapshot | undefined,
-	entries: readonly Entry[]
-): void {
-	if (hardState) disk.hardState = hardState
-	if (snapshot) {
-		disk.snapshot = snapshot
-		disk.entries = []
-	}
-	for (const entry of entries) {
-		const start = (disk.snapshot?.index ?? 0) + 1
-		invariant(entry.index >= start, 'what a snapshot covers is not stored again', {
-			index: entry.index,
-			start,
-		})
-		disk.entries.length = Math.min(disk.entries.length, entry.index - start)
-		disk.entries.push(entry)
-	}
-}
--- a/packages/utils/src/lib/time/ManualClock.ts
+++ b/packages/utils/src/lib/time/ManualClock.ts
@@ -1,4 +1,5 @@
 /** A clock that moves only when it is told to, for tests and for randomised runs. */
+import Heap from 'heap-js'
 import { Clock, Timer } from './Clock'
 
 /** A call that waits for its moment. @internal */
@@ -7,6 +8,8 @@
 
 	constructor(
 		readonly due: number,
+		/** Timers that are due at the same moment are called in the order in which they were made. */
+		readonly order: number,
 		readonly call: () => void
 	) {
 		super()
@@ -30,7 +33,8 @@
  */
 export class ManualClock extends Clock {
 	private elapsed = 0
-	private pending: ManualTimer[] = []
+	private made = 0
+	private readonly pending = new Heap<ManualTimer>((a, b) => a.due - b.due || a.order - b.order)
 
 	/** @param start - calendar time at the first moment. */
 	constructor(private readonly start = new Date('2026-01-01T00:00:00Z')) {
@@ -46,7 +50,7 @@
 	}
 
 	override after(delay: number, call: () => void): Timer {
-		const timer = new ManualTimer(this.elapsed + delay, call)
+		const timer = new ManualTimer(this.elapsed + Math.max(0, delay), ++this.made, call)
 		this.pending.push(timer)
 		return timer
 	}
@@ -66,12 +70,10 @@
 	}
 
 	private takeDue(end: number): ManualTimer | undefined {
-		this.pending = this.pending.filter((timer) => !timer.cancelled)
-		let first: ManualTimer | undefined
-		for (const timer of this.pending) {
-			if (timer.due <= end && (!first || timer.due < first.due)) first = timer
+		for (let next = this.pending.peek(); next && next.due <= end; next = this.pending.peek()) {
+			this.pending.pop()
+			if (!next.cancelled) return next
 		}
-		if (first) this.pending.splice(this.pending.indexOf(first), 1)
-		return first
+		return undefined
 	}
 }
