A word to start is for one life; a refused offer closes the worker where it was refused

A restarted entry instance answered 'absent' for an attempt that its earlier life had begun, so it ran again. While no leader was up, entry instances went on offering work to a worker that had refused it.

Change: 'go' names the life that it is for. A refusal closes the worker in the pool that met it, travels with the report to the leader that chose it, and orders that were not confirmed are taken back by a stop that the worker remembers.

--- a/packages/cell/src/lib/desk/DataCentreDesk.ts
+++ b/packages/cell/src/lib/desk/DataCentreDesk.ts
@@ -140,6 +140,7 @@
 
 	/** Takes the end of an attempt. */
 	report(from: string, report: Report, moment: Moment): void {
+		if (report.refusal === 'leaving') this.refusedLeaving(report, moment)
 		this.requests.report(from, report, moment)
 	}
 
@@ -240,6 +241,12 @@
 		}
 	}
 
+	private refusedLeaving(report: Report, moment: Moment): void {
+		const record = this.parts.state.requests.find(report.customer, report.key)
+		const same = record?.attempt === report.attempt
+		if (record && same) this.workers.leaving(record.worker, 'it refused work', moment)
+	}
+
 	private workerChanged(id: string, moment: Moment): void {
 		this.slots.refresh(moment.now)
 		this.tasks.workerChanged(id)
--- a/packages/cell/src/lib/desk/Holders.ts
+++ b/packages/cell/src/lib/desk/Holders.ts
@@ -7,6 +7,7 @@
 	readonly life: string
 	/** The process to send to. */
 	readonly id: string
+	readonly incarnation: string
 	heardAt: number
 	beat: number
 	/** Requests that wait there for a slot. */
@@ -49,8 +50,8 @@
 		}
 		const replaced = this.current.get(id)
 		if (replaced) this.lives.delete(replaced.life)
-		const { sequence, wanted, leaving } = beat
-		const holder = { life, id, heardAt: now, beat: sequence, wanted, leaving }
+		const { sequence, wanted, leaving, incarnation } = beat
+		const holder = { life, id, incarnation, heardAt: now, beat: sequence, wanted, leaving }
 		this.lives.set(life, holder)
 		this.current.set(id, holder)
 		return { holder, replaced }
--- a/packages/cell/src/lib/desk/RequestDesk.ts
+++ b/packages/cell/src/lib/desk/RequestDesk.ts
@@ -372,10 +372,18 @@
 		this.goSaidAt.set(nameOf(record), moment.now)
 		const address = this.state.workers.find(record.worker)?.address ?? ''
 		const { customer, key, attempt, worker, fence } = record
-		const { term } = moment
-		const { name: group } = this.homes
-		const beat = holder.beat
-		const value = { customer, key, attempt, worker, address, fence, beat, term, group }
+		const value = {
+			customer,
+			key,
+			attempt,
+			worker,
+			address,
+			fence,
+			beat: holder.beat,
+			term: moment.term,
+			group: this.homes.name,
+			incarnation: holder.incarnation,
+		}
 		this.effects.sendings.push({ to: holder.id, event: { body: { $case: 'go', value } } })
 	}
 
--- a/packages/cell/src/lib/desk/TaskDesk.ts
+++ b/packages/cell/src/lib/desk/TaskDesk.ts
@@ -219,7 +219,9 @@
 		for (const record of this.leases.placedOn(worker)) {
 			const { task } = record
 			if (this.leaving.has(task.id)) continue
-			if (task.checkpoints) {
+			if (this.leases.withdrawStart(record)) {
+				this.leaving.set(task.id, 'its worker left before it started')
+			} else if (task.checkpoints) {
 				this.leaving.set(task.id, 'its worker is leaving')
 				this.leases.orderCheckpoint(record)
 			} else if (task.kind === IntentKind.Service) {
--- a/packages/cell/src/lib/desk/WorkerLeases.ts
+++ b/packages/cell/src/lib/desk/WorkerLeases.ts
@@ -90,6 +90,19 @@
 		lease.fresh = true
 	}
 
+	/**
+	 * Takes back an order that no reply has confirmed: a stop goes out instead, after which the worker
+	 * refuses the order however late it comes.
+	 *
+	 * @returns false when the task has been seen to run.
+	 */
+	withdrawStart(record: TaskRecord): boolean {
+		const lease = this.of(record.worker)
+		if (!lease.start.delete(record.task.id)) return false
+		this.orderStop(record)
+		return true
+	}
+
 	orderStop(record: TaskRecord): void {
 		const lease = this.of(record.worker)
 		lease.stop.set(record.task.id, orderFor(record))
--- a/packages/intake/src/lib/HomeDesk.ts
+++ b/packages/intake/src/lib/HomeDesk.ts
@@ -32,6 +32,8 @@
 	readonly clock: Clock
 	readonly metrics: Metrics
 	readonly groups: Groups
+	/** Names this life of the process. */
+	readonly incarnation: string
 	readonly workers: WorkerCalls
 	/** Sends to a process. */
 	readonly send: (to: string, event: Event) => boolean
@@ -106,6 +108,7 @@
 
 	/** The leader says that a request may start here, now. */
 	go(from: string, go: Go): void {
+		if (go.incarnation !== this.parts.incarnation) return
 		const submission = this.submissions.get(nameOf(go))
 		if (!submission) {
 			this.reportForgotten(from, go)
@@ -199,7 +202,8 @@
 		const { customer, key, attempt } = go
 		const { end, answer } = reportedEnd(result)
 		const group = submission.group
-		submission.report = { customer, key, attempt, end, answer, group }
+		const { refusal } = result
+		submission.report = { customer, key, attempt, end, answer, group, refusal }
 		if (end === AttemptEnd.ATTEMPT_END_NOT_STARTED) {
 			remember(this.refused, go)
 			submission.running = 0
@@ -218,7 +222,7 @@
 	/** Answers whoever said that it may go. */
 	private report(to: string, go: Go, end: AttemptEnd): void {
 		const { customer, key, attempt, group } = go
-		const value = { customer, key, attempt, end, answer: undefined, group }
+		const value = { customer, key, attempt, end, answer: undefined, group, refusal: '' }
 		this.parts.send(to, { body: { $case: 'report', value } })
 	}
 
--- a/packages/intake/src/lib/Intake.ts
+++ b/packages/intake/src/lib/Intake.ts
@@ -167,8 +167,9 @@
 	}
 
 	private makeHome(): HomeDesk {
-		const { clock, metrics, workers, send } = this.parts
+		const { clock, metrics, workers, send, incarnation } = this.parts
 		return new HomeDesk({
+			incarnation,
 			send,
 			clock,
 			metrics,
--- a/packages/intake/src/lib/RepeatableDesk.ts
+++ b/packages/intake/src/lib/RepeatableDesk.ts
@@ -108,6 +108,7 @@
 
 	/** A worker has refused work because it is leaving. */
 	leaving(worker: string): void {
+		this.pool.close(worker)
 		this.sign(worker).leaving = true
 		this.parts.beat()
 	}
--- a/packages/runs/src/lib/cell/CellRun.ts
+++ b/packages/runs/src/lib/cell/CellRun.ts
@@ -23,6 +23,8 @@
 const CLOCK_SPREAD = 0.05
 /** A leaving worker may be offered new work for so long after it began to leave. */
 const LEAVING_MOST = 3000
+/** Offers that were on their way when the first refusal came. */
+const FOUND_OUT_WITHIN = 100
 /** Whatever was open when the faults ended is over after this. */
 const SETTLE_FOR = 90_000
 const CONFIGURATION_WITHIN = 8000
@@ -89,14 +91,16 @@
 	readonly faults: Faults
 	readonly witnesses: ReadonlyMap<string, Witness>
 	private readonly shownBy = new Map<string, number>()
+	/** For each process and worker the first offer after a worker should be known to leave. */
+	private readonly lateOffers = new Map<string, number>()
 	private tasksSeen = 0
 
 	/** @param options - seed and rates. */
 	constructor(readonly options: CellRunOptions) {
 		this.random = new Random(options.seed)
 		this.network = new RunNetwork(this.clock, this.random, areLinked)
-		this.workers = new RunWorkers(this.clock, this.network, this.random, (worker) =>
-			this.checkLeaving(worker)
+		this.workers = new RunWorkers(this.clock, this.network, this.random, (process, worker) =>
+			this.checkLeaving(process, worker)
 		)
 		this.witnesses = new Map(groupsOf(INSTANCES).map((group) => [group.name, new Witness()]))
 		for (const name of dataCentresOf(INSTANCES)) this.workers.add(name, WORKERS_EACH)
@@ -239,9 +243,16 @@
 		})
 	}
 
-	private checkLeaving(worker: RunWorker): void {
+	/** A process that no leader can tell may find out by one refusal of its own, and only by one. */
+	private checkLeaving(process: RunProcess, worker: RunWorker): void {
 		const since = this.clock.now() - (worker.leftAt ?? this.clock.now())
-		invariant(since <= LEAVING_MOST, 'a leaving worker gets no new work after seconds', {
+		if (since <= LEAVING_MOST) return
+		const name = `${process.id}.${process.life} ${worker.listed.id}`
+		const last = this.lateOffers.get(name) ?? this.clock.now()
+		this.lateOffers.set(name, last)
+		const found = this.clock.now() - last <= FOUND_OUT_WITHIN
+		invariant(found, 'a leaving worker gets no new work after seconds', {
+			process: process.id,
 			worker: worker.listed.id,
 			since,
 		})
--- a/packages/runs/src/lib/cell/RunWorkers.ts
+++ b/packages/runs/src/lib/cell/RunWorkers.ts
@@ -44,7 +44,8 @@
 		private readonly clock: ManualClock,
 		private readonly network: RunNetwork,
 		private readonly random: Random,
-		private readonly offered: (worker: RunWorker) => void
+		/** Told of every offer of new work to a worker that is leaving. */
+		private readonly offered: (process: RunProcess, worker: RunWorker) => void
 	) {}
 
 	/** Adds workers to a data centre. */
@@ -97,7 +98,7 @@
 	): void {
 		this.ask(from, exchange.address, took, (worker) => {
 			const { leftAt } = worker
-			if (leftAt !== undefined && exchange.call.start.length > 0) this.offered(worker)
+			if (leftAt !== undefined && exchange.call.start.length > 0) this.offered(from, worker)
 			const reply = worker.model.exchange(structuredClone(exchange.call))
 			return reply && exchangeReplySchema.parse(structuredClone(reply))
 		})
@@ -137,8 +138,13 @@
 	}
 
 	/** A request comes to a worker. */
-	take(worker: RunWorker, call: WorkerCall, answer: (answer: WorkAnswer) => void): void {
-		if (worker.leftAt !== undefined) this.offered(worker)
+	take(
+		from: RunProcess,
+		worker: RunWorker,
+		call: WorkerCall,
+		answer: (answer: WorkAnswer) => void
+	): void {
+		if (worker.leftAt !== undefined) this.offered(from, worker)
 		const header = (name: string) => call.headers.find((one) => one.name === name)?.value ?? ''
 		const request = {
 			customer: header('rillrudder-customer'),
@@ -206,7 +212,7 @@
 
 	private arrive(attempt: RunAttempt, worker: RunWorker, call: WorkerCall): void {
 		if (worker.down) return
-		this.workers.take(worker, call, (answer) => {
+		this.workers.take(this.process, worker, call, (answer) => {
 			this.clock.after(this.workers.delay(), () => {
 				if (!this.workers.isApart(this.process, worker)) attempt.finish(resultOf(answer))
 			})
--- a/packages/scheduler/src/lib/requests/SlotPool.ts
+++ b/packages/scheduler/src/lib/requests/SlotPool.ts
@@ -45,6 +45,8 @@
 export class SlotPool {
 	private readonly workers = new Map<string, PooledWorker>()
 	private available: PooledWorker[] = []
+	/** Workers that have refused work here; they get none until they are lent anew. */
+	private readonly closed = new Set<string>()
 
 	/** @param random - draws the workers to compare. */
 	constructor(private readonly random: Random) {}
@@ -66,7 +68,9 @@
 	/** @param lent - all slots that are lent from now on; what is in use above that runs to its end. */
 	set(lent: readonly LentSlots[]): void {
 		const named = new Set(lent.map((one) => one.worker))
+		for (const id of this.closed) if (!named.has(id)) this.closed.delete(id)
 		for (const one of lent) {
+			if (this.closed.has(one.worker)) continue
 			const known = this.workers.get(one.worker)
 			if (known) {
 				known.slots = one.slots
@@ -82,6 +86,16 @@
 		this.available = [...this.workers.values()].filter((worker) => worker.slots > 0)
 	}
 
+	/** A worker takes no more work: nothing of it is used from now on. */
+	close(worker: string): void {
+		const known = this.workers.get(worker)
+		if (!known) return
+		this.closed.add(worker)
+		known.slots = 0
+		this.available = this.available.filter((one) => one !== known)
+		if (known.used === 0) this.workers.delete(worker)
+	}
+
 	/** What is held of each worker: what is in use, or lent if that is more. */
 	held(): LentSlots[] {
 		return [...this.workers.values()].map((worker) => ({
