--- a/packages/cell/src/lib/desk/RequestDesk.ts
+++ b/packages/cell/src/lib/desk/RequestDesk.ts
@@ -62,6 +62,7 @@
 	private readonly doubts: Doubts
 	private readonly serviceTimes = new Map<string, number>()
 	private readonly startedAt = new Map<string, number>()
+	/** When this leader last said that a request may go; such an attempt is never taken back unasked. */
 	private readonly goSaidAt = new Map<string, number>()
 	/** An attempt that was taken back is followed by the next one only after a pause that grows. */
 	private readonly notBefore = new Map<string, number>()
@@ -254,14 +255,18 @@
 			return
 		}
 		this.wait(from, submit, moment)
-		if (record.phase === Phase.Started) this.reconcile(from, submit, record)
+		if (record.phase === Phase.Started) this.reconcile(from, submit, record, moment)
 		else this.advance(submit.customer, moment)
 	}
 
-	/** The holder has not begun the attempt, and honours no word of an earlier leader any more. */
-	private reconcile(from: string, submit: Submit, record: RequestRecord): void {
+	/**
+	 * The holder has not begun the attempt. It honours no word of an earlier leader any more only once it
+	 * says so by naming this leader's term; a word of the one before may still be on its way to it.
+	 */
+	private reconcile(from: string, submit: Submit, record: RequestRecord, moment: Moment): void {
+		if (submit.term !== moment.term) return
 		const same = this.holders.ofProcess(from)?.life === record.holder
-		const told = this.startedAt.has(nameOf(submit))
+		const told = this.goSaidAt.has(nameOf(submit))
 		if (same && !told && submit.runningAttempt !== record.attempt) this.unstart(record)
 	}
 
@@ -387,11 +392,14 @@
 		this.effects.sendings.push({ to: holder.id, event: { body: { $case: 'go', value } } })
 	}
 
-	/** The word may have been lost; the holder honours it once, or says how the attempt stands. */
+	/**
+	 * The word may have been lost; the holder honours it once, or says how the attempt stands. It is not
+	 * said while the attempt is being taken back or ended.
+	 */
 	private sayGoAgain(record: RequestRecord, moment: Moment): void {
 		const name = nameOf(record)
-		const due = (this.goSaidAt.get(name) ?? moment.now) + SAY_AGAIN_EVERY
-		if (!this.goSaidAt.has(name)) this.goSaidAt.set(name, moment.now)
+		if (this.busy.has(name)) return
+		const due = (this.goSaidAt.get(name) ?? this.takenOverAt) + SAY_AGAIN_EVERY
 		const holder = this.holders.find(record.holder)
 		if (moment.now >= due && holder) this.sayGo(record, holder, moment)
 	}
--- a/packages/cell/src/lib/desk/WorkerLeases.ts
+++ b/packages/cell/src/lib/desk/WorkerLeases.ts
@@ -28,6 +28,8 @@
 	readonly seen = new Set<string>()
 	/** Whether there are orders that have not been sent. */
 	fresh = false
+	/** Whether its newest reply said that it takes no new work. */
+	leaving = false
 	/** Starts that were part of the exchange under way. */
 	sent: TaskRecord[] = []
 
@@ -147,7 +149,9 @@
 			lease.seen.add(id)
 		}
 		lease.sent = []
-		if (lease.start.size > 0) lease.fresh = true
+		lease.leaving = reply.leaving
+		for (const one of reply.refused) lease.start.delete(one.task)
+		if (lease.start.size > 0 && !lease.leaving) lease.fresh = true
 	}
 
 	/** @returns tasks that the worker ran and no longer knows. */
@@ -206,7 +210,7 @@
 		lease.sentAt = moment.now
 		lease.fresh = greeting
 		if (!greeting) lease.renewedAt = Math.max(lease.renewedAt, lease.stampedAt)
-		lease.sent = greeting ? [] : [...lease.start.values()]
+		lease.sent = greeting || lease.leaving ? [] : [...lease.start.values()]
 		this.effects.exchanges.push({
 			worker,
 			address,
--- a/packages/runs/src/lib/cell/CellRun.ts
+++ b/packages/runs/src/lib/cell/CellRun.ts
@@ -57,6 +57,10 @@
 	control: RunControl
 	entry: RunEntry
 	disk?: ControlDisk
+	/** When its entry process began a planned stop; absent when it does not stop. */
+	leavingSince?: number
+	/** The life of its entry process that a planned stop has ended. */
+	stoppedLife?: number
 }
 
 const INSTANCES: readonly Instance[] = [
@@ -175,6 +179,7 @@
 	/** Starts an entry process anew. */
 	startEntry(one: RunInstance): void {
 		one.entryProcess.start()
+		one.leavingSince = undefined
 		one.entry = new RunEntry({
 			process: one.entryProcess,
 			self: one.instance,
--- a/packages/runs/src/lib/cell/Faults.ts
+++ b/packages/runs/src/lib/cell/Faults.ts
@@ -194,12 +194,14 @@
 		if (!one.entryProcess.alive) return false
 		const { life } = one.entryProcess
 		one.entry.leave()
+		one.leavingSince ??= this.run.clock.now()
 		const look = (): void => {
 			if (one.entryProcess.life !== life || !one.entryProcess.alive) return
 			if (!one.entry.idle || one.entryProcess.paused) {
 				this.later(STOP_LOOK, look)
 				return
 			}
+			one.stoppedLife = life
 			this.killEntry(one, STOP_DELAY)
 		}
 		this.later(STOP_DELAY, look)
--- a/packages/runs/src/lib/cell/RunCallers.ts
+++ b/packages/runs/src/lib/cell/RunCallers.ts
@@ -13,6 +13,8 @@
 const SHORT_TIMEOUT = 30
 const TIMEOUT = 4000
 const CONNECTION_LOST = 10
+/** The balancer sends to an instance for so long after it began to stop. */
+const BALANCER_LAG = 200
 /** A caller waits a little longer than the time it gave the system. */
 const PATIENCE = 3000
 
@@ -30,6 +32,13 @@
 	readonly replies: RunReply[]
 }
 
+/** A caller's connection to one life of an entry process. */
+interface Connection {
+	readonly one: RunInstance
+	readonly life: number
+	over: boolean
+}
+
 /**
  * The callers of a run.
  *
@@ -69,11 +78,11 @@
 			const name = `${customer}/${key}`
 			if (!repeatable) runs.set(name, (runs.get(name) ?? 0) + 1)
 		}
-		for (const [name, { call, replies }] of this.sent) {
-			if (call.repeatable) continue
-			const count = runs.get(name) ?? 0
+		for (const [name, count] of runs) {
 			invariant(count <= 1, 'a request that is not repeatable runs at most once', { name, count })
-			this.checkReplies(name, count, replies)
+		}
+		for (const [name, { call, replies }] of this.sent) {
+			if (!call.repeatable) this.checkReplies(name, runs.get(name) ?? 0, replies)
 		}
 	}
 
@@ -116,44 +125,44 @@
 
 	/** Sends to an instance that the balancer holds for alive. */
 	private send(sent: Sent, sendings: number): void {
-		const { random, instances, clock } = this.run
+		const { random, instances, clock, network } = this.run
 		this.tally.sent += 1
-		const one = random.pick(instances)
-		let over = false
+		const listed = instances.filter((each) => this.isListed(each))
+		const one = random.pick(listed.length > 0 ? listed : instances)
+		const { life } = one.entryProcess
+		const connection: Connection = { one, life, over: false }
 		const told = (reply: RunReply): void => {
-			if (over) return
-			over = true
+			if (connection.over) return
+			connection.over = true
 			this.take(sent, reply, sendings)
 		}
-		if (!one.entryProcess.alive) {
-			clock.after(CONNECTION_LOST, () => told({ outcome: 'no-answer' }))
-			return
-		}
-		const { life } = one.entryProcess
-		clock.after(this.run.network.delay(), () => {
-			one.entry.take(sent.call, (reply) => this.arrive(one, life, reply, told))
-		})
+		this.watch(connection, told)
 		clock.after(sent.call.timeout + PATIENCE, () => told({ outcome: 'no-answer' }))
-		this.watch(one, life, told)
+		clock.after(network.delay(), () => {
+			if (!isUp(connection)) return
+			one.entry.take(sent.call, (reply) => clock.after(network.delay(), () => told(reply)))
+		})
 	}
 
-	private arrive(
-		one: RunInstance,
-		life: number,
-		reply: RunReply,
-		told: (reply: RunReply) => void
-	): void {
-		this.run.clock.after(this.run.network.delay(), () => {
-			const alive = one.entryProcess.alive && one.entryProcess.life === life
-			told(alive ? reply : { outcome: 'no-answer' })
-		})
+	/** The balancer has learned of instances that are stopping. */
+	private isListed(one: RunInstance): boolean {
+		const { leavingSince } = one
+		return leavingSince === undefined || this.run.clock.now() - leavingSince < BALANCER_LAG
 	}
 
-	/** The connection ends when the process does. */
-	private watch(one: RunInstance, life: number, told: (reply: RunReply) => void): void {
-		this.run.clock.after(CONNECTION_LOST * 5, () => {
-			const { entryProcess } = one
-			if (entryProcess.life !== life || !entryProcess.alive) told({ outcome: 'no-answer' })
+	/** The connection ends when the process does; one that stops as planned has answered before. */
+	private watch(connection: Connection, told: (reply: RunReply) => void): void {
+		this.run.clock.after(CONNECTION_LOST, () => {
+			if (connection.over) return
+			if (isUp(connection)) {
+				this.watch(connection, told)
+				return
+			}
+			const { one, life } = connection
+			invariant(one.stoppedLife !== life, 'a planned stop cuts off no request in flight', {
+				instance: one.instance.id,
+			})
+			told({ outcome: 'no-answer' })
 		})
 	}
 
@@ -195,3 +204,8 @@
 		}
 	}
 }
+
+function isUp(connection: Connection): boolean {
+	const { one, life } = connection
+	return one.entryProcess.alive && one.entryProcess.life === life
+}
--- a/packages/runs/src/lib/cell/RunEntry.ts
+++ b/packages/runs/src/lib/cell/RunEntry.ts
@@ -111,6 +111,7 @@
 	readonly process: RunProcess
 	private readonly clock: RunClock
 	private readonly intake: Intake
+	private inFlight = 0
 
 	constructor(private readonly parts: RunEntryParts) {
 		const { process, self, instances, network, workers, random } = parts
@@ -136,14 +137,19 @@
 
 	/** Whether every request has its answer. */
 	get idle(): boolean {
-		return this.intake.open === 0
+		return this.inFlight === 0 && this.intake.open === 0
 	}
 
 	/** Takes a call. */
 	take(call: RunCall, told: (reply: RunReply) => void): void {
 		const { life } = this.process
 		this.process.act(life, () => {
-			this.intake.take(new RunRequest(call, this.clock.now(), told))
+			this.inFlight += 1
+			const request = new RunRequest(call, this.clock.now(), (reply) => {
+				this.inFlight -= 1
+				told(reply)
+			})
+			this.intake.take(request)
 		})
 	}
 
