--- a/apps/demo/src/lib/FakeFleet.ts
+++ b/apps/demo/src/lib/FakeFleet.ts
@@ -62,6 +62,11 @@
 		return this.workers.find((worker) => worker.model.settings.id === id)
 	}
 
+	/** Address of the first worker, for calls that go around the system. */
+	get workerAddress(): string {
+		return this.listed[0].address
+	}
+
 	/** Marks a worker as leaving: it refuses work at once, and the list says so later. */
 	leave(id: string): void {
 		const worker = this.find(id)
--- a/packages/runs/src/lib/cell/RunCallers.ts
+++ b/packages/runs/src/lib/cell/RunCallers.ts
@@ -152,18 +152,21 @@
 
 	/** The connection ends when the process does; one that stops as planned has answered before. */
 	private watch(connection: Connection, told: (reply: RunReply) => void): void {
-		this.run.clock.after(CONNECTION_LOST, () => {
+		const { clock } = this.run
+		clock.after(CONNECTION_LOST, () => {
 			if (connection.over) return
-			if (isUp(connection)) {
-				this.watch(connection, told)
-				return
-			}
-			const { one, life } = connection
-			invariant(one.stoppedLife !== life, 'a planned stop cuts off no request in flight', {
-				instance: one.instance.id,
-			})
-			told({ outcome: 'no-answer' })
+			if (isUp(connection)) this.watch(connection, told)
+			// What was sent before the end may still be on its way.
+			else clock.after(CONNECTION_LOST, () => this.lose(connection, told))
+		})
+	}
+
+	private lose(connection: Connection, told: (reply: RunReply) => void): void {
+		const { one, life, over } = connection
+		invariant(over || one.stoppedLife !== life, 'a planned stop cuts off no request in flight', {
+			instance: one.instance.id,
 		})
+		told({ outcome: 'no-answer' })
 	}
 
 	private take(sent: Sent, reply: RunReply, sendings: number): void {
