--- /dev/null
+++ b/apps/bench/src/soak.ts
@@ -0,0 +1,108 @@
+/** `npm run soak`: long seeded runs of groups and of whole cells; every failure prints its seed. */
+import { ExitCode, runCommand } from '@rillrudder/program'
+import { CellRun, GroupRun } from '@rillrudder/runs'
+import { command, flag, number, option } from 'cmd-ts'
+
+const STEPS_A_GROUP_RUN = 6000
+const CELL_RUN_SPAN = 20_000
+const FAULT_RATES = [0.5, 1.5, 4]
+const GROUP_FAULT_RATES = [0.005, 0.01, 0.02, 0.04]
+const voter = (id: string, durable: boolean, local: boolean) => ({ id, durable, local })
+const LAYOUTS = [
+	[voter('a', true, true), voter('b', false, true), voter('c', true, false)],
+	[voter('a', false, true), voter('b', true, true), voter('c', true, false)],
+	[voter('a', true, true), voter('b', true, true), voter('c', true, true)],
+	['a', 'b', 'c', 'd', 'e'].map((id) => voter(id, true, true)),
+]
+
+interface Soaked {
+	steps: number
+	elections: number
+	runs: number
+	failed: number
+	readonly faults: { [fault: string]: number }
+}
+
+function add(total: { [name: string]: number }, more: { [name: string]: number }): void {
+	for (const [name, count] of Object.entries(more)) total[name] = (total[name] ?? 0) + count
+}
+
+function soakGroups(seed: number, steps: number): Soaked {
+	const soaked: Soaked = { steps: 0, elections: 0, runs: 0, failed: 0, faults: {} }
+	for (let at = seed; soaked.steps < steps; at++) {
+		const founders = LAYOUTS[at % LAYOUTS.length]
+		const faultRate = GROUP_FAULT_RATES[(at >> 2) % GROUP_FAULT_RATES.length]
+		const run = new GroupRun({ seed: at, founders, faultRate })
+		soaked.runs += 1
+		try {
+			run.steps(STEPS_A_GROUP_RUN)
+			run.settle()
+		} catch (fault) {
+			soaked.failed += 1
+			process.stdout.write(`group run with seed ${at} failed: ${(fault as Error).message}\n`)
+		}
+		soaked.steps += run.tally.steps
+		soaked.elections += run.tally.elections
+		add(soaked.faults, run.tally.faults)
+	}
+	return soaked
+}
+
+function soakCells(seed: number, count: number): Soaked {
+	const soaked: Soaked = { steps: 0, elections: 0, runs: 0, failed: 0, faults: {} }
+	for (let at = seed; at < seed + count; at++) {
+		const faultRate = FAULT_RATES[at % FAULT_RATES.length]
+		const run = new CellRun({ seed: at, faultRate, requestRate: 40 })
+		soaked.runs += 1
+		try {
+			run.run(CELL_RUN_SPAN)
+			run.settle()
+		} catch (fault) {
+			soaked.failed += 1
+			process.stdout.write(`cell run with seed ${at} failed: ${(fault as Error).message}\n`)
+		}
+		soaked.steps += run.tally.callers.sent
+		add(soaked.faults, run.tally.faults)
+	}
+	return soaked
+}
+
+const soak = command({
+	name: 'soak',
+	version: '0.1.0',
+	description: 'Long seeded runs under faults',
+	args: {
+		seed: option({ type: number, long: 'seed', defaultValue: () => 1 }),
+		steps: option({
+			type: number,
+			long: 'steps',
+			defaultValue: () => 1_000_000,
+			description: 'steps of 10 ms of group runs',
+		}),
+		cells: option({
+			type: number,
+			long: 'cells',
+			defaultValue: () => 20,
+			description: 'cell runs',
+		}),
+		json: flag({ long: 'json' }),
+	},
+	handler: ({ seed, steps, cells, json }) => {
+		const groups = soakGroups(seed, steps)
+		const whole = soakCells(seed, cells)
+		if (json) process.stdout.write(`${JSON.stringify({ groups, cells: whole })}\n`)
+		else {
+			process.stdout.write(
+				`groups: ${groups.steps} steps in ${groups.runs} runs, ${groups.elections} elections, ${groups.failed} failed\n`
+			)
+			process.stdout.write(`  faults: ${JSON.stringify(groups.faults)}\n`)
+			process.stdout.write(
+				`cells: ${whole.runs} runs, ${whole.steps} requests sent, ${whole.failed} failed\n`
+			)
+			process.stdout.write(`  faults: ${JSON.stringify(whole.faults)}\n`)
+		}
+		return groups.failed + whole.failed === 0 ? ExitCode.Done : ExitCode.Failed
+	},
+})
+
+void runCommand(soak, process.argv.slice(2))
--- a/packages/runs/src/index.ts
+++ b/packages/runs/src/index.ts
@@ -2,3 +2,6 @@
 export { Fault, GroupRun, type GroupRunOptions, type GroupRunTally } from './lib/GroupRun'
 export { CellRun, type CellRunOptions, type CellRunTally } from './lib/cell/CellRun'
 export { CellFault } from './lib/cell/Faults'
+export { GOLDEN_FOLDER } from './lib/cell/goldenFolder'
+export { Session } from './lib/cell/Session'
+export { SESSIONS, type KeptSession } from './lib/cell/sessions'
--- a/packages/runs/src/lib/cell/Faults.ts
+++ b/packages/runs/src/lib/cell/Faults.ts
@@ -208,7 +208,8 @@
 		return true
 	}
 
-	private cutDataCentre(dataCentre: string, span: number): void {
+	/** Cuts a data centre off from the others for a while. */
+	cutDataCentre(dataCentre: string, span: number): void {
 		const inside = (process: RunProcess) => process.dataCentre === dataCentre
 		for (const from of this.processes()) {
 			for (const to of this.processes()) {
--- a/packages/scheduler/src/index.ts
+++ b/packages/scheduler/src/index.ts
@@ -7,6 +7,7 @@
 export { Estimator } from './lib/placement/Estimator'
 export { whyImpossible } from './lib/placement/feasibility'
 export { Placement } from './lib/placement/Placement'
+export { Siblings } from './lib/placement/Siblings'
 export {
 	Relief,
 	Waiting,
--- a/packages/scheduler/src/lib/placement/Placement.ts
+++ b/packages/scheduler/src/lib/placement/Placement.ts
@@ -15,7 +15,7 @@
 import { Preemption } from './Preemption'
 import { Siblings } from './Siblings'
 import { Waiting, type Decision, type Running, type Start, type Task } from './Task'
-import { latestStart, TeamAccount, type Pending, type Team } from './TeamAccount'
+import { giveWay, latestStart, TeamAccount, type Pending, type Team } from './TeamAccount'
 
 /** Tasks of one team that are passed over in one round when they do not fit. */
 const PASSED_OVER = 8
@@ -81,6 +81,7 @@
 			tasks,
 			latestStart: latestStart(first, this.estimator.runTime(first) || undefined),
 			shape: this.shapeOf(first),
+			late: false,
 			waiting: Waiting.New,
 			cancelled: 0,
 		}
@@ -212,6 +213,10 @@
 			const item = account.waiting.pop()
 			if (!item) break
 			if (item.cancelled === item.tasks.length) continue
+			if (giveWay(item, now)) {
+				account.waiting.push(item)
+				continue
+			}
 			started = this.attempt(item, account, now, decisions)
 			if (!started) passed.push(item)
 		}
--- a/packages/scheduler/src/lib/placement/Siblings.ts
+++ b/packages/scheduler/src/lib/placement/Siblings.ts
@@ -26,7 +26,7 @@
 /**
  * Where the running tasks of each intent are.
  *
- * @internal
+ * @public
  */
 export class Siblings {
 	private readonly intents = new Map<string, Counts>()
--- a/packages/scheduler/src/lib/placement/TeamAccount.ts
+++ b/packages/scheduler/src/lib/placement/TeamAccount.ts
@@ -4,6 +4,10 @@
 import { Waiting, type Task } from './Task'
 
 const DEFAULT_RUN_TIME = 600_000
+/** Batch without a deadline counts as due this long after it was submitted, so that it can not starve. */
+const PATIENCE = 3_600_000
+/** What can no longer meet its deadline counts as due this long after that was seen. */
+const LATE_PATIENCE = 120_000
 
 /** A team's share and limit. @public */
 export interface Team {
@@ -17,7 +21,9 @@
 export interface Pending {
 	readonly tasks: readonly Task[]
 	/** Latest moment to start and still meet the deadline; the order within a team. */
-	readonly latestStart: number
+	latestStart: number
+	/** Whether it can no longer meet its deadline. */
+	late: boolean
 	/** Tasks of the same need have the same number. */
 	readonly shape: number
 	waiting: Waiting
@@ -70,10 +76,28 @@
  * @param task - a task.
  * @param runTime - how long it is expected to run, in milliseconds.
  * @returns the latest moment to start it; work without a deadline is due when it was submitted, batch
- * without one after everything that has one.
+ * without one an hour later.
  * @internal
  */
 export function latestStart(task: Task, runTime = task.runTime || DEFAULT_RUN_TIME): number {
 	if (task.deadline !== undefined) return task.deadline - runTime
-	return task.kind === 'batch' ? Number.MAX_SAFE_INTEGER : task.submitted
+	return task.kind === 'batch' ? task.submitted + PATIENCE : task.submitted
+}
+
+/**
+ * Lets what can no longer meet its deadline give way to what still can: helping the late first would
+ * make the next ones late as well.
+ *
+ * @param item - what waits, taken from the queue.
+ * @param now - milliseconds since the epoch.
+ * @returns whether its place has changed, so that it goes back into the queue.
+ * @internal
+ */
+export function giveWay(item: Pending, now: number): boolean {
+	const [first] = item.tasks
+	if (item.late || first.urgent || first.deadline === undefined) return false
+	if (item.latestStart >= now) return false
+	item.late = true
+	item.latestStart = now + LATE_PATIENCE
+	return true
 }
