A test for each failure that a group has to bear

Cause: the randomised runs say that something broke, not which mechanism is there for it.

Before: a replica that had been replaced stayed a learner for 20 s in a run, since the simulated disk saved 1,500 entries one by one.

--- a/packages/runs/src/lib/GroupRun.ts
+++ b/packages/runs/src/lib/GroupRun.ts
@@ -7,6 +7,7 @@
 	Witness,
 	type Founder,
 	type Replica,
+	type ReplicaStatus,
 	type Snapshot,
 } from '@rillrudder/consensus'
 import { EntryKind, type Entry, type GroupMessage } from '@rillrudder/protocol'
@@ -129,6 +130,56 @@
 		for (let step = 0; step < count; step++) this.step()
 	}
 
+	/** @returns the replica that leads and holds its lease now; empty when none does. */
+	get leader(): string {
+		for (const [id, node] of this.nodes) {
+			if (this.awake(node) && node.running.mayAct) return id
+		}
+		return ''
+	}
+
+	/** @returns what a replica tells of itself. */
+	statusOf(id: string): ReplicaStatus {
+		return this.node(id).replica.status
+	}
+
+	/** @returns whether a replica may act at this moment of its own clock. */
+	mayAct(id: string): boolean {
+		return this.node(id).running.mayAct
+	}
+
+	/** Adds commands through a replica, without waiting for anything. */
+	propose(id: string, count: number): void {
+		for (let left = count; left > 0; left--) this.proposeOne(this.node(id))
+	}
+
+	/** Takes a replica down for a while; without a disk it forgets. */
+	takeDown(id: string, span: number): void {
+		this.down(this.node(id), span)
+	}
+
+	/** Takes a replica down and empties its disk. */
+	takeDownAndWipe(id: string, span: number): void {
+		const node = this.node(id)
+		this.down(node, span)
+		wipe(node)
+	}
+
+	/** Hands a replica's leadership over. */
+	handOver(id: string): boolean {
+		return this.node(id).running.handOver()
+	}
+
+	/** Lets a replica stand still for a while. */
+	pause(id: string, span: number): void {
+		this.node(id).pausedUntil = this.clock.now() + span
+	}
+
+	/** Cuts one direction between two replicas for a while. */
+	cut(from: string, to: string, span: number): void {
+		this.block(span, (one, other) => one === from && other === to)
+	}
+
 	/** Heals everything and checks that all replicas come to the same state with nothing lost. */
 	settle(): void {
 		this.faults = false
@@ -178,17 +229,23 @@
 		node.held = []
 		for (const call of held) call()
 		node.running.tick()
-		if (this.proposing && node.replica.leads && this.random.chance(0.3)) this.propose(node)
+		if (this.proposing && node.replica.leads && this.random.chance(0.3)) this.proposeSome(node)
 		this.checkLease(node)
 		this.compact(node)
 	}
 
-	private propose(node: Node): void {
-		const commands: Buffer[] = []
-		for (let count = this.random.integer(1, 3); count > 0; count--) {
-			commands.push(Buffer.from(String(++this.proposals)))
-		}
-		node.running.propose(commands)
+	private proposeSome(node: Node): void {
+		for (let count = this.random.integer(1, 3); count > 0; count--) this.proposeOne(node)
+	}
+
+	private proposeOne(node: Node): void {
+		node.running.propose([Buffer.from(String(++this.proposals))])
+	}
+
+	private node(id: string): Node {
+		const node = this.nodes.get(id)
+		invariant(node !== undefined, 'a run knows its replicas', { id })
+		return node
 	}
 
 	private apply(node: Node, entry: Entry): void {
@@ -252,7 +309,7 @@
 		const span = this.random.integer(100, 4000)
 		switch (fault) {
 			case Fault.Restart:
-				return this.takeDown(node, span)
+				return this.mayTakeDown(node) && this.down(node, span)
 			case Fault.Pause:
 				node.pausedUntil = Math.max(node.pausedUntil, this.clock.now() + span)
 				return true
@@ -270,18 +327,20 @@
 	}
 
 	/** An instance without a disk forgets; a second one that forgets at once would lose the group. */
-	private takeDown(node: Node, span: number): boolean {
-		if (!node.founder.durable && !this.othersWhole(node)) return false
-		if (node.downUntil > 0) return false
+	private mayTakeDown(node: Node): boolean {
+		return node.downUntil === 0 && (node.founder.durable || this.othersWhole(node))
+	}
+
+	private down(node: Node, span: number): boolean {
 		node.downUntil = this.clock.now() + span
 		node.held = []
 		return true
 	}
 
 	private loseDisk(node: Node, span: number): boolean {
-		if (!this.othersWhole(node) || !this.takeDown(node, span)) return false
-		node.disk = emptyDisk()
-		node.incarnation = ''
+		if (!this.othersWhole(node) || !this.mayTakeDown(node)) return false
+		this.down(node, span)
+		wipe(node)
 		return true
 	}
 
@@ -344,6 +403,11 @@
 	}
 }
 
+function wipe(node: Node): void {
+	node.disk = emptyDisk()
+	node.incarnation = ''
+}
+
 function lastStored(disk: ReplicaDisk): number {
 	const last = disk.entries[disk.entries.length - 1]
 	return last?.index ?? disk.snapshot?.index ?? 0
--- a/packages/runs/src/lib/RunReplica.ts
+++ b/packages/runs/src/lib/RunReplica.ts
@@ -47,7 +47,8 @@
 	readonly replica: Replica
 	/** Index of the last entry that was applied. */
 	applied = 0
-	private readonly saves: Save[] = []
+	private waiting: Save[] = []
+	private saving = false
 
 	/** @param parts - options and surroundings. */
 	constructor(private readonly parts: RunReplicaParts) {
@@ -116,24 +117,28 @@
 		this.parts.restore(snapshot)
 	}
 
-	/** One save at a time, in order; without a disk there is nothing to wait for. */
+	/** One save at a time takes all that waits; without a disk there is nothing to wait for. */
 	private save(batch: SaveBatch, late: readonly Envelope[]): void {
 		const { disk } = this.parts
 		if (!disk) {
 			this.saved(batch, late)
 			return
 		}
-		this.saves.push({ batch, late })
-		if (this.saves.length === 1) this.beginSave(disk)
+		this.waiting.push({ batch, late })
+		if (!this.saving) this.beginSave(disk)
 	}
 
 	private beginSave(disk: ReplicaDisk): void {
+		const taken = this.waiting
+		this.waiting = []
+		this.saving = true
 		this.parts.after(this.parts.saveTime(), () => {
-			const { batch, late } = this.saves[0]
-			store(disk, batch)
-			this.saved(batch, late)
-			this.saves.shift()
-			if (this.saves.length > 0) this.beginSave(disk)
+			this.saving = false
+			for (const { batch, late } of taken) {
+				store(disk, batch)
+				this.saved(batch, late)
+			}
+			if (this.waiting.length > 0) this.beginSave(disk)
 			this.flush()
 		})
 	}
--- a/packages/scheduler/src/lib/placement/TeamAccount.ts
+++ b/packages/scheduler/src/lib/placement/TeamAccount.ts
@@ -6,7 +6,7 @@
 const DEFAULT_RUN_TIME = 600_000
 /** Batch without a deadline counts as due this long after it was submitted, so that it can not starve. */
 const PATIENCE = 3_600_000
-/** What can no longer meet its deadline counts as due this long after that was seen. */
+/** What has missed its deadline counts as due this long after that was seen. */
 const LATE_PATIENCE = 120_000
 
 /** A team's share and limit. @public */
@@ -22,7 +22,7 @@
 	readonly tasks: readonly Task[]
 	/** Latest moment to start and still meet the deadline; the order within a team. */
 	latestStart: number
-	/** Whether it can no longer meet its deadline. */
+	/** Whether it has missed its deadline. */
 	late: boolean
 	/** Tasks of the same need have the same number. */
 	readonly shape: number
@@ -85,8 +85,9 @@
 }
 
 /**
- * Lets what can no longer meet its deadline give way to what still can: helping the late first would
- * make the next ones late as well.
+ * Lets what has missed its deadline give way to what has not: helping the late first would make the
+ * next ones late as well. What is only expected to miss it keeps its place, since the expectation is
+ * often wrong.
  *
  * @param item - what waits, taken from the queue.
  * @param now - milliseconds since the epoch.
@@ -96,7 +97,7 @@
 export function giveWay(item: Pending, now: number): boolean {
 	const [first] = item.tasks
 	if (item.late || first.urgent || first.deadline === undefined) return false
-	if (item.latestStart >= now) return false
+	if (first.deadline >= now) return false
 	item.late = true
 	item.latestStart = now + LATE_PATIENCE
 	return true
