--- a/apps/entry/src/lib/EntryProcess.ts
+++ b/apps/entry/src/lib/EntryProcess.ts
@@ -78,6 +78,11 @@
 		return `${this.settings.callers.host}:${this.port}`
 	}
 
+	/** The configuration revision in force here. */
+	get revision(): number {
+		return this.intake.revision
+	}
+
 	override async start(): Promise<void> {
 		this.mailbox.serve(
 			'intake',
