--- a/apps/ctl/src/lib/commands.ts
+++ b/apps/ctl/src/lib/commands.ts
@@ -9,6 +9,7 @@
 	printAnswer,
 	printAudit,
 	printConfiguration,
+	printDecision,
 	printExplanation,
 	printPlan,
 	printStatus,
@@ -143,7 +144,7 @@
 		name,
 		description,
 		args: { ...changing, plan: positional({ type: string, displayName: 'plan' }) },
-		handler: (flags) => post(flags, `/v1/plans/${encode(flags.plan)}/${name}`, {}, printPlan),
+		handler: (flags) => post(flags, `/v1/plans/${encode(flags.plan)}/${name}`, {}, printDecision),
 	})
 
 const cancel = command({
--- a/apps/ctl/src/lib/printers.ts
+++ b/apps/ctl/src/lib/printers.ts
@@ -87,6 +87,13 @@
 	)
 }
 
+/** What became of a plan; a stale one comes with a fresh one to look at. */
+export function printDecision(content: unknown): void {
+	printAnswer(content)
+	const { plan } = (content ?? {}) as { plan?: { phase: string } }
+	if (plan?.phase === 'proposed') printPlan(content)
+}
+
 /** The tasks of an intent, or all. */
 export function printTasks(content: unknown): void {
 	const tasks = content as {
--- a/packages/program/src/lib/runProgram.ts
+++ b/packages/program/src/lib/runProgram.ts
@@ -33,10 +33,11 @@
  */
 // eslint-disable-next-line @typescript-eslint/no-explicit-any -- as the library declares it
 export async function runCommand(command: Runner<any, any>, words: string[]): Promise<void> {
+	process.stdout.on('error', endQuietlyWhenNobodyReads)
 	const result = await runSafely(command, words)
 	if (result._tag === 'ok') {
-		const code = await (result.value as Promise<ExitCode | undefined> | ExitCode | undefined)
-		if (code !== undefined) process.exitCode = code
+		const code = await handlerResult(result.value)
+		if (typeof code === 'number') process.exitCode = code
 		return
 	}
 	const { exitCode, message, into } = result.error.config
@@ -44,6 +45,19 @@
 	process.exitCode = exitCode === 0 ? ExitCode.Done : ExitCode.Usage
 }
 
+/** As when the output goes to `head`. */
+function endQuietlyWhenNobodyReads(fault: NodeJS.ErrnoException): void {
+	if (fault.code !== 'EPIPE') throw fault
+	process.exit(ExitCode.Done)
+}
+
+/** A subcommand's result comes wrapped once for each level of commands. */
+async function handlerResult(value: unknown): Promise<unknown> {
+	const settled = await value
+	const wrapped = typeof settled === 'object' && settled !== null && 'value' in settled
+	return wrapped ? handlerResult(settled.value) : settled
+}
+
 /**
  * Prints all findings, one a line.
  *
