Fake workers stop for good, so that a test process ends

Cause: the whole-path test passed and its process stayed, kept by the timers of thirty fake workers; the first run on a fresh clone hung there. Change: WorkerModel.stop, called when its server closes.

--- a/packages/fakes/src/lib/FakeWorker.ts
+++ b/packages/fakes/src/lib/FakeWorker.ts
@@ -38,6 +38,7 @@
 
 	/** Stops at once, as a killed process does. */
 	close(): void {
+		this.model.stop()
 		this.server.closeAllConnections()
 		this.server.close()
 	}
--- a/packages/fakes/src/lib/WorkerModel.ts
+++ b/packages/fakes/src/lib/WorkerModel.ts
@@ -91,6 +91,8 @@
 /** How long an ended task is reported. */
 const ENDED_KEPT = 60_000
 const USAGE_SHARE = 0.7
+/** How often it looks whether its lease is over. */
+const LOOK_EVERY = 100
 
 /**
  * One fake worker.
@@ -109,13 +111,14 @@
 	private used = 0
 	private term = 0
 	private leaseEnd = Number.NEGATIVE_INFINITY
+	private readonly timer: Timer
 
 	constructor(
 		readonly settings: WorkerSettings,
 		private readonly clock: Clock,
 		private readonly random: Random
 	) {
-		clock.every(100, () => this.expire())
+		this.timer = clock.every(LOOK_EVERY, () => this.expire())
 	}
 
 	/** Slots in use. */
@@ -187,7 +190,7 @@
 		this.expire()
 		if (call.stamp >= 0) this.leaseEnd = Math.max(this.leaseEnd, call.stamp + call.leaseMs)
 		const refused: TaskExchangeReply['refused'] = []
-		for (const order of call.stop) this.stop(order)
+		for (const order of call.stop) this.stopTask(order)
 		for (const order of call.checkpoint) this.end(order, 'stopped')
 		for (const order of call.throttle) this.throttle(order)
 		for (const order of call.start) {
@@ -206,6 +209,12 @@
 		return { stamp: now, leaving, running, ended: this.ended, refused }
 	}
 
+	/** Stops for good. */
+	stop(): void {
+		this.timer.cancel()
+		this.restart()
+	}
+
 	/** Forgets everything, as a replaced instance has. */
 	restart(): void {
 		for (const task of this.running.values()) task.timer?.cancel()
@@ -259,7 +268,7 @@
 	}
 
 	/** A stop of what has not started makes sure that it never does. */
-	private stop(order: { task: string; fence: number }): void {
+	private stopTask(order: { task: string; fence: number }): void {
 		if (this.running.get(order.task)?.fence === order.fence) {
 			this.end(order, 'stopped')
 			return
