A request that everybody left is parked, not refused for ever; the request desk in smaller parts

Cause: a caller whose connection broke sent the same key again, as keys are there for, and was told a final not-run, because its first sending had been withdrawn. Nobody had been told anything that had to stay true.

Change: such a request is parked and taken up again when it is sent again; its attempts go on counting. Waiters and Verdicts come out of RequestDesk. Problems that nobody raises any more are gone.

--- a/apps/entry/src/lib/callers/problems.ts
+++ b/apps/entry/src/lib/callers/problems.ts
@@ -4,15 +4,11 @@
 const TITLES: Record<Problem, string> = {
 	[Problem.Overloaded]: 'More is waiting than can be served in time',
 	[Problem.TimedOut]: 'Its time ran out before it was started',
-	[Problem.Withdrawn]: 'It was withdrawn before it was started',
 	[Problem.KeyReused]: 'The key was used before with another request',
 	[Problem.WorkerSilent]: 'A worker was given it and has not answered',
-	[Problem.HolderLost]: 'The instance that held it went down before it was started',
 	[Problem.HomeUnreachable]: 'The home of the customer cannot be reached',
 	[Problem.NoWorker]: 'No worker could take it in time',
 	[Problem.AnswerForgotten]: 'It ran; the answer is no longer kept',
-	[Problem.Stopping]: 'The instance is stopping',
-	[Problem.Moved]: 'The customer is moving to another data centre',
 }
 
 const STATUS: Partial<Record<Problem, number>> = {
--- a/packages/cell/src/lib/commands/DataCentreCommand.ts
+++ b/packages/cell/src/lib/commands/DataCentreCommand.ts
@@ -46,6 +46,9 @@
 /** An attempt certainly did not start; the request waits again. */
 const unstart = z.object({ kind: z.literal('unstart'), ...requestName, attempt: count })
 
+/** Nobody waits for an admitted request any more, and nobody was told anything: it leaves the queue. */
+const park = z.object({ kind: z.literal('park'), ...requestName, at: moment })
+
 const finish = z.object({
 	kind: z.literal('finish'),
 	...requestName,
@@ -163,6 +166,7 @@
 	admit,
 	start,
 	unstart,
+	park,
 	finish,
 	forget,
 	lend,
--- a/packages/cell/src/lib/desk/DataCentreDesk.ts
+++ b/packages/cell/src/lib/desk/DataCentreDesk.ts
@@ -208,6 +208,8 @@
 				return this.requests.started(command, counted, moment)
 			case 'unstart':
 				return this.requests.unstarted(command, moment)
+			case 'park':
+				return this.requests.parked(command, counted, moment)
 			case 'finish':
 				return this.requests.finished(command, moment)
 			case 'lend':
--- a/packages/cell/src/lib/desk/RequestDesk.ts
+++ b/packages/cell/src/lib/desk/RequestDesk.ts
@@ -3,9 +3,8 @@
  * once. Nothing is started before its start is committed, and nothing is answered before its end is.
  */
 import { AttemptEnd, type Report, type Submit, type Withdraw } from '@rillrudder/protocol'
-import Heap from 'heap-js'
 import type { CommandOf } from '../commands/DataCentreCommand'
-import { keepAnswer, restoreAnswer } from '../records/Answer'
+import { keepAnswer } from '../records/Answer'
 import { Outcome, Problem } from '../records/Outcome'
 import type { DataCentreState } from '../state/DataCentreState'
 import { Phase, type RequestRecord } from '../state/RequestBook'
@@ -15,12 +14,10 @@
 import type { HomeDesk } from './HomeDesk'
 import type { SlotChoice } from './SlotChoice'
 import { outlast, START_WINDOW } from './timing'
+import { Verdicts } from './Verdicts'
+import { requestName, Waiters } from './Waiters'
 import type { SettleReply } from './workerProtocol'
 
-const SERVICE_TIME_WEIGHT = 0.1
-const FIRST_SERVICE_TIME = 20
-const LEAST_RETRY_AFTER = 500
-const MOST_RETRY_AFTER = 30_000
 const SAY_AGAIN_EVERY = 1000
 const FIRST_PAUSE = 10
 const MOST_DOUBLINGS = 7
@@ -33,26 +30,14 @@
 	readonly customerQueue: (customer: string) => number
 }
 
-interface Waiter {
-	readonly customer: string
-	readonly key: string
-	readonly callersKey: boolean
-	/** Monotonic moment at which the caller's time is over. */
-	readonly callersDeadline: number
-	/** When to look at it next: first at the caller's deadline. */
-	readonly deadline: number
-	/** Processes that wait for the verdict. */
-	readonly processes: Set<string>
-}
-
 /**
  * The leader's desk for requests that are not repeatable.
  *
  * @internal
  */
 export class RequestDesk {
-	private readonly waiters = new Map<string, Waiter>()
-	private readonly deadlines = new Heap<Waiter>((a, b) => a.deadline - b.deadline)
+	private readonly waiters = new Waiters()
+	private readonly verdicts: Verdicts
 	/** Requests for which a command is under way. */
 	private readonly busy = new Set<string>()
 	/** Requests whose start follows their admission in one batch. */
@@ -60,8 +45,6 @@
 	/** Customers whose oldest request waits for a slot, the longest wait first. */
 	private readonly starved = new Set<string>()
 	private readonly doubts: Doubts
-	private readonly serviceTimes = new Map<string, number>()
-	private readonly startedAt = new Map<string, number>()
 	/** When this leader last said that a request may go; such an attempt is never taken back unasked. */
 	private readonly goSaidAt = new Map<string, number>()
 	/** An attempt that was taken back is followed by the next one only after a pause that grows. */
@@ -77,6 +60,7 @@
 		private readonly limits: () => RequestLimits
 	) {
 		this.doubts = new Doubts(state, effects)
+		this.verdicts = new Verdicts(state.requests, effects)
 	}
 
 	/** Starts to serve what leaders before this one have admitted. */
@@ -88,12 +72,11 @@
 	/** Forgets what only a leader needs. */
 	clear(): void {
 		this.waiters.clear()
-		this.deadlines.clear()
+		this.verdicts.clear()
 		this.busy.clear()
 		this.chained.clear()
 		this.starved.clear()
 		this.doubts.clear()
-		this.startedAt.clear()
 		this.goSaidAt.clear()
 		this.notBefore.clear()
 	}
@@ -102,9 +85,10 @@
 	submit(from: string, submit: Submit, moment: Moment): void {
 		const { customer, key } = submit
 		const record = this.state.requests.find(customer, key)
-		if (record) this.resubmit(from, submit, record, moment)
+		if (record && record.phase !== Phase.Parked) this.resubmit(from, submit, record, moment)
+		else if (record && record.digest !== submit.digest) this.refuseReuse(from, submit)
 		else if (!this.homes.owns(customer)) this.sendHome(from, submit)
-		else if (this.busy.has(nameOf(submit))) this.wait(from, submit, moment)
+		else if (this.busy.has(requestName(submit))) this.waiters.add(from, submit, moment.now)
 		else this.take(from, submit, moment)
 	}
 
@@ -118,7 +102,7 @@
 		} else if (report.end === AttemptEnd.ATTEMPT_END_NOT_STARTED) {
 			this.unstart(record)
 		} else if (report.end === AttemptEnd.ATTEMPT_END_ABSENT) {
-			this.waiters.get(nameOf(record))?.processes.delete(from)
+			this.waiters.leave(from, record)
 			this.unstart(record)
 		} else {
 			this.doubts.lost(record, moment.now)
@@ -127,13 +111,10 @@
 
 	/** The caller no longer waits; what has started runs on. */
 	withdraw(from: string, withdraw: Withdraw, moment: Moment): void {
-		const waiter = this.waiters.get(nameOf(withdraw))
-		waiter?.processes.delete(from)
-		if (waiter && waiter.processes.size > 0) return
+		this.waiters.leave(from, withdraw)
+		if (this.waiters.anyFor(withdraw)) return
 		const record = this.state.requests.find(withdraw.customer, withdraw.key)
-		if (record?.phase !== Phase.Admitted) return
-		const problem = Problem.Withdrawn
-		this.finish(record, { outcome: Outcome.NotRun, problem }, moment)
+		if (record?.phase === Phase.Admitted) this.park(record, moment)
 	}
 
 	/** Takes a worker's word on an attempt that was in doubt. */
@@ -175,29 +156,29 @@
 
 	/** A request was admitted. */
 	admitted(command: CommandOf<'admit'>, counted: boolean, moment: Moment): void {
-		if (this.chained.has(nameOf(command))) return
-		this.busy.delete(nameOf(command))
+		if (this.chained.has(requestName(command))) return
+		this.busy.delete(requestName(command))
 		if (counted) this.advance(command.customer, moment)
 	}
 
 	/** A start was committed: the holder may go, and nobody else ever for this attempt. */
 	started(command: CommandOf<'start'>, counted: boolean, moment: Moment): void {
-		this.busy.delete(nameOf(command))
-		this.chained.delete(nameOf(command))
+		this.busy.delete(requestName(command))
+		this.chained.delete(requestName(command))
 		this.slots.unhold(command.worker)
 		const record = this.state.requests.find(command.customer, command.key)
 		if (!counted || !record) return this.advance(command.customer, moment)
-		this.startedAt.set(nameOf(command), moment.now)
+		this.verdicts.began(command, moment.now)
 		const holder = this.holders.find(command.holder)
 		if (holder) this.sayGo(record, holder, moment)
 	}
 
 	/** An attempt was taken back. */
 	unstarted(command: CommandOf<'unstart'>, moment: Moment): void {
-		const name = nameOf(command)
+		const name = requestName(command)
 		this.busy.delete(name)
 		this.goSaidAt.delete(name)
-		this.startedAt.delete(name)
+		this.verdicts.takenBack(command)
 		const doubled = FIRST_PAUSE * 2 ** Math.min(command.attempt - 1, MOST_DOUBLINGS)
 		this.notBefore.set(name, moment.now + doubled)
 		this.advance(command.customer, moment)
@@ -206,29 +187,35 @@
 
 	/** A request has ended, and its end is lasting. */
 	finished(command: CommandOf<'finish'>, moment: Moment): void {
-		const name = nameOf(command)
+		const name = requestName(command)
 		this.busy.delete(name)
 		this.goSaidAt.delete(name)
 		this.notBefore.delete(name)
-		this.learn(command.customer, name, moment.now)
+		this.verdicts.ended(command, moment.now)
 		const record = this.state.requests.find(command.customer, command.key)
-		const waiter = this.waiters.get(name)
-		this.waiters.delete(name)
-		if (record && waiter) for (const process of waiter.processes) this.tell(process, record)
+		const processes = this.waiters.processesFor(command)
+		this.waiters.remove(command)
+		if (record) for (const process of processes) this.verdicts.tell(process, record)
 		this.advance(command.customer, moment)
 		this.feedStarved(moment)
 	}
 
+	/** A request that nobody waits for has left the queue; it is taken up again if it is sent again. */
+	parked(command: CommandOf<'park'>, counted: boolean, moment: Moment): void {
+		this.busy.delete(requestName(command))
+		if (counted && !this.waiters.anyFor(command)) this.waiters.remove(command)
+		this.advance(command.customer, moment)
+	}
+
 	private take(from: string, submit: Submit, moment: Moment): void {
-		const wait = this.expectedWait(submit.customer)
-		if (this.isOverloaded(submit, wait)) {
-			this.shed(from, submit, wait, moment)
+		if (this.isOverloaded(submit)) {
+			this.shed(from, submit, moment)
 			return
 		}
 		const holder = this.holders.ofProcess(from)
 		if (!holder) return
-		this.wait(from, submit, moment)
-		this.busy.add(nameOf(submit))
+		this.waiters.add(from, submit, moment.now)
+		this.busy.add(requestName(submit))
 		const { customer, key, digest, timeoutMs } = submit
 		this.effects.commands.push({
 			kind: 'admit',
@@ -240,8 +227,9 @@
 			at: moment.at,
 		})
 		if (this.state.requests.openOf(customer) > 0) return
-		if (this.proposeStart({ customer, key, attempt: 0, worker: '' }, holder, moment)) {
-			this.chained.add(nameOf(submit))
+		const attempt = this.state.requests.find(customer, key)?.attempt ?? 0
+		if (this.proposeStart({ customer, key, attempt, worker: '' }, holder, moment)) {
+			this.chained.add(requestName(submit))
 		}
 	}
 
@@ -251,10 +239,10 @@
 			return
 		}
 		if (record.phase === Phase.Finished) {
-			this.tell(from, record)
+			this.verdicts.tell(from, record)
 			return
 		}
-		this.wait(from, submit, moment)
+		this.waiters.add(from, submit, moment.now)
 		if (record.phase === Phase.Started) this.reconcile(from, submit, record, moment)
 		else this.advance(submit.customer, moment)
 	}
@@ -266,43 +254,27 @@
 	private reconcile(from: string, submit: Submit, record: RequestRecord, moment: Moment): void {
 		if (submit.term !== moment.term) return
 		const same = this.holders.ofProcess(from)?.life === record.holder
-		const told = this.goSaidAt.has(nameOf(submit))
+		const told = this.goSaidAt.has(requestName(submit))
 		if (same && !told && submit.runningAttempt !== record.attempt) this.unstart(record)
 	}
 
-	private wait(from: string, submit: Submit, moment: Moment): void {
-		const name = nameOf(submit)
-		const known = this.waiters.get(name)
-		if (known) {
-			known.processes.add(from)
-			return
-		}
-		const { customer, key, callersKey } = submit
-		const deadline = moment.now + submit.timeoutMs
-		const processes = new Set([from])
-		const callersDeadline = deadline
-		const waiter = { customer, key, callersKey, callersDeadline, deadline, processes }
-		this.waiters.set(name, waiter)
-		this.deadlines.push(waiter)
-	}
-
-	private isOverloaded(submit: Submit, wait: number): boolean {
+	private isOverloaded(submit: Submit): boolean {
 		const { queue, customerQueue } = this.limits()
 		if (this.state.requests.open >= queue) return true
 		if (this.state.requests.openOf(submit.customer) >= customerQueue(submit.customer)) return true
-		return wait > submit.timeoutMs
+		return this.verdicts.expectedWait(submit.customer) > submit.timeoutMs
 	}
 
 	/** What is shed is not run; a key that somebody may send again is kept as not run. */
-	private shed(from: string, submit: Submit, wait: number, moment: Moment): void {
+	private shed(from: string, submit: Submit, moment: Moment): void {
 		const { customer, key, digest } = submit
 		const problem = Problem.Overloaded
 		if (!submit.callersKey) {
-			this.sayVerdict(from, { customer, key }, Outcome.NotRun, problem, wait)
+			this.verdicts.refuse(from, submit, problem)
 			return
 		}
-		this.wait(from, submit, moment)
-		this.busy.add(nameOf(submit))
+		this.waiters.add(from, submit, moment.now)
+		this.busy.add(requestName(submit))
 		const outcome = Outcome.NotRun
 		const at = moment.at
 		this.effects.commands.push({ kind: 'finish', customer, key, digest, outcome, problem, at })
@@ -312,11 +284,11 @@
 	private advance(customer: string, moment: Moment): void {
 		const record = this.state.requests.head(customer)
 		this.starved.delete(customer)
-		if (record?.phase !== Phase.Admitted || this.busy.has(nameOf(record))) return
+		if (record?.phase !== Phase.Admitted || this.busy.has(requestName(record))) return
 		if (this.isTooLate(record, moment)) return
 		const holder = this.holderFor(record, moment.now)
 		if (!holder) return
-		if (moment.now < (this.notBefore.get(nameOf(record)) ?? 0)) {
+		if (moment.now < (this.notBefore.get(requestName(record)) ?? 0)) {
 			this.starved.add(customer)
 			return
 		}
@@ -325,8 +297,7 @@
 
 	/** The caller's time is over, so it is not started any more. */
 	private isTooLate(record: RequestRecord, moment: Moment): boolean {
-		const waiter = this.waiters.get(nameOf(record))
-		if (!waiter || waiter.callersDeadline > moment.now) return false
+		if (!this.waiters.isOver(record, moment.now)) return false
 		const problem = this.starved.has(record.customer) ? Problem.NoWorker : Problem.TimedOut
 		this.finish(record, { outcome: Outcome.NotRun, problem }, moment)
 		return true
@@ -341,7 +312,7 @@
 		const worker = this.slots.choose(moment.now, record.worker)
 		if (!worker) return false
 		this.slots.hold(worker.id)
-		this.busy.add(nameOf(record))
+		this.busy.add(requestName(record))
 		const { customer, key, attempt } = record
 		const start = { customer, key, attempt: attempt + 1, worker: worker.id, holder: holder.life }
 		this.effects.commands.push({ kind: 'start', ...start })
@@ -351,7 +322,7 @@
 	/** The customer's next request starts in the same batch in which its oldest ends. */
 	private chainNext(customer: string, moment: Moment): void {
 		const next = this.state.requests.next(customer)
-		if (next?.phase !== Phase.Admitted || this.busy.has(nameOf(next))) return
+		if (next?.phase !== Phase.Admitted || this.busy.has(requestName(next))) return
 		const holder = this.holderFor(next, moment.now)
 		if (holder) this.proposeStart(next, holder, moment)
 	}
@@ -365,8 +336,7 @@
 
 	/** A process that has the body and was heard recently enough to start it in time. */
 	private holderFor(record: RequestRecord, now: number): Holder | undefined {
-		const processes = this.waiters.get(nameOf(record))?.processes ?? []
-		for (const process of processes) {
+		for (const process of this.waiters.processesFor(record)) {
 			const holder = this.holders.ofProcess(process)
 			if (holder && now - holder.heardAt < START_WINDOW / 2) return holder
 		}
@@ -374,7 +344,7 @@
 	}
 
 	private sayGo(record: RequestRecord, holder: Holder, moment: Moment): void {
-		this.goSaidAt.set(nameOf(record), moment.now)
+		this.goSaidAt.set(requestName(record), moment.now)
 		const address = this.state.workers.find(record.worker)?.address ?? ''
 		const { customer, key, attempt, worker, fence } = record
 		const value = {
@@ -397,7 +367,7 @@
 	 * said while the attempt is being taken back or ended.
 	 */
 	private sayGoAgain(record: RequestRecord, moment: Moment): void {
-		const name = nameOf(record)
+		const name = requestName(record)
 		if (this.busy.has(name)) return
 		const due = (this.goSaidAt.get(name) ?? this.takenOverAt) + SAY_AGAIN_EVERY
 		const holder = this.holders.find(record.holder)
@@ -405,9 +375,9 @@
 	}
 
 	private unstart(record: RequestRecord): void {
-		if (this.busy.has(nameOf(record))) return
+		if (this.busy.has(requestName(record))) return
 		this.doubts.remove(record)
-		this.busy.add(nameOf(record))
+		this.busy.add(requestName(record))
 		const { customer, key, attempt } = record
 		this.effects.commands.push({ kind: 'unstart', customer, key, attempt })
 	}
@@ -417,34 +387,30 @@
 		end: Pick<CommandOf<'finish'>, 'outcome' | 'problem' | 'answer'>,
 		moment: Moment
 	): void {
-		if (this.busy.has(nameOf(record))) return
+		if (this.busy.has(requestName(record))) return
 		this.doubts.remove(record)
-		this.busy.add(nameOf(record))
+		this.busy.add(requestName(record))
 		const { customer, key } = record
 		this.effects.commands.push({ kind: 'finish', customer, key, ...end, at: moment.at })
 		if (this.state.requests.head(customer) === record) this.chainNext(customer, moment)
 	}
 
+	/** A start that is taken back, or an admission that does not count, leaves the caller's time over. */
 	private expire(moment: Moment): void {
-		for (let first = this.deadlines.peek(); first; first = this.deadlines.peek()) {
-			if (first.deadline > moment.now) return
-			this.deadlines.pop()
-			if (this.waiters.get(nameOf(first)) !== first) continue
-			const record = this.state.requests.find(first.customer, first.key)
+		for (const waiter of this.waiters.takeDue(moment.now)) {
+			const record = this.state.requests.find(waiter.customer, waiter.key)
 			if (record?.phase === Phase.Finished) continue
-			if (record?.phase !== Phase.Admitted || this.busy.has(nameOf(first))) {
-				this.lookAgain(first, moment)
-				continue
-			}
-			this.isTooLate(record, moment)
+			const waits = record?.phase === Phase.Admitted && !this.busy.has(requestName(record))
+			if (waits) this.isTooLate(record, moment)
+			else this.waiters.lookAgain(waiter, moment.now)
 		}
 	}
 
-	/** A start that is taken back, or an admission that does not count, leaves the caller's time over. */
-	private lookAgain(waiter: Waiter, moment: Moment): void {
-		const later = { ...waiter, deadline: moment.now + LEAST_RETRY_AFTER }
-		this.waiters.set(nameOf(waiter), later)
-		this.deadlines.push(later)
+	private park(record: RequestRecord, moment: Moment): void {
+		if (this.busy.has(requestName(record))) return
+		this.busy.add(requestName(record))
+		const { customer, key } = record
+		this.effects.commands.push({ kind: 'park', customer, key, at: moment.at })
 	}
 
 	/** Looks after a request whose holder has gone silent, or has not heard that it may go. */
@@ -452,11 +418,8 @@
 		const { now } = moment
 		if (record.phase === Phase.Admitted) {
 			const patience = outlast(START_WINDOW)
-			const waiter = this.waiters.get(nameOf(record))
-			const held = waiter !== undefined && waiter.processes.size > 0
-			if (held || this.busy.has(nameOf(record)) || now - this.takenOverAt < patience) return
-			const problem = Problem.HolderLost
-			this.finish(record, { outcome: Outcome.NotRun, problem }, moment)
+			const fresh = now - this.takenOverAt < patience
+			if (!fresh && !this.waiters.anyFor(record)) this.park(record, moment)
 			return
 		}
 		if (this.doubts.has(record)) return
@@ -477,47 +440,7 @@
 		this.effects.sendings.push({ to: from, event: { body: { $case: 'redirect', value } } })
 	}
 
-	private tell(process: string, record: RequestRecord): void {
-		const outcome = record.outcome ?? Outcome.Unknown
-		const forgotten = outcome === Outcome.Ran && !record.answer
-		const problem = forgotten ? Problem.AnswerForgotten : (record.problem ?? '')
-		const wait = this.expectedWait(record.customer)
-		const answer = record.answer ? restoreAnswer(record.answer) : undefined
-		this.sayVerdict(process, record, outcome, problem, wait, answer)
-	}
-
 	private refuseReuse(from: string, submit: Submit): void {
-		this.sayVerdict(from, submit, Outcome.NotRun, Problem.KeyReused, 0)
-	}
-
-	private sayVerdict(
-		to: string,
-		name: { customer: string; key: string },
-		outcome: Outcome,
-		problem: string,
-		wait: number,
-		answer?: ReturnType<typeof restoreAnswer>
-	): void {
-		const { customer, key } = name
-		const retryAfterMs = Math.min(MOST_RETRY_AFTER, Math.max(LEAST_RETRY_AFTER, Math.ceil(wait)))
-		const value = { customer, key, outcome, problem, answer, retryAfterMs }
-		this.effects.sendings.push({ to, event: { body: { $case: 'verdict', value } } })
+		this.verdicts.refuse(from, submit, Problem.KeyReused)
 	}
-
-	private expectedWait(customer: string): number {
-		const each = this.serviceTimes.get(customer) ?? FIRST_SERVICE_TIME
-		return this.state.requests.openOf(customer) * each
-	}
-
-	private learn(customer: string, name: string, now: number): void {
-		const since = this.startedAt.get(name)
-		if (since === undefined) return
-		this.startedAt.delete(name)
-		const known = this.serviceTimes.get(customer) ?? now - since
-		this.serviceTimes.set(customer, known + (now - since - known) * SERVICE_TIME_WEIGHT)
-	}
-}
-
-function nameOf(request: { customer: string; key: string }): string {
-	return `${request.customer}\n${request.key}`
 }
--- a/packages/cell/src/lib/records/Outcome.ts
+++ b/packages/cell/src/lib/records/Outcome.ts
@@ -18,24 +18,16 @@
 	Overloaded: 'overloaded',
 	/** Its time ran out before it was started. */
 	TimedOut: 'timed-out',
-	/** The caller went away before it was started. */
-	Withdrawn: 'withdrawn',
 	/** The key was used before with another body. */
 	KeyReused: 'key-reused',
 	/** A worker was given it and did not answer. */
 	WorkerSilent: 'worker-silent',
-	/** The instance that held it went down before it was started. */
-	HolderLost: 'holder-lost',
 	/** The home of its customer can't be reached. */
 	HomeUnreachable: 'home-unreachable',
 	/** No worker could take it in time. */
 	NoWorker: 'no-worker',
 	/** The answer is no longer kept. */
 	AnswerForgotten: 'answer-forgotten',
-	/** The instance is stopping. */
-	Stopping: 'stopping',
-	/** The customer has moved to another data centre. */
-	Moved: 'moved',
 } as const
 /** One of the problems. @public */
 export type Problem = (typeof Problem)[keyof typeof Problem]
--- a/packages/cell/src/lib/state/DataCentreState.ts
+++ b/packages/cell/src/lib/state/DataCentreState.ts
@@ -86,6 +86,8 @@
 				return this.start(command, index)
 			case 'unstart':
 				return this.endAttempt(command, () => this.requests.unstart(command))
+			case 'park':
+				return this.requests.park(command)
 			case 'finish':
 				return this.endAttempt(command, () => this.requests.finish(command))
 			case 'forget':
--- a/packages/cell/src/lib/state/RequestBook.ts
+++ b/packages/cell/src/lib/state/RequestBook.ts
@@ -5,7 +5,13 @@
 import { Outcome, type Problem } from '../records/Outcome'
 
 /** Where a request is in its life. @public */
-export const Phase = { Admitted: 'admitted', Started: 'started', Finished: 'finished' } as const
+export const Phase = {
+	Admitted: 'admitted',
+	Started: 'started',
+	/** Admitted once, and then left by everybody before it was started; sent again, it is admitted anew. */
+	Parked: 'parked',
+	Finished: 'finished',
+} as const
 /** One of the phases. @public */
 export type Phase = (typeof Phase)[keyof typeof Phase]
 
@@ -104,9 +110,12 @@
 
 	admit(command: CommandOf<'admit'>): void {
 		const book = this.book(command.customer)
-		if (book.records.has(command.key)) return
+		const known = book.records.get(command.key)
+		if (known && known.phase !== Phase.Parked) return
 		const { customer, key, digest, holder, timeout, at } = command
 		const record = blankRecord({ customer, key, digest, holder, timeout, at })
+		// Attempts go on counting, so that no two of them are ever the same.
+		record.attempt = known?.attempt ?? 0
 		book.records.set(key, record)
 		book.open.push(key)
 		this.openCount += 1
@@ -135,6 +144,19 @@
 		return true
 	}
 
+	/** @returns whether the request left the queue. */
+	park(command: CommandOf<'park'>): boolean {
+		const book = this.book(command.customer)
+		const record = book.records.get(command.key)
+		if (record?.phase !== Phase.Admitted) return false
+		book.open.splice(book.open.indexOf(command.key), 1)
+		this.openCount -= 1
+		record.phase = Phase.Parked
+		record.at = command.at
+		this.remember(record)
+		return true
+	}
+
 	/** @returns whether the request ended by this command; the first end stands. */
 	finish(command: CommandOf<'finish'>): boolean {
 		const book = this.book(command.customer)
@@ -143,7 +165,7 @@
 		if (!record) {
 			record = this.neverAdmitted(command)
 			book.records.set(command.key, record)
-		} else {
+		} else if (record.phase !== Phase.Parked) {
 			const started = record.phase === Phase.Started
 			if (started && command.outcome === Outcome.NotRun) return false
 			book.open.splice(book.open.indexOf(command.key), 1)
@@ -187,7 +209,8 @@
 		for (const record of records) {
 			const book = this.book(record.customer)
 			if (book.records.has(record.key)) continue
-			invariant(record.phase === Phase.Finished, 'a home moves only when nothing is open')
+			const ended = record.phase === Phase.Finished || record.phase === Phase.Parked
+			invariant(ended, 'a home moves only when nothing is open')
 			book.records.set(record.key, { ...record })
 			this.remember(record)
 		}
@@ -259,8 +282,10 @@
 		this.answerBytes -= one.bytes
 	}
 
+	/** A request that was taken up again since then stays. */
 	private dropKey(one: Finished): void {
-		this.customers.get(one.customer)?.records.delete(one.key)
+		const record = this.find(one.customer, one.key)
+		if (record?.at === one.at) this.customers.get(one.customer)?.records.delete(one.key)
 	}
 }
 
--- /dev/null
+++ b/packages/scheduler/src/lib/scheduler.test.ts
@@ -0,0 +1,176 @@
+/** Properties of the ledger, the placement, worker health and lent slots. */
+import assert from 'node:assert/strict'
+import { test } from 'node:test'
+import fc from 'fast-check'
+import { IntentKind } from '@rillrudder/settings'
+import { Random } from '@rillrudder/utils'
+import { Ledger } from './capacity/Ledger'
+import { WorkerHealth } from './health/WorkerHealth'
+import { Placement } from './placement/Placement'
+import { Waiting, type Task } from './placement/Task'
+import { SlotPool } from './requests/SlotPool'
+
+const CAPACITY = { cpu: 8000, memory: 8192, accelerators: 0 }
+let made = 0
+
+function task(change: Partial<Task>): Task {
+	made += 1
+	return {
+		id: `t${made}`,
+		intent: 'i',
+		team: 'team',
+		kind: IntentKind.Batch,
+		need: { cpu: 1000, memory: 1024, accelerators: 0 },
+		urgent: false,
+		runTime: 1000,
+		submitted: 0,
+		checkpoints: false,
+		gangSize: 1,
+		...change,
+	}
+}
+
+function cell(workers: number) {
+	const random = new Random(1)
+	const ledger = new Ledger(random)
+	for (let number = 0; number < workers; number++) {
+		const rack = `r${Math.floor(number / 2)}`
+		ledger.join({ id: `w${number}`, rack, capacity: CAPACITY, slots: 8 })
+	}
+	return { ledger, placement: new Placement(ledger, random) }
+}
+
+test('whatever starts and ends, no worker is overcommitted and all comes back', () => {
+	const step = fc.record({
+		cpu: fc.integer({ min: 1, max: 9000 }),
+		memory: fc.integer({ min: 1, max: 9000 }),
+		ends: fc.boolean(),
+	})
+	fc.assert(
+		fc.property(fc.array(step, { maxLength: 80 }), (steps) => {
+			const { ledger, placement } = cell(4)
+			const running: string[] = []
+			steps.forEach(({ cpu, memory, ends }, now) => {
+				placement.submit([task({ need: { cpu, memory, accelerators: 0 } })])
+				for (const decision of placement.decide(now, 20)) running.push(decision.task.id)
+				const first = ends ? running.shift() : undefined
+				if (first) placement.ended(first)
+			})
+			for (const id of running) placement.ended(id)
+			for (const worker of ledger.all()) assert.deepEqual(worker.free, CAPACITY)
+		}),
+		{ seed: 7, numRuns: 100 }
+	)
+})
+
+test('a gang starts whole or not at all, and in the end it starts', () => {
+	const { placement } = cell(2)
+	const small = Array.from({ length: 12 }, () => task({}))
+	for (const one of small) placement.submit([one])
+	placement.decide(0, 100)
+	const gang = Array.from({ length: 8 }, () =>
+		task({ kind: IntentKind.Gang, gangSize: 8, intent: 'gang', submitted: 0 })
+	)
+	placement.submit(gang)
+	assert.equal(placement.decide(1000, 100).length, 0)
+	assert.equal(placement.whyWaiting(gang[0].id), Waiting.Gang)
+	// Small work goes on arriving; without a hold it would take what comes free for ever.
+	let started = 0
+	for (let now = 31_000; now < 60_000 && started === 0; now += 1000) {
+		const gone = small.shift()
+		if (gone) placement.ended(gone.id)
+		placement.submit([task({ submitted: now })])
+		const decisions = placement.decide(now, 100)
+		started = decisions.filter((one) => one.task.intent === 'gang').length
+	}
+	assert.equal(started, 8)
+})
+
+test('urgent work makes batch give way, gentlest first', () => {
+	const { placement } = cell(1)
+	for (let count = 0; count < 8; count++) {
+		placement.submit([task({ throttleTo: count === 0 ? 100 : undefined, checkpoints: true })])
+	}
+	placement.decide(0, 100)
+	const need = { cpu: 800, memory: 0, accelerators: 0 }
+	placement.submit([task({ urgent: true, need, team: 'other' })])
+	const [relief] = placement.decide(1, 100)
+	assert.ok(relief.kind === 'relieve')
+	assert.equal(relief.how, 'throttle')
+	placement.throttled(relief.task.id, 100)
+	const [start] = placement.decide(2, 100)
+	assert.equal(start.kind, 'start')
+})
+
+test('a team at its quota waits, and others go on', () => {
+	const { placement } = cell(2)
+	placement.setTeams([
+		{ name: 'small', weight: 1, quota: { cpu: 1000, memory: 9000, accelerators: 0 } },
+	])
+	const tasks = [1, 2, 3].map(() => task({ team: 'small' }))
+	for (const one of tasks) placement.submit([one])
+	placement.submit([task({ team: 'other' })])
+	assert.equal(placement.decide(0, 100).length, 2)
+	assert.equal(placement.whyWaiting(tasks[2].id), Waiting.Quota)
+})
+
+test('services keep away from their siblings', () => {
+	const { placement } = cell(8)
+	const tasks = Array.from({ length: 8 }, () => task({ kind: IntentKind.Service }))
+	for (const one of tasks) placement.submit([one])
+	const workers = placement.decide(0, 100).map((one) => one.worker)
+	assert.equal(new Set(workers).size, 8)
+})
+
+test('a worker that fails for several customers is closed, tried again, and comes back', () => {
+	const health = new WorkerHealth()
+	for (let count = 0; count < 20; count++) for (const id of ['w1', 'w2', 'w3']) health.succeeded(id)
+	for (let count = 0; count < 40; count++) health.failed('w1', `c${count % 3}`, 0)
+	assert.equal(health.isOpen('w1', 1), false)
+	assert.equal(health.isOpen('w1', 1_000_000), true)
+	for (let count = 0; count < 3; count++) health.succeeded('w1')
+	assert.equal(health.isOnProbe('w1'), false)
+	assert.equal(health.closed, 0)
+})
+
+test('one customer whose requests fail closes no worker, and never are most workers closed', () => {
+	const health = new WorkerHealth()
+	for (let count = 0; count < 50; count++) health.failed('w1', 'one customer', 0)
+	assert.equal(health.isOpen('w1', 1), true)
+	const workers = Array.from({ length: 10 }, (_, number) => `x${number}`)
+	for (const id of workers) for (let count = 0; count < 30; count++) health.succeeded(id)
+	for (let round = 0; round < 40; round++) {
+		for (const id of workers.slice(0, 6)) health.failed(id, `c${round % 4}`, 0)
+	}
+	const closed = workers.filter((id) => !health.isOpen(id, 1))
+	assert.ok(closed.length <= 2)
+})
+
+test('slots in use are held until they are free, also when the loan shrinks', () => {
+	const pool = new SlotPool(new Random(1))
+	const lent = (slots: number) => [{ worker: 'w1', address: 'a', slots }]
+	pool.set(lent(2))
+	const taken = [pool.take(), pool.take()]
+	assert.ok(taken.every((slot) => slot?.worker === 'w1'))
+	assert.equal(pool.take(), undefined)
+	pool.set(lent(0))
+	assert.deepEqual(
+		pool.held().map((one) => one.slots),
+		[2]
+	)
+	pool.free('w1', 5)
+	assert.equal(pool.take(), undefined)
+	pool.free('w1', 5)
+	assert.deepEqual(pool.held(), [])
+})
+
+test('a worker that has refused work gets none until it is lent anew', () => {
+	const pool = new SlotPool(new Random(1))
+	pool.set([{ worker: 'w1', address: 'a', slots: 2 }])
+	pool.close('w1')
+	pool.set([{ worker: 'w1', address: 'a', slots: 2 }])
+	assert.equal(pool.take(), undefined)
+	pool.set([])
+	pool.set([{ worker: 'w1', address: 'a', slots: 2 }])
+	assert.equal(pool.take()?.worker, 'w1')
+})
