One rule for who hands the configuration on; shared flags; today's instances in one place

Cause: the runs had a rule of their own for who serves the configuration, and the real one differed: it also served data centres whose voter was away, which could show an instance without a disk a lower revision after a restart. Flags of both programs and the list of seven instances stood twice.

Change: servesPeer, used by the process and by the runs; PROCESS_FLAGS; SEVEN_INSTANCES in fakes. Before: two rules, one untested.

--- a/apps/bench/src/lib/ProcessCell.ts
+++ b/apps/bench/src/lib/ProcessCell.ts
@@ -3,7 +3,8 @@
 import { mkdirSync, mkdtempSync, readFileSync, rmSync } from 'node:fs'
 import { tmpdir } from 'node:os'
 import { join } from 'node:path'
-import { freePorts, SEVEN_INSTANCES } from '@rillrudder/demo'
+import { freePorts } from '@rillrudder/demo'
+import { SEVEN_INSTANCES } from '@rillrudder/fakes'
 import { requestJson } from '@rillrudder/web'
 
 const CONTROL = require.resolve('@rillrudder/control/dist/main.js')
--- a/apps/control/src/lib/ControlProcess.ts
+++ b/apps/control/src/lib/ControlProcess.ts
@@ -15,6 +15,7 @@
 	ConfigurationHolder,
 	ConfigurationRelay,
 	OperatorRouter,
+	servesPeer,
 	type OperatorCall,
 	type OperatorReply,
 	type ReplyTo,
@@ -179,7 +180,7 @@
 			clock: this.clock,
 			send: (to, event) => this.send(to, event),
 			peers: () => this.connected,
-			serves: (peer) => this.servesConfigurationTo(peer),
+			serves: (peer) => servesPeer(this.settings.self, this.settings.instances, peer),
 			isCurrent: () => this.system?.isCurrent ?? false,
 			current: () => this.holder.current,
 		})
@@ -338,20 +339,6 @@
 		this.log.debug(connected ? 'peer-connected' : 'peer-lost', { peer })
 	}
 
-	/** A voter of the system's group serves its own data centre, and data centres that have none. */
-	private servesConfigurationTo(peer: string): boolean {
-		if (!this.system) return false
-		const { instances, self } = this.settings
-		const peerInstance = instances.find((one) => one.id === peer.split('/')[0])
-		if (!peerInstance) return false
-		if (peerInstance.dataCentre === self.dataCentre) return true
-		const voters = this.groups.find((group) => group.name === SYSTEM_GROUP)?.voters ?? []
-		return !voters.some((voter) => {
-			const instance = instances.find((one) => one.id === voter.id)
-			return instance?.dataCentre === peerInstance.dataCentre && this.connected.has(voter.id)
-		})
-	}
-
 	private configured(revision: KeptRevision): void {
 		this.metrics.gauge(Metric.ConfigurationRevision, revision.revision)
 		this.log.info('configuration-in-force', { revision: revision.revision })
--- a/apps/demo/src/index.ts
+++ b/apps/demo/src/index.ts
@@ -2,5 +2,5 @@
 export { makeCall, type Call, type CallResult } from './lib/Caller'
 export { FakeFleet, TODAYS_WORKERS, type FleetPlan } from './lib/FakeFleet'
 export { freePorts } from './lib/freePorts'
-export { LocalCell, SEVEN_INSTANCES, type CellInstance, type InstancePlan } from './lib/LocalCell'
+export { LocalCell, type CellInstance } from './lib/LocalCell'
 export { MixedDay } from './lib/MixedDay'
--- a/apps/demo/src/lib/LocalCell.test.ts
+++ b/apps/demo/src/lib/LocalCell.test.ts
@@ -2,12 +2,13 @@
 import assert from 'node:assert/strict'
 import { request as httpRequest } from 'node:http'
 import { after, before, test } from 'node:test'
+import { SEVEN_INSTANCES } from '@rillrudder/fakes'
 import { dataCentresOf } from '@rillrudder/settings'
 import { SystemClock } from '@rillrudder/utils'
 import { requestJson } from '@rillrudder/web'
 import { makeCall, type CallResult } from './Caller'
 import { FakeFleet, TODAYS_WORKERS } from './FakeFleet'
-import { LocalCell, SEVEN_INSTANCES } from './LocalCell'
+import { LocalCell } from './LocalCell'
 
 const clock = new SystemClock()
 const instances = SEVEN_INSTANCES.map((one) => ({ ...one, address: '' }))
--- a/apps/demo/src/lib/LocalCell.ts
+++ b/apps/demo/src/lib/LocalCell.ts
@@ -4,6 +4,7 @@
 import { join } from 'node:path'
 import { ControlProcess } from '@rillrudder/control'
 import { EntryProcess } from '@rillrudder/entry'
+import type { InstancePlan } from '@rillrudder/fakes'
 import type { Instance } from '@rillrudder/settings'
 import { Log } from '@rillrudder/telemetry'
 import type { Clock } from '@rillrudder/utils'
@@ -17,24 +18,6 @@
 	readonly data?: string
 }
 
-/** Where an instance is and whether it has a disk. @public */
-export interface InstancePlan {
-	readonly id: string
-	readonly dataCentre: string
-	readonly disk: boolean
-}
-
-/** The instances that the users have today, seven in three data centres. @public */
-export const SEVEN_INSTANCES: readonly InstancePlan[] = [
-	{ id: 'isani-1', dataCentre: 'isani', disk: true },
-	{ id: 'isani-2', dataCentre: 'isani', disk: false },
-	{ id: 'saburtalo-1', dataCentre: 'saburtalo', disk: true },
-	{ id: 'saburtalo-2', dataCentre: 'saburtalo', disk: false },
-	{ id: 'vake-1', dataCentre: 'vake', disk: true },
-	{ id: 'vake-2', dataCentre: 'vake', disk: false },
-	{ id: 'vake-3', dataCentre: 'vake', disk: false },
-]
-
 const HOST = '127.0.0.1'
 const LOOK_EVERY = 50
 const READY_WITHIN = 30_000
--- a/apps/demo/src/main.ts
+++ b/apps/demo/src/main.ts
@@ -1,11 +1,12 @@
 #!/usr/bin/env node
 /** Runs a cell on loopback, sends it a short mixed day, and prints what happened. */
 import { ExitCode, runCommand } from '@rillrudder/program'
+import { SEVEN_INSTANCES } from '@rillrudder/fakes'
 import { dataCentresOf } from '@rillrudder/settings'
 import { Random, SystemClock } from '@rillrudder/utils'
 import { command, flag, number, option } from 'cmd-ts'
 import { FakeFleet, TODAYS_WORKERS } from './lib/FakeFleet'
-import { LocalCell, SEVEN_INSTANCES } from './lib/LocalCell'
+import { LocalCell } from './lib/LocalCell'
 import { MixedDay } from './lib/MixedDay'
 
 async function demo(once: boolean, seed: number, verbose: boolean): Promise<ExitCode | undefined> {
--- a/packages/cell/src/index.ts
+++ b/packages/cell/src/index.ts
@@ -16,6 +16,7 @@
 	ConfigurationRelay,
 	type ConfigurationRelayParts,
 } from './lib/configuration/ConfigurationRelay'
+export { servesPeer } from './lib/configuration/servesPeer'
 export { DataCentreDesk, type DeskParts } from './lib/desk/DataCentreDesk'
 export { DeskDriver, GroupAccess, Surroundings, type DeskDriverParts } from './lib/desk/DeskDriver'
 export {
--- a/packages/program/src/index.ts
+++ b/packages/program/src/index.ts
@@ -1,4 +1,5 @@
 /** Runs a program: flags and variables, findings, planned stops. */
+export { peersFrom, PROCESS_FLAGS, setting } from './lib/processFlags'
 export {
 	ExitCode,
 	reportFindings,
--- a/packages/runs/src/lib/cell/CellRun.ts
+++ b/packages/runs/src/lib/cell/CellRun.ts
@@ -4,6 +4,7 @@
  * itself and, where it takes more than one process to see it, here.
  */
 import { Witness } from '@rillrudder/consensus'
+import { SEVEN_INSTANCES } from '@rillrudder/fakes'
 import { dataCentresOf, groupsOf, type Instance } from '@rillrudder/settings'
 import { invariant, ManualClock, Random } from '@rillrudder/utils'
 import { CellFault, Faults } from './Faults'
@@ -63,15 +64,10 @@
 	stoppedLife?: number
 }
 
-const INSTANCES: readonly Instance[] = [
-	{ id: 'isani-1', dataCentre: 'isani', disk: true },
-	{ id: 'isani-2', dataCentre: 'isani', disk: false },
-	{ id: 'saburtalo-1', dataCentre: 'saburtalo', disk: true },
-	{ id: 'saburtalo-2', dataCentre: 'saburtalo', disk: false },
-	{ id: 'vake-1', dataCentre: 'vake', disk: true },
-	{ id: 'vake-2', dataCentre: 'vake', disk: false },
-	{ id: 'vake-3', dataCentre: 'vake', disk: false },
-].map((one) => ({ ...one, address: `${one.id}:1` }))
+const INSTANCES: readonly Instance[] = SEVEN_INSTANCES.map((one) => ({
+	...one,
+	address: `${one.id}:1`,
+}))
 
 /**
  * A seeded run of a whole cell.
--- a/packages/runs/src/lib/cell/RunControl.ts
+++ b/packages/runs/src/lib/cell/RunControl.ts
@@ -6,6 +6,7 @@
 	GroupAccess,
 	OperatorRouter,
 	RevisionKeeper,
+	servesPeer,
 	Surroundings,
 	SystemDriver,
 	type GroupCall,
@@ -426,7 +427,7 @@
 			clock: this.clock,
 			send: (to, event) => this.send(to, event),
 			peers: () => this.connected,
-			serves: (peer) => this.serves(peer),
+			serves: (peer) => servesPeer(this.parts.self, this.parts.instances, peer),
 			isCurrent: () => this.system?.isCurrent ?? false,
 			current: () => this.holder.current,
 		})
@@ -455,12 +456,6 @@
 		return driver !== undefined
 	}
 
-	private serves(peer: string): boolean {
-		const { instances, self } = this.parts
-		const instance = instances.find((one) => one.id === peer.split('/')[0])
-		return this.system !== undefined && instance?.dataCentre === self.dataCentre
-	}
-
 	private isFenced(group: string): boolean {
 		return isDown(this.holder.inForce.fences, group)
 	}
