Measure the outage of a leader that is stopped, and find the leader that leads

Cause: fail-over after SIGSTOP was not measured; and a leader that had been stopped held itself for the leader a little longer, so that the next run killed the wrong process and showed 0.13 s. Change: the newest term names the leader; both signals are measured, each on a cell at rest. Before: no figure, or a wrong one.

--- a/apps/bench/src/lib/ProcessCell.ts
+++ b/apps/bench/src/lib/ProcessCell.ts
@@ -21,7 +21,7 @@
 export interface CellStatus {
 	readonly instance: string
 	readonly revision: number
-	readonly groups: readonly { name: string; role: string; leader: string }[]
+	readonly groups: readonly { name: string; role: string; leader: string; term: number }[]
 	readonly metrics: { readonly [name: string]: number }
 }
 
@@ -118,11 +118,16 @@
 
 	/** @returns the instance whose control process leads a group. */
 	async leaderOf(group: string): Promise<ProcessInstance | undefined> {
+		let newest = -1
+		let leader: ProcessInstance | undefined
 		for (const status of await this.statuses()) {
+			// One that was replaced while it stood still may hold itself for the leader a little longer.
 			const led = status.groups.find((one) => one.name === group && one.role === 'leader')
-			if (led) return this.instances.find((one) => one.id === status.instance)
+			if (!led || led.term <= newest) continue
+			newest = led.term
+			leader = this.instances.find((one) => one.id === status.instance)
 		}
-		return undefined
+		return leader
 	}
 
 	/** @returns how often each key was run, over all workers. */
--- a/apps/bench/src/lib/pathBench.ts
+++ b/apps/bench/src/lib/pathBench.ts
@@ -14,6 +14,8 @@
 const CUSTOMERS = 300
 const FIND_ATTEMPTS = 20
 const WARM_UP = 3000
+/** Until a replica that came back leads again, and what it had begun has ended. */
+const SETTLE_FOR = 6000
 const ORDERED_SHARE = 0.2
 
 /** @returns the measurement, with its bars. */
@@ -86,7 +88,10 @@
 	await run('normal', {})
 	const capacity = await run('capacity', { rate: CAPACITY_RATE })
 	const over = await run('1.5 times capacity', { rate: CAPACITY_RATE * 1.5 })
-	const outage = await measureKill(cell, load, seed, all, rows)
+	const killed = await measureOutage(cell, load, seed + 1, all, rows, 'SIGKILL')
+	await new Promise((resolve) => setTimeout(resolve, SETTLE_FOR))
+	const paused = await measureOutage(cell, load, seed + 2, all, rows, 'SIGSTOP')
+	await new Promise((resolve) => setTimeout(resolve, SETTLE_FOR))
 	const { control, entry } = cell.memory()
 	rows.push({
 		name: 'memory',
@@ -96,19 +101,24 @@
 	await cell.stop()
 	const kept = over.goodput / capacity.goodput
 	bars.push({ what: 'goodput at 1.5 times capacity', figure: kept, least: 0.9 })
-	bars.push({ what: 'outage after kill -9 of a leader, s', figure: outage / 1000, most: 3 })
+	bars.push({ what: 'outage after kill -9 of a leader, s', figure: killed / 1000, most: 3 })
+	bars.push({ what: 'outage after SIGSTOP of a leader, s', figure: paused / 1000, most: 3 })
 }
 
 /** Slots that may be lent and those kept back, over the mean time of a request. */
 const CAPACITY_RATE = 1500
 
-/** Kills the leader of a data centre and looks at the longest gap between answers of its customers. */
-async function measureKill(
+/**
+ * Kills or stops the leader of a data centre, and looks at the longest gap between answers of its
+ * customers. A stopped one goes on at the end, and must start nothing.
+ */
+async function measureOutage(
 	cell: ProcessCell,
 	load: Load,
 	seed: number,
 	all: LoadResult[],
-	rows: Row[]
+	rows: Row[],
+	signal: 'SIGKILL' | 'SIGSTOP'
 ): Promise<number> {
 	const leader = await findLeader(cell)
 	const times: number[] = []
@@ -119,9 +129,9 @@
 	}
 	setTimeout(() => {
 		killedAt = performance.now()
-		leader.control.kill('SIGKILL')
+		leader.control.kill(signal)
 	}, SPAN / 2)
-	const result = await sendLoad({ ...load, rate: 300, orderedShare: 0.5 }, seed + 1, seen)
+	const result = await sendLoad({ ...load, rate: 300, orderedShare: 0.5 }, seed, seen)
 	all.push(result)
 	const after = times.filter((at) => at > killedAt).sort((a, b) => a - b)
 	const before = times.filter((at) => at <= killedAt).sort((a, b) => a - b)
@@ -130,9 +140,10 @@
 		(longest, at, position) => Math.max(longest, at - (points[position - 1] ?? at)),
 		0
 	)
-	const row = timesOf('leader killed', result)
+	const row = timesOf(`leader gets ${signal}`, result)
 	rows.push({ ...row, figures: { ...row.figures, 'longest gap ms': Math.round(outage) } })
-	cell.restartControl(leader)
+	if (signal === 'SIGSTOP') leader.control.kill('SIGCONT')
+	else cell.restartControl(leader)
 	return outage
 }
 
