--- a/apps/ctl/src/lib/commands.ts
+++ b/apps/ctl/src/lib/commands.ts
@@ -3,6 +3,7 @@
 import { readFileSync } from 'node:fs'
 import { ExitCode } from '@rillrudder/program'
 import { command, flag, number, option, optional, positional, string, subcommands } from 'cmd-ts'
+import { homesThatMove } from './homesThatMove'
 import { OperatorClient } from './OperatorClient'
 import { show, type Printer } from './output'
 import {
@@ -110,14 +111,32 @@
 	args: {
 		...changing,
 		replaces: option({ type: number, long: 'replaces', description: 'the revision it replaces' }),
+		yes: flag({ long: 'yes', description: 'move the homes that this moves' }),
 		file: positional({ type: string, displayName: 'file', description: 'YAML; - reads input' }),
 	},
 	handler: (flags) =>
-		withFile(flags.file, (document) =>
-			post(flags, '/v1/configuration', { replaces: flags.replaces, document }, printAnswer)
-		),
+		withFile(flags.file, async (document) => {
+			if (!flags.yes && (await wouldMoveHomes(flags, document))) return ExitCode.Failed
+			const body = { replaces: flags.replaces, document }
+			return post(flags, '/v1/configuration', body, printAnswer)
+		}),
 })
 
+/** Shows the homes that a document would move; moving them takes a second look. */
+async function wouldMoveHomes(flags: Common, document: string): Promise<boolean> {
+	const reply = await clientFor(flags).get('/v1/configuration')
+	if (!reply.ok) return false
+	const { content } = (reply.value.body ?? {}) as { content?: { document?: string } }
+	const moving = homesThatMove(content?.document ?? '', document)
+	for (const { customer, from, to } of moving) {
+		const origin = from === '' ? 'the one that follows from its name' : from
+		const target = to === '' ? 'the one that follows from its name' : to
+		process.stderr.write(`the home of ${customer} would move from ${origin} to ${target}\n`)
+	}
+	if (moving.length > 0) process.stderr.write('nothing was done; --yes confirms it\n')
+	return moving.length > 0
+}
+
 const plan = command({
 	name: 'plan',
 	description: 'work out what an intent would move, without moving anything',
