--- a/apps/demo/src/lib/MixedDay.ts
+++ b/apps/demo/src/lib/MixedDay.ts
@@ -10,7 +10,7 @@
 
 const EXAMPLES = join(__dirname, '..', '..', 'examples')
 const SPAN = 6000
-const MEAN_GAP = 4
+const MEAN_GAP = 10
 const CUSTOMERS = [
 	'batumi-council',
 	'kutaisi-council',
