--- a/packages/runs/src/lib/cell/RunControl.ts
+++ b/packages/runs/src/lib/cell/RunControl.ts
@@ -3,18 +3,12 @@
 	ConfigurationHolder,
 	ConfigurationRelay,
 	DeskDriver,
-	GroupAccess,
 	OperatorRouter,
-	RevisionKeeper,
 	servesPeer,
-	Surroundings,
 	SystemDriver,
-	type GroupCall,
 	type ListedWorker,
 	type OperatorCall,
 	type ReplyTo,
-	type SettleCall,
-	type WorkerExchange,
 } from '@rillrudder/cell'
 import type { StateMachine } from '@rillrudder/group'
 import { EntryKind, type Event } from '@rillrudder/protocol'
@@ -33,6 +27,7 @@
 import { emptyDisk, RunReplica, type ReplicaDisk } from '../RunReplica'
 import { RunClock, type RunProcess } from './RunProcess'
 import type { Receiver, RunNetwork } from './RunNetwork'
+import { RunAccess, RunKeeper, RunSurroundings } from './RunSurroundings'
 import type { RunWorkers } from './RunWorkers'
 
 const TICK = 20
@@ -76,102 +71,6 @@
 	snapshotAt: number
 }
 
-/** A replica, as drivers see it. */
-class RunAccess extends GroupAccess {
-	constructor(
-		private readonly running: () => RunReplica,
-		private readonly fenced: () => boolean
-	) {
-		super()
-	}
-
-	override get leads(): boolean {
-		return this.running().replica.leads
-	}
-
-	override get mayAct(): boolean {
-		return this.running().mayAct && !this.fenced()
-	}
-
-	override get leader(): string {
-		return this.running().replica.status.leader
-	}
-
-	override get term(): number {
-		return this.running().replica.status.term
-	}
-
-	override propose(commands: readonly Uint8Array[]): void {
-		this.running().propose(commands)
-	}
-}
-
-/** Keeps revisions on the simulated disk. */
-class RunKeeper extends RevisionKeeper {
-	constructor(
-		private readonly disk: ControlDisk,
-		private readonly after: (span: number, call: () => void) => void,
-		private readonly saveTime: () => number
-	) {
-		super()
-	}
-
-	override save(revision: KeptRevision, done: () => void): void {
-		this.after(this.saveTime(), () => {
-			this.disk.revision = revision
-			done()
-		})
-	}
-}
-
-/** The surroundings of one data centre's driver. */
-class RunSurroundings extends Surroundings {
-	driver!: DeskDriver
-
-	constructor(private readonly control: RunControl) {
-		super()
-	}
-
-	override now(): number {
-		return this.control.clock.now()
-	}
-
-	override at(): number {
-		return this.control.clock.date().getTime()
-	}
-
-	override send(to: string, event: Event): void {
-		this.control.send(to, event)
-	}
-
-	override exchange(exchange: WorkerExchange): void {
-		const { workers, process } = this.control.parts
-		workers.exchange(process, exchange, (reply) => {
-			this.driver.replied(exchange.worker, reply)
-			this.driver.carryOut()
-		})
-	}
-
-	override settle(call: SettleCall): void {
-		const { workers, process } = this.control.parts
-		workers.settle(process, call, (reply) => {
-			this.driver.settled(call, reply)
-			this.driver.carryOut()
-		})
-	}
-
-	override callGroup(call: GroupCall): void {
-		this.control.call(call.group, call.call, (reply) => {
-			this.driver.claimAnswered(call, reply)
-			this.driver.carryOut()
-		})
-	}
-
-	override leadership(): void {
-		// Nothing to log in a run.
-	}
-}
-
 /**
  * A control process of a run.
  *
