--- a/packages/store/src/lib/GroupStore.test.ts
+++ b/packages/store/src/lib/GroupStore.test.ts
@@ -168,6 +168,41 @@
 	await store.close()
 })
 
+/** A file on a disk that is full. */
+class FullFile extends AppendFile {
+	constructor(private readonly inner: AppendFile) {
+		super()
+	}
+
+	override append(): Promise<void> {
+		return Promise.reject(new Error('ENOSPC'))
+	}
+
+	override sync(): Promise<void> {
+		return this.inner.sync()
+	}
+
+	override close(): Promise<void> {
+		return this.inner.close()
+	}
+}
+
+class FullDisk extends SystemDisk {
+	override async openAt(path: string, length: number): Promise<AppendFile> {
+		return new FullFile(await super.openAt(path, length))
+	}
+}
+
+test('a full disk ends the store, and what was saved before is there when there is room', async (context) => {
+	const where = await written(context)
+	const full = await GroupStore.open({ ...where, disk: new FullDisk() })
+	await assert.rejects(full.store.save({ entries: [entry(4)] }), { name: 'StoreFailed' })
+	await full.store.close()
+	const opened = await GroupStore.open(where)
+	assert.equal(opened.restored?.entries.length, 3)
+	await opened.store.close()
+})
+
 test('two processes cannot hold one folder, and a dead holder does not keep it', async (context) => {
 	const { folder } = await files(context)
 	const first = FolderLock.acquire(folder)
