--- a/packages/jobs/src/lib/state/JobBook.ts
+++ b/packages/jobs/src/lib/state/JobBook.ts
@@ -162,9 +162,10 @@
 		task.status = TaskStatus.Waiting
 		if (run.checkpoint !== '') task.checkpoint = run.checkpoint
 		if (run.how === RunEnd.Lost) rememberLost(task, run.attempt)
+		if (run.how === RunEnd.Done || place.step.gangDone) noteDone(place)
+		else if (run.how === RunEnd.Failed) noteFailure(place, run.attempt)
 		this.report({ kind: 'run-ended', task: name, attempt: run.attempt, worker, how: run.how })
-		if (run.how === RunEnd.Done || place.step.gangDone) this.done(place, at)
-		else if (run.how === RunEnd.Failed) this.failed(place, run.attempt, at)
+		this.conclude(place, at)
 		if (!isActive(job)) task.checkpoint = ''
 	}
 
@@ -173,29 +174,20 @@
 		const { task } = place
 		if (!task.lost?.includes(run.attempt)) return
 		task.lost = task.lost.filter((attempt) => attempt !== run.attempt)
-		if (run.how === RunEnd.Failed) this.failed(place, run.attempt, at)
-		if (run.how === RunEnd.Done && task.status === TaskStatus.Waiting) this.done(place, at)
-	}
-
-	private done(place: TaskPlace, at: number): void {
-		const { name, job, step } = place
-		const { gang, lasting } = job.request.steps[name.step]
-		if (lasting) return
-		if (gang) step.gangDone = true
-		const ended = gang ? step.tasks : [place.task]
-		for (const task of ended) markDone(step, task)
-		const complete = job.repeats.every((steps) => steps.every(isStepDone))
-		if (complete && isActive(job)) this.endJob(job, JobState.Completed, at)
-	}
-
-	private failed(place: TaskPlace, attempt: number, at: number): void {
-		const { name, job, step, task } = place
-		const { gang, lasting } = job.request.steps[name.step]
-		if (lasting) return
-		task.failures += 1
-		if (gang && !step.gangFailures.includes(attempt)) step.gangFailures.push(attempt)
+		if (run.how === RunEnd.Failed) noteFailure(place, run.attempt)
+		if (run.how === RunEnd.Done && task.status === TaskStatus.Waiting) noteDone(place)
+		this.conclude(place, at)
+	}
+
+	/** Ends the job once all its tasks are done, or one has failed too often. */
+	private conclude({ name, job, step, task }: TaskPlace, at: number): void {
+		if (!isActive(job)) return
+		const { gang } = job.request.steps[name.step]
 		const failures = gang ? step.gangFailures.length : task.failures
-		if (failures >= job.queue.maxAttempts && isActive(job)) this.endJob(job, JobState.Failed, at)
+		if (failures >= job.queue.maxAttempts) this.endJob(job, JobState.Failed, at)
+		else if (job.repeats.every((steps) => steps.every(isStepDone))) {
+			this.endJob(job, JobState.Completed, at)
+		}
 	}
 
 	private endJob(job: JobRecord, state: JobState, at: number): void {
@@ -214,7 +206,14 @@
 	}
 }
 
-/** A member of a gang that still has a run is done once that run has ended. */
+/** Of a gang one member's end stands for all; members that still run are done once they have ended. */
+function noteDone({ name, job, step, task }: TaskPlace): void {
+	const { gang, lasting } = job.request.steps[name.step]
+	if (lasting) return
+	if (gang) step.gangDone = true
+	for (const ended of gang ? step.tasks : [task]) markDone(step, ended)
+}
+
 function markDone(step: StepRecord, task: TaskRecord): void {
 	if (task.status !== TaskStatus.Waiting) return
 	task.status = TaskStatus.Done
@@ -222,6 +221,14 @@
 	step.done += 1
 }
 
+/** Lasting tasks start again however often they fail. */
+function noteFailure({ name, job, step, task }: TaskPlace, attempt: number): void {
+	const { gang, lasting } = job.request.steps[name.step]
+	if (lasting) return
+	task.failures += 1
+	if (gang && !step.gangFailures.includes(attempt)) step.gangFailures.push(attempt)
+}
+
 function rememberLost(task: TaskRecord, attempt: number): void {
 	task.lost = [...(task.lost ?? []), attempt].slice(-MOST_LOST)
 }
