--- a/packages/jobs/src/lib/desk/StepAdvice.ts
+++ b/packages/jobs/src/lib/desk/StepAdvice.ts
@@ -15,6 +15,10 @@
 export class StepAdvice {
 	/** Whether a question is under way. */
 	asking = false
+	/** How many questions have been asked. */
+	questions = 0
+	/** When the first answer came, on the desk's clock. */
+	firstAnswerAt: number | undefined
 	/** When the next question may be asked, after one that failed. */
 	notBefore = 0
 	private readonly tickets = new Map<string, Ticket>()
--- a/packages/jobs/src/lib/desk/StepBoard.ts
+++ b/packages/jobs/src/lib/desk/StepBoard.ts
@@ -218,8 +218,15 @@
 			this.runs.decided(task, work.advice.ticket(worker, now) ?? '')
 			return { task, attempt, worker }
 		})
-		const waited = Math.round(now - work.since)
-		this.context.log.info(DeskEvent.StepPlaced, { step: work.name, runs: runs.length, waited })
+		this.context.log.info(DeskEvent.StepPlaced, {
+			step: work.name,
+			priority: work.queue.priority,
+			runs: runs.length,
+			waiting: work.waiting().length,
+			waited: Math.round(now - work.since),
+			questions: work.advice.questions,
+			advised: Math.round((work.advice.firstAnswerAt ?? work.since) - work.since),
+		})
 		this.context.proposals.propose({ kind: 'begin', runs })
 	}
 
@@ -230,6 +237,7 @@
 		const workers = workersToAsk(work, eligible, tasks, now + ASK_AGAIN, MOST_ASKED)
 		if (workers.length === 0) return
 		advice.asking = true
+		advice.questions += 1
 		const cost = queue.advice.base + queue.advice.each * workers.length
 		const rank = queue.priority * 1e15 + work.deadline
 		const done = (result: AdviceResult): void => this.advised(work, workers, now, result)
@@ -253,6 +261,7 @@
 			return
 		}
 		const valid = work.queue.advice?.valid ?? 0
+		work.advice.firstAnswerAt ??= now
 		work.advice.answered(asked, result.tickets, now + valid - timing.ticketMargin)
 		const took = Math.round(now - askedAt)
 		const good = result.tickets.size
