Unreachable data centres noticed by two unanswered calls; late orders sent again after 0.4 s; gangs ask for all their tickets at once

Cause: looks took 2 s and orders 1 s to count as unanswered, and each worker of a cut data centre was found out by itself, so every job of the first seconds of a cut had tasks there. Advice through a lost instance was given up after 4 s.

--- a/packages/jobs/src/lib/desk/AdvicePlanner.ts
+++ b/packages/jobs/src/lib/desk/AdvicePlanner.ts
@@ -11,9 +11,11 @@
 /** Share of the instances that is kept free of long answers. */
 const KEPT_FREE = 0.3
 /** Times the expected span, plus `PATIENCE`, after which an answer is given up. */
-const PATIENCE_FACTOR = 3
-/** Milliseconds; the service may be busy with calls of an earlier leader. */
-const PATIENCE = 1500
+const PATIENCE_FACTOR = 1.5
+/** Milliseconds; the service may be busy with a call of an earlier leader. */
+const PATIENCE = 600
+/** Milliseconds for which an instance that brought no answer is asked last. */
+const REST = 3000
 
 /** A question with what it costs and how much it matters. @internal */
 export interface PlannedQuestion extends AdviceQuestion {
@@ -37,6 +39,8 @@
 export class AdvicePlanner {
 	private waiting: PlannedQuestion[] = []
 	private readonly asked = new Map<string, Asked>()
+	/** Until when instances that brought no answer are asked last. */
+	private readonly resting = new Map<string, number>()
 
 	constructor(private readonly context: DeskContext) {}
 
@@ -51,7 +55,8 @@
 		for (const [via, { question, giveUpAt }] of this.asked) {
 			if (now < giveUpAt) continue
 			this.asked.delete(via)
-			question.done({ kind: 'unknown', message: 'no answer' })
+			this.resting.set(via, now + REST)
+			question.done({ kind: 'unknown', message: `no answer through ${via}` })
 		}
 		this.dispatch()
 	}
@@ -59,7 +64,9 @@
 	private dispatch(): void {
 		if (this.waiting.length === 0) return
 		const available = this.context.advisers.available()
-		const free = available.filter((via) => !this.asked.has(via))
+		const free = available
+			.filter((via) => !this.asked.has(via))
+			.sort((left, right) => this.restsUntil(right) - this.restsUntil(left))
 		if (free.length === 0) return
 		this.waiting.sort((left, right) => left.rank - right.rank)
 		const longMost = Math.max(1, Math.floor(available.length * (1 - KEPT_FREE)))
@@ -86,8 +93,14 @@
 		this.context.advisers.ask(via, { step, workers }, (result) => {
 			if (this.asked.get(via) !== asked) return
 			this.asked.delete(via)
+			if (result.kind !== 'answered') this.resting.set(via, now + REST)
 			question.done(result)
 			this.dispatch()
 		})
 	}
+
+	private restsUntil(via: string): number {
+		const until = this.resting.get(via) ?? 0
+		return until > this.context.clock.now() ? until : 0
+	}
 }
--- a/packages/jobs/src/lib/desk/DeskTiming.ts
+++ b/packages/jobs/src/lib/desk/DeskTiming.ts
@@ -32,9 +32,10 @@
 	lease: 4000,
 	clockDrift: 0.02,
 	leaseMargin: 100,
-	lookWait: 1000,
+	// A lost answer hides ends for this long and half a second more.
+	lookWait: 500,
 	tightLookWait: 300,
-	retryPause: 250,
+	retryPause: 200,
 	keepEnded: 150_000,
 	// Three missed heartbeats of 1.5 s.
 	workerSilent: 5000,
--- a/packages/jobs/src/lib/desk/RunBoard.ts
+++ b/packages/jobs/src/lib/desk/RunBoard.ts
@@ -208,17 +208,23 @@
 			checkpoint: place.task.checkpoint,
 			ticket: run.ticket,
 		}
-		orders.start(view.worker, order, (result) => this.answered(run, RunPhase.Starting, result))
+		const sentAt = clock.now()
+		orders.start(view.worker, order, (result) =>
+			this.answered(run, RunPhase.Starting, result, sentAt)
+		)
 	}
 
 	private orderStop(run: Run, view: WorkerView): void {
-		const { orders, term } = this.context
+		const { orders, term, clock } = this.context
 		run.busy = true
 		const order = { task: run.text, attempt: run.attempt, fence: term }
-		orders.stop(view.worker, order, (result) => this.answered(run, RunPhase.Stopping, result))
+		const sentAt = clock.now()
+		orders.stop(view.worker, order, (result) =>
+			this.answered(run, RunPhase.Stopping, result, sentAt)
+		)
 	}
 
-	private answered(run: Run, asked: RunPhase, result: OrderResult): void {
+	private answered(run: Run, asked: RunPhase, result: OrderResult, sentAt: number): void {
 		run.busy = false
 		const view = this.workers.find(run.worker)
 		if (!view || this.runs.get(run.text) !== run) return
@@ -233,8 +239,7 @@
 				return this.workers.proposeGone(run.worker, 'other incarnation')
 			case 'unknown':
 				run.unanswered += 1
-				run.retryAt = this.context.clock.now() + this.context.timing.retryPause
-				this.workers.unanswered(view, result.message)
+				this.workers.unanswered(view, result.message, sentAt)
 		}
 	}
 
@@ -293,9 +298,10 @@
 
 	/** A run that nobody should have: of a job that ended, or given up earlier. */
 	private stopStray(view: WorkerView, task: string, attempt: number): void {
-		const { orders, term } = this.context
+		const { orders, term, clock } = this.context
+		const sentAt = clock.now()
 		orders.stop(view.worker, { task, attempt, fence: term }, (result) => {
-			if (result.kind === 'unknown') this.workers.unanswered(view, result.message)
+			if (result.kind === 'unknown') this.workers.unanswered(view, result.message, sentAt)
 		})
 	}
 }
--- a/packages/jobs/src/lib/desk/StepBoard.ts
+++ b/packages/jobs/src/lib/desk/StepBoard.ts
@@ -234,7 +234,8 @@
 		const { advice, queue } = work
 		const now = this.context.clock.now()
 		if (!queue.advice || advice.asking || now < advice.notBefore) return
-		const workers = workersToAsk(work, eligible, tasks, now + ASK_AGAIN, MOST_ASKED)
+		const until = now + (work.step.gang ? this.gangSpan(work, eligible.length) : ASK_AGAIN)
+		const workers = workersToAsk(work, eligible, tasks, until, MOST_ASKED)
 		if (workers.length === 0) return
 		advice.asking = true
 		advice.questions += 1
@@ -245,6 +246,11 @@
 		this.advice.ask({ step: work.name, workers, cost, rank, done })
 	}
 
+	/** A gang begins only with all its tickets valid, so those that end before the answer count not. */
+	private gangSpan({ queue: { advice } }: StepWork, workers: number): number {
+		return ASK_AGAIN + (advice ? advice.base + advice.each * workers : 0)
+	}
+
 	private advised(
 		work: StepWork,
 		asked: readonly string[],
@@ -256,8 +262,9 @@
 		work.advice.asking = false
 		work.triedAt = -1
 		if (result.kind !== 'answered') {
-			work.advice.notBefore = now + timing.retryPause
-			log.info(DeskEvent.AdviceCame, { step: work.name, outcome: result.kind })
+			if (result.kind === 'busy') work.advice.notBefore = now + timing.retryPause
+			const reason = result.kind === 'unknown' ? result.message : undefined
+			log.info(DeskEvent.AdviceCame, { step: work.name, outcome: result.kind, reason })
 			return
 		}
 		const valid = work.queue.advice?.valid ?? 0
--- a/packages/jobs/src/lib/desk/WorkerBoard.ts
+++ b/packages/jobs/src/lib/desk/WorkerBoard.ts
@@ -5,6 +5,7 @@
 import { epochOf, type DeskContext } from './DeskContext'
 import { DeskEvent } from './DeskEvent'
 import { Lease } from './Lease'
+import { OutageWatch } from './OutageWatch'
 import type { ListedEnd, LookResult } from './ports'
 import { WorkerView } from './WorkerView'
 
@@ -24,6 +25,7 @@
  */
 export class WorkerBoard {
 	private readonly views = new Map<string, WorkerView>()
+	private readonly outages = new OutageWatch()
 
 	constructor(
 		private readonly context: DeskContext,
@@ -49,7 +51,7 @@
 	isOpen(view: WorkerView): boolean {
 		const { clock, timing, health } = this.context
 		const now = clock.now()
-		if (view.draining || view.unreachable) return false
+		if (view.draining || view.unreachable || this.isDoubtful(view, now)) return false
 		return now - view.heartbeatAt < timing.workerSilent && health.isOpen(view.id, now)
 	}
 
@@ -117,6 +119,8 @@
 	tick(now: number): void {
 		for (const view of this.views.values()) {
 			if (view.runs.size > 0 && !view.looking && now >= view.lookDue) this.look(view, now)
+			const doubtful = view.unreachable || this.isDoubtful(view, now)
+			if (doubtful && !view.probing && now >= view.probeDue) this.probe(view, now)
 			if (view.left && (view.runs.size === 0 || view.lease.isOver(now))) {
 				this.proposeGone(view.id, 'left')
 				view.left = false
@@ -129,20 +133,25 @@
 		}
 	}
 
-	/** The first answer of a call tells of the worker's clock, or that it is not there. */
+	/** A worker has answered a call; `clock` is its own clock, where it told it. */
 	answered(view: WorkerView, clock: number | undefined): void {
+		const now = this.context.clock.now()
+		if (view.unreachable) this.context.log.info(DeskEvent.WorkerRegained, { worker: view.id })
 		view.unreachable = false
-		if (clock !== undefined) view.lease.read(clock, this.context.clock.now())
+		view.answeredAt = now
+		this.outages.answered(view.worker.dataCentre, view.id)
+		if (clock !== undefined) view.lease.read(clock, now)
 	}
 
-	/** A call got no answer. */
-	unanswered(view: WorkerView, message: string): void {
-		if (!view.unreachable) {
-			const { id, address } = view.worker
-			this.context.log.warn(DeskEvent.WorkerLost, { worker: id, address, reason: message })
-		}
+	/** A call that was sent at this moment got no answer. */
+	unanswered(view: WorkerView, message: string, sentAt: number): void {
+		if (sentAt < view.answeredAt) return
+		const { id, address, dataCentre } = view.worker
+		this.outages.missed(dataCentre, id, sentAt)
+		if (view.unreachable) return
+		this.context.log.warn(DeskEvent.WorkerLost, { worker: id, address, reason: message })
 		view.unreachable = true
-		view.lookDue = this.context.clock.now() + this.context.timing.retryPause
+		view.probeDue = 0
 	}
 
 	/** Another incarnation answers at a worker's address. */
@@ -152,16 +161,44 @@
 		proposals.propose({ kind: 'gone', worker: id, at: epochOf(this.context) }, done)
 	}
 
+	/** Whether its data centre seems out of reach and it has not answered since. */
+	private isDoubtful(view: WorkerView, now: number): boolean {
+		const since = this.outages.doubtfulSince(view.worker.dataCentre, now)
+		return since !== undefined && view.answeredAt < since
+	}
+
+	/** Waits for the next end, and renews the lease. */
 	private look(view: WorkerView, now: number): void {
-		const { timing, term, orders } = this.context
-		view.looking = true
+		const { timing } = this.context
 		const leaseUntil = view.unreachable || view.left ? undefined : view.lease.renew(now)
-		const wait = view.unreachable || leaseUntil === undefined ? 0 : this.waitAt(view)
+		view.looking = true
+		view.lookDue = now + timing.retryPause
+		this.send(view, leaseUntil, leaseUntil === undefined ? 0 : this.waitAt(view), now, () => {
+			view.looking = false
+		})
+	}
+
+	/** Asks only whether the worker is there; a silent one's lease is not renewed. */
+	private probe(view: WorkerView, now: number): void {
+		view.probing = true
+		view.probeDue = now + this.context.timing.retryPause
+		this.send(view, undefined, 0, now, () => {
+			view.probing = false
+		})
+	}
+
+	private send(
+		view: WorkerView,
+		leaseUntil: number | undefined,
+		wait: number,
+		sentAt: number,
+		answered: () => void
+	): void {
+		const { term, orders } = this.context
 		const order = { fence: term, endsSeen: view.endsCommitted, leaseUntil, wait }
-		view.lookDue = now + timing.lookWait * 2
 		orders.look(view.worker, order, (result) => {
-			view.looking = false
-			this.looked(view, result, now)
+			answered()
+			this.looked(view, result, sentAt)
 		})
 	}
 
@@ -178,24 +215,22 @@
 
 	private looked(view: WorkerView, result: LookResult, sentAt: number): void {
 		if (this.views.get(view.id) !== view) return
-		const { clock, timing } = this.context
 		switch (result.kind) {
 			case 'done':
-				if (view.unreachable) this.context.log.info(DeskEvent.WorkerRegained, { worker: view.id })
 				this.answered(view, result.clock)
 				view.lookDue = 0
 				this.takeEnds(view, result.ended)
 				this.listener.looked(view, result, sentAt)
 				return
 			case 'refused':
+				this.answered(view, result.clock)
 				if (result.reason === 'fence') this.context.deposed()
-				view.lookDue = clock.now() + timing.retryPause
 				return
 			case 'other-incarnation':
 				this.proposeGone(view.id, 'other incarnation')
 				return
 			case 'unknown':
-				this.unanswered(view, result.message)
+				this.unanswered(view, result.message, sentAt)
 		}
 	}
 
--- a/packages/jobs/src/lib/desk/WorkerView.ts
+++ b/packages/jobs/src/lib/desk/WorkerView.ts
@@ -12,6 +12,12 @@
 	sequence = 0
 	/** Whether the latest order or look got no answer. */
 	unreachable = false
+	/** When it last answered, on the desk's clock. */
+	answeredAt = Number.NEGATIVE_INFINITY
+	/** Whether a short look is under way that only asks whether it is there. */
+	probing = false
+	/** When it may be probed next. */
+	probeDue = 0
 	/** Runs that are on it, by task name. */
 	readonly runs = new Map<string, Run>()
 	/** Ends up to this number are committed. */
--- a/packages/jobs/src/lib/desk/workersToAsk.ts
+++ b/packages/jobs/src/lib/desk/workersToAsk.ts
@@ -7,6 +7,8 @@
 const ASSUMED_GOOD = 0.35
 /** Room asked for as a multiple of the room wanted, since others place there meanwhile. */
 const SURPLUS = 1.5
+/** The same for a gang, all of which must find room at once. */
+const GANG_SURPLUS = 3
 /** Workers beyond that, so that bad luck does not cost another question. */
 const SPARE_WORKERS = 2
 
@@ -35,12 +37,13 @@
 		.filter(({ room }) => room > 0)
 		.sort((left, right) => right.room - left.room)
 	const chosen: string[] = []
+	const wanted = tasks * (work.step.gang ? GANG_SURPLUS : SURPLUS)
 	let expected = 0
 	let spare = SPARE_WORKERS
 	for (const { option, room } of withRoom) {
 		const { id } = option.view
 		if (chosen.length >= most) break
-		if (expected >= tasks * SURPLUS && spare-- <= 0) break
+		if (expected >= wanted && spare-- <= 0) break
 		expected += room * (advice.isAllowed(id) ? 1 : ASSUMED_GOOD)
 		chosen.push(id)
 	}
