--- a/packages/consensus/src/lib/Output.ts
+++ b/packages/consensus/src/lib/Output.ts
@@ -6,6 +6,8 @@
 	readonly term: number
 	/** Who got this replica's vote in that term; empty for nobody. */
 	readonly votedFor: string
+	/** An index known to be committed then; a lower bound, absent in records of earlier versions. */
+	readonly commit?: number
 }
 
 /** The state up to an index, in place of the entries up to it. @public */
--- a/packages/consensus/src/lib/ReplicaState.ts
+++ b/packages/consensus/src/lib/ReplicaState.ts
@@ -59,6 +59,9 @@
 	readonly entries: readonly Entry[]
 }
 
+/** Entries committed between two times that the commit index is stored. */
+const COMMIT_STORED_EVERY = 50
+
 /** The body of a message. @public */
 export type Body = NonNullable<GroupMessage['body']>
 
@@ -88,6 +91,7 @@
 	private unstored: Entry[] = []
 	private installed: Snapshot | undefined
 	private hardStateChanged = false
+	private commitStored = 0
 
 	constructor(
 		readonly options: ReplicaOptions,
@@ -119,6 +123,8 @@
 		this.votedFor = restored.hardState.votedFor
 		if (restored.snapshot) this.takeSnapshot(restored.snapshot)
 		for (const entry of restored.entries) this.keep(entry)
+		const known = Math.min(restored.hardState.commit ?? 0, this.log.lastIndex)
+		if (known > this.commit) this.commit = known
 	}
 
 	/** Moves to a later term, as a follower that has given nobody its vote. */
@@ -191,7 +197,7 @@
 		const committed: Entry[] = []
 		while (this.applied < this.commit) committed.push(this.log.at(++this.applied))
 		const output: Output = {
-			hardState: this.hardStateChanged ? { term: this.term, votedFor: this.votedFor } : undefined,
+			hardState: this.takeHardState(),
 			snapshot: this.installed,
 			entries: this.unstored,
 			early: this.early,
@@ -206,6 +212,15 @@
 		return output
 	}
 
+	/** The commit index is stored now and then, with what is stored anyway. */
+	private takeHardState(): HardState | undefined {
+		const { term, votedFor, commit } = this
+		const due = this.unstored.length > 0 && commit - this.commitStored >= COMMIT_STORED_EVERY
+		if (!this.hardStateChanged && !due) return undefined
+		this.commitStored = commit
+		return { term, votedFor, commit }
+	}
+
 	private keep(entry: Entry): void {
 		this.log.append(entry)
 		if (entry.kind !== EntryKind.ENTRY_KIND_MEMBERSHIP) return
--- a/packages/jobs/src/lib/desk/AdvicePlanner.ts
+++ b/packages/jobs/src/lib/desk/AdvicePlanner.ts
@@ -8,8 +8,8 @@
 
 /** Milliseconds from which an answer counts as a long one. */
 const LONG = 150
-/** Share of the instances that is kept free of long answers. */
-const KEPT_FREE = 0.3
+/** Instances that are kept free of long answers: the short ones of today's queues fill one. */
+const KEPT_FREE = 2
 /** Times the expected span, plus `PATIENCE`, after which an answer is given up. */
 const PATIENCE_FACTOR = 1.5
 /** Milliseconds; the service may be busy with a call of an earlier leader. */
@@ -39,6 +39,7 @@
 export class AdvicePlanner {
 	private waiting: PlannedQuestion[] = []
 	private readonly asked = new Map<string, Asked>()
+	private dispatching = false
 	/** Until when instances that brought no answer are asked last. */
 	private readonly resting = new Map<string, number>()
 
@@ -61,27 +62,42 @@
 		this.dispatch()
 	}
 
+	/** Sends what can be sent. An instance that is lost may answer at once, which begins a further round. */
 	private dispatch(): void {
-		if (this.waiting.length === 0) return
+		if (this.dispatching) return
+		this.dispatching = true
+		while (this.dispatchNext()) continue
+		this.dispatching = false
+	}
+
+	/** @returns whether a question was sent. */
+	private dispatchNext(): boolean {
+		if (this.waiting.length === 0) return false
 		const available = this.context.advisers.available()
-		const free = available
-			.filter((via) => !this.asked.has(via))
-			.sort((left, right) => this.restsUntil(right) - this.restsUntil(left))
-		if (free.length === 0) return
-		this.waiting.sort((left, right) => left.rank - right.rank)
-		const longMost = Math.max(1, Math.floor(available.length * (1 - KEPT_FREE)))
-		let long = [...this.asked.values()].filter(({ question }) => question.cost >= LONG).length
-		const later: PlannedQuestion[] = []
+		const free = available.filter((via) => !this.asked.has(via))
+		if (free.length === 0) return false
+		const asked = [...this.asked.values()]
+		const long = asked.filter(({ question }) => question.cost >= LONG).length
+		const longMost = Math.max(1, available.length - KEPT_FREE)
+		const next = this.takeNext(long < longMost)
+		if (!next) return false
+		this.send(this.mostRested(free), next)
+		return true
+	}
+
+	/** Takes the question that matters most; a long one only where there is place for it. */
+	private takeNext(long: boolean): PlannedQuestion | undefined {
+		let best: PlannedQuestion | undefined
 		for (const question of this.waiting) {
-			const isLong = question.cost >= LONG
-			if (free.length === 0 || (isLong && long >= longMost)) {
-				later.push(question)
-				continue
-			}
-			if (isLong) long += 1
-			this.send(free.pop() as string, question)
+			if (question.cost >= LONG && !long) continue
+			if (!best || question.rank < best.rank) best = question
 		}
-		this.waiting = later
+		if (best) this.waiting.splice(this.waiting.indexOf(best), 1)
+		return best
+	}
+
+	private mostRested(free: readonly string[]): string {
+		return free.reduce((best, via) => (this.restsUntil(via) < this.restsUntil(best) ? via : best))
 	}
 
 	private send(via: string, question: PlannedQuestion): void {
--- a/packages/jobs/src/lib/desk/RunBoard.ts
+++ b/packages/jobs/src/lib/desk/RunBoard.ts
@@ -12,6 +12,8 @@
 import type { WorkerBoard } from './WorkerBoard'
 import type { WorkerView } from './WorkerView'
 
+/** Milliseconds that a new leader waits for the workers' lists before it repeats an order. */
+const RESTORED_PAUSE = 300
 /** Looks in a row that must not list a run before it is given up. */
 const ABSENT_LOOKS = 2
 
@@ -60,6 +62,8 @@
 			this.context.ledger.restore(task.worker, reservedFor(step))
 			const run = this.add(text, place.name, step, task.attempt, task.worker)
 			run.checkpoint = task.checkpoint
+			// The first look tells which of them run; only what it does not list is ordered again.
+			run.retryAt = this.context.clock.now() + RESTORED_PAUSE
 			if (!isActive(job)) this.beginStop(run)
 		}
 	}
--- a/packages/jobs/src/lib/desk/StepBoard.ts
+++ b/packages/jobs/src/lib/desk/StepBoard.ts
@@ -15,6 +15,8 @@
 
 /** Milliseconds that a step's ticket must still hold for its next task to be decided with it. */
 const ASK_AGAIN = 400
+/** Milliseconds from which an answer is asked for before there is room. */
+const LONG_ANSWER = 150
 /** Workers a question may name at most; the service refuses longer ones. */
 export const MOST_ASKED = 100
 
@@ -234,8 +236,11 @@
 		const { advice, queue } = work
 		const now = this.context.clock.now()
 		if (!queue.advice || advice.asking || now < advice.notBefore) return
-		const until = now + (work.step.gang ? this.gangSpan(work, eligible.length) : ASK_AGAIN)
-		const workers = workersToAsk(work, eligible, tasks, until, MOST_ASKED)
+		const answer = queue.advice.base + queue.advice.each * eligible.length
+		// A gang begins only with all its tickets valid, and a long answer comes late for free room.
+		const ahead = answer >= LONG_ANSWER
+		const until = now + ASK_AGAIN + (ahead || work.step.gang ? answer : 0)
+		const workers = workersToAsk(work, eligible, { tasks, until, most: MOST_ASKED, ahead })
 		if (workers.length === 0) return
 		advice.asking = true
 		advice.questions += 1
@@ -246,11 +251,6 @@
 		this.advice.ask({ step: work.name, workers, cost, rank, done })
 	}
 
-	/** A gang begins only with all its tickets valid, so those that end before the answer count not. */
-	private gangSpan({ queue: { advice } }: StepWork, workers: number): number {
-		return ASK_AGAIN + (advice ? advice.base + advice.each * workers : 0)
-	}
-
 	private advised(
 		work: StepWork,
 		asked: readonly string[],
--- a/packages/jobs/src/lib/desk/WorkerBoard.ts
+++ b/packages/jobs/src/lib/desk/WorkerBoard.ts
@@ -119,7 +119,7 @@
 	tick(now: number): void {
 		for (const view of this.views.values()) {
 			if (view.runs.size > 0 && !view.looking && now >= view.lookDue) this.look(view, now)
-			const doubtful = view.unreachable || this.isDoubtful(view, now)
+			const doubtful = view.unreachable || !view.lease.known || this.isDoubtful(view, now)
 			if (doubtful && !view.probing && now >= view.probeDue) this.probe(view, now)
 			if (view.left && (view.runs.size === 0 || view.lease.isOver(now))) {
 				this.proposeGone(view.id, 'left')
--- a/packages/jobs/src/lib/desk/workersToAsk.ts
+++ b/packages/jobs/src/lib/desk/workersToAsk.ts
@@ -12,53 +12,86 @@
 /** Workers beyond that, so that bad luck does not cost another question. */
 const SPARE_WORKERS = 2
 
+/** What a question is for. @internal */
+export interface Wish {
+	/** How many tasks want a place. */
+	readonly tasks: number
+	/** Tickets that end before this moment count as ended. */
+	readonly until: number
+	/** How many workers may be asked about. */
+	readonly most: number
+	/** Whether to ask also about workers without room now, so that it can be used once it is there. */
+	readonly ahead: boolean
+}
+
+interface Candidate {
+	readonly option: Option
+	/** Tasks of the step that it can take. */
+	readonly room: number
+}
+
 /**
  * @param work - the step.
  * @param eligible - workers of the right service and label.
- * @param tasks - how many tasks want a place.
- * @param until - tickets that end before count as ended.
- * @param most - how many workers may be asked about.
+ * @param wish - what the question is for.
  * @returns ids of the workers to ask about; empty when asking would not help.
  * @internal
  */
-export function workersToAsk(
-	work: StepWork,
-	eligible: readonly Option[],
-	tasks: number,
-	until: number,
-	most: number
-): string[] {
+export function workersToAsk(work: StepWork, eligible: readonly Option[], wish: Wish): string[] {
 	const { advice } = work
 	const useful = eligible.filter(
-		({ view }) => !advice.isUnfit(view.id) && advice.ticket(view.id, until) === undefined
+		({ view }) => !advice.isUnfit(view.id) && advice.ticket(view.id, wish.until) === undefined
 	)
-	const withRoom = useful
-		.map((option) => ({ option, room: roomFor(work, option) }))
+	const now = pick(work, candidates(work, useful, freeOf), wish, 0)
+	if (now.length > 0 || !wish.ahead) return now
+	const covered = eligible
+		.filter(({ view }) => advice.ticket(view.id, wish.until) !== undefined)
+		.reduce((sum, option) => sum + copiesFor(work, option, capacityOf(option)), 0)
+	return pick(work, candidates(work, useful, capacityOf), wish, covered)
+}
+
+function candidates(
+	work: StepWork,
+	options: readonly Option[],
+	amount: (option: Option) => Resources
+): Candidate[] {
+	return options
+		.map((option) => ({ option, room: copiesFor(work, option, amount(option)) }))
 		.filter(({ room }) => room > 0)
 		.sort((left, right) => right.room - left.room)
+}
+
+/** Takes workers until they are likely to have enough room among them. */
+function pick(work: StepWork, from: readonly Candidate[], wish: Wish, covered: number): string[] {
+	const wanted = wish.tasks * (work.step.gang ? GANG_SURPLUS : SURPLUS)
 	const chosen: string[] = []
-	const wanted = tasks * (work.step.gang ? GANG_SURPLUS : SURPLUS)
-	let expected = 0
-	let spare = SPARE_WORKERS
-	for (const { option, room } of withRoom) {
+	let expected = covered
+	let spare = covered >= wanted ? 0 : SPARE_WORKERS
+	for (const { option, room } of from) {
 		const { id } = option.view
-		if (chosen.length >= most) break
+		if (chosen.length >= wish.most) break
 		if (expected >= wanted && spare-- <= 0) break
-		expected += room * (advice.isAllowed(id) ? 1 : ASSUMED_GOOD)
+		expected += room * (work.advice.isAllowed(id) ? 1 : ASSUMED_GOOD)
 		chosen.push(id)
 	}
 	return chosen
 }
 
-/** How many tasks of the step the worker has room for. */
-function roomFor(work: StepWork, { view, account }: Option): number {
-	const allowance = work.allowance(view.id)
-	if (allowance <= 0 || !fits(work.need, account.free)) return 0
-	return Math.min(allowance, copiesIn(work.need, account.free))
+function freeOf({ account }: Option): Resources {
+	return account.free
 }
 
-function copiesIn(need: Resources, free: Resources): number {
-	const cpu = need.cpu > 0 ? free.cpu / need.cpu : Number.POSITIVE_INFINITY
-	const memory = need.memory > 0 ? free.memory / need.memory : Number.POSITIVE_INFINITY
-	return Math.max(1, Math.floor(Math.min(cpu, memory, Number.MAX_SAFE_INTEGER)))
+function capacityOf({ account }: Option): Resources {
+	return account.capacity
+}
+
+/** How many tasks of the step fit into an amount on the worker. */
+function copiesFor(work: StepWork, { view }: Option, amount: Resources): number {
+	const allowance = work.allowance(view.id)
+	if (allowance <= 0 || !fits(work.need, amount)) return 0
+	const { cpu, memory } = work.need
+	const byCpu = cpu > 0 ? amount.cpu / cpu : Number.POSITIVE_INFINITY
+	const byMemory = memory > 0 ? amount.memory / memory : Number.POSITIVE_INFINITY
+	const copies = Math.min(byCpu, byMemory, Number.MAX_SAFE_INTEGER)
+	return Math.min(allowance, Math.max(1, Math.floor(copies)))
 }
--- a/packages/store/src/lib/GroupStore.ts
+++ b/packages/store/src/lib/GroupStore.ts
@@ -124,7 +124,8 @@
 			return
 		}
 		const records = batch.entries.map((entry) => encodeEntry(entry))
-		if (batch.hardState) records.unshift(encodeHardState(batch.hardState))
+		// After the entries: a reader that finds its commit index has found the entries it speaks of.
+		if (batch.hardState) records.push(encodeHardState(batch.hardState))
 		if (records.length === 0) return
 		await this.log.append(Buffer.concat(records))
 		await this.log.sync()
@@ -193,7 +194,8 @@
 	return encode({ body: { $case: 'entry', value } })
 }
 
-function encodeHardState(value: HardState): Buffer {
+function encodeHardState({ term, votedFor, commit = 0 }: HardState): Buffer {
+	const value = { term, votedFor, commit }
 	return encode({ body: { $case: 'hardState', value } })
 }
 
