--- a/packages/jobs/src/lib/desk/StepWork.ts
+++ b/packages/jobs/src/lib/desk/StepWork.ts
@@ -48,6 +48,11 @@
 		for (const task of this.record.tasks) if (task.worker !== '') this.count(task.worker, 1)
 	}
 
+	/** Whether it leaves room for work of the highest priority. Lasting work holds its place anyway. */
+	get yields(): boolean {
+		return this.queue.priority > 0 && !this.step.lasting && !this.step.bestEffort
+	}
+
 	/** Indexes of the tasks that wait to begin. */
 	waiting(): number[] {
 		const found: number[] = []
--- a/packages/jobs/src/lib/desk/WorkerBoard.ts
+++ b/packages/jobs/src/lib/desk/WorkerBoard.ts
@@ -7,8 +7,12 @@
 import { Lease } from './Lease'
 import { OutageWatch } from './OutageWatch'
 import type { ListedEnd, LookResult } from './ports'
+import type { Run } from './Run'
 import { WorkerView } from './WorkerView'
 
+/** Milliseconds of silence after which runs that may have copies begin elsewhere. */
+const COPY_PATIENCE = 600
+
 /** Told of what looks bring. @internal */
 export interface LookListener {
 	/** @param sentAt - when the look was sent, on the desk's clock. */
@@ -51,7 +55,8 @@
 	isOpen(view: WorkerView): boolean {
 		const { clock, timing, health } = this.context
 		const now = clock.now()
-		if (view.draining || view.unreachable || this.isDoubtful(view, now)) return false
+		if (view.draining || view.uncertain || view.unreachable) return false
+		if (this.isDoubtful(view, now)) return false
 		return now - view.heartbeatAt < timing.workerSilent && health.isOpen(view.id, now)
 	}
 
@@ -119,7 +124,9 @@
 	tick(now: number): void {
 		for (const view of this.views.values()) {
 			if (view.runs.size > 0 && !view.looking && now >= view.lookDue) this.look(view, now)
-			const doubtful = view.unreachable || !view.lease.known || this.isDoubtful(view, now)
+			if (view.unreachable) this.giveUpCopies(view, now)
+			const doubtful =
+				view.unreachable || view.uncertain || !view.lease.known || this.isDoubtful(view, now)
 			if (doubtful && !view.probing && now >= view.probeDue) this.probe(view, now)
 			if (view.left && (view.runs.size === 0 || view.lease.isOver(now))) {
 				this.proposeGone(view.id, 'left')
@@ -253,15 +260,28 @@
 
 	/** The lease of a silent worker is certainly over: nothing runs there any more. */
 	private giveUp(view: WorkerView): void {
-		if (view.runs.size === 0) return
-		const runs = [...view.runs.values()].map((run) => ({
+		view.uncertain = false
+		this.lose(view, [...view.runs.values()], 'lease over')
+	}
+
+	/** Of steps that allow copies a run begins elsewhere at once; this one may go on meanwhile. */
+	private giveUpCopies(view: WorkerView, now: number): void {
+		if (now - view.answeredAt < COPY_PATIENCE) return
+		const copies = [...view.runs.values()].filter((run) => run.step.copies)
+		if (copies.length > 0) view.uncertain = true
+		this.lose(view, copies, 'copies allowed')
+	}
+
+	private lose(view: WorkerView, lost: readonly Run[], reason: string): void {
+		if (lost.length === 0) return
+		const runs = lost.map((run) => ({
 			task: run.text,
 			attempt: run.attempt,
 			how: RunEnd.Lost,
 			checkpoint: run.checkpoint,
 		}))
-		this.context.log.warn(DeskEvent.RunsLost, { worker: view.id, runs: runs.length })
-		view.runs.clear()
+		this.context.log.warn(DeskEvent.RunsLost, { worker: view.id, runs: runs.length, reason })
+		for (const run of lost) view.runs.delete(run.text)
 		this.context.proposals.propose({ kind: 'end', runs, at: epochOf(this.context) })
 	}
 
--- a/packages/jobs/src/lib/desk/WorkerView.ts
+++ b/packages/jobs/src/lib/desk/WorkerView.ts
@@ -14,6 +14,8 @@
 	unreachable = false
 	/** When it last answered, on the desk's clock. */
 	answeredAt = Number.NEGATIVE_INFINITY
+	/** Whether runs that were given up early may still be there, so that its room is not known. */
+	uncertain = false
 	/** Whether a short look is under way that only asks whether it is there. */
 	probing = false
 	/** When it may be probed next. */
--- a/packages/jobs/src/lib/desk/chooseForStep.ts
+++ b/packages/jobs/src/lib/desk/chooseForStep.ts
@@ -18,9 +18,17 @@
 	readonly account: LedgerWorker
 }
 
+/**
+ * Share of a worker's processors that work of lower priority leaves free for work of the highest, which
+ * is short and comes in bursts.
+ */
+const KEPT_FREE = 0.12
+
 /** @returns whether one more task of the step may go to the worker. @internal */
 export function admits(work: StepWork, { view, account }: Option): boolean {
-	return fits(work.need, account.free) && work.allowance(view.id) > 0
+	if (!fits(work.need, account.free) || work.allowance(view.id) <= 0) return false
+	if (!work.yields) return true
+	return account.free.cpu - work.need.cpu >= account.capacity.cpu * KEPT_FREE
 }
 
 /**
--- a/packages/member/src/lib/CoreInstance.ts
+++ b/packages/member/src/lib/CoreInstance.ts
@@ -23,6 +23,7 @@
 import { LINK_SILENCE, TICK_PERIOD } from './linkTiming'
 import { MemberEvent } from './MemberEvent'
 import { PeerCalls } from './PeerCalls'
+import { tellCall } from './tellCall'
 import { WakingOrders } from './WakingOrders'
 
 const GROUP = 'cell'
@@ -98,6 +99,7 @@
 			clock,
 			calls: this.peerCalls,
 			leader: () => this.view.leader(clock.now()),
+			slow: tellCall(parts.log, () => this.view.leader(clock.now())),
 			local: (call, done) => this.callHere(call, done),
 		})
 		this.orders = new WakingOrders(parts.orders, () => this.leading?.flushSoon())
@@ -287,6 +289,7 @@
 			: now - replica.leaderHeardAt < LEADER_FRESH
 		const value = { leader, term, members: members.map((member) => member.id), fresh }
 		this.view.take(this.parts.address, value, now)
+		if (fresh) this.leaderCalls.led()
 		for (const peer of this.hub.connected) {
 			this.hub.send(peer, { body: { $case: 'cellNews', value } })
 		}
--- a/packages/member/src/lib/EntryInstance.ts
+++ b/packages/member/src/lib/EntryInstance.ts
@@ -10,6 +10,7 @@
 import { LINK_SILENCE } from './linkTiming'
 import { MemberEvent } from './MemberEvent'
 import { PeerCalls } from './PeerCalls'
+import { tellCall } from './tellCall'
 
 /** Milliseconds between two looks at whom to dial. */
 const DIAL_PERIOD = 250
@@ -53,6 +54,7 @@
 			clock,
 			calls: this.peerCalls,
 			leader: () => this.view.leader(clock.now()),
+			slow: tellCall(parts.log, () => this.view.leader(clock.now())),
 		})
 	}
 
@@ -109,6 +111,7 @@
 	}
 
 	private noteLeader(): void {
+		if (this.ready) this.leaderCalls.led()
 		const known = this.view.leader(this.parts.clock.now())
 		const leader = known?.id ?? ''
 		if (leader === this.toldLeader) return
--- a/packages/member/src/lib/LeaderCalls.ts
+++ b/packages/member/src/lib/LeaderCalls.ts
@@ -10,13 +10,18 @@
 /** Milliseconds between two tries. */
 const RETRY_PAUSE = 50
 /** Milliseconds that one try may take; a commit behind a slow disk takes hundreds. */
-const TRY_LIMIT = 1200
+const TRY_LIMIT = 800
+/** Milliseconds from which an answered call is told as slow. */
+const SLOW = 300
 /** Milliseconds after which a call that was not run may come again. */
 const RETRY_AFTER = 1000
 
 /** How long a call is tried. @public */
 export interface Finality {
-	/** Milliseconds for which it may wait for a leader while it has been sent to none. */
+	/**
+	 * Milliseconds without a leader after which it is given up, counted from when the instance last
+	 * knew one: a change of leader takes less, so an instance without one for longer is cut off.
+	 */
 	readonly patience: number
 	/** Milliseconds for which it is tried at all. */
 	readonly limit: number
@@ -28,6 +33,8 @@
 	readonly calls: PeerCalls
 	/** Who leads now. */
 	readonly leader: () => KnownLeader | undefined
+	/** Told of a call that was not answered well, or late. */
+	readonly slow?: (call: CellCall, reply: CellReply, took: number, tries: number) => void
 	/** Answers a call here, when this instance leads. @returns false when it does not. */
 	readonly local?: (call: CellCall, done: (reply: CellReply) => void) => boolean
 }
@@ -48,17 +55,38 @@
  * @internal
  */
 export class LeaderCalls {
-	constructor(private readonly parts: LeaderCallsParts) {}
+	/** When a leader was last known, on the instance's clock. */
+	private ledAt: number
+
+	constructor(private readonly parts: LeaderCallsParts) {
+		this.ledAt = parts.clock.now()
+	}
+
+	/** Notes that a leader is known now. */
+	led(): void {
+		this.ledAt = this.parts.clock.now()
+	}
 
 	/** Makes a call; it is replied to exactly once. */
 	call(call: CellCall, finality: Finality): Promise<CellReply> {
 		const { clock } = this.parts
-		return new Promise((done) => {
+		return new Promise((resolve) => {
 			const startedAt = clock.now()
-			this.attempt({ call, startedAt, finality, done, sent: false, tries: 0 })
+			const done = (reply: CellReply): void => {
+				this.tell(attempt, reply)
+				resolve(reply)
+			}
+			const attempt = { call, startedAt, finality, done, sent: false, tries: 0 }
+			this.attempt(attempt)
 		})
 	}
 
+	private tell({ call, startedAt, tries }: Attempt, reply: CellReply): void {
+		const took = this.parts.clock.now() - startedAt
+		const failed = reply.kind === 'not-run' || reply.kind === 'unknown'
+		if (failed || took > SLOW) this.parts.slow?.(call, reply, took, tries)
+	}
+
 	private attempt(attempt: Attempt): void {
 		const { local, leader, calls } = this.parts
 		let settled = false
@@ -75,6 +103,7 @@
 			return
 		}
 		const known = leader()
+		if (known) this.led()
 		if (!known || known.via.length === 0) {
 			this.again(attempt)
 			return
@@ -107,15 +136,13 @@
 
 	private again(attempt: Attempt): void {
 		const { clock } = this.parts
-		const spent = clock.now() - attempt.startedAt
+		const now = clock.now()
 		const { patience, limit } = attempt.finality
-		if (!attempt.sent && spent + RETRY_PAUSE > patience) {
-			attempt.done({ kind: 'not-run', reason: 'no leader', retryAfter: RETRY_AFTER })
-		} else if (spent + RETRY_PAUSE > limit) {
-			attempt.done({ kind: 'unknown', reason: 'no answer from a leader' })
-		} else {
-			clock.after(RETRY_PAUSE, () => this.attempt(attempt))
-		}
+		const leaderless = now - this.ledAt + RETRY_PAUSE > patience
+		const late = now - attempt.startedAt + RETRY_PAUSE > limit
+		if (!leaderless && !late) clock.after(RETRY_PAUSE, () => this.attempt(attempt))
+		else if (attempt.sent) attempt.done({ kind: 'unknown', reason: 'no answer from a leader' })
+		else attempt.done({ kind: 'not-run', reason: 'no leader', retryAfter: RETRY_AFTER })
 	}
 
 	private left(attempt: Attempt): number {
--- a/packages/member/src/lib/LeaderView.ts
+++ b/packages/member/src/lib/LeaderView.ts
@@ -1,10 +1,13 @@
 /** Who leads, as far as an instance has been told. */
 import type { CellNews } from '@rillrudder/protocol'
 
-/** Milliseconds for which news count; they come every `NEWS_PERIOD`. */
-export const NEWS_KEPT = 900
+/**
+ * Milliseconds for which news count: three periods, so that an instance that is cut off stops taking
+ * clients before the platform's second question, a second later.
+ */
+export const NEWS_KEPT = 500
 /** Milliseconds between two tellings of who leads. */
-export const NEWS_PERIOD = 200
+export const NEWS_PERIOD = 150
 
 /** A leader and the peers that can pass calls on to it. @internal */
 export interface KnownLeader {
--- a/packages/member/src/lib/MemberEvent.ts
+++ b/packages/member/src/lib/MemberEvent.ts
@@ -18,6 +18,8 @@
 	MembersChanged: 'members-changed',
 	/** What the disk held was torn or damaged; `ending`. */
 	LogRepaired: 'log-repaired',
+	/** A call failed or took long; `call`, `path`, `outcome`, `reason`, `took` milliseconds, `tries`, `leader`. */
+	CallAnswered: 'call-answered',
 	/** The process can't go on; `reason`. */
 	Failed: 'failed',
 } as const
--- /dev/null
+++ b/packages/member/src/lib/tellCall.ts
@@ -0,0 +1,27 @@
+/** The log line of a call that failed or took long. */
+import type { CellCall, CellReply } from '@rillrudder/jobs'
+import type { Log } from '@rillrudder/telemetry'
+import type { KnownLeader } from './LeaderView'
+import { MemberEvent } from './MemberEvent'
+
+/**
+ * @param log - where the line goes.
+ * @param leader - who leads, as far as this instance knows.
+ * @returns a function that writes the line.
+ * @internal
+ */
+export function tellCall(log: Log, leader: () => KnownLeader | undefined) {
+	return (call: CellCall, reply: CellReply, took: number, tries: number): void => {
+		const known = leader()
+		log.info(MemberEvent.CallAnswered, {
+			call: call.kind,
+			path: 'to' in call ? call.to.path : undefined,
+			outcome: reply.kind,
+			reason: 'reason' in reply ? reply.reason : undefined,
+			took: Math.round(took),
+			tries,
+			leader: known?.id ?? '',
+			term: known?.term ?? 0,
+		})
+	}
+}
