--- a/packages/consensus/src/lib/Election.ts
+++ b/packages/consensus/src/lib/Election.ts
@@ -26,7 +26,7 @@
 	/** Waits a randomised time from now before asking for votes. */
 	reset(now: number): void {
 		const { timing, options } = this.state
-		const wait = timing.election * (1 + options.random.fraction() + this.penalty())
+		const wait = timing.election * (1 + options.random.fraction() * timing.spread + this.penalty())
 		this.deadline = now + wait
 	}
 
--- a/packages/consensus/src/lib/Replica.ts
+++ b/packages/consensus/src/lib/Replica.ts
@@ -74,7 +74,7 @@
 			this.state.restore(restored)
 			this.leadership.persisted(this.state.log.lastIndex)
 		}
-		this.election.reset(now)
+		this.election.reset(options.startedAt ?? now)
 	}
 
 	/** What this replica knows of its group. */
--- a/packages/consensus/src/lib/ReplicaState.ts
+++ b/packages/consensus/src/lib/ReplicaState.ts
@@ -48,6 +48,11 @@
 	/** Set for an open membership, which instances join and leave; without it the founders stay. */
 	readonly applicant?: Applicant
 	readonly timing?: Timing
+	/**
+	 * When this process started, on the clock that the replica is driven by: a promise to an earlier
+	 * leader was made before. By default the moment at which the replica is made.
+	 */
+	readonly startedAt?: number
 	readonly random: Random
 	readonly witness?: Witness
 }
@@ -98,7 +103,7 @@
 		now: number
 	) {
 		this.timing = options.timing ?? DEFAULT_TIMING
-		this.leaderHeardAt = now
+		this.leaderHeardAt = options.startedAt ?? now
 	}
 
 	/** Whether the membership in force gives this very life a vote. */
--- a/packages/consensus/src/lib/Timing.ts
+++ b/packages/consensus/src/lib/Timing.ts
@@ -6,9 +6,11 @@
 	readonly heartbeat: number
 	/**
 	 * A replica that heard from its leader this recently gives nobody its vote. Followers wait for
-	 * between one and two of these before they ask for votes.
+	 * between one and `1 + spread` of these before they ask for votes.
 	 */
 	readonly election: number
+	/** Spread of the waits before an election, as a share of `election`: far more than a vote takes. */
+	readonly spread: number
 	/**
 	 * How far two clocks may run apart, as a share. A lease is shortened by twice this share: the
 	 * leader's clock may be slow by it while a follower's is fast by it.
@@ -17,7 +19,7 @@
 }
 
 /** Spans for data centres a few milliseconds apart. @public */
-export const DEFAULT_TIMING: Timing = { heartbeat: 100, election: 600, drift: 0.1 }
+export const DEFAULT_TIMING: Timing = { heartbeat: 100, election: 600, spread: 1, drift: 0.1 }
 
 /**
  * @param timing - the group's spans.
--- a/packages/member/src/lib/CoreInstance.ts
+++ b/packages/member/src/lib/CoreInstance.ts
@@ -48,6 +48,8 @@
 	/** Whether the whole cell starts for the first time, and the seeds found it. */
 	readonly founding: boolean
 	readonly clock: Clock
+	/** When the process started, on that clock. */
+	readonly startedAt: number
 	readonly random: Random
 	readonly timing: Timing
 	readonly desk: DeskTiming
@@ -145,7 +147,7 @@
 	}
 
 	private async openGroup(): Promise<Group> {
-		const { address, dataCentre, data, clock, random, timing, log, fail } = this.parts
+		const { address, dataCentre, data, clock, random, timing, log, fail, startedAt } = this.parts
 		const opened = await GroupStore.open({
 			disk: new SystemDisk(),
 			folder: join(data, GROUP),
@@ -161,6 +163,7 @@
 			founders: this.founders(),
 			applicant: { durable: true, dataCentre, contacts },
 			timing,
+			startedAt,
 			random,
 		}
 		return new Group({
