--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -1,7 +1,14 @@
 import tseslint from 'typescript-eslint'
 
 export default tseslint.config(
-	{ ignores: ['**/dist/**', '**/node_modules/**', 'packages/protocol/src/lib/generated/**'] },
+	{
+		ignores: [
+			'**/dist/**',
+			'target/**',
+			'**/node_modules/**',
+			'packages/protocol/src/lib/generated/**',
+		],
+	},
 	...tseslint.configs.recommended,
 	{
 		rules: {
@@ -18,7 +25,7 @@
 		},
 	},
 	{
-		files: ['packages/*/src/lib/**/*.ts', 'apps/*/src/lib/**/*.ts'],
+		files: ['packages/*/src/lib/**/*.ts', 'apps/*/src/lib/**/*.ts', 'platform/src/lib/**/*.ts'],
 		// A bench measures, so it reads the machine's own clock.
 		ignores: ['**/SystemClock.ts', 'apps/bench/**'],
 		rules: {
--- a/scripts/test.mjs
+++ b/scripts/test.mjs
@@ -15,7 +15,7 @@
 }
 
 const wanted = process.argv.slice(2)
-const files = ['packages', 'apps']
+const files = ['packages', 'apps', 'platform']
 	.flatMap((root) => testFiles(root))
 	.filter((file) => wanted.length === 0 || wanted.some((part) => file.includes(part)))
 	.sort()
