--- /dev/null
+++ b/apps/ctl/src/lib/jobPrinters.ts
@@ -0,0 +1,44 @@
+/** Prints jobs for people. */
+import type { JobExplanation, JobSummary } from '@rillrudder/jobs'
+import { table } from './output'
+
+const JOB_HEAD = ['job', 'queue', 'state', 'submitted', 'took', 'done']
+
+/** Prints that something was done. @internal */
+export function printMessage(): void {
+	process.stdout.write('done\n')
+}
+
+/** Prints a list of jobs. @internal */
+export function printJobs(content: unknown): void {
+	table(JOB_HEAD, (content as JobSummary[]).map(rowOf))
+}
+
+/** Prints one job. @internal */
+export function printJob(content: unknown): void {
+	table(JOB_HEAD, [rowOf(content as JobSummary)])
+}
+
+/** Prints what each step of a job waits for. @internal */
+export function printJobSteps(content: unknown): void {
+	const { steps, term, configuration } = content as JobExplanation
+	printJob(content)
+	process.stdout.write(`as the leader of term ${term} sees it, configuration ${configuration}\n`)
+	const rows = steps.map((step) => [
+		step.step,
+		`${step.done}/${step.tasks}`,
+		step.placed,
+		step.waiting,
+		step.failures,
+		Object.entries(step.workers)
+			.map(([worker, count]) => `${worker} (${count})`)
+			.join(' '),
+		step.reason,
+	])
+	table(['step', 'done', 'placed', 'waiting', 'failed runs', 'workers', 'why it waits'], rows)
+}
+
+function rowOf({ id, queue, state, submitted, ended, tasks, done }: JobSummary) {
+	const took = ended > 0 ? `${ended - submitted} ms` : ''
+	return [id, queue, state, new Date(submitted).toISOString(), took, `${done}/${tasks}`]
+}
--- a/packages/jobs/src/index.ts
+++ b/packages/jobs/src/index.ts
@@ -7,7 +7,7 @@
 	type CellCommand,
 	type End,
 } from './lib/commands/CellCommand'
-export type { CellCall, CellReply, Destination } from './lib/desk/calls'
+export type * from './lib/desk/calls'
 export type { DeskContext } from './lib/desk/DeskContext'
 export { DeskEvent } from './lib/desk/DeskEvent'
 export { DEFAULT_DESK_TIMING, type DeskTiming } from './lib/desk/DeskTiming'
--- a/packages/jobs/src/lib/desk/DeskContext.ts
+++ b/packages/jobs/src/lib/desk/DeskContext.ts
@@ -1,6 +1,6 @@
 /** What the parts of the desk share. */
 import type { Ledger, WorkerHealth } from '@rillrudder/scheduler'
-import type { Log } from '@rillrudder/telemetry'
+import type { Log, Meter } from '@rillrudder/telemetry'
 import type { Clock, Random } from '@rillrudder/utils'
 import type { CellState } from '../state/CellState'
 import type { DeskTiming } from './DeskTiming'
@@ -20,6 +20,7 @@
 	readonly advisers: Advisers
 	readonly proposals: Proposals
 	readonly log: Log
+	readonly meter: Meter
 	/** Called when a worker has obeyed a later leader: this one must give way. */
 	readonly deposed: () => void
 }
--- a/packages/jobs/src/lib/desk/JobDesk.ts
+++ b/packages/jobs/src/lib/desk/JobDesk.ts
@@ -1,4 +1,5 @@
 /** The desk of a cell's leader: answers calls, and decides what runs where. */
+import { Measure } from '@rillrudder/telemetry'
 import { exhaustive } from '@rillrudder/utils'
 import type { CellConfiguration, Heartbeat } from '../records/Cell'
 import { JobState, type JobRequest } from '../records/Job'
@@ -7,6 +8,7 @@
 import type { CellCall, CellReply, Destination } from './calls'
 import { epochOf, type DeskContext } from './DeskContext'
 import { DeskEvent } from './DeskEvent'
+import { explainJob, listJobs } from './explainJob'
 import { QueueTable } from './QueueTable'
 import { RunBoard } from './RunBoard'
 import { StepBoard } from './StepBoard'
@@ -65,9 +67,13 @@
 		})
 	}
 
-	/** How many runs and steps the desk has on it, for the status page. */
-	get load(): { readonly runs: number; readonly steps: number } {
-		return { runs: this.runs.size, steps: this.steps.size }
+	/** Sets the gauges of what the desk has on it. */
+	measure(): void {
+		const { meter, state } = this.context
+		meter.gauge(Measure.Runs, this.runs.size)
+		meter.gauge(Measure.Configuration, state.configuration?.version ?? 0)
+		this.steps.measure()
+		this.workers.measure()
 	}
 
 	/** Answers a call, at once or once what it asks is committed. */
@@ -79,6 +85,10 @@
 				return reply(this.show(call.to))
 			case 'cancel':
 				return this.cancel(call.to, reply)
+			case 'list-jobs':
+				return reply({ kind: 'jobs', jobs: listJobs(this.context.state, call.filter) })
+			case 'explain-job':
+				return reply(this.explain(call.id))
 			case 'configure':
 				return this.configure(call.configuration, reply)
 			case 'read-configuration':
@@ -198,6 +208,13 @@
 		return job ? { kind: 'state', state: job.state } : { kind: 'no-such-job' }
 	}
 
+	private explain(id: string): CellReply {
+		const { state, term } = this.context
+		const job = state.jobs.find(id)
+		if (!job) return { kind: 'no-such-job' }
+		return { kind: 'explanation', explanation: explainJob(state, this.steps, job, term) }
+	}
+
 	private pending(queue: string): number {
 		let count = 0
 		for (const job of this.context.state.jobs.all()) {
@@ -208,8 +225,8 @@
 
 	private cancel(to: Destination, reply: Reply): void {
 		const { state, proposals } = this.context
-		const addressed = this.queues.find(to)
-		const job = addressed && state.jobs.find(addressed.id)
+		const id = 'id' in to ? to.id : this.queues.find(to)?.id
+		const job = id === undefined ? undefined : state.jobs.find(id)
 		if (!job) {
 			reply({ kind: 'no-such-job' })
 			return
@@ -256,7 +273,10 @@
 
 	private jobEnded(job: JobRecord): void {
 		const took = job.ended - job.submitted
-		this.context.log.info(DeskEvent.JobEnded, { job: job.id, state: job.state, took })
+		const { log, meter } = this.context
+		log.info(DeskEvent.JobEnded, { job: job.id, state: job.state, took })
+		meter.count(Measure.JobsEnded, { state: job.state })
+		meter.observe(Measure.JobTime, took, { state: job.state })
 		this.steps.drop(job)
 		this.runs.stopJob(job)
 	}
--- a/packages/jobs/src/lib/desk/QueueTable.ts
+++ b/packages/jobs/src/lib/desk/QueueTable.ts
@@ -16,10 +16,12 @@
  */
 export class QueueTable {
 	private readonly byHost = new Map<string, Queue[]>()
+	private readonly byName = new Map<string, Queue>()
 
 	/** @param configuration - the configuration, or undefined before the first. */
 	constructor(configuration: CellConfiguration | undefined) {
 		for (const queue of configuration?.queues ?? []) {
+			this.byName.set(queue.name, queue)
 			const queues = this.byHost.get(queue.host) ?? []
 			queues.push(queue)
 			this.byHost.set(queue.host, queues)
@@ -29,8 +31,14 @@
 		}
 	}
 
-	/** @returns the queue with the longest prefix that begins the path. */
-	find({ host, path }: Destination): Addressed | undefined {
+	/** @returns the queue of that name, or the one with the longest prefix that begins the path. */
+	find(to: Destination): Addressed | undefined {
+		if ('queue' in to) {
+			const queue = this.byName.get(to.queue)
+			return queue && { queue, id: to.id }
+		}
+		if (!('path' in to)) return undefined
+		const { host, path } = to
 		const queue = this.byHost.get(host)?.find(({ prefix }) => path.startsWith(prefix))
 		return queue && { queue, id: path.slice(queue.prefix.length) }
 	}
--- a/packages/jobs/src/lib/desk/RunBoard.ts
+++ b/packages/jobs/src/lib/desk/RunBoard.ts
@@ -1,5 +1,6 @@
 /** The runs of the cell: orders to start and stop them, sent again until the worker has answered. */
 import type { Resources } from '@rillrudder/scheduler'
+import { Measure } from '@rillrudder/telemetry'
 import { formatTaskName, RunEnd, type Step, type TaskName } from '../records/Job'
 import type { JobRecord } from '../state/JobRecord'
 import { tasksOf } from '../state/JobBook'
@@ -97,7 +98,8 @@
 		this.runs.delete(text)
 		this.workers.find(worker)?.runs.delete(text)
 		this.context.ledger.release(worker, run.need)
-		const { health, log, clock } = this.context
+		const { health, log, clock, meter } = this.context
+		meter.count(Measure.RunsEnded, { how })
 		if (how === RunEnd.Done) health.succeeded(worker)
 		if (how === RunEnd.Failed) health.failed(worker, name.job, clock.now())
 		if (how !== RunEnd.Done) log.info(DeskEvent.RunEnded, { task: text, attempt, worker, how })
@@ -233,6 +235,9 @@
 
 	private answered(run: Run, asked: RunPhase, result: OrderResult, sentAt: number): void {
 		run.busy = false
+		const { meter, clock } = this.context
+		meter.count(Measure.Orders, { order: asked, result: result.kind })
+		meter.observe(Measure.OrderTime, clock.now() - sentAt, { order: asked })
 		const view = this.workers.find(run.worker)
 		if (!view || this.runs.get(run.text) !== run) return
 		switch (result.kind) {
--- a/packages/jobs/src/lib/desk/StepBoard.ts
+++ b/packages/jobs/src/lib/desk/StepBoard.ts
@@ -1,9 +1,10 @@
 /** The steps that have tasks to begin: which goes where, and what must be asked before. */
+import { Measure } from '@rillrudder/telemetry'
 import type { Queue } from '../records/Cell'
 import { formatTaskName, type TaskName } from '../records/Job'
 import { isActive, isStepDone, isStepReady, TaskStatus, type JobRecord } from '../state/JobRecord'
 import { AdvicePlanner } from './AdvicePlanner'
-import { chooseForStep, type Option } from './chooseForStep'
+import { admits, chooseForStep, type Option } from './chooseForStep'
 import { epochOf, type DeskContext } from './DeskContext'
 import { DeskEvent } from './DeskEvent'
 import { placeGang, type Placed } from './placeGang'
@@ -41,9 +42,34 @@
 		this.advice = new AdvicePlanner(context)
 	}
 
-	/** How many steps have tasks to begin, or soon will. */
-	get size(): number {
-		return this.steps.size
+	/** Sets the gauges of how many steps wait, by priority. */
+	measure(): void {
+		const counts = new Map<number, number>()
+		for (const work of this.steps.values()) {
+			const { priority } = work.queue
+			const waits = work.waiting().length > 0 && isStepReady(work.job, work.repeat, work.number)
+			counts.set(priority, (counts.get(priority) ?? 0) + (waits ? 1 : 0))
+		}
+		for (const [priority, count] of counts) {
+			this.context.meter.gauge(Measure.StepsWaiting, count, { priority: String(priority) })
+		}
+	}
+
+	/** @returns why tasks of a step wait, for people. */
+	whyWaiting(name: string): string {
+		const work = this.steps.get(name)
+		if (!work) return 'it is not due yet'
+		const eligible = this.eligible(work, this.openWorkers())
+		if (eligible.length === 0) return 'no open worker of its service has the label that it asks for'
+		const room = eligible.filter((option) => admits(work, option))
+		if (room.length === 0) return `none of ${eligible.length} open workers has room for one task`
+		if (!work.queue.advice) return 'it is about to begin'
+		const now = this.context.clock.now()
+		const allowed = room.filter(({ view }) => work.advice.ticket(view.id, now) !== undefined)
+		if (allowed.length > 0)
+			return work.step.gang ? 'not all of its gang has room' : 'it is about to begin'
+		if (work.advice.asking) return `advice about ${room.length} workers with room is awaited`
+		return `none of ${room.length} workers with room is allowed by its queue's policy`
 	}
 
 	/** Takes up a job: all its repeats that are due. */
@@ -225,6 +251,8 @@
 			this.runs.decided(task, work.advice.ticket(worker, now) ?? '')
 			return { task, attempt, worker }
 		})
+		const priority = String(work.queue.priority)
+		this.context.meter.observe(Measure.StepWait, now - work.since, { priority })
 		this.context.log.info(DeskEvent.StepPlaced, {
 			step: work.name,
 			priority: work.queue.priority,
@@ -262,8 +290,10 @@
 		askedAt: number,
 		result: AdviceResult
 	): void {
-		const { clock, timing, log } = this.context
+		const { clock, timing, log, meter } = this.context
 		const now = clock.now()
+		meter.count(Measure.Advice, { outcome: result.kind })
+		meter.observe(Measure.AdviceTime, now - askedAt)
 		work.advice.asking = false
 		work.triedAt = -1
 		if (result.kind !== 'answered') {
--- a/packages/jobs/src/lib/desk/WorkerBoard.ts
+++ b/packages/jobs/src/lib/desk/WorkerBoard.ts
@@ -1,5 +1,6 @@
 /** The workers of the cell as the leader sees them: heartbeats, leases, looks. */
 import type { Resources } from '@rillrudder/scheduler'
+import { Measure } from '@rillrudder/telemetry'
 import type { Heartbeat, Worker } from '../records/Cell'
 import { RunEnd } from '../records/Job'
 import { epochOf, type DeskContext } from './DeskContext'
@@ -51,6 +52,21 @@
 		return this.views.values()
 	}
 
+	/** Sets the gauges of how many workers are in which state. */
+	measure(): void {
+		const counts = { open: 0, draining: 0, unreachable: 0, closed: 0 }
+		for (const view of this.views.values()) counts[this.stateOf(view)] += 1
+		for (const [state, count] of Object.entries(counts)) {
+			this.context.meter.gauge(Measure.Workers, count, { state })
+		}
+	}
+
+	private stateOf(view: WorkerView): 'open' | 'draining' | 'unreachable' | 'closed' {
+		if (view.draining) return 'draining'
+		if (view.unreachable) return 'unreachable'
+		return this.isOpen(view) ? 'open' : 'closed'
+	}
+
 	/** Whether new work may go to a worker now. */
 	isOpen(view: WorkerView): boolean {
 		const { clock, timing, health } = this.context
--- a/packages/jobs/src/lib/desk/calls.ts
+++ b/packages/jobs/src/lib/desk/calls.ts
@@ -3,10 +3,56 @@
 import type { JobRequest, JobState } from '../records/Job'
 import type { AdviceQuestion } from './ports'
 
-/** Where a caller's request is addressed: the queue is found by host and path. @public */
-export interface Destination {
-	readonly host: string
-	readonly path: string
+/** Where a call is addressed: by host and path, as callers do, or by the queue's name. @public */
+export type Destination =
+	| { readonly host: string; readonly path: string }
+	| { readonly queue: string; readonly id: string }
+	/** Only for a job that is known. */
+	| { readonly id: string }
+
+/** Which jobs a list shows. @public */
+export interface JobFilter {
+	readonly queue?: string
+	readonly state?: string
+	/** Most jobs that are listed, the newest first. */
+	readonly most: number
+}
+
+/** A line of a list of jobs. @public */
+export interface JobSummary {
+	readonly id: string
+	readonly queue: string
+	readonly state: JobState
+	/** Milliseconds since the epoch. */
+	readonly submitted: number
+	/** The same; 0 while it has not ended. */
+	readonly ended: number
+	readonly tasks: number
+	readonly done: number
+}
+
+/** What is known of one step of a job, and why it waits. @public */
+export interface StepExplanation {
+	readonly step: string
+	readonly tasks: number
+	readonly done: number
+	readonly placed: number
+	readonly waiting: number
+	/** Runs that failed so far. */
+	readonly failures: number
+	/** For each worker how many of its tasks are there. */
+	readonly workers: { readonly [worker: string]: number }
+	/** Why its tasks wait, for people; empty when none does. */
+	readonly reason: string
+}
+
+/** What is known of a job. @public */
+export interface JobExplanation extends JobSummary {
+	/** The instance that leads, and its term. */
+	readonly term: number
+	/** Version of the configuration in force. */
+	readonly configuration: number
+	readonly steps: readonly StepExplanation[]
 }
 
 /** What an instance asks of the leader, or the leader of an instance. @public */
@@ -14,6 +60,8 @@
 	| { readonly kind: 'submit'; readonly to: Destination; readonly job: JobRequest }
 	| { readonly kind: 'show'; readonly to: Destination }
 	| { readonly kind: 'cancel'; readonly to: Destination }
+	| { readonly kind: 'list-jobs'; readonly filter: JobFilter }
+	| { readonly kind: 'explain-job'; readonly id: string }
 	| { readonly kind: 'configure'; readonly configuration: CellConfiguration }
 	| { readonly kind: 'read-configuration' }
 	| { readonly kind: 'heartbeat'; readonly heartbeat: Heartbeat }
@@ -30,6 +78,8 @@
 	| { readonly kind: 'state'; readonly state: JobState }
 	/** Jobs of the queue of which no task has begun. */
 	| { readonly kind: 'pending'; readonly count: number }
+	| { readonly kind: 'jobs'; readonly jobs: readonly JobSummary[] }
+	| { readonly kind: 'explanation'; readonly explanation: JobExplanation }
 	| { readonly kind: 'no-such-queue' }
 	| { readonly kind: 'no-such-job' }
 	| { readonly kind: 'configuration'; readonly configuration: CellConfiguration }
--- /dev/null
+++ b/packages/jobs/src/lib/desk/explainJob.ts
@@ -0,0 +1,76 @@
+/** Tells what is known of jobs: lists, and why a job waits. */
+import { isActive, isStepReady, TaskStatus, type JobRecord } from '../state/JobRecord'
+import type { CellState } from '../state/CellState'
+import type { JobExplanation, JobFilter, JobSummary, StepExplanation } from './calls'
+import type { StepBoard } from './StepBoard'
+import { stepName } from './StepWork'
+
+/** @returns jobs that pass the filter, the newest first. @internal */
+export function listJobs(state: CellState, filter: JobFilter): JobSummary[] {
+	const found: JobSummary[] = []
+	for (const job of [...state.jobs.all()].reverse()) {
+		if (filter.queue !== undefined && job.queue.name !== filter.queue) continue
+		if (filter.state !== undefined && job.state !== filter.state) continue
+		if (found.length >= filter.most) break
+		found.push(summaryOf(job))
+	}
+	return found
+}
+
+/** @returns what is known of a job, with the reason why its tasks wait. @internal */
+export function explainJob(
+	state: CellState,
+	steps: StepBoard,
+	job: JobRecord,
+	term: number
+): JobExplanation {
+	const explained: StepExplanation[] = []
+	job.repeats.forEach((_, repeat) => {
+		job.request.steps.forEach((_step, number) => {
+			explained.push(explainStep(steps, job, repeat, number))
+		})
+	})
+	const configuration = state.configuration?.version ?? 0
+	return { ...summaryOf(job), term, configuration, steps: explained }
+}
+
+function summaryOf(job: JobRecord): JobSummary {
+	const { id, queue, state, submitted, ended } = job
+	const steps = job.repeats.flat()
+	const tasks = steps.reduce((sum, step) => sum + step.tasks.length, 0)
+	const done = steps.reduce((sum, step) => sum + step.done, 0)
+	return { id, queue: queue.name, state, submitted, ended, tasks, done }
+}
+
+function explainStep(
+	steps: StepBoard,
+	job: JobRecord,
+	repeat: number,
+	number: number
+): StepExplanation {
+	const { tasks, done } = job.repeats[repeat][number]
+	const workers: { [worker: string]: number } = {}
+	let waiting = 0
+	let failures = 0
+	for (const task of tasks) {
+		failures += task.failures
+		if (task.status === TaskStatus.Waiting) waiting += 1
+		if (task.worker !== '') workers[task.worker] = (workers[task.worker] ?? 0) + 1
+	}
+	return {
+		step: stepName(job.id, repeat, number),
+		tasks: tasks.length,
+		done,
+		placed: tasks.length - done - waiting,
+		waiting,
+		failures,
+		workers,
+		reason: waiting === 0 ? '' : reasonOf(steps, job, repeat, number),
+	}
+}
+
+function reasonOf(steps: StepBoard, job: JobRecord, repeat: number, number: number): string {
+	if (!isActive(job)) return `the job is ${job.state}`
+	if (!isStepReady(job, repeat, number)) return 'earlier steps are not done'
+	return steps.whyWaiting(stepName(job.id, repeat, number))
+}
--- a/packages/member/src/lib/CoreInstance.ts
+++ b/packages/member/src/lib/CoreInstance.ts
@@ -12,7 +12,7 @@
 } from '@rillrudder/jobs'
 import { LinkHub, linkSecurity, type Event, type PeerCall } from '@rillrudder/protocol'
 import { Ending, GroupStore, SystemDisk } from '@rillrudder/store'
-import type { Log } from '@rillrudder/telemetry'
+import { Measure, type Log, type Meter } from '@rillrudder/telemetry'
 import { Random, type Clock, type Timer } from '@rillrudder/utils'
 import type { Adviser } from './Adviser'
 import { answerQuestion, AskingPeers } from './AskingPeers'
@@ -29,6 +29,8 @@
 const GROUP = 'cell'
 /** Milliseconds since its last word for which a follower says that its leader is there. */
 const LEADER_FRESH = 500
+/** Milliseconds between two settings of the gauges. */
+const MEASURE_PERIOD = 1000
 /** Milliseconds that a planned stop waits for another instance to lead. */
 const HAND_OVER_WAIT = 1500
 /** Milliseconds that a stopping instance still passes calls on to its successor. */
@@ -56,6 +58,7 @@
 	readonly orders: WorkerOrders
 	readonly adviser: Adviser
 	readonly log: Log
+	readonly meter: Meter
 	/** Told of a fault after which the process must end. */
 	readonly fail: (fault: Error) => void
 }
@@ -100,6 +103,7 @@
 		this.leaderCalls = new LeaderCalls({
 			clock,
 			calls: this.peerCalls,
+			meter: parts.meter,
 			leader: () => this.view.leader(clock.now()),
 			slow: tellCall(parts.log, () => this.view.leader(clock.now())),
 			local: (call, done) => this.callHere(call, done),
@@ -124,6 +128,7 @@
 		this.timers = [
 			clock.every(TICK_PERIOD, () => this.tick()),
 			clock.every(NEWS_PERIOD, () => this.tellNews()),
+			clock.every(MEASURE_PERIOD, () => this.measure()),
 		]
 	}
 
@@ -190,6 +195,16 @@
 		this.dial()
 	}
 
+	/** Sets the gauges. */
+	private measure(): void {
+		const { meter } = this.parts
+		const { term, members } = this.group.replica.status
+		meter.gauge(Measure.Term, term)
+		meter.gauge(Measure.Leads, this.leading ? 1 : 0)
+		meter.gauge(Measure.Voters, members.filter((member) => member.voter).length)
+		this.leading?.measure()
+	}
+
 	/** Begins or ends a leadership as the group's state asks for it. */
 	private settled(): void {
 		const { replica } = this.group
@@ -208,7 +223,7 @@
 	}
 
 	private beginLeading(term: number): void {
-		const { clock, random, desk: timing, log } = this.parts
+		const { clock, random, desk: timing, log, meter } = this.parts
 		const { group, state, advisers, orders } = this
 		this.leading = new Leading({
 			group,
@@ -220,6 +235,7 @@
 			orders,
 			advisers,
 			log,
+			meter,
 		})
 		this.tellNews()
 		this.leading.flushSoon()
--- a/packages/member/src/lib/EntryInstance.ts
+++ b/packages/member/src/lib/EntryInstance.ts
@@ -1,7 +1,7 @@
 /** An entry instance: keeps nothing, and brings calls to whoever leads. */
 import type { CellCall, CellReply } from '@rillrudder/jobs'
 import { LinkHub, linkSecurity, type Event, type PeerCall } from '@rillrudder/protocol'
-import type { Log } from '@rillrudder/telemetry'
+import { type Log, type Meter } from '@rillrudder/telemetry'
 import type { Clock, Timer } from '@rillrudder/utils'
 import type { Adviser } from './Adviser'
 import { answerQuestion } from './AskingPeers'
@@ -24,6 +24,7 @@
 	readonly clock: Clock
 	readonly adviser: Adviser
 	readonly log: Log
+	readonly meter: Meter
 }
 
 /**
@@ -53,6 +54,7 @@
 		this.leaderCalls = new LeaderCalls({
 			clock,
 			calls: this.peerCalls,
+			meter: parts.meter,
 			leader: () => this.view.leader(clock.now()),
 			slow: tellCall(parts.log, () => this.view.leader(clock.now())),
 		})
--- a/packages/member/src/lib/LeaderCalls.ts
+++ b/packages/member/src/lib/LeaderCalls.ts
@@ -3,6 +3,7 @@
  * version or a sequence; so a call whose leader is lost goes to the next one, within its patience.
  */
 import type { CellCall, CellReply } from '@rillrudder/jobs'
+import { Measure, type Meter } from '@rillrudder/telemetry'
 import type { Clock } from '@rillrudder/utils'
 import type { KnownLeader } from './LeaderView'
 import type { PeerCalls, PeerOutcome } from './PeerCalls'
@@ -31,6 +32,7 @@
 export interface LeaderCallsParts {
 	readonly clock: Clock
 	readonly calls: PeerCalls
+	readonly meter: Meter
 	/** Who leads now. */
 	readonly leader: () => KnownLeader | undefined
 	/** Told of a call that was not answered well, or late. */
@@ -83,6 +85,8 @@
 
 	private tell({ call, startedAt, tries }: Attempt, reply: CellReply): void {
 		const took = this.parts.clock.now() - startedAt
+		this.parts.meter.count(Measure.Calls, { kind: call.kind, outcome: reply.kind })
+		this.parts.meter.observe(Measure.CallTime, took, { kind: call.kind })
 		const failed = reply.kind === 'not-run' || reply.kind === 'unknown'
 		if (failed || took > SLOW) this.parts.slow?.(call, reply, took, tries)
 	}
--- a/packages/member/src/lib/Leading.ts
+++ b/packages/member/src/lib/Leading.ts
@@ -10,7 +10,7 @@
 	type WorkerOrders,
 } from '@rillrudder/jobs'
 import { Ledger, WorkerHealth } from '@rillrudder/scheduler'
-import type { Log } from '@rillrudder/telemetry'
+import { Measure, type Log, type Meter } from '@rillrudder/telemetry'
 import type { Clock, Random } from '@rillrudder/utils'
 import { Batching } from './Batching'
 
@@ -25,6 +25,7 @@
 	readonly orders: WorkerOrders
 	readonly advisers: Advisers
 	readonly log: Log
+	readonly meter: Meter
 }
 
 /**
@@ -41,9 +42,9 @@
 	private over = false
 
 	constructor(private readonly parts: LeadingParts) {
-		const { group, state, clock, random, timing, orders, advisers, log, term } = parts
+		const { group, state, clock, random, timing, orders, advisers, log, meter, term } = parts
 		this.term = term
-		this.batching = new Batching(group)
+		this.batching = new Batching(group, clock, meter)
 		this.desk = new JobDesk({
 			state,
 			ledger: new Ledger(random),
@@ -56,8 +57,10 @@
 			advisers,
 			proposals: this.batching,
 			log,
+			meter,
 			deposed: () => group.handOver(),
 		})
+		meter.count(Measure.Leaderships)
 		state.observer = (change) => this.desk.changed(change)
 	}
 
@@ -83,6 +86,11 @@
 		this.batching.flush()
 	}
 
+	/** Sets the gauges of the desk. */
+	measure(): void {
+		this.desk.measure()
+	}
+
 	/** Something outside has happened, such as an answer of a worker: places and proposes. */
 	flushSoon(): void {
 		if (this.flushing || this.over) return
--- a/packages/member/src/lib/tellCall.ts
+++ b/packages/member/src/lib/tellCall.ts
@@ -15,7 +15,7 @@
 		const known = leader()
 		log.info(MemberEvent.CallAnswered, {
 			call: call.kind,
-			path: 'to' in call ? call.to.path : undefined,
+			path: 'to' in call && 'path' in call.to ? call.to.path : undefined,
 			outcome: reply.kind,
 			reason: 'reason' in reply ? reply.reason : undefined,
 			took: Math.round(took),
--- a/packages/telemetry/src/lib/Log.ts
+++ b/packages/telemetry/src/lib/Log.ts
@@ -34,10 +34,12 @@
 		private readonly process: string,
 		private readonly clock: Clock,
 		level: LogLevelDesc = Level.Info,
-		write: (line: string) => void = (line) => void globalThis.process.stderr.write(line + '\n')
+		write: (line: string, event: string, level: Level) => void = (line) =>
+			void globalThis.process.stderr.write(line + '\n')
 	) {
 		this.logger = loglevel.getLogger(`${process}-${++Log.made}`)
-		this.logger.methodFactory = () => (line: string) => write(line)
+		this.logger.methodFactory = () => (line: string, event: string, lineLevel: Level) =>
+			write(line, event, lineLevel)
 		this.logger.setLevel(level, false)
 	}
 
@@ -45,22 +47,22 @@
 
 	/** A change that only helps to find a fault. */
 	debug(event: string, fields: LogFields = {}): void {
-		this.logger.debug(this.line(Level.Debug, event, fields))
+		this.logger.debug(this.line(Level.Debug, event, fields), event, Level.Debug)
 	}
 
 	/** A change of state that is meant to happen. */
 	info(event: string, fields: LogFields = {}): void {
-		this.logger.info(this.line(Level.Info, event, fields))
+		this.logger.info(this.line(Level.Info, event, fields), event, Level.Info)
 	}
 
 	/** A change of state that somebody should look at. */
 	warn(event: string, fields: LogFields = {}): void {
-		this.logger.warn(this.line(Level.Warn, event, fields))
+		this.logger.warn(this.line(Level.Warn, event, fields), event, Level.Warn)
 	}
 
 	/** A fault after which the process can't go on as it was. */
 	error(event: string, fields: LogFields = {}): void {
-		this.logger.error(this.line(Level.Error, event, fields))
+		this.logger.error(this.line(Level.Error, event, fields), event, Level.Error)
 	}
 
 	private line(level: Level, event: string, fields: LogFields): string {
--- /dev/null
+++ b/packages/telemetry/src/lib/Meter.ts
@@ -0,0 +1,118 @@
+/** Counters, gauges and histograms of one process, served as text that scrapers read. */
+import { Counter, Gauge, Histogram, Registry } from 'prom-client'
+
+/** What is measured; labels are few and bounded, so that the text stays short. @public */
+export const Measure = {
+	/** Counter by `kind` and `outcome`: calls of clients, workers and operators answered here. */
+	Calls: 'calls_total',
+	/** Histogram by `kind`, milliseconds: from a call's arrival here to its reply. */
+	CallTime: 'call_time_ms',
+	/** Counter by `state`: jobs that reached their last state. */
+	JobsEnded: 'jobs_ended_total',
+	/** Histogram by `state`, milliseconds: from a job's acceptance to its last state. */
+	JobTime: 'job_time_ms',
+	/** Histogram by `priority`, milliseconds: from when a step could begin to its runs' beginning. */
+	StepWait: 'step_wait_ms',
+	/** Counter by `how`: runs that ended. */
+	RunsEnded: 'runs_ended_total',
+	/** Counter by `order` and `result`: orders to workers. */
+	Orders: 'orders_total',
+	/** Histogram by `order`, milliseconds: until a worker answered. */
+	OrderTime: 'order_time_ms',
+	/** Counter by `outcome`: answers to questions for advice. */
+	Advice: 'advice_total',
+	/** Histogram, milliseconds: from a question, waiting included, to its answer. */
+	AdviceTime: 'advice_time_ms',
+	/** Histogram, milliseconds: from a proposal to its being applied. */
+	CommitTime: 'commit_time_ms',
+	/** Counter: times that this instance began to lead. */
+	Leaderships: 'leaderships_total',
+	/** Gauge: term of the group as known here. */
+	Term: 'term',
+	/** Gauge: 1 while this instance leads. */
+	Leads: 'leads',
+	/** Gauge by `state`: workers open, unreachable, draining. */
+	Workers: 'workers',
+	/** Gauge: runs that have begun and not ended. */
+	Runs: 'runs',
+	/** Gauge by `priority`: steps with tasks that wait to begin. */
+	StepsWaiting: 'steps_waiting',
+	/** Gauge: voters of the group. */
+	Voters: 'voters',
+	/** Gauge: version of the configuration in force. */
+	Configuration: 'configuration_version',
+	/** Gauge: log lines left out since the start. */
+	LinesLeftOut: 'log_lines_left_out',
+} as const
+/** One of the measures. @public */
+export type Measure = (typeof Measure)[keyof typeof Measure]
+
+/** Labels of one reading. @public */
+export interface Labels {
+	readonly [name: string]: string
+}
+
+const PREFIX = 'rillrudder_'
+/** Bounds of histograms in milliseconds: from a commit to the longest job. */
+const BUCKETS = [1, 3, 10, 30, 100, 300, 1000, 3000, 10_000, 30_000]
+
+/**
+ * The measures of one process.
+ *
+ * @example
+ * ```ts
+ * meter.count(Measure.RunsEnded, { how: 'done' })
+ * meter.observe(Measure.CommitTime, 7.2)
+ * ```
+ * @public
+ */
+export class Meter {
+	private readonly registry = new Registry()
+	private readonly counters = new Map<Measure, Counter>()
+	private readonly gauges = new Map<Measure, Gauge>()
+	private readonly histograms = new Map<Measure, Histogram>()
+
+	/** Adds one to a counter. */
+	count(measure: Measure, labels: Labels = {}): void {
+		this.counter(measure, labels).inc({ ...labels })
+	}
+
+	/** Sets a gauge. */
+	gauge(measure: Measure, value: number, labels: Labels = {}): void {
+		let gauge = this.gauges.get(measure)
+		if (!gauge) {
+			gauge = new Gauge(this.options(measure, labels))
+			this.gauges.set(measure, gauge)
+		}
+		gauge.set({ ...labels }, value)
+	}
+
+	/** Records a span in milliseconds. */
+	observe(measure: Measure, milliseconds: number, labels: Labels = {}): void {
+		let histogram = this.histograms.get(measure)
+		if (!histogram) {
+			histogram = new Histogram({ ...this.options(measure, labels), buckets: BUCKETS })
+			this.histograms.set(measure, histogram)
+		}
+		histogram.observe({ ...labels }, milliseconds)
+	}
+
+	/** @returns all measures as text. */
+	text(): Promise<string> {
+		return this.registry.metrics()
+	}
+
+	private counter(measure: Measure, labels: Labels): Counter {
+		let counter = this.counters.get(measure)
+		if (!counter) {
+			counter = new Counter(this.options(measure, labels))
+			this.counters.set(measure, counter)
+		}
+		return counter
+	}
+
+	private options(measure: Measure, labels: Labels) {
+		const name = PREFIX + measure
+		return { name, help: name, labelNames: Object.keys(labels), registers: [this.registry] }
+	}
+}
--- a/packages/web/src/index.ts
+++ b/packages/web/src/index.ts
@@ -2,3 +2,5 @@
 export { endToEndHeaders, type PassedHeader } from './lib/headers'
 export { BodyFault, readBody } from './lib/readBody'
 export { requestJson, type JsonCall, type JsonReply, type NoReply } from './lib/requestJson'
+export { toAddress, type Address } from './lib/address'
+export { HttpServer, type HttpAnswer, type HttpCall } from './lib/HttpServer'
--- a/platform/src/lib/HttpServer.ts
+++ b/packages/web/src/lib/HttpServer.ts
@@ -1,14 +1,16 @@
 /** An HTTP server with JSON answers, and a planned stop that cuts nothing off. */
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
-import { readBody } from '@rillrudder/web'
-import type { Address } from './settings'
+import type { Address } from './address'
+import { readBody } from './readBody'
 
 /** Bytes that a body may have; the largest are configurations with hundreds of queues. */
 const MOST_BODY_BYTES = 4 * 1024 * 1024
-/** Milliseconds for which an idle connection is kept; the platform's clients close theirs earlier. */
+/** Milliseconds for which an idle connection is kept; clients are expected to close theirs earlier. */
 const IDLE = 20_000
 
-/** An answer. @public */
+const JSON_TYPE = 'application/json'
+
+/** An answer; a text is sent as it is, anything else as JSON. @public */
 export interface HttpAnswer {
 	readonly status: number
 	readonly body?: unknown
@@ -22,6 +24,7 @@
 	/** Path without a query. */
 	readonly path: string
 	readonly headers: IncomingMessage['headers']
+	readonly query: URLSearchParams
 	readonly body: Buffer
 }
 
@@ -76,8 +79,10 @@
 			}
 			const { method = '', url = '', headers } = request
 			const host = (headers.host ?? '').split(':')[0]
-			const path = url.split('?')[0]
-			this.answer(response, await this.handle({ method, host, path, headers, body: body.value }))
+			const [path, search = ''] = url.split('?')
+			const query = new URLSearchParams(search)
+			const call = { method, host, path, query, headers, body: body.value }
+			this.answer(response, await this.handle(call))
 		} catch (fault) {
 			this.answer(response, { status: 500, body: { error: (fault as Error).message } })
 		} finally {
@@ -89,7 +94,7 @@
 		if (response.destroyed || response.headersSent) return
 		const text = body === undefined ? '' : typeof body === 'string' ? body : JSON.stringify(body)
 		response.writeHead(status, {
-			...(text === '' ? {} : { 'content-type': 'application/json' }),
+			...(text === '' ? {} : { 'content-type': JSON_TYPE }),
 			'content-length': Buffer.byteLength(text),
 			...(this.closing ? { connection: 'close' } : {}),
 			...headers,
