After a restart of all, a leader without waiting; open memberships in the seeded runs

Voters that restarted wait as if they had just promised a leader its time. When every voter says that its process has known no leader since it started, that leader is gone, and they elect at once. Seeded runs now replace, empty and add instances.

--- a/packages/consensus/src/lib/Election.ts
+++ b/packages/consensus/src/lib/Election.ts
@@ -1,10 +1,17 @@
 /** Pre-votes, votes and the timeouts that start them. */
 import type { Member, VoteCall, VoteReply } from '@rillrudder/protocol'
 import { Role, type ReplicaState } from './ReplicaState'
+import { Unanimity } from './Unanimity'
 
 const DISTANT_PENALTY = 2
 const DISKLESS_PENALTY = 0.5
 
+/** Why an election may begin although a leader may have been heard lately. */
+interface Reason {
+	readonly transfer?: boolean
+	readonly unanimous?: boolean
+}
+
 /**
  * The part of a replica that asks for votes and gives them.
  *
@@ -13,6 +20,7 @@
 export class Election {
 	private grants = new Set<string>()
 	private deadline = 0
+	private readonly unanimity: Unanimity
 
 	/**
 	 * @param state - the replica's state.
@@ -21,7 +29,9 @@
 	constructor(
 		private readonly state: ReplicaState,
 		private readonly lead: (now: number) => void
-	) {}
+	) {
+		this.unanimity = new Unanimity(state)
+	}
 
 	/** Waits a randomised time from now before asking for votes. */
 	reset(now: number): void {
@@ -32,13 +42,14 @@
 
 	/** Asks for votes when the time has come. */
 	tick(now: number): void {
-		if (now < this.deadline || this.state.role === Role.Leader || !this.state.votes) return
-		this.prepare(now)
+		if (this.state.role === Role.Leader || !this.state.votes) return
+		if (now >= this.deadline) this.prepare(now)
+		else if (this.unanimity.isDue(now)) this.call(true, { unanimous: true })
 	}
 
 	/** Starts an election at once because the leader asked for it. */
 	takeOver(now: number): void {
-		if (this.state.votes) this.campaign(now, true)
+		if (this.state.votes) this.campaign(now, { transfer: true })
 	}
 
 	/** Answers a call for a vote. */
@@ -46,7 +57,9 @@
 		if (call.pre) {
 			const granted = this.wouldGrant(term, call, now)
 			const echoed = granted ? term : this.state.term
-			this.state.sendLate(from, { $case: 'voteReply', value: { pre: true, granted } }, echoed)
+			const leaderless = call.unanimous && this.isLeaderless(term, call)
+			const value = { pre: true, granted, leaderless }
+			this.state.sendLate(from, { $case: 'voteReply', value }, echoed)
 			return
 		}
 		const free = this.state.votedFor === '' || this.state.votedFor === from
@@ -55,16 +68,22 @@
 			this.state.vote(from)
 			this.reset(now)
 		}
-		this.state.sendLate(from, { $case: 'voteReply', value: { pre: false, granted } })
+		const value = { pre: false, granted, leaderless: false }
+		this.state.sendLate(from, { $case: 'voteReply', value })
 	}
 
 	/** Whether a call for a vote may make this replica enter the caller's term. */
 	mayDisturb(call: VoteCall, now: number): boolean {
+		if (call.unanimous && !this.state.knewLeader) return true
 		return call.transfer || !this.leaderIsFresh(now)
 	}
 
 	/** Counts an answer. */
 	count(from: Member, term: number, reply: VoteReply, now: number): void {
+		if (reply.leaderless && this.unanimity.count(from.id)) {
+			this.campaign(now, { unanimous: true })
+			return
+		}
 		if (!reply.granted) return
 		const awaited = reply.pre ? Role.PreCandidate : Role.Candidate
 		const expected = reply.pre ? this.state.term + 1 : this.state.term
@@ -78,17 +97,17 @@
 		this.state.leader = ''
 		this.reset(now)
 		this.grants = new Set([this.state.options.id])
-		this.call(true, false)
+		this.call(true, {})
 		this.proceed(now)
 	}
 
-	private campaign(now: number, transfer: boolean): void {
+	private campaign(now: number, reason: Reason): void {
 		this.state.enterTerm(this.state.term + 1)
 		this.state.vote(this.state.options.id)
 		this.state.role = Role.Candidate
 		this.reset(now)
 		this.grants = new Set([this.state.options.id])
-		this.call(false, transfer)
+		this.call(false, reason)
 		this.proceed(now)
 	}
 
@@ -96,13 +115,14 @@
 		const voters = this.state.memberships.voters
 		const granted = voters.filter((voter) => this.grants.has(voter.id)).length
 		if (granted * 2 <= voters.length) return
-		if (this.state.role === Role.PreCandidate) this.campaign(now, false)
+		if (this.state.role === Role.PreCandidate) this.campaign(now, {})
 		else if (this.state.role === Role.Candidate) this.lead(now)
 	}
 
-	private call(pre: boolean, transfer: boolean): void {
+	private call(pre: boolean, { transfer = false, unanimous = false }: Reason): void {
 		const { log, term, memberships, options } = this.state
-		const value = { pre, transfer, lastIndex: log.lastIndex, lastTerm: log.lastTerm }
+		const { lastIndex, lastTerm } = log
+		const value = { pre, transfer, unanimous, lastIndex, lastTerm }
 		for (const voter of memberships.voters) {
 			if (voter.id === options.id) continue
 			this.state.sendLate(voter.id, { $case: 'voteCall', value }, pre ? term + 1 : term)
@@ -111,8 +131,20 @@
 
 	private wouldGrant(term: number, call: VoteCall, now: number): boolean {
 		if (!this.state.votes) return false
-		if (!call.transfer && this.leaderIsFresh(now)) return false
+		const excused = call.transfer || (call.unanimous && !call.pre && !this.state.knewLeader)
+		if (!excused && this.leaderIsFresh(now)) return false
 		if (call.pre && term <= this.state.term) return false
+		return this.isAsComplete(call)
+	}
+
+	/** Whether this process knows of no leader since it started, and would vote for the caller. */
+	private isLeaderless(term: number, call: VoteCall): boolean {
+		const { votes, knewLeader, term: own } = this.state
+		return votes && !knewLeader && term > own && this.isAsComplete(call)
+	}
+
+	/** Whether the caller's log has everything that this one has. */
+	private isAsComplete(call: VoteCall): boolean {
 		const { lastIndex, lastTerm } = this.state.log
 		if (call.lastTerm !== lastTerm) return call.lastTerm > lastTerm
 		return call.lastIndex >= lastIndex
--- a/packages/consensus/src/lib/Following.ts
+++ b/packages/consensus/src/lib/Following.ts
@@ -70,6 +70,7 @@
 		state.role = Role.Follower
 		state.leader = from
 		state.leaderHeardAt = now
+		state.knewLeader = true
 		this.resetElection(now)
 	}
 
--- a/packages/consensus/src/lib/Leadership.ts
+++ b/packages/consensus/src/lib/Leadership.ts
@@ -52,6 +52,7 @@
 		const { state } = this
 		state.role = Role.Leader
 		state.leader = state.options.id
+		state.knewLeader = true
 		state.options.witness?.leading(state.term, state.life)
 		this.since = now
 		this.handingTo = ''
--- a/packages/consensus/src/lib/Replica.ts
+++ b/packages/consensus/src/lib/Replica.ts
@@ -250,7 +250,8 @@
 	private admitTerm(message: GroupMessage, now: number): boolean {
 		const body = message.body
 		const preVote = body?.$case === 'voteCall' && body.value.pre
-		const preReply = body?.$case === 'voteReply' && body.value.pre && body.value.granted
+		const preReply =
+			body?.$case === 'voteReply' && body.value.pre && (body.value.granted || body.value.leaderless)
 		if (preVote || preReply) return true
 		if (message.term < this.state.term) {
 			this.answerStale(message)
@@ -269,7 +270,7 @@
 			const value = { accepted: false, index: this.state.log.lastIndex, round: body.value.round }
 			this.state.sendLate(message.from, { $case: 'appendReply', value })
 		} else if (body?.$case === 'voteCall') {
-			const value = { pre: false, granted: false }
+			const value = { pre: false, granted: false, leaderless: false }
 			this.state.sendLate(message.from, { $case: 'voteReply', value })
 		}
 	}
--- a/packages/consensus/src/lib/ReplicaState.ts
+++ b/packages/consensus/src/lib/ReplicaState.ts
@@ -88,6 +88,8 @@
 	snapshot: Snapshot | undefined
 	/** When a leader was last heard. A fresh start counts: what was promised before is forgotten. */
 	leaderHeardAt: number
+	/** Whether this process has led, or followed a leader, since it started. */
+	knewLeader = false
 	/** Instances that answers to probes have named as members. */
 	readonly heardOf = new Set<string>()
 
--- a/packages/runs/src/lib/GroupRun.ts
+++ b/packages/runs/src/lib/GroupRun.ts
@@ -29,6 +29,8 @@
 	OneWay: 'one-way',
 	LostDisk: 'lost-disk',
 	HandOver: 'hand-over',
+	/** Only where the membership is open: one is gone for good, and an empty one comes under a new name. */
+	Replace: 'replace',
 } as const
 /** One of the faults. @public */
 export type Fault = (typeof Fault)[keyof typeof Fault]
@@ -48,6 +50,8 @@
 	readonly founders: readonly Founder[]
 	/** Probability of a new fault in a step of 10 ms. */
 	readonly faultRate: number
+	/** Whether instances join and leave; the founders only begin. */
+	readonly open?: boolean
 }
 
 interface Flight {
@@ -64,6 +68,8 @@
 	state = 0
 	downUntil = 0
 	pausedUntil = 0
+	/** How many times it has booted. */
+	lives = 0
 	/** What came while it was paused. */
 	held: (() => void)[] = []
 
@@ -99,7 +105,15 @@
 		elections: 0,
 		committed: 0,
 		snapshotsInstalled: 0,
-		faults: { restart: 0, pause: 0, 'cut-off': 0, 'one-way': 0, 'lost-disk': 0, 'hand-over': 0 },
+		faults: {
+			restart: 0,
+			pause: 0,
+			'cut-off': 0,
+			'one-way': 0,
+			'lost-disk': 0,
+			'hand-over': 0,
+			replace: 0,
+		},
 	}
 	private readonly random: Random
 	private readonly witness = new Witness()
@@ -165,6 +179,21 @@
 		wipe(node)
 	}
 
+	/** Removes an instance for good, and adds an empty one under a new name after a while. */
+	replace(id: string, name: string, span: number): void {
+		this.nodes.delete(id)
+		this.addNode(name, span)
+	}
+
+	/** Adds an instance with an empty disk after a while. */
+	addNode(id: string, span: number): void {
+		this.clock.after(span, () => {
+			const node = new Node({ id, durable: true, local: true }, 1, this.random.integer(0, 100_000))
+			this.nodes.set(id, node)
+			this.boot(node)
+		})
+	}
+
 	/** Hands a replica's leadership over. */
 	handOver(id: string): boolean {
 		return this.node(id).running.handOver()
@@ -205,12 +234,33 @@
 				node.state === first.state && node.running.applied === first.running.applied,
 				'one state'
 			)
-			const whole = members.every((member) => member.voter)
-			invariant(whole, 'every life is a voter again', { members })
+			this.checkMembers(members)
 		}
 		this.tally.committed = this.witness.committedCount
 	}
 
+	/** Every life votes again; of an open group as many as its size asks for, and all of them live. */
+	private checkMembers(members: ReplicaStatus['members']): void {
+		const voters = members.filter((member) => member.voter)
+		if (!this.options.open) {
+			invariant(voters.length === members.length, 'every life is a voter again', { members })
+			return
+		}
+		const expected = this.nodes.size >= 5 ? 5 : 3
+		const lives = voters.every((one) => this.nodes.get(one.id)?.incarnation === one.incarnation)
+		invariant(voters.length === expected && lives, 'as many live voters as there should be', {
+			members,
+			expected,
+		})
+		for (const id of this.nodes.keys()) {
+			invariant(
+				members.some((one) => one.id === id),
+				'everyone belongs',
+				{ id, members }
+			)
+		}
+	}
+
 	private step(): void {
 		this.clock.advance(STEP)
 		this.tally.steps += 1
@@ -299,7 +349,8 @@
 	}
 
 	private disturb(): void {
-		const fault = this.random.pick(Object.values(Fault))
+		const kinds = Object.values(Fault).filter((kind) => this.options.open || kind !== Fault.Replace)
+		const fault = this.random.pick(kinds)
 		const node = this.random.pick([...this.nodes.values()])
 		if (!this.inflict(fault, node)) return
 		this.tally.faults[fault] += 1
@@ -323,9 +374,17 @@
 				return this.loseDisk(node, span)
 			case Fault.HandOver:
 				return node.downUntil === 0 && node.running.handOver()
+			case Fault.Replace:
+				return this.replaceAtRandom(node, span)
 		}
 	}
 
+	private replaceAtRandom(node: Node, span: number): boolean {
+		if (!this.othersWhole(node) || !this.mayTakeDown(node)) return false
+		this.replace(node.founder.id, `${node.founder.id.split('.')[0]}.${++this.lives}`, span)
+		return true
+	}
+
 	/** An instance without a disk forgets; a second one that forgets at once would lose the group. */
 	private mayTakeDown(node: Node): boolean {
 		return node.downUntil === 0 && (node.founder.durable || this.othersWhole(node))
@@ -352,7 +411,8 @@
 			const { members, commit } = one.replica.status
 			const self = members.find((member) => member.id === one.founder.id)
 			const stored = one.founder.durable ? lastStored(one.disk) : commit
-			const voter = self?.voter === true && self.incarnation === one.incarnation
+			const votes = this.options.open ? self !== undefined : self?.voter === true
+			const voter = votes && self?.incarnation === one.incarnation
 			return one.downUntil === 0 && voter && stored >= known && commit >= known
 		})
 	}
@@ -374,13 +434,21 @@
 		const { id, durable } = node.founder
 		if (!durable || node.incarnation === '') node.incarnation = `life-${++this.lives}`
 		node.state = 0
-		const { founders } = this.options
+		const { founders, open } = this.options
+		const self = this.nodes.get(id) === node && founders.some((one) => one.id === id)
+		const applicant = {
+			durable,
+			dataCentre: id.split('.')[0],
+			contacts: () => [...this.nodes.keys()],
+		}
 		const running: RunReplica = new RunReplica({
 			options: {
 				group: 'run',
 				id,
 				incarnation: node.incarnation,
-				founders,
+				// An instance that comes later, or with an empty disk, is told of no founding.
+				founders: open && (node.lives++ > 0 || !self) ? [] : founders,
+				applicant: open ? applicant : undefined,
 				random: new Random(this.random.integer(1, 1_000_000_000)),
 				witness: this.witness,
 			},
--- a/packages/runs/src/lib/groupFailures.test.ts
+++ b/packages/runs/src/lib/groupFailures.test.ts
@@ -109,7 +109,7 @@
 	const random = new Random(1)
 	const options = { group: 'run', id: 'b', incarnation: 'new', founders: FOUNDERS, random }
 	const replica = new Replica(options, 0)
-	const value = { pre: false, lastIndex: 9, lastTerm: 2, transfer: false }
+	const value = { pre: false, lastIndex: 9, lastTerm: 2, transfer: false, unanimous: false }
 	const call = { group: 'run', from: 'c', incarnation: 'life-c', term: 3 }
 	// Long after its start, so that only the lack of a vote speaks against it.
 	replica.receive({ ...call, body: { $case: 'voteCall', value } }, 60_000)
@@ -139,8 +139,8 @@
 
 test('without pre-votes, a voter that hears nothing drives the term up', () => {
 	const broken = function (this: unknown, now: unknown): unknown {
-		const election = this as { campaign(now: unknown, transfer: boolean): void }
-		return election.campaign(now, false)
+		const election = this as { campaign(now: unknown, reason: object): void }
+		return election.campaign(now, {})
 	}
 	withBroken('Election', 'Election', 'prepare', broken, () => {
 		const run = group(5)
