A worker is closed until it has stopped what was given up early; the desk tested with workers that misbehave

Test: JobDesk.test.ts, 'a worker whose run was given up gets nothing before it has stopped that run'. A new leader's first look no longer waits for an end: it held confirmations up by 0.5 s.

--- /dev/null
+++ b/packages/jobs/src/lib/desk/JobDesk.test.ts
@@ -0,0 +1,311 @@
+/** What the leader's desk decides, with workers that misbehave. */
+import assert from 'node:assert/strict'
+import { test } from 'node:test'
+import { RunEnd } from '../records/Job'
+import { DeskSubject } from '../testing/DeskSubject'
+import { jobOf } from '../testing/samples'
+import { DEFAULT_DESK_TIMING } from './DeskTiming'
+import { Refusal } from './ports'
+
+const ID = '00000000000000aa'
+const OTHER = '00000000000000bb'
+const THIRD = '00000000000000cc'
+const LEASE_OVER = DEFAULT_DESK_TIMING.lease * 1.03 + 1000
+
+function stateOf(subject: DeskSubject, id = ID): string | undefined {
+	return subject.state.jobs.find(id)?.state
+}
+
+test('a run is committed before its worker is told, and its end before the worker may forget it', () => {
+	const subject = new DeskSubject()
+	subject.heartbeat('w1')
+	subject.submit(ID, jobOf({}))
+	assert.ok(subject.proposals.committed.some((command) => command.kind === 'begin'))
+	assert.equal(subject.worker('w1').starts.length, 1)
+	subject.run(100, 'w1')
+	subject.worker('w1').end(`${ID}.0.0.0`, RunEnd.Done)
+	subject.run(1500, 'w1')
+	assert.equal(stateOf(subject), 'completed')
+	assert.equal(subject.worker('w1').looks[0].endsSeen, 0)
+})
+
+test('no worker is given more than it has', () => {
+	const subject = new DeskSubject()
+	subject.heartbeat('w1')
+	subject.submit(ID, jobOf({ count: 9 }))
+	subject.run(300, 'w1')
+	assert.equal(subject.worker('w1').running.length, 4)
+})
+
+test('an order without an answer is sent again under the same attempt', () => {
+	const subject = new DeskSubject()
+	subject.heartbeat('w1')
+	subject.worker('w1').silent = true
+	subject.submit(ID, jobOf({}))
+	subject.run(500, 'w1')
+	subject.worker('w1').silent = false
+	subject.run(1000, 'w1')
+	const { starts } = subject.worker('w1')
+	assert.ok(starts.length >= 2)
+	assert.deepEqual([...new Set(starts.map((order) => order.attempt))], [1])
+})
+
+test('runs of a silent worker begin elsewhere only once its lease is certainly over', () => {
+	const subject = new DeskSubject()
+	subject.heartbeat('w1')
+	subject.submit(ID, jobOf({}))
+	subject.run(100, 'w1')
+	subject.heartbeat('w2')
+	subject.worker('w1').silent = true
+	subject.run(DEFAULT_DESK_TIMING.lease - 200, 'w1', 'w2')
+	assert.equal(subject.worker('w2').starts.length, 0)
+	subject.run(LEASE_OVER, 'w1', 'w2')
+	assert.equal(subject.worker('w2').starts[0].attempt, 2)
+})
+
+test('a silent worker is not renewed, and is looked at again although nothing is left there', () => {
+	const subject = new DeskSubject()
+	subject.heartbeat('w1')
+	subject.submit(ID, jobOf({}))
+	subject.run(100, 'w1')
+	subject.worker('w1').silent = true
+	subject.run(LEASE_OVER * 2, 'w1')
+	assert.equal(subject.worker('w1').looks.at(-1)?.leaseUntil, undefined)
+	const looks = subject.worker('w1').looks.length
+	subject.run(1000, 'w1')
+	assert.ok(subject.worker('w1').looks.length > looks)
+})
+
+test('a new incarnation at the same address ends what ran there at once', () => {
+	const subject = new DeskSubject()
+	subject.heartbeat('w1', { address: 'h:1' })
+	subject.submit(ID, jobOf({}))
+	subject.heartbeat('w2', { address: 'h:1' })
+	subject.run(100)
+	assert.equal(subject.worker('w2').starts[0].attempt, 2)
+	subject.heartbeat('w1', { address: 'h:1' })
+	assert.equal(subject.state.workers.find('w1'), undefined)
+})
+
+test('with two workers of a data centre silent, the others get nothing until they have answered', () => {
+	const subject = new DeskSubject()
+	for (const id of ['w1', 'w2', 'w3']) subject.heartbeat(id)
+	subject.heartbeat('far', { dataCentre: 'isani' })
+	subject.run(700, 'w1', 'w2', 'w3', 'far')
+	subject.submit(ID, jobOf({ count: 12 }))
+	subject.run(100)
+	for (const id of ['w1', 'w2', 'w3']) subject.worker(id).silent = true
+	subject.run(1500)
+	const before = subject.worker('w3').starts.length
+	subject.submit(OTHER, jobOf({ count: 4 }))
+	subject.run(200)
+	assert.equal(subject.worker('w3').starts.length, before)
+	assert.equal(stateOf(subject, OTHER), 'running')
+})
+
+test('a step that allows copies begins elsewhere at once', () => {
+	const subject = new DeskSubject()
+	subject.heartbeat('w1')
+	subject.submit(ID, jobOf({ copies: true }))
+	subject.run(100, 'w1')
+	subject.worker('w1').silent = true
+	subject.heartbeat('w2')
+	subject.run(2000, 'w2')
+	assert.equal(subject.worker('w2').starts.length, 1)
+})
+
+test('a worker whose run was given up gets nothing before it has stopped that run', () => {
+	const large = { cpu: 3000, memory: 10, accelerators: 0 }
+	const subject = new DeskSubject()
+	subject.heartbeat('w1')
+	subject.submit(ID, jobOf({ copies: true, need: large }))
+	subject.run(100, 'w1')
+	const { running } = subject.worker('w1')
+	subject.worker('w1').silent = true
+	subject.heartbeat('w2')
+	subject.run(1800, 'w2')
+	// It answers again, and the order is carried out late: not listed at first, then it runs.
+	subject.worker('w1').running = []
+	subject.worker('w1').silent = false
+	const before = subject.worker('w1').starts.length
+	subject.submit(OTHER, jobOf({ count: 4, need: large }))
+	subject.run(20, 'w1', 'w2')
+	subject.worker('w1').running = [...running]
+	subject.run(20, 'w1', 'w2')
+	const cpu = subject.worker('w1').running.length * large.cpu
+	assert.ok(cpu <= 4000, `${cpu} of 4000 taken`)
+	subject.run(3000, 'w1', 'w2')
+	assert.ok(subject.worker('w1').stops.some((order) => order.task.startsWith(ID)))
+	assert.ok(subject.worker('w1').starts.length > before)
+	assert.equal(subject.worker('w1').running.length, 1)
+})
+
+test('a refusal frees the room, and nothing needs to be stopped when it was the only order', () => {
+	const subject = new DeskSubject()
+	subject.heartbeat('w1')
+	subject.worker('w1').startResult = { kind: 'refused', reason: Refusal.Invalid }
+	subject.submit(ID, jobOf({}))
+	subject.worker('w1').startResult = undefined
+	subject.run(600, 'w1')
+	assert.equal(subject.worker('w1').running.length, 1)
+	assert.equal(subject.worker('w1').running[0].attempt, 2)
+	assert.equal(subject.worker('w1').stops.length, 0)
+})
+
+test('a worker that has obeyed a later leader deposes this one', () => {
+	const subject = new DeskSubject()
+	subject.heartbeat('w1')
+	subject.worker('w1').startResult = { kind: 'refused', reason: Refusal.Fence }
+	subject.submit(ID, jobOf({}))
+	assert.equal(subject.deposed, true)
+})
+
+test('a new leader takes up what runs, orders what is not listed again, and nothing twice', () => {
+	const subject = new DeskSubject()
+	subject.heartbeat('w1')
+	subject.submit(ID, jobOf({ count: 2 }))
+	subject.run(100, 'w1')
+	// One of the two never began.
+	subject.worker('w1').running = subject.worker('w1').running.slice(0, 1)
+	const before = subject.worker('w1').starts.length
+	subject.lead()
+	subject.run(1000, 'w1')
+	const again = subject.worker('w1').starts.slice(before)
+	assert.deepEqual(
+		again.map((order) => [order.task, order.attempt, order.fence]),
+		[[`${ID}.0.0.1`, 1, 2]]
+	)
+})
+
+test('a draining worker gets nothing new; lasting work leaves it at once', () => {
+	const subject = new DeskSubject()
+	subject.heartbeat('w1')
+	subject.submit(ID, jobOf({ lasting: true }))
+	subject.submit(OTHER, jobOf({ count: 3 }))
+	subject.run(100, 'w1')
+	subject.heartbeat('w1', {}, true, 3000)
+	subject.heartbeat('w2')
+	subject.run(1500, 'w2')
+	assert.equal(subject.worker('w1').stops.length, 1)
+	assert.equal(subject.worker('w2').starts.length, 1)
+	assert.equal(subject.worker('w2').starts[0].task, `${ID}.0.0.0`)
+})
+
+test('a cancelled job is stopped everywhere and begins nowhere', () => {
+	const subject = new DeskSubject()
+	subject.heartbeat('w1')
+	subject.submit(ID, jobOf({ count: 6 }))
+	subject.run(100, 'w1')
+	assert.deepEqual(subject.call({ kind: 'cancel', to: { id: ID } }), { kind: 'noted' })
+	const count = subject.worker('w1').starts.length
+	subject.run(1500, 'w1')
+	assert.equal(subject.worker('w1').stops.length, 4)
+	assert.equal(subject.worker('w1').running.length, 0)
+	assert.equal(subject.worker('w1').starts.length, count)
+})
+
+test('a gang begins whole or not at all', () => {
+	const subject = new DeskSubject()
+	subject.heartbeat('w1')
+	subject.submit(ID, jobOf({ count: 6, gang: true }))
+	subject.run(500, 'w1')
+	assert.equal(subject.worker('w1').starts.length, 0)
+	subject.heartbeat('w2')
+	subject.run(500, 'w1', 'w2')
+	assert.equal(subject.startCount, 6)
+})
+
+test('a gang that wants one rack takes one that has room', () => {
+	const subject = new DeskSubject()
+	subject.heartbeat('w1', { rack: 'r1' })
+	subject.heartbeat('w2', { rack: 'r2' })
+	subject.heartbeat('w3', { rack: 'r2' })
+	subject.submit(ID, jobOf({ count: 6, gang: true, sameRack: true }))
+	subject.run(100)
+	assert.equal(subject.worker('w1').starts.length, 0)
+	assert.equal(subject.startCount, 6)
+})
+
+test('labels, spread limits and the rack of the data are kept', () => {
+	const subject = new DeskSubject()
+	subject.heartbeat('w1', { labels: ['a', 'r1'] })
+	subject.heartbeat('w2', { labels: ['b', 'r2'], rack: 'r2' })
+	subject.submit(ID, jobOf({ requires: 'b' }))
+	subject.submit(OTHER, jobOf({ count: 4, mostPerWorker: 1 }))
+	subject.submit(THIRD, jobOf({ rack: 'r2' }))
+	subject.run(300, 'w1', 'w2')
+	const of = (id: string, job: string): number =>
+		subject.worker(id).starts.filter((order) => order.task.startsWith(job)).length
+	assert.deepEqual([of('w1', ID), of('w2', ID)], [0, 1])
+	assert.deepEqual([of('w1', OTHER), of('w2', OTHER)], [1, 1])
+	assert.deepEqual([of('w1', THIRD), of('w2', THIRD)], [0, 1])
+})
+
+test('a step with advice begins only on workers that are allowed, with their tickets', () => {
+	const subject = new DeskSubject({ advice: { base: 20, each: 1, valid: 2500 } })
+	subject.allowed = (id) => id === 'w2'
+	for (const id of ['w1', 'w2', 'w3']) subject.heartbeat(id)
+	subject.submit(ID, jobOf({ count: 3 }))
+	subject.run(500, 'w1', 'w2', 'w3')
+	assert.equal(subject.worker('w2').starts.length, 3)
+	assert.equal(subject.startCount, 3)
+	assert.equal(subject.worker('w2').starts[0].ticket, 'ticket-w2')
+})
+
+test('advice for the next step is asked once the first task of this one is done', () => {
+	const subject = new DeskSubject({ advice: { base: 20, each: 1, valid: 2500 } })
+	subject.heartbeat('w1')
+	subject.submit(ID, jobOf({ count: 2 }, { dependsOn: [0] }))
+	subject.run(200, 'w1')
+	subject.worker('w1').end(`${ID}.0.0.0`, RunEnd.Done)
+	subject.run(900, 'w1')
+	assert.ok(subject.questions.some(({ question }) => question.step === `${ID}.0.1`))
+	assert.equal(subject.worker('w1').starts.length, 2)
+})
+
+test('best-effort work is slowed down where it disturbs, and let go on', () => {
+	const subject = new DeskSubject()
+	subject.heartbeat('w1')
+	subject.submit(ID, jobOf({ lasting: true, latencyTarget: 100 }))
+	subject.submit(OTHER, jobOf({ bestEffort: true }))
+	subject.run(100, 'w1')
+	const measure = (tail: number): void => {
+		const fake = subject.worker('w1')
+		fake.running = fake.running.map((run) =>
+			run.task.startsWith(ID) ? { ...run, measure: tail } : run
+		)
+	}
+	measure(120)
+	subject.run(2000, 'w1')
+	assert.equal(subject.worker('w1').paces.at(-1)?.percent, 0)
+	measure(20)
+	subject.run(5000, 'w1')
+	assert.equal(subject.worker('w1').paces.at(-1)?.percent, 100)
+})
+
+test('repeats begin when they are due, each for itself', () => {
+	const subject = new DeskSubject()
+	subject.heartbeat('w1')
+	const first = subject.clock.date().getTime() + 1000
+	subject.submit(ID, { ...jobOf({}), repeat: { count: 2, first, interval: 1000 } })
+	subject.run(900, 'w1')
+	assert.equal(subject.startCount, 0)
+	subject.run(300, 'w1')
+	assert.deepEqual(
+		subject.worker('w1').starts.map((order) => order.task),
+		[`${ID}.0.0.0`]
+	)
+	subject.run(1000, 'w1')
+	assert.equal(subject.worker('w1').starts.at(-1)?.task, `${ID}.1.0.0`)
+})
+
+test('the list and the explanation of jobs say why a step waits', () => {
+	const subject = new DeskSubject()
+	subject.submit(ID, jobOf({ requires: 'none' }, { dependsOn: [0] }))
+	const reply = subject.call({ kind: 'explain-job', id: ID })
+	assert.ok(reply?.kind === 'explanation')
+	assert.match(reply.explanation.steps[0].reason, /no open worker/)
+	assert.match(reply.explanation.steps[1].reason, /earlier steps/)
+	const list = subject.call({ kind: 'list-jobs', filter: { state: 'queued', most: 5 } })
+	assert.ok(list?.kind === 'jobs' && list.jobs.length === 1)
+})
--- a/packages/jobs/src/lib/desk/RunBoard.ts
+++ b/packages/jobs/src/lib/desk/RunBoard.ts
@@ -135,11 +135,9 @@
 	/** Compares what a worker lists with what it should run. */
 	looked(view: WorkerView, result: LookResult & { kind: 'done' }, sentAt: number): void {
 		const listed = new Set<string>()
-		let strays = 0
 		for (const { task, attempt, checkpoint, percent, measure } of result.running) {
 			const run = this.runs.get(task)
 			if (!run || run.worker !== view.id || run.attempt !== attempt) {
-				strays += 1
 				this.stopStray(view, task, attempt)
 				continue
 			}
@@ -147,7 +145,6 @@
 			Object.assign(run, { checkpoint, percent, measure, absent: 0 })
 			if (run.phase === RunPhase.Starting) this.enter(run, RunPhase.Running)
 		}
-		if (strays === 0) view.uncertain = false
 		for (const end of result.ended) listed.add(end.task)
 		for (const run of view.runs.values()) {
 			if (!listed.has(run.text)) this.notListed(run, sentAt)
--- a/packages/jobs/src/lib/desk/WorkerBoard.ts
+++ b/packages/jobs/src/lib/desk/WorkerBoard.ts
@@ -7,7 +7,7 @@
 import { DeskEvent } from './DeskEvent'
 import { Lease } from './Lease'
 import { OutageWatch } from './OutageWatch'
-import type { ListedEnd, LookResult } from './ports'
+import type { ListedEnd, ListedRun, LookResult } from './ports'
 import type { Run } from './Run'
 import { WorkerView } from './WorkerView'
 
@@ -71,7 +71,7 @@
 	isOpen(view: WorkerView): boolean {
 		const { clock, timing, health } = this.context
 		const now = clock.now()
-		if (view.draining || view.uncertain || view.unreachable) return false
+		if (view.draining || view.doubts.size > 0 || view.unreachable) return false
 		if (this.isDoubtful(view, now)) return false
 		return now - view.heartbeatAt < timing.workerSilent && health.isOpen(view.id, now)
 	}
@@ -141,9 +141,9 @@
 		for (const view of this.views.values()) {
 			if (view.runs.size > 0 && !view.looking && now >= view.lookDue) this.look(view, now)
 			if (view.unreachable) this.giveUpCopies(view, now)
-			const doubtful =
-				view.unreachable || view.uncertain || !view.lease.known || this.isDoubtful(view, now)
-			if (doubtful && !view.probing && now >= view.probeDue) this.probe(view, now)
+			if (!view.unreachable) this.settleDoubts(view)
+			const asks = this.isUnclear(view, now)
+			if (asks && !view.probing && now >= view.probeDue) this.probe(view, now)
 			if (view.left && (view.runs.size === 0 || view.lease.isOver(now))) {
 				this.proposeGone(view.id, 'left')
 				view.left = false
@@ -184,6 +184,12 @@
 		proposals.propose({ kind: 'gone', worker: id, at: epochOf(this.context) }, done)
 	}
 
+	/** Whether something about it is not known that a short look tells. */
+	private isUnclear(view: WorkerView, now: number): boolean {
+		const { unreachable, doubts, lease } = view
+		return unreachable || doubts.size > 0 || !lease.known || this.isDoubtful(view, now)
+	}
+
 	/** Whether its data centre seems out of reach and it has not answered since. */
 	private isDoubtful(view: WorkerView, now: number): boolean {
 		const since = this.outages.doubtfulSince(view.worker.dataCentre, now)
@@ -196,7 +202,8 @@
 		const leaseUntil = view.unreachable || view.left ? undefined : view.lease.renew(now)
 		view.looking = true
 		view.lookDue = now + timing.retryPause
-		this.send(view, leaseUntil, leaseUntil === undefined ? 0 : this.waitAt(view), now, () => {
+		const wait = leaseUntil === undefined || !view.listed ? 0 : this.waitAt(view)
+		this.send(view, leaseUntil, wait, now, () => {
 			view.looking = false
 		})
 	}
@@ -241,8 +248,10 @@
 		switch (result.kind) {
 			case 'done':
 				this.answered(view, result.clock)
+				view.listed = true
 				view.lookDue = 0
 				this.takeEnds(view, result.ended)
+				this.dropDoubts(view, result.running, sentAt)
 				this.listener.looked(view, result, sentAt)
 				return
 			case 'refused':
@@ -276,7 +285,7 @@
 
 	/** The lease of a silent worker is certainly over: nothing runs there any more. */
 	private giveUp(view: WorkerView): void {
-		view.uncertain = false
+		view.doubts.clear()
 		this.lose(view, [...view.runs.values()], 'lease over')
 	}
 
@@ -284,10 +293,36 @@
 	private giveUpCopies(view: WorkerView, now: number): void {
 		if (now - view.answeredAt < COPY_PATIENCE) return
 		const copies = [...view.runs.values()].filter((run) => run.step.copies)
-		if (copies.length > 0) view.uncertain = true
+		for (const { text, attempt } of copies) view.doubts.set(text, { attempt, busy: false })
 		this.lose(view, copies, 'copies allowed')
 	}
 
+	/** Once a stop is acknowledged, neither the run nor a late order to start it can take room. */
+	private settleDoubts(view: WorkerView): void {
+		const { orders, term, clock } = this.context
+		for (const [task, doubt] of view.doubts) {
+			if (doubt.busy || doubt.stoppedAt !== undefined) continue
+			doubt.busy = true
+			const sentAt = clock.now()
+			orders.stop(view.worker, { task, attempt: doubt.attempt, fence: term }, (result) => {
+				doubt.busy = false
+				if (result.kind === 'unknown') this.unanswered(view, result.message, sentAt)
+				else doubt.stoppedAt = clock.now()
+			})
+		}
+	}
+
+	/** A doubt is over when a look that was sent after the stop does not list the run. */
+	private dropDoubts(view: WorkerView, running: readonly ListedRun[], sentAt: number): void {
+		if (view.doubts.size === 0) return
+		const listed = new Set(running.map((run) => run.task))
+		for (const [task, { stoppedAt }] of view.doubts) {
+			if (stoppedAt !== undefined && stoppedAt <= sentAt && !listed.has(task)) {
+				view.doubts.delete(task)
+			}
+		}
+	}
+
 	private lose(view: WorkerView, lost: readonly Run[], reason: string): void {
 		if (lost.length === 0) return
 		const runs = lost.map((run) => ({
--- a/packages/jobs/src/lib/desk/WorkerView.ts
+++ b/packages/jobs/src/lib/desk/WorkerView.ts
@@ -3,6 +3,15 @@
 import type { Lease } from './Lease'
 import type { Run } from './Run'
 
+/** A run that was given up early: what it takes is not known until the worker has stopped it. @internal */
+export interface Doubt {
+	readonly attempt: number
+	/** Whether an order to stop it is under way. */
+	busy: boolean
+	/** When the worker said that it will not run any more, on the desk's clock. */
+	stoppedAt?: number
+}
+
 /** A worker as the desk sees it. @internal */
 export class WorkerView {
 	draining = false
@@ -14,8 +23,8 @@
 	unreachable = false
 	/** When it last answered, on the desk's clock. */
 	answeredAt = Number.NEGATIVE_INFINITY
-	/** Whether runs that were given up early may still be there, so that its room is not known. */
-	uncertain = false
+	/** Runs that were given up although they may still be there, or may yet begin, by task name. */
+	readonly doubts = new Map<string, Doubt>()
 	/** Whether a short look is under way that only asks whether it is there. */
 	probing = false
 	/** When it may be probed next. */
@@ -26,6 +35,8 @@
 	endsCommitted = 0
 	/** Ends up to this number are committed or on their way there. */
 	endsProposed = 0
+	/** Whether this leader has seen what it lists. */
+	listed = false
 	/** Whether a look is under way. */
 	looking = false
 	/** When it may be looked at next. */
--- /dev/null
+++ b/packages/jobs/src/lib/testing/DeskSubject.ts
@@ -0,0 +1,239 @@
+/** A desk with a log that commits at once, and workers that answer as the test says. */
+import { Ledger, WorkerHealth } from '@rillrudder/scheduler'
+import { Log, Meter } from '@rillrudder/telemetry'
+import { ManualClock, Random } from '@rillrudder/utils'
+import { encodeCommands, type CellCommand } from '../commands/CellCommand'
+import type { CellCall, CellReply } from '../desk/calls'
+import { DEFAULT_DESK_TIMING } from '../desk/DeskTiming'
+import { JobDesk } from '../desk/JobDesk'
+import {
+	Advisers,
+	Proposals,
+	WorkerOrders,
+	type AdviceQuestion,
+	type AdviceResult,
+	type ListedEnd,
+	type ListedRun,
+	type LookOrder,
+	type LookResult,
+	type OrderResult,
+	type PaceOrder,
+	type StartOrder,
+	type StopOrder,
+} from '../desk/ports'
+import type { Queue, Worker } from '../records/Cell'
+import type { JobRequest } from '../records/Job'
+import { CellState } from '../state/CellState'
+import { QUEUE, workerNamed } from './samples'
+
+const TICK = 20
+const CLOCK_OFFSET = 50_000
+const ANSWER_LIMIT = 400
+
+/** What one worker of a test does and has seen. */
+export class FakeWorker {
+	readonly starts: StartOrder[] = []
+	readonly stops: StopOrder[] = []
+	readonly paces: PaceOrder[] = []
+	readonly looks: LookOrder[] = []
+	running: ListedRun[] = []
+	ended: ListedEnd[] = []
+	/** Set to make it silent: orders get no answer and are not carried out. */
+	silent = false
+	/** What the next starts are answered with, in place of being carried out. */
+	startResult: OrderResult | undefined
+	private endCount = 0
+
+	/** A run of it ends. */
+	end(task: string, how: ListedEnd['how'], checkpoint = ''): void {
+		const run = this.running.find((one) => one.task === task)
+		this.running = this.running.filter((one) => one.task !== task)
+		const attempt = run?.attempt ?? 1
+		this.ended.push({ number: ++this.endCount, task, attempt, how, checkpoint })
+	}
+}
+
+class FakeOrders extends WorkerOrders {
+	constructor(private readonly subject: DeskSubject) {
+		super()
+	}
+
+	override start(worker: Worker, order: StartOrder, done: (result: OrderResult) => void): void {
+		const fake = this.subject.worker(worker.id)
+		fake.starts.push(order)
+		if (fake.silent) return this.lose(done)
+		if (fake.startResult) return done(fake.startResult)
+		const { task, attempt, checkpoint } = order
+		if (!fake.running.some((one) => one.task === task)) {
+			fake.running.push({ task, attempt, checkpoint, percent: 0, measure: 0 })
+		}
+		done({ kind: 'done', clock: this.subject.workerClock })
+	}
+
+	override stop(worker: Worker, order: StopOrder, done: (result: OrderResult) => void): void {
+		const fake = this.subject.worker(worker.id)
+		fake.stops.push(order)
+		if (fake.silent) return this.lose(done)
+		if (fake.running.some((one) => one.task === order.task)) fake.end(order.task, 'stopped')
+		done({ kind: 'done', clock: this.subject.workerClock })
+	}
+
+	override pace(worker: Worker, order: PaceOrder, done: (result: OrderResult) => void): void {
+		this.subject.worker(worker.id).paces.push(order)
+		done({ kind: 'done', clock: this.subject.workerClock })
+	}
+
+	override look(worker: Worker, order: LookOrder, done: (result: LookResult) => void): void {
+		const fake = this.subject.worker(worker.id)
+		fake.looks.push(order)
+		if (fake.silent) return this.lose(done)
+		fake.ended = fake.ended.filter((end) => end.number > order.endsSeen)
+		const answer = (): void => {
+			const { running, ended } = fake
+			done({ kind: 'done', clock: this.subject.workerClock, running, ended: [...ended] })
+		}
+		this.subject.clock.after(order.wait > 0 && fake.ended.length === 0 ? order.wait : 1, answer)
+	}
+
+	private lose(done: (result: { kind: 'unknown'; message: string }) => void): void {
+		this.subject.clock.after(ANSWER_LIMIT, () => done({ kind: 'unknown', message: 'no answer' }))
+	}
+}
+
+class FakeAdvisers extends Advisers {
+	constructor(private readonly subject: DeskSubject) {
+		super()
+	}
+
+	override available(): readonly string[] {
+		return ['self', 'other', 'third']
+	}
+
+	override ask(via: string, question: AdviceQuestion, done: (result: AdviceResult) => void): void {
+		this.subject.questions.push({ via, question })
+		const good = question.workers.filter((id) => this.subject.allowed(id))
+		const tickets = new Map(good.map((id) => [id, `ticket-${id}`]))
+		this.subject.clock.after(30, () => done({ kind: 'answered', tickets }))
+	}
+}
+
+class InstantProposals extends Proposals {
+	/** Everything that was committed. */
+	readonly committed: CellCommand[] = []
+	private readonly queue: { command: CellCommand; done?: () => void }[] = []
+	private applying = false
+
+	constructor(private readonly subject: DeskSubject) {
+		super()
+	}
+
+	override propose(command: CellCommand, done?: () => void): void {
+		this.queue.push({ command, done })
+		if (this.applying) return
+		this.applying = true
+		for (let next = this.queue.shift(); next; next = this.queue.shift()) {
+			this.committed.push(next.command)
+			this.subject.state.apply(encodeCommands([next.command]))
+			next.done?.()
+		}
+		this.applying = false
+	}
+}
+
+/** A desk under test. */
+export class DeskSubject {
+	readonly clock = new ManualClock()
+	readonly state = new CellState()
+	readonly proposals = new InstantProposals(this)
+	readonly questions: { readonly via: string; readonly question: AdviceQuestion }[] = []
+	allowed: (worker: string) => boolean = () => true
+	deposed = false
+	desk!: JobDesk
+	private readonly workers = new Map<string, FakeWorker>()
+	private term = 0
+	private sequence = 0
+
+	/** @param queue - changes of the one queue. */
+	constructor(queue: Partial<Queue> = {}) {
+		this.lead()
+		const queues = [{ ...QUEUE, ...queue }]
+		const services = [{ name: QUEUE.service, enforcesCapacity: false }]
+		const configuration = { version: 1, queues, services, document: '{}' }
+		this.call({ kind: 'configure', configuration })
+	}
+
+	/** What all workers' clocks show. */
+	get workerClock(): number {
+		return Math.floor(this.clock.now() + CLOCK_OFFSET)
+	}
+
+	/** Begins a leadership, after another one where there was one. */
+	lead(): void {
+		this.state.observer = undefined
+		const random = new Random(7)
+		const silent = (): void => undefined
+		this.desk = new JobDesk({
+			state: this.state,
+			ledger: new Ledger(random),
+			health: new WorkerHealth(),
+			clock: this.clock,
+			random,
+			timing: DEFAULT_DESK_TIMING,
+			term: ++this.term,
+			orders: new FakeOrders(this),
+			advisers: new FakeAdvisers(this),
+			proposals: this.proposals,
+			log: new Log('test', this.clock, 'silent', silent),
+			meter: new Meter(),
+			deposed: () => (this.deposed = true),
+		})
+		this.state.observer = (change) => this.desk.changed(change)
+	}
+
+	/** Makes a call. @returns the reply, if it came at once. */
+	call(call: CellCall): CellReply | undefined {
+		let reply: CellReply | undefined
+		this.desk.call(call, (value) => (reply = value))
+		this.desk.place()
+		return reply
+	}
+
+	/** Hands a job in. */
+	submit(id: string, job: JobRequest): CellReply | undefined {
+		return this.call({ kind: 'submit', to: { queue: QUEUE.name, id }, job })
+	}
+
+	/** A heartbeat of a worker comes. */
+	heartbeat(id: string, changes: Partial<Worker> = {}, draining = false, remaining?: number): void {
+		const known = this.state.workers.find(id)?.worker
+		const worker = { ...(known ?? workerNamed(id)), ...changes }
+		const sequence = ++this.sequence
+		const clock = this.workerClock
+		const heartbeat = { worker, sequence, draining, remaining, clock }
+		this.call({ kind: 'heartbeat', heartbeat })
+	}
+
+	/** @returns the worker behind an id. */
+	worker(id: string): FakeWorker {
+		let worker = this.workers.get(id)
+		if (!worker) {
+			worker = new FakeWorker()
+			this.workers.set(id, worker)
+		}
+		return worker
+	}
+
+	/** Lets time pass, with heartbeats of these workers once a second. */
+	run(span: number, ...alive: string[]): void {
+		for (let spent = 0; spent < span; spent += TICK) {
+			if (spent % 1000 === 0) for (const id of alive) this.heartbeat(id)
+			this.clock.advance(TICK)
+			this.desk.tick()
+		}
+	}
+
+	/** How many starts were ordered. */
+	get startCount(): number {
+		return [...this.workers.values()].reduce((sum, { starts }) => sum + starts.length, 0)
+	}
+}
