--- a/packages/jobs/src/lib/desk/JobDesk.ts
+++ b/packages/jobs/src/lib/desk/JobDesk.ts
@@ -123,6 +123,7 @@
 				this.runs.ended(change.task, change.attempt, change.worker, change.how)
 				return this.steps.ended(change.task, change.worker)
 			case 'task-done':
+				this.runs.stopTask(change.task)
 				return this.steps.settled(change.task)
 			case 'worker-joined':
 				return this.workers.joined(change.worker)
--- a/packages/jobs/src/lib/desk/RunBoard.ts
+++ b/packages/jobs/src/lib/desk/RunBoard.ts
@@ -65,7 +65,7 @@
 			run.checkpoint = task.checkpoint
 			// The first look tells which of them run; only what it does not list is ordered again.
 			run.retryAt = this.context.clock.now() + RESTORED_PAUSE
-			if (!isActive(job)) this.beginStop(run)
+			if (!isActive(job) || task.finished) this.beginStop(run)
 		}
 	}
 
@@ -113,6 +113,12 @@
 		}
 	}
 
+	/** Stops the run of a task that an earlier run has done. */
+	stopTask(name: TaskName): void {
+		const run = this.runs.get(formatTaskName(name))
+		if (run) this.beginStop(run)
+	}
+
 	/** Stops what a leaving worker should not be caught with. */
 	leaving(view: WorkerView, now: number): void {
 		const { timing } = this.context
--- a/packages/jobs/src/lib/state/Change.ts
+++ b/packages/jobs/src/lib/state/Change.ts
@@ -24,7 +24,7 @@
 			readonly worker: string
 			readonly how: RunEnd
 	  }
-	/** The true end of a run that had been given up has come, and its work counts. */
+	/** The true end of a run that had been given up has come, and its work counts. A later run may go on. */
 	| { readonly kind: 'task-done'; readonly task: TaskName }
 	| { readonly kind: 'worker-joined'; readonly worker: Worker }
 	| { readonly kind: 'worker-draining'; readonly worker: string }
--- a/packages/jobs/src/lib/state/JobBook.test.ts
+++ b/packages/jobs/src/lib/state/JobBook.test.ts
@@ -107,7 +107,7 @@
 	assert.equal(subject.job.state, JobState.Failed)
 })
 
-test('a late end does not touch a later run', () => {
+test('a late end leaves a later run in place until that has ended too', () => {
 	const subject = new Subject(jobOf({}))
 	subject.begin('0.0')
 	subject.end('0.0', RunEnd.Lost)
@@ -117,6 +117,19 @@
 	assert.deepEqual([...subject.book.placedOn('w2')], [`${ID}.0.0.0`])
 })
 
+test('a task whose earlier run turned out done begins no more, however its later run ends', () => {
+	for (const how of [RunEnd.Stopped, RunEnd.Failed, RunEnd.Lost, RunEnd.Lapsed]) {
+		const subject = new Subject(jobOf({}))
+		subject.begin('0.0')
+		subject.end('0.0', RunEnd.Lost)
+		subject.begin('0.0', 2, 'w2')
+		subject.end('0.0', RunEnd.Done)
+		assert.equal(subject.kinds.at(-1), 'task-done')
+		subject.end('0.0', how, 2)
+		assert.equal(subject.job.state, JobState.Completed)
+	}
+})
+
 test('a run does not begin for a job that was cancelled, nor under an attempt that was used', () => {
 	const subject = new Subject(jobOf({ count: 2 }))
 	subject.begin('0.0')
--- a/packages/jobs/src/lib/state/JobBook.ts
+++ b/packages/jobs/src/lib/state/JobBook.ts
@@ -162,7 +162,8 @@
 		task.status = TaskStatus.Waiting
 		if (run.checkpoint !== '') task.checkpoint = run.checkpoint
 		if (run.how === RunEnd.Lost) rememberLost(task, run.attempt)
-		if (run.how === RunEnd.Done || place.step.gangDone) noteDone(place)
+		const done = run.how === RunEnd.Done || task.finished || place.step.gangDone
+		if (done) noteDone(place)
 		else if (run.how === RunEnd.Failed) noteFailure(place, run.attempt)
 		this.report({ kind: 'run-ended', task: name, attempt: run.attempt, worker, how: run.how })
 		this.conclude(place, at)
@@ -175,8 +176,9 @@
 		if (!task.lost?.includes(run.attempt)) return
 		task.lost = task.lost.filter((attempt) => attempt !== run.attempt)
 		if (run.how === RunEnd.Failed) noteFailure(place, run.attempt)
-		if (run.how === RunEnd.Done && task.status === TaskStatus.Waiting) {
-			noteDone(place)
+		if (run.how === RunEnd.Done && task.status !== TaskStatus.Done) {
+			if (task.status === TaskStatus.Waiting) noteDone(place)
+			else task.finished = true
 			this.report({ kind: 'task-done', task: name })
 		}
 		this.conclude(place, at)
--- a/packages/jobs/src/lib/state/JobRecord.ts
+++ b/packages/jobs/src/lib/state/JobRecord.ts
@@ -23,6 +23,8 @@
 	/** Runs that ended by a fault of the task or its worker. */
 	failures: number
 	checkpoint: string
+	/** Whether an earlier run turned out done while this one goes on; it is done once this one has ended. */
+	finished?: boolean
 	/** Attempts that were given up with nothing heard of them; their true end may still come. */
 	lost?: number[]
 }
