--- a/packages/jobs/src/lib/desk/DeskEvent.ts
+++ b/packages/jobs/src/lib/desk/DeskEvent.ts
@@ -2,7 +2,7 @@
 
 /** Events of the desk. @public */
 export const DeskEvent = {
-	/** This instance leads; `term`, `jobs`, `workers`, `configuration`. */
+	/** This instance leads; `term`, `jobs` and `runs` that it takes up, `configuration` in force. */
 	LeadershipGained: 'leadership-gained',
 	/** This instance leads no longer; `term`. */
 	LeadershipLost: 'leadership-lost',
@@ -12,33 +12,41 @@
 	WorkerDraining: 'worker-draining',
 	/** An incarnation of a worker has ended; `worker`, `reason`. */
 	WorkerGone: 'worker-gone',
-	/** A worker stopped answering; `worker`, `address`, `reason`. */
+	/**
+	 * A worker stopped answering; `worker`, `address`, `dataCentre`, `reason`, `runs` on it,
+	 * `heartbeatAge` and `leaseLeft` in milliseconds.
+	 */
 	WorkerLost: 'worker-lost',
 	/** A worker answers again; `worker`. */
 	WorkerRegained: 'worker-regained',
-	/** Runs were given up since their worker's lease is over; `worker`, `runs`. */
+	/** Runs were given up; `worker`, `runs`, `reason`: the lease is over, or copies are allowed. */
 	RunsLost: 'runs-lost',
-	/** A job is accepted; `job`, `queue`, `steps`, `tasks`, `configuration`. */
+	/** A job is accepted; `job`, `queue`, `configuration` in force. */
 	JobAccepted: 'job-accepted',
-	/** A job is not accepted; `job`, `reason`. */
+	/** A job is not accepted; `job`, `reason`, how many `jobs` there are. */
 	JobRefused: 'job-refused',
 	/** A job has reached its last state; `job`, `state`, `took` milliseconds. */
 	JobEnded: 'job-ended',
-	/** Runs of a step begin; `step`, `runs`, `waited` milliseconds, `workers`. */
+	/**
+	 * Runs of a step begin; `step`, `priority`, `runs`, how many are still `waiting`, `waited` milliseconds
+	 * since the step could begin, `questions` for advice and when the first was answered (`advised`, after
+	 * so many milliseconds), `workers` with their counts, `configuration` and `term` that it was decided in.
+	 */
 	StepPlaced: 'step-placed',
 	/** A run ended; `task`, `attempt`, `worker`, `how`. */
 	RunEnded: 'run-ended',
-	/** A worker refused an order; `task`, `attempt`, `worker`, `reason`. */
+	/** A worker refused an order; `task`, `attempt`, `worker`, `reason`, the `order`. */
 	OrderRefused: 'order-refused',
-	/** Advice is asked; `step`, `workers`, `via`. */
+	/** Advice is asked; `step`, `workers`. Debug level. */
 	AdviceAsked: 'advice-asked',
-	/** Advice came; `step`, `good`, `asked`, `took` milliseconds. */
+	/** Advice came, or with `outcome` and `reason` it did not; `step`, `good`, `asked`, `took` milliseconds. */
 	AdviceCame: 'advice-came',
 	/** A configuration is in force; `configuration`, `queues`. */
 	ConfigurationApplied: 'configuration-applied',
-	/** A configuration is refused; `findings`. */
-	ConfigurationRefused: 'configuration-refused',
-	/** Best-effort runs are slowed or let go on; `task`, `worker`, `percent`, `tail`, `target`. */
+	/**
+	 * A best-effort run is slowed or let go on; `task`, `worker`, `percent` of its speed, `pressure`: the worst
+	 * tail latency there as a share of its target.
+	 */
 	RunPaced: 'run-paced',
 } as const
 /** One of the events. @public */
--- a/packages/jobs/src/lib/desk/StepBoard.ts
+++ b/packages/jobs/src/lib/desk/StepBoard.ts
@@ -261,6 +261,9 @@
 			waited: Math.round(now - work.since),
 			questions: work.advice.questions,
 			advised: Math.round((work.advice.firstAnswerAt ?? work.since) - work.since),
+			workers: countedWorkers(placed),
+			configuration: this.context.state.configuration?.version ?? 0,
+			term: this.context.term,
 		})
 		this.context.proposals.propose({ kind: 'begin', runs })
 	}
@@ -311,6 +314,13 @@
 	}
 }
 
+/** The workers of placed tasks with their counts, as one text for the log. */
+function countedWorkers(placed: readonly Placed[]): string {
+	const counts = new Map<string, number>()
+	for (const { worker } of placed) counts.set(worker, (counts.get(worker) ?? 0) + 1)
+	return [...counts].map(([worker, count]) => `${worker}:${count}`).join(' ')
+}
+
 function nameOf(task: TaskName): string {
 	return stepName(task.job, task.repeat, task.step)
 }
--- a/packages/jobs/src/lib/desk/WorkerBoard.ts
+++ b/packages/jobs/src/lib/desk/WorkerBoard.ts
@@ -172,7 +172,16 @@
 		const { id, address, dataCentre } = view.worker
 		this.outages.missed(dataCentre, id, sentAt)
 		if (view.unreachable) return
-		this.context.log.warn(DeskEvent.WorkerLost, { worker: id, address, reason: message })
+		const now = this.context.clock.now()
+		this.context.log.warn(DeskEvent.WorkerLost, {
+			worker: id,
+			address,
+			dataCentre,
+			reason: message,
+			runs: view.runs.size,
+			heartbeatAge: Math.round(now - view.heartbeatAt),
+			leaseLeft: Math.round(view.lease.endsBy - now),
+		})
 		view.unreachable = true
 		view.probeDue = 0
 	}
--- a/packages/member/src/lib/Leading.ts
+++ b/packages/member/src/lib/Leading.ts
@@ -1,6 +1,7 @@
 /** One leadership: the desk, and what it proposes. It begins with the lease and ends with the term. */
 import type { Group } from '@rillrudder/group'
 import {
+	DeskEvent,
 	JobDesk,
 	type Advisers,
 	type CellCall,
@@ -106,6 +107,7 @@
 	/** The leadership is over: nothing more is decided. */
 	end(): void {
 		this.over = true
+		this.parts.log.info(DeskEvent.LeadershipLost, { term: this.term })
 		this.parts.state.observer = undefined
 		const reply: CellReply = { kind: 'unknown', reason: 'the leader has changed' }
 		for (const waiting of [...this.waiting]) waiting(reply)
--- a/packages/member/src/lib/MemberEvent.ts
+++ b/packages/member/src/lib/MemberEvent.ts
@@ -2,11 +2,11 @@
 
 /** Events of an instance. @public */
 export const MemberEvent = {
-	/** The process serves; its settings. */
+	/** The process serves; its `link`, whether it is `founding` the cell, its `seeds`, and how long it `took`, milliseconds. */
 	Started: 'started',
-	/** The process stops as planned; `reason`. */
+	/** The process stops as planned; `reason`, `calls` in flight. */
 	Stopping: 'stopping',
-	/** The settings were read again; what changed. */
+	/** The settings were read again; `outcome`, new `seeds` or the `findings` that speak against them. */
 	Reloaded: 'reloaded',
 	/** A link to a peer is up; `peer`. */
 	PeerRegained: 'peer-regained',
@@ -14,12 +14,14 @@
 	PeerLost: 'peer-lost',
 	/** Another instance leads, or none is known; `leader`, `term`. */
 	LeaderChanged: 'leader-changed',
-	/** The members of the core have changed; `members`, `voters`. */
+	/** The members of the core have changed; `members`, a question mark behind those that do not vote. */
 	MembersChanged: 'members-changed',
 	/** What the disk held was torn or damaged; `ending`. */
 	LogRepaired: 'log-repaired',
-	/** A call failed or took long; `call`, `path`, `outcome`, `reason`, `took` milliseconds, `tries`, `leader`. */
+	/** A call failed or took long; `call`, `path`, `outcome`, `reason`, `took` milliseconds, `tries`, `leader` and `term` as known here. */
 	CallAnswered: 'call-answered',
+	/** A call asks for nothing that can be done; `path`, `status`, `reason`. */
+	CallRefused: 'call-refused',
 	/** The process can't go on; `reason`. */
 	Failed: 'failed',
 } as const
