--- a/packages/jobs/src/lib/desk/JobDesk.test.ts
+++ b/packages/jobs/src/lib/desk/JobDesk.test.ts
@@ -152,6 +152,17 @@
 	assert.equal(subject.worker('w1').stops.length, 0)
 })
 
+test('a task that failed begins again on another worker, although the first one has more room', () => {
+	const subject = new DeskSubject()
+	subject.heartbeat('w1')
+	subject.submit(ID, jobOf({}))
+	subject.heartbeat('w2', { capacity: { cpu: 8000, memory: 8192, accelerators: 0 } })
+	subject.run(100, 'w1', 'w2')
+	subject.worker('w1').end(`${ID}.0.0.0`, RunEnd.Failed)
+	subject.run(700, 'w1', 'w2')
+	assert.equal(subject.worker('w2').starts[0].attempt, 2)
+})
+
 test('a worker that has obeyed a later leader deposes this one', () => {
 	const subject = new DeskSubject()
 	subject.heartbeat('w1')
--- a/packages/jobs/src/lib/desk/JobDesk.ts
+++ b/packages/jobs/src/lib/desk/JobDesk.ts
@@ -121,7 +121,7 @@
 				return this.runs.voided(change.task, change.worker)
 			case 'run-ended':
 				this.runs.ended(change.task, change.attempt, change.worker, change.how)
-				return this.steps.ended(change.task, change.worker)
+				return this.steps.ended(change.task, change.worker, change.how)
 			case 'task-done':
 				this.runs.stopTask(change.task)
 				return this.steps.settled(change.task)
--- a/packages/jobs/src/lib/desk/StepBoard.ts
+++ b/packages/jobs/src/lib/desk/StepBoard.ts
@@ -1,7 +1,7 @@
 /** The steps that have tasks to begin: which goes where, and what must be asked before. */
 import { Measure } from '@rillrudder/telemetry'
 import type { Queue } from '../records/Cell'
-import { formatTaskName, type TaskName } from '../records/Job'
+import { formatTaskName, RunEnd, type TaskName } from '../records/Job'
 import { isActive, isStepDone, isStepReady, TaskStatus, type JobRecord } from '../state/JobRecord'
 import { AdvicePlanner } from './AdvicePlanner'
 import { admits, chooseForStep, type Option } from './chooseForStep'
@@ -102,8 +102,10 @@
 	}
 
 	/** A run has ended: its task may have to begin again, or later steps may begin. */
-	ended(task: TaskName, worker: string): void {
-		this.steps.get(nameOf(task))?.count(worker, -1)
+	ended(task: TaskName, worker: string, how: RunEnd): void {
+		const work = this.steps.get(nameOf(task))
+		work?.count(worker, -1)
+		if (how === RunEnd.Failed) work?.failed(worker)
 		this.settled(task)
 	}
 
--- a/packages/jobs/src/lib/desk/StepWork.ts
+++ b/packages/jobs/src/lib/desk/StepWork.ts
@@ -26,6 +26,8 @@
 	readonly decided = new Set<number>()
 	/** How many of its tasks are on each worker. */
 	readonly onWorker = new Map<string, number>()
+	/** Workers on which runs of its tasks failed, with their counts. */
+	readonly failedOn = new Map<string, number>()
 	/** What the ledger had released when the step last found no room. */
 	triedAt = -1
 
@@ -69,6 +71,11 @@
 		else this.onWorker.set(worker, count)
 	}
 
+	/** A run of one of its tasks has failed on a worker. */
+	failed(worker: string): void {
+		this.failedOn.set(worker, (this.failedOn.get(worker) ?? 0) + 1)
+	}
+
 	/** @returns how many more of its tasks a worker may hold. */
 	allowance(worker: string): number {
 		const most = this.step.mostPerWorker
--- a/packages/jobs/src/lib/desk/chooseForStep.ts
+++ b/packages/jobs/src/lib/desk/chooseForStep.ts
@@ -9,6 +9,11 @@
 const SIBLING_PENALTY = 1
 /** Added where best-effort work and work with a latency target would meet. */
 const INTERFERENCE_PENALTY = 3
+/**
+ * Added for each run of the step that failed there: a worker that fails all it starts looks idle, and a
+ * task that fails there again may have used up its attempts.
+ */
+const FAILED_PENALTY = 6
 /** Weight of the difference between what is left of processors and of memory. */
 const IMBALANCE_WEIGHT = 0.5
 
@@ -58,6 +63,7 @@
 	let value = cpu + memory + Math.abs(cpu - memory) * IMBALANCE_WEIGHT
 	if (step.rack !== '' && step.rack !== account.rack) value += FAR_PENALTY
 	if (step.lasting) value += (work.onWorker.get(view.id) ?? 0) * SIBLING_PENALTY
+	value += (work.failedOn.get(view.id) ?? 0) * FAILED_PENALTY
 	if (interferes(work, view)) value += INTERFERENCE_PENALTY
 	return value
 }
