--- a/packages/store/src/lib/GroupStore.test.ts
+++ b/packages/store/src/lib/GroupStore.test.ts
@@ -26,7 +26,10 @@
 async function written(context: TestContext): Promise<GroupFiles> {
 	const where = await files(context)
 	const { store } = await GroupStore.open(where)
-	await store.save({ hardState: { term: 1, votedFor: 'a' }, entries: [entry(1), entry(2)] })
+	await store.save({
+		hardState: { term: 1, votedFor: 'a', commit: 2 },
+		entries: [entry(1), entry(2)],
+	})
 	await store.save({ entries: [entry(3)] })
 	await store.close()
 	return { ...where, freshIncarnation: 'second' }
@@ -37,7 +40,7 @@
 	const opened = await GroupStore.open(where)
 	assert.equal(opened.incarnation, 'first')
 	assert.equal(opened.ending, Ending.Clean)
-	assert.deepEqual(opened.restored?.hardState, { term: 1, votedFor: 'a' })
+	assert.deepEqual(opened.restored?.hardState, { term: 1, votedFor: 'a', commit: 2 })
 	assert.deepEqual(
 		opened.restored?.entries.map((one) => one.index),
 		[1, 2, 3]
@@ -45,6 +48,20 @@
 	await opened.store.close()
 })
 
+test('a commit index is found only with the entries that it speaks of', async (context) => {
+	const where = await written(context)
+	const path = join(where.folder, 'log')
+	const whole = await readFile(path)
+	// Cut anywhere, the log never holds a commit index above its last entry.
+	for (let length = whole.length - 1; length > whole.length - 60; length--) {
+		await writeFile(path, whole.subarray(0, length))
+		const opened = await GroupStore.open(where)
+		const { hardState, entries } = opened.restored ?? { hardState: undefined, entries: [] }
+		assert.ok((hardState?.commit ?? 0) <= entries.length)
+		await opened.store.close()
+	}
+})
+
 test('an entry replaces what stood at its index and after', async (context) => {
 	const where = await written(context)
 	const first = await GroupStore.open(where)
