--- a/packages/jobs/src/lib/desk/StepAdvice.ts
+++ b/packages/jobs/src/lib/desk/StepAdvice.ts
@@ -24,17 +24,6 @@
 	private readonly tickets = new Map<string, Ticket>()
 	private readonly unfit = new Set<string>()
 
-	/** Share of the workers asked about that may run the step, as far as known. */
-	get goodShare(): number | undefined {
-		const asked = this.tickets.size + this.unfit.size
-		return asked === 0 ? undefined : this.tickets.size / asked
-	}
-
-	/** @returns the workers that are known to be allowed. */
-	allowed(): IterableIterator<string> {
-		return this.tickets.keys()
-	}
-
 	/** @returns whether the worker is known not to be allowed. */
 	isUnfit(worker: string): boolean {
 		return this.unfit.has(worker)
--- a/packages/jobs/src/lib/desk/WorkerBoard.ts
+++ b/packages/jobs/src/lib/desk/WorkerBoard.ts
@@ -1,14 +1,15 @@
 /** The workers of the cell as the leader sees them: heartbeats, leases, looks. */
-import type { Resources } from '@rillrudder/scheduler'
 import { Measure } from '@rillrudder/telemetry'
 import type { Heartbeat, Worker } from '../records/Cell'
 import { RunEnd } from '../records/Job'
 import { epochOf, type DeskContext } from './DeskContext'
 import { DeskEvent } from './DeskEvent'
+import { Doubts } from './Doubts'
 import { Lease } from './Lease'
 import { OutageWatch } from './OutageWatch'
-import type { ListedEnd, ListedRun, LookResult } from './ports'
+import type { ListedEnd, LookResult } from './ports'
 import type { Run } from './Run'
+import { sameWorker } from './sameWorker'
 import { WorkerView } from './WorkerView'
 
 /** Milliseconds of silence after which runs that may have copies begin elsewhere. */
@@ -31,11 +32,15 @@
 export class WorkerBoard {
 	private readonly views = new Map<string, WorkerView>()
 	private readonly outages = new OutageWatch()
+	private readonly doubts: Doubts
 
 	constructor(
 		private readonly context: DeskContext,
 		private readonly listener: LookListener
 	) {
+		this.doubts = new Doubts(context, (view, message, sentAt) =>
+			this.unanswered(view, message, sentAt)
+		)
 		for (const { worker, draining } of context.state.workers.all()) {
 			this.joined(worker)
 			if (draining) this.draining(worker.id)
@@ -141,7 +146,7 @@
 		for (const view of this.views.values()) {
 			if (view.runs.size > 0 && !view.looking && now >= view.lookDue) this.look(view, now)
 			if (view.unreachable) this.giveUpCopies(view, now)
-			if (!view.unreachable) this.settleDoubts(view)
+			if (!view.unreachable) this.doubts.settle(view)
 			const asks = this.isUnclear(view, now)
 			if (asks && !view.probing && now >= view.probeDue) this.probe(view, now)
 			if (view.left && (view.runs.size === 0 || view.lease.isOver(now))) {
@@ -260,7 +265,7 @@
 				view.listed = true
 				view.lookDue = 0
 				this.takeEnds(view, result.ended)
-				this.dropDoubts(view, result.running, sentAt)
+				this.doubts.drop(view, result.running, sentAt)
 				this.listener.looked(view, result, sentAt)
 				return
 			case 'refused':
@@ -306,32 +311,6 @@
 		this.lose(view, copies, 'copies allowed')
 	}
 
-	/** Once a stop is acknowledged, neither the run nor a late order to start it can take room. */
-	private settleDoubts(view: WorkerView): void {
-		const { orders, term, clock } = this.context
-		for (const [task, doubt] of view.doubts) {
-			if (doubt.busy || doubt.stoppedAt !== undefined) continue
-			doubt.busy = true
-			const sentAt = clock.now()
-			orders.stop(view.worker, { task, attempt: doubt.attempt, fence: term }, (result) => {
-				doubt.busy = false
-				if (result.kind === 'unknown') this.unanswered(view, result.message, sentAt)
-				else doubt.stoppedAt = clock.now()
-			})
-		}
-	}
-
-	/** A doubt is over when a look that was sent after the stop does not list the run. */
-	private dropDoubts(view: WorkerView, running: readonly ListedRun[], sentAt: number): void {
-		if (view.doubts.size === 0) return
-		const listed = new Set(running.map((run) => run.task))
-		for (const [task, { stoppedAt }] of view.doubts) {
-			if (stoppedAt !== undefined && stoppedAt <= sentAt && !listed.has(task)) {
-				view.doubts.delete(task)
-			}
-		}
-	}
-
 	private lose(view: WorkerView, lost: readonly Run[], reason: string): void {
 		if (lost.length === 0) return
 		const runs = lost.map((run) => ({
@@ -393,22 +372,3 @@
 		return new Lease(timing, clock.now() + longest)
 	}
 }
-
-function sameWorker(left: Worker, right: Worker): boolean {
-	return (
-		left.address === right.address &&
-		left.service === right.service &&
-		left.rack === right.rack &&
-		left.dataCentre === right.dataCentre &&
-		left.labels.join() === right.labels.join() &&
-		sameAmount(left.capacity, right.capacity)
-	)
-}
-
-function sameAmount(left: Resources, right: Resources): boolean {
-	return (
-		left.cpu === right.cpu &&
-		left.memory === right.memory &&
-		left.accelerators === right.accelerators
-	)
-}
--- /dev/null
+++ b/packages/jobs/src/lib/desk/sameWorker.ts
@@ -0,0 +1,23 @@
+/** Compares descriptions of a worker. */
+import type { Resources } from '@rillrudder/scheduler'
+import type { Worker } from '../records/Cell'
+
+/** @returns whether two descriptions of one incarnation say the same. @internal */
+export function sameWorker(left: Worker, right: Worker): boolean {
+	return (
+		left.address === right.address &&
+		left.service === right.service &&
+		left.rack === right.rack &&
+		left.dataCentre === right.dataCentre &&
+		left.labels.join() === right.labels.join() &&
+		sameAmount(left.capacity, right.capacity)
+	)
+}
+
+function sameAmount(left: Resources, right: Resources): boolean {
+	return (
+		left.cpu === right.cpu &&
+		left.memory === right.memory &&
+		left.accelerators === right.accelerators
+	)
+}
--- a/packages/jobs/src/lib/records/Job.ts
+++ b/packages/jobs/src/lib/records/Job.ts
@@ -37,6 +37,26 @@
 	readonly disruptionBudget: number
 }
 
+/** What a step is unless its description says otherwise. @public */
+export const PLAIN_STEP: Step = {
+	count: 1,
+	need: { cpu: 0, memory: 0, accelerators: 0 },
+	expectedTime: 0,
+	dependsOn: [],
+	checkpoints: false,
+	gang: false,
+	sameRack: false,
+	requires: '',
+	rack: '',
+	mostPerWorker: 0,
+	copies: false,
+	lasting: false,
+	image: '',
+	latencyTarget: 0,
+	bestEffort: false,
+	disruptionBudget: 0,
+}
+
 /** When a job's steps run again and again. @public */
 export interface Repeat {
 	/** How many times. */
--- a/packages/jobs/src/lib/testing/samples.ts
+++ b/packages/jobs/src/lib/testing/samples.ts
@@ -1,6 +1,6 @@
 /** Jobs, queues and workers for tests. */
 import type { Queue, Worker } from '../records/Cell'
-import type { JobRequest, Step } from '../records/Job'
+import { PLAIN_STEP, type JobRequest, type Step } from '../records/Job'
 
 /** A queue without advice. */
 export const QUEUE: Queue = {
@@ -17,22 +17,9 @@
 
 /** A plain step of one small task. */
 export const STEP: Step = {
-	count: 1,
+	...PLAIN_STEP,
 	need: { cpu: 1000, memory: 512, accelerators: 0 },
 	expectedTime: 500,
-	dependsOn: [],
-	checkpoints: false,
-	gang: false,
-	sameRack: false,
-	requires: '',
-	rack: '',
-	mostPerWorker: 0,
-	copies: false,
-	lasting: false,
-	image: '',
-	latencyTarget: 0,
-	bestEffort: false,
-	disruptionBudget: 0,
 }
 
 /** @returns a job of the steps given, each plain but for what is said. */
--- a/packages/member/src/lib/CoreInstance.ts
+++ b/packages/member/src/lib/CoreInstance.ts
@@ -10,20 +10,19 @@
 	type DeskTiming,
 	type WorkerOrders,
 } from '@rillrudder/jobs'
-import { LinkHub, linkSecurity, type Event, type PeerCall } from '@rillrudder/protocol'
+import type { Event, PeerCall } from '@rillrudder/protocol'
 import { Ending, GroupStore, SystemDisk } from '@rillrudder/store'
 import { Measure, type Log, type Meter } from '@rillrudder/telemetry'
 import { Random, type Clock, type Timer } from '@rillrudder/utils'
 import type { Adviser } from './Adviser'
 import { answerQuestion, AskingPeers } from './AskingPeers'
 import { CellMachine } from './CellMachine'
-import { LeaderCalls, type Finality } from './LeaderCalls'
-import { LeaderView, NEWS_PERIOD } from './LeaderView'
+import type { Finality } from './LeaderCalls'
+import { NEWS_PERIOD } from './LeaderView'
 import { Leading } from './Leading'
-import { LINK_SILENCE, TICK_PERIOD } from './linkTiming'
+import { TICK_PERIOD } from './linkTiming'
 import { MemberEvent } from './MemberEvent'
-import { PeerCalls } from './PeerCalls'
-import { tellCall } from './tellCall'
+import { PeerLinks } from './PeerLinks'
 import { WakingOrders } from './WakingOrders'
 
 const GROUP = 'cell'
@@ -77,10 +76,7 @@
 export class CoreInstance {
 	private readonly state = new CellState()
 	private readonly machine = new CellMachine(this.state)
-	private readonly hub: LinkHub
-	private readonly peerCalls: PeerCalls
-	private readonly view = new LeaderView()
-	private readonly leaderCalls: LeaderCalls
+	private readonly links: PeerLinks
 	private readonly advisers: AskingPeers
 	private readonly orders: WakingOrders
 	private group!: Group
@@ -91,26 +87,17 @@
 
 	constructor(private readonly parts: CoreParts) {
 		const { clock, address: self, adviser } = parts
-		this.hub = new LinkHub({
+		this.links = new PeerLinks({
 			self,
 			clock,
-			...linkSecurity(undefined),
-			receive: (from, event) => this.receive(from, event),
-			changed: (peer, connected) => this.linkChanged(peer, connected),
-			silence: LINK_SILENCE,
-		})
-		this.peerCalls = new PeerCalls(clock, (peer, event) => this.hub.send(peer, event))
-		this.leaderCalls = new LeaderCalls({
-			clock,
-			calls: this.peerCalls,
+			log: parts.log,
 			meter: parts.meter,
-			leader: () => this.view.leader(clock.now()),
-			slow: tellCall(parts.log, () => this.view.leader(clock.now())),
+			receive: (from, event) => this.receive(from, event),
 			local: (call, done) => this.callHere(call, done),
 		})
 		this.orders = new WakingOrders(parts.orders, () => this.leading?.flushSoon())
-		const peers = (): readonly string[] => this.hub.connected
-		this.advisers = new AskingPeers({ self, adviser, calls: this.peerCalls, peers })
+		const peers = (): readonly string[] => this.links.hub.connected
+		this.advisers = new AskingPeers({ self, adviser, calls: this.links.calls, peers })
 	}
 
 	/** The replica's view of the group, for the status page. */
@@ -122,7 +109,7 @@
 	async start(): Promise<void> {
 		this.group = await this.openGroup()
 		this.machine.applied = () => this.leading?.applied()
-		await this.hub.listen(this.parts.address)
+		await this.links.hub.listen(this.parts.address)
 		this.dial()
 		const { clock } = this.parts
 		this.timers = [
@@ -134,7 +121,7 @@
 
 	/** Brings a call to the leader, here or elsewhere. */
 	call(call: CellCall, finality: Finality): Promise<CellReply> {
-		return this.leaderCalls.call(call, finality)
+		return this.links.leaderCalls.call(call, finality)
 	}
 
 	/** Hands leadership over and stops. */
@@ -148,7 +135,7 @@
 		for (const timer of this.timers) timer.cancel()
 		this.endLeading()
 		await this.group.stop()
-		this.hub.close()
+		this.links.hub.close()
 	}
 
 	private async openGroup(): Promise<Group> {
@@ -177,7 +164,8 @@
 			store: opened.store,
 			machine: this.machine,
 			clock,
-			send: (to, message) => void this.hub.send(to, { body: { $case: 'group', value: message } }),
+			send: (to, message) =>
+				void this.links.hub.send(to, { body: { $case: 'group', value: message } }),
 			fail,
 			settled: () => this.settled(),
 		})
@@ -256,15 +244,16 @@
 		if (!body) return
 		if (body.$case === 'group') this.group.receive(body.value)
 		else if (body.$case === 'peerCall') this.peerCalled(from, body.value)
-		else if (body.$case === 'cellNews') this.view.take(from, body.value, this.parts.clock.now())
+		else if (body.$case === 'cellNews')
+			this.links.view.take(from, body.value, this.parts.clock.now())
 		else if (body.$case === 'peerReply') {
-			this.peerCalls.replied(body.value)
+			this.links.calls.replied(body.value)
 			this.leading?.flushSoon()
 		}
 	}
 
 	private peerCalled(from: string, { id, body, hops, term }: PeerCall): void {
-		const reply = (value: CellReply): void => this.peerCalls.reply(from, id, value)
+		const reply = (value: CellReply): void => this.links.calls.reply(from, id, value)
 		const call = JSON.parse(body.toString()) as CellCall
 		if (call.kind === 'advise') {
 			void answerQuestion(this.parts.adviser, call.question).then(reply)
@@ -281,24 +270,13 @@
 			return
 		}
 		const to = { peer: leader, term, hops: hops + 1 }
-		this.peerCalls.pass(to, body, RELAY_LIMIT, (outcome) => {
+		this.links.calls.pass(to, body, RELAY_LIMIT, (outcome) => {
 			if (outcome.kind === 'replied') reply(outcome.reply)
 			else if (outcome.kind === 'not-sent') reply({ kind: 'not-leader' })
 			else reply({ kind: 'unknown', reason: 'the leader did not answer' })
 		})
 	}
 
-	private linkChanged(peer: string, connected: boolean): void {
-		const { log } = this.parts
-		if (connected) {
-			log.info(MemberEvent.PeerRegained, { peer })
-			return
-		}
-		log.info(MemberEvent.PeerLost, { peer })
-		this.peerCalls.lost(peer)
-		this.view.lost(peer)
-	}
-
 	private tellNews(): void {
 		const { replica } = this.group
 		const { leader, term, members } = replica.status
@@ -307,10 +285,10 @@
 			? replica.holdsLease(now)
 			: now - replica.leaderHeardAt < LEADER_FRESH
 		const value = { leader, term, members: members.map((member) => member.id), fresh }
-		this.view.take(this.parts.address, value, now)
-		if (fresh) this.leaderCalls.led()
-		for (const peer of this.hub.connected) {
-			this.hub.send(peer, { body: { $case: 'cellNews', value } })
+		this.links.view.take(this.parts.address, value, now)
+		if (fresh) this.links.leaderCalls.led()
+		for (const peer of this.links.hub.connected) {
+			this.links.hub.send(peer, { body: { $case: 'cellNews', value } })
 		}
 	}
 
@@ -326,8 +304,6 @@
 	}
 
 	private dial(): void {
-		const wanted = this.peersToDial()
-		for (const peer of wanted) this.hub.dial(peer, peer)
-		for (const peer of this.hub.dialledPeers) if (!wanted.includes(peer)) this.hub.hangUp(peer)
+		this.links.dialOnly(this.peersToDial())
 	}
 }
--- a/packages/member/src/lib/EntryInstance.ts
+++ b/packages/member/src/lib/EntryInstance.ts
@@ -1,16 +1,13 @@
 /** An entry instance: keeps nothing, and brings calls to whoever leads. */
 import type { CellCall, CellReply } from '@rillrudder/jobs'
-import { LinkHub, linkSecurity, type Event, type PeerCall } from '@rillrudder/protocol'
-import { type Log, type Meter } from '@rillrudder/telemetry'
+import type { Event, PeerCall } from '@rillrudder/protocol'
+import type { Log, Meter } from '@rillrudder/telemetry'
 import type { Clock, Timer } from '@rillrudder/utils'
 import type { Adviser } from './Adviser'
 import { answerQuestion } from './AskingPeers'
-import { LeaderCalls, type Finality } from './LeaderCalls'
-import { LeaderView } from './LeaderView'
-import { LINK_SILENCE } from './linkTiming'
+import type { Finality } from './LeaderCalls'
 import { MemberEvent } from './MemberEvent'
-import { PeerCalls } from './PeerCalls'
-import { tellCall } from './tellCall'
+import { PeerLinks } from './PeerLinks'
 
 /** Milliseconds between two looks at whom to dial. */
 const DIAL_PERIOD = 250
@@ -33,36 +30,24 @@
  * @public
  */
 export class EntryInstance {
-	private readonly hub: LinkHub
-	private readonly peerCalls: PeerCalls
-	private readonly view = new LeaderView()
-	private readonly leaderCalls: LeaderCalls
+	private readonly links: PeerLinks
 	private timer: Timer | undefined
 	private toldLeader = ''
 
 	constructor(private readonly parts: EntryParts) {
-		const { clock, name } = parts
-		this.hub = new LinkHub({
-			self: ID_PREFIX + name,
-			clock,
-			...linkSecurity(undefined),
-			receive: (from, event) => this.receive(from, event),
-			changed: (peer, connected) => this.linkChanged(peer, connected),
-			silence: LINK_SILENCE,
-		})
-		this.peerCalls = new PeerCalls(clock, (peer, event) => this.hub.send(peer, event))
-		this.leaderCalls = new LeaderCalls({
-			clock,
-			calls: this.peerCalls,
+		this.links = new PeerLinks({
+			self: ID_PREFIX + parts.name,
+			clock: parts.clock,
+			log: parts.log,
 			meter: parts.meter,
-			leader: () => this.view.leader(clock.now()),
-			slow: tellCall(parts.log, () => this.view.leader(clock.now())),
+			receive: (from, event) => this.receive(from, event),
+			lost: () => this.noteLeader(),
 		})
 	}
 
 	/** Whether a leader is known that calls can be brought to. */
 	get ready(): boolean {
-		return (this.view.leader(this.parts.clock.now())?.via.length ?? 0) > 0
+		return (this.links.view.leader(this.parts.clock.now())?.via.length ?? 0) > 0
 	}
 
 	/** Links up. */
@@ -73,21 +58,21 @@
 
 	/** Brings a call to the leader. */
 	call(call: CellCall, finality: Finality): Promise<CellReply> {
-		return this.leaderCalls.call(call, finality)
+		return this.links.leaderCalls.call(call, finality)
 	}
 
 	/** Ends all links. */
 	stop(): void {
 		this.timer?.cancel()
-		this.hub.close()
+		this.links.hub.close()
 	}
 
 	private receive(from: string, { body }: Event): void {
 		if (!body) return
-		if (body.$case === 'peerReply') this.peerCalls.replied(body.value)
+		if (body.$case === 'peerReply') this.links.calls.replied(body.value)
 		else if (body.$case === 'peerCall') this.peerCalled(from, body.value)
 		else if (body.$case === 'cellNews') {
-			this.view.take(from, body.value, this.parts.clock.now())
+			this.links.view.take(from, body.value, this.parts.clock.now())
 			this.noteLeader()
 		}
 	}
@@ -95,26 +80,17 @@
 	private peerCalled(from: string, { id, body }: PeerCall): void {
 		const call = JSON.parse(body.toString()) as CellCall
 		if (call.kind !== 'advise') {
-			this.peerCalls.reply(from, id, { kind: 'not-leader' })
+			this.links.calls.reply(from, id, { kind: 'not-leader' })
 			return
 		}
 		void answerQuestion(this.parts.adviser, call.question).then((reply) =>
-			this.peerCalls.reply(from, id, reply)
+			this.links.calls.reply(from, id, reply)
 		)
 	}
 
-	private linkChanged(peer: string, connected: boolean): void {
-		const event = connected ? MemberEvent.PeerRegained : MemberEvent.PeerLost
-		this.parts.log.info(event, { peer })
-		if (connected) return
-		this.peerCalls.lost(peer)
-		this.view.lost(peer)
-		this.noteLeader()
-	}
-
 	private noteLeader(): void {
-		if (this.ready) this.leaderCalls.led()
-		const known = this.view.leader(this.parts.clock.now())
+		if (this.ready) this.links.leaderCalls.led()
+		const known = this.links.view.leader(this.parts.clock.now())
 		const leader = known?.id ?? ''
 		if (leader === this.toldLeader) return
 		this.toldLeader = leader
@@ -122,8 +98,6 @@
 	}
 
 	private dial(): void {
-		const wanted = new Set([...this.parts.seeds(), ...this.view.members()])
-		for (const peer of wanted) this.hub.dial(peer, peer)
-		for (const peer of this.hub.dialledPeers) if (!wanted.has(peer)) this.hub.hangUp(peer)
+		this.links.dialOnly([...this.parts.seeds(), ...this.links.view.members()])
 	}
 }
--- /dev/null
+++ b/packages/member/src/lib/PeerLinks.ts
@@ -0,0 +1,73 @@
+/** What every instance has towards the others: links, calls over them, and who leads. */
+import type { CellCall, CellReply } from '@rillrudder/jobs'
+import { LinkHub, linkSecurity, type Event } from '@rillrudder/protocol'
+import type { Log, Meter } from '@rillrudder/telemetry'
+import type { Clock } from '@rillrudder/utils'
+import { LeaderCalls } from './LeaderCalls'
+import { LeaderView } from './LeaderView'
+import { LINK_SILENCE } from './linkTiming'
+import { MemberEvent } from './MemberEvent'
+import { PeerCalls } from './PeerCalls'
+import { tellCall } from './tellCall'
+
+/** What the links of an instance are made with. @internal */
+export interface PeerLinksParts {
+	/** Its id; other instances dial a core instance by it. */
+	readonly self: string
+	readonly clock: Clock
+	readonly log: Log
+	readonly meter: Meter
+	/** Takes an event from a peer. */
+	readonly receive: (from: string, event: Event) => void
+	/** Told once a peer is lost. */
+	readonly lost?: () => void
+	/** Answers a call here, when this instance leads. @returns false when it does not. */
+	readonly local?: (call: CellCall, done: (reply: CellReply) => void) => boolean
+}
+
+/**
+ * The links of an instance.
+ *
+ * @internal
+ */
+export class PeerLinks {
+	readonly hub: LinkHub
+	/** Calls to single peers. */
+	readonly calls: PeerCalls
+	/** Who leads, as the peers tell it. */
+	readonly view = new LeaderView()
+	/** Calls to whoever leads. */
+	readonly leaderCalls: LeaderCalls
+
+	constructor(private readonly parts: PeerLinksParts) {
+		const { self, clock, log, meter, receive, local } = parts
+		this.hub = new LinkHub({
+			self,
+			clock,
+			...linkSecurity(undefined),
+			receive,
+			changed: (peer, connected) => this.changed(peer, connected),
+			silence: LINK_SILENCE,
+		})
+		this.calls = new PeerCalls(clock, (peer, event) => this.hub.send(peer, event))
+		const leader = () => this.view.leader(clock.now())
+		const slow = tellCall(log, leader)
+		this.leaderCalls = new LeaderCalls({ clock, calls: this.calls, meter, leader, slow, local })
+	}
+
+	/** Keeps links to these peers, and to no others of those that it has dialled. */
+	dialOnly(peers: Iterable<string>): void {
+		const wanted = new Set(peers)
+		for (const peer of wanted) this.hub.dial(peer, peer)
+		for (const peer of this.hub.dialledPeers) if (!wanted.has(peer)) this.hub.hangUp(peer)
+	}
+
+	private changed(peer: string, connected: boolean): void {
+		const event = connected ? MemberEvent.PeerRegained : MemberEvent.PeerLost
+		this.parts.log.info(event, { peer })
+		if (connected) return
+		this.calls.lost(peer)
+		this.view.lost(peer)
+		this.parts.lost?.()
+	}
+}
--- a/packages/member/src/lib/ProductServer.ts
+++ b/packages/member/src/lib/ProductServer.ts
@@ -1,5 +1,11 @@
 /** The product's own interface of an instance: jobs, measures, status. */
-import { checkJob, type CellCall, type CellReply, type JobRequest } from '@rillrudder/jobs'
+import {
+	checkJob,
+	PLAIN_STEP,
+	type CellCall,
+	type CellReply,
+	type JobRequest,
+} from '@rillrudder/jobs'
 import type { Meter } from '@rillrudder/telemetry'
 import { formatFinding } from '@rillrudder/utils'
 import { HttpServer, type Address, type HttpAnswer, type HttpCall } from '@rillrudder/web'
@@ -79,26 +85,6 @@
 	return { status: 422, body: { message: findings.map(formatFinding).join('; ') } }
 }
 
-/** What a step is unless its description says otherwise. */
-const PLAIN_STEP: JobRequest['steps'][number] = {
-	count: 1,
-	need: { cpu: 0, memory: 0, accelerators: 0 },
-	expectedTime: 0,
-	dependsOn: [],
-	checkpoints: false,
-	gang: false,
-	sameRack: false,
-	requires: '',
-	rack: '',
-	mostPerWorker: 0,
-	copies: false,
-	lasting: false,
-	image: '',
-	latencyTarget: 0,
-	bestEffort: false,
-	disruptionBudget: 0,
-}
-
 function parseJob(body: Buffer): JobRequest | undefined {
 	let read: unknown
 	try {
