--- a/packages/consensus/src/lib/Election.ts
+++ b/packages/consensus/src/lib/Election.ts
@@ -3,6 +3,8 @@
 import { Role, type ReplicaState } from './ReplicaState'
 import { Unanimity } from './Unanimity'
 
+/** Share of `Timing.election` in which a vote is decided: two trips and two syncs, with room for slow ones. */
+const BUSY = 0.5
 const DISTANT_PENALTY = 2
 const DISKLESS_PENALTY = 0.5
 
@@ -21,6 +23,8 @@
 	private grants = new Set<string>()
 	private deadline = 0
 	private readonly unanimity: Unanimity
+	/** Until when an election that this replica takes part in may still be decided. */
+	private busyUntil = Number.NEGATIVE_INFINITY
 
 	/**
 	 * @param state - the replica's state.
@@ -44,7 +48,7 @@
 	tick(now: number): void {
 		if (this.state.role === Role.Leader || !this.state.votes) return
 		if (now >= this.deadline) this.prepare(now)
-		else if (this.unanimity.isDue(now)) this.call(true, { unanimous: true })
+		else if (!this.isBusy(now) && this.unanimity.isDue(now)) this.call(true, { unanimous: true })
 	}
 
 	/** Starts an election at once because the leader asked for it. */
@@ -57,7 +61,7 @@
 		if (call.pre) {
 			const granted = this.wouldGrant(term, call, now)
 			const echoed = granted ? term : this.state.term
-			const leaderless = call.unanimous && this.isLeaderless(term, call)
+			const leaderless = call.unanimous && !this.isBusy(now) && this.isLeaderless(term, call)
 			const value = { pre: true, granted, leaderless }
 			this.state.sendLate(from, { $case: 'voteReply', value }, echoed)
 			return
@@ -67,6 +71,7 @@
 		if (granted) {
 			this.state.vote(from)
 			this.reset(now)
+			this.beBusy(now)
 		}
 		const value = { pre: false, granted, leaderless: false }
 		this.state.sendLate(from, { $case: 'voteReply', value })
@@ -74,13 +79,13 @@
 
 	/** Whether a call for a vote may make this replica enter the caller's term. */
 	mayDisturb(call: VoteCall, now: number): boolean {
-		if (call.unanimous && !this.state.knewLeader) return true
+		if (call.unanimous && !this.state.knewLeader && !this.isBusy(now)) return true
 		return call.transfer || !this.leaderIsFresh(now)
 	}
 
 	/** Counts an answer. */
 	count(from: Member, term: number, reply: VoteReply, now: number): void {
-		if (reply.leaderless && this.unanimity.count(from.id)) {
+		if (reply.leaderless && !this.isBusy(now) && this.unanimity.count(from.id)) {
 			this.campaign(now, { unanimous: true })
 			return
 		}
@@ -106,11 +111,21 @@
 		this.state.vote(this.state.options.id)
 		this.state.role = Role.Candidate
 		this.reset(now)
+		this.beBusy(now)
 		this.grants = new Set([this.state.options.id])
 		this.call(false, reason)
 		this.proceed(now)
 	}
 
+	/** A vote that was just given, or asked for, is not disturbed by another quick election. */
+	private beBusy(now: number): void {
+		this.busyUntil = now + this.state.timing.election * BUSY
+	}
+
+	private isBusy(now: number): boolean {
+		return now < this.busyUntil
+	}
+
 	private proceed(now: number): void {
 		const voters = this.state.memberships.voters
 		const granted = voters.filter((voter) => this.grants.has(voter.id)).length
--- a/packages/runs/src/lib/openGroup.test.ts
+++ b/packages/runs/src/lib/openGroup.test.ts
@@ -84,6 +84,18 @@
 	run.settle()
 })
 
+test('quick elections do not disturb each other: few terms are spent', () => {
+	for (let seed = 1; seed <= 40; seed++) {
+		const run = openGroup(seed)
+		const { term } = run.statusOf(run.leader)
+		for (const { id } of THREE) run.takeDown(id, 200)
+		run.steps(120)
+		assert.notEqual(run.leader, '', `seed ${seed}`)
+		const spent = run.statusOf(run.leader).term - term
+		assert.ok(spent <= 2, `seed ${seed}: ${spent} terms`)
+	}
+})
+
 test('with one of three away, nobody takes the quick way', () => {
 	const run = openGroup(6)
 	const { term } = run.statusOf(run.leader)
