--- a/apps/ctl/src/lib/commands.ts
+++ b/apps/ctl/src/lib/commands.ts
@@ -1,12 +1,18 @@
 /** The commands of `rrctl`. */
-import { randomUUID } from 'node:crypto'
-import { readFileSync } from 'node:fs'
 import { ExitCode } from '@rillrudder/program'
 import { command, flag, number, option, optional, positional, string, subcommands } from 'cmd-ts'
+import {
+	changing,
+	clientFor,
+	common,
+	encode,
+	get,
+	post,
+	withFile,
+	type Common,
+} from './commandParts'
 import { homesThatMove } from './homesThatMove'
-import { OperatorClient } from './OperatorClient'
-import { printJob, printJobs, printJobSteps, printMessage } from './jobPrinters'
-import { show, type Printer } from './output'
+import { jobs } from './jobCommands'
 import {
 	printAnswer,
 	printAudit,
@@ -19,79 +25,6 @@
 	printWorkers,
 } from './printers'
 
-const DEFAULT_ADDRESS = '127.0.0.1:7200'
-
-const setting = (long: string, env: string, description: string) =>
-	option({ type: optional(string), long, env, description })
-
-/** Flags that every command takes. */
-const common = {
-	at: option({
-		type: string,
-		long: 'at',
-		env: 'RR_AT',
-		defaultValue: () => DEFAULT_ADDRESS,
-		description: 'host:port of the operator API of any instance',
-	}),
-	dataCentre: setting(
-		'data-centre',
-		'RR_DATA_CENTRE',
-		"data centre; the instance's own by default"
-	),
-	operator: option({
-		type: string,
-		long: 'operator',
-		env: 'RR_OPERATOR',
-		defaultValue: () => process.env.USER ?? 'unnamed',
-		description: 'your name for the audit, where neither TLS nor tokens are set up',
-	}),
-	token: setting('token', 'RR_TOKEN', 'your token'),
-	tlsAuthority: setting('tls-authority', 'RR_TLS_AUTHORITY', 'PEM file of who signs the server'),
-	tlsCertificate: setting('tls-certificate', 'RR_TLS_CERTIFICATE', 'your PEM file'),
-	tlsKey: setting('tls-key', 'RR_TLS_KEY', 'your PEM file'),
-	json: flag({ long: 'json', description: 'print JSON for programs' }),
-}
-
-/** Flags of commands that change something. */
-const changing = {
-	...common,
-	request: option({
-		type: string,
-		long: 'request',
-		defaultValue: () => randomUUID(),
-		description: 'id of this request; the same again gets the first answer',
-	}),
-}
-
-interface Common {
-	readonly at: string
-	readonly dataCentre?: string
-	readonly operator: string
-	readonly token?: string
-	readonly tlsAuthority?: string
-	readonly tlsCertificate?: string
-	readonly tlsKey?: string
-	readonly json: boolean
-}
-
-async function get(flags: Common, path: string, query: Query, print: Printer): Promise<ExitCode> {
-	const reply = await clientFor(flags).get(withQuery(path, { ...query, ...place(flags) }))
-	return show(reply, flags.json, print)
-}
-
-async function post(
-	flags: Common & { readonly request: string },
-	path: string,
-	body: object,
-	print: Printer
-): Promise<ExitCode> {
-	const { request } = flags
-	const reply = await clientFor(flags).post(path, { ...body, ...place(flags), request })
-	return show(reply, flags.json, print)
-}
-
-type Query = { readonly [name: string]: string | number | undefined }
-
 const status = command({
 	name: 'status',
 	description: 'groups, leaders, and who has which configuration',
@@ -230,65 +163,6 @@
 			post(flags, `/v1/data-centres/${encode(flags.subject)}/${name}`, {}, printAnswer),
 	})
 
-/** Posts a job's description to a queue of a cell with one group. */
-const jobSubmit = command({
-	name: 'submit',
-	description: 'hand a job in under an id; the same id again remains one job',
-	args: {
-		...common,
-		id: option({ type: string, long: 'id', description: '16 hex digits' }),
-		queue: positional({ type: string, displayName: 'queue' }),
-		file: positional({ type: string, displayName: 'file', description: 'JSON; - reads input' }),
-	},
-	handler: (flags) =>
-		withFile(flags.file, async (document) => {
-			const body = parseDescription(document)
-			if (!body) return ExitCode.Usage
-			const path = `/v1/queues/${encode(flags.queue)}/jobs/${encode(flags.id)}`
-			return show(await clientFor(flags).post(path, body), flags.json, printMessage)
-		}),
-})
-
-const jobList = command({
-	name: 'list',
-	description: 'jobs, the newest first',
-	args: {
-		...common,
-		queue: option({ type: optional(string), long: 'queue' }),
-		state: option({ type: optional(string), long: 'state' }),
-		most: option({ type: optional(number), long: 'most', description: '100 by default' }),
-	},
-	handler: ({ queue, state, most, ...flags }) =>
-		get(flags, '/v1/jobs', { queue, state, most }, printJobs),
-})
-
-const jobCommand = (name: 'show' | 'explain', description: string, print: Printer) =>
-	command({
-		name,
-		description,
-		args: { ...common, id: positional({ type: string, displayName: 'id' }) },
-		handler: (flags) => get(flags, `/v1/jobs/${encode(flags.id)}`, {}, print),
-	})
-
-const jobCancel = command({
-	name: 'cancel',
-	description: 'cancel a job',
-	args: { ...common, id: positional({ type: string, displayName: 'id' }) },
-	handler: async (flags) => {
-		const reply = await clientFor(flags).post(`/v1/jobs/${encode(flags.id)}/cancel`, {})
-		return show(reply, flags.json, printMessage)
-	},
-})
-
-function parseDescription(document: string): object | undefined {
-	try {
-		return JSON.parse(document) as object
-	} catch (fault) {
-		process.stderr.write(`the job is no JSON: ${(fault as Error).message}\n`)
-		return undefined
-	}
-}
-
 /** The whole command line. @public */
 export const rrctl = subcommands({
 	name: 'rrctl',
@@ -306,56 +180,12 @@
 		workers,
 		explain,
 		audit,
-		jobs: subcommands({
-			name: 'jobs',
-			description: 'jobs of a cell with one group',
-			cmds: {
-				submit: jobSubmit,
-				list: jobList,
-				show: jobCommand('show', 'the state of a job', printJob),
-				explain: jobCommand('explain', 'what each step of a job waits for', printJobSteps),
-				cancel: jobCancel,
-			},
-		}),
+		jobs,
 		'declare-down': declare('declare-down', 'say that a data centre is down, and fence it off'),
 		'declare-up': declare('declare-up', 'let a data centre that was declared down take part again'),
 	},
 })
 
-function clientFor(flags: Common): OperatorClient {
-	const colon = flags.at.lastIndexOf(':')
-	const host = flags.at.slice(0, colon)
-	const port = Number(flags.at.slice(colon + 1))
-	return new OperatorClient({ ...flags, host, port })
-}
-
-function place(flags: Common): { dataCentre?: string } {
-	return flags.dataCentre === undefined ? {} : { dataCentre: flags.dataCentre }
-}
-
-function withQuery(path: string, query: Query): string {
-	const search = new URLSearchParams()
-	for (const [name, value] of Object.entries(query)) {
-		if (value !== undefined) search.set(name, String(value))
-	}
-	return search.size === 0 ? path : `${path}?${search.toString()}`
-}
-
-async function withFile(file: string, act: (text: string) => Promise<ExitCode>): Promise<ExitCode> {
-	let text: string
-	try {
-		text = readFileSync(file === '-' ? 0 : file, 'utf8')
-	} catch (fault) {
-		process.stderr.write(`${file}: ${(fault as Error).message}\n`)
-		return ExitCode.Usage
-	}
-	return act(text)
-}
-
-function encode(part: string): string {
-	return part.split('/').map(encodeURIComponent).join('/')
-}
-
 function moment(written: string | undefined): number | undefined {
 	return written === undefined ? undefined : Date.parse(written)
 }
--- /dev/null
+++ b/apps/ctl/src/lib/jobCommands.ts
@@ -0,0 +1,78 @@
+/** The commands of `rrctl jobs`. */
+import { ExitCode } from '@rillrudder/program'
+import { command, number, option, optional, positional, string, subcommands } from 'cmd-ts'
+import { clientFor, common, encode, get, withFile } from './commandParts'
+import { printJob, printJobs, printJobSteps, printMessage } from './jobPrinters'
+import { show, type Printer } from './output'
+
+/** Posts a job's description to a queue of a cell with one group. */
+const jobSubmit = command({
+	name: 'submit',
+	description: 'hand a job in under an id; the same id again remains one job',
+	args: {
+		...common,
+		id: option({ type: string, long: 'id', description: '16 hex digits' }),
+		queue: positional({ type: string, displayName: 'queue' }),
+		file: positional({ type: string, displayName: 'file', description: 'JSON; - reads input' }),
+	},
+	handler: (flags) =>
+		withFile(flags.file, async (document) => {
+			const body = parseDescription(document)
+			if (!body) return ExitCode.Usage
+			const path = `/v1/queues/${encode(flags.queue)}/jobs/${encode(flags.id)}`
+			return show(await clientFor(flags).post(path, body), flags.json, printMessage)
+		}),
+})
+
+const jobList = command({
+	name: 'list',
+	description: 'jobs, the newest first',
+	args: {
+		...common,
+		queue: option({ type: optional(string), long: 'queue' }),
+		state: option({ type: optional(string), long: 'state' }),
+		most: option({ type: optional(number), long: 'most', description: '100 by default' }),
+	},
+	handler: ({ queue, state, most, ...flags }) =>
+		get(flags, '/v1/jobs', { queue, state, most }, printJobs),
+})
+
+const jobCommand = (name: 'show' | 'explain', description: string, print: Printer) =>
+	command({
+		name,
+		description,
+		args: { ...common, id: positional({ type: string, displayName: 'id' }) },
+		handler: (flags) => get(flags, `/v1/jobs/${encode(flags.id)}`, {}, print),
+	})
+
+const jobCancel = command({
+	name: 'cancel',
+	description: 'cancel a job',
+	args: { ...common, id: positional({ type: string, displayName: 'id' }) },
+	handler: async (flags) => {
+		const reply = await clientFor(flags).post(`/v1/jobs/${encode(flags.id)}/cancel`, {})
+		return show(reply, flags.json, printMessage)
+	},
+})
+
+function parseDescription(document: string): object | undefined {
+	try {
+		return JSON.parse(document) as object
+	} catch (fault) {
+		process.stderr.write(`the job is no JSON: ${(fault as Error).message}\n`)
+		return undefined
+	}
+}
+
+/** Jobs of a cell with one group. @internal */
+export const jobs = subcommands({
+	name: 'jobs',
+	description: 'jobs of a cell with one group',
+	cmds: {
+		submit: jobSubmit,
+		list: jobList,
+		show: jobCommand('show', 'the state of a job', printJob),
+		explain: jobCommand('explain', 'what each step of a job waits for', printJobSteps),
+		cancel: jobCancel,
+	},
+})
