--- /dev/null
+++ b/packages/member/src/lib/LeaderCalls.test.ts
@@ -0,0 +1,131 @@
+/** What a caller is told when leaders come and go: "not run" only when that is certain. */
+import assert from 'node:assert/strict'
+import { test } from 'node:test'
+import type { CellCall, CellReply } from '@rillrudder/jobs'
+import type { Event } from '@rillrudder/protocol'
+import { Meter } from '@rillrudder/telemetry'
+import { ManualClock } from '@rillrudder/utils'
+import { LeaderCalls } from './LeaderCalls'
+import type { KnownLeader } from './LeaderView'
+import { PeerCalls } from './PeerCalls'
+
+const CALL: CellCall = { kind: 'read-configuration' }
+const FINALITY = { patience: 800, limit: 1500 }
+
+class Subject {
+	readonly clock = new ManualClock()
+	readonly sent: { readonly to: string; readonly id: number; readonly term: number }[] = []
+	leader: KnownLeader | undefined
+	reachable = true
+	reply: CellReply | undefined
+	private readonly peers = new PeerCalls(this.clock, (peer, event) => this.send(peer, event))
+	private readonly calls = new LeaderCalls({
+		clock: this.clock,
+		calls: this.peers,
+		meter: new Meter(),
+		leader: () => this.leader,
+	})
+
+	get outcome(): string | undefined {
+		return this.reply?.kind
+	}
+
+	begin(): void {
+		void this.calls.call(CALL, FINALITY).then((reply) => (this.reply = reply))
+	}
+
+	answer(reply: CellReply): void {
+		const last = this.sent[this.sent.length - 1]
+		this.peers.replied({ id: last.id, body: Buffer.from(JSON.stringify(reply)) })
+	}
+
+	lose(peer: string): void {
+		this.peers.lost(peer)
+	}
+
+	/** Lets time pass, and promises settle. */
+	async run(span: number): Promise<void> {
+		for (let spent = 0; spent < span; spent += 10) {
+			this.clock.advance(10)
+			await Promise.resolve()
+		}
+		await new Promise((done) => setImmediate(done))
+	}
+
+	private send(to: string, { body }: Event): boolean {
+		if (!this.reachable || body?.$case !== 'peerCall') return false
+		this.sent.push({ to, id: body.value.id, term: body.value.term })
+		return true
+	}
+}
+
+const leader = (id: string, term: number): KnownLeader => ({ id, term, via: [id] })
+
+test('without a leader a call waits as long as a change of leader takes, and was then not run', async () => {
+	const subject = new Subject()
+	subject.begin()
+	await subject.run(600)
+	assert.equal(subject.outcome, undefined)
+	await subject.run(300)
+	assert.equal(subject.outcome, 'not-run')
+	assert.equal(subject.sent.length, 0)
+})
+
+test('an instance that has been without a leader for long refuses at once', async () => {
+	const subject = new Subject()
+	await subject.run(2000)
+	subject.begin()
+	await subject.run(10)
+	assert.equal(subject.outcome, 'not-run')
+})
+
+test('a call that was sent and not answered is never called not run', async () => {
+	const subject = new Subject()
+	subject.leader = leader('a', 1)
+	subject.begin()
+	await subject.run(10)
+	subject.leader = undefined
+	subject.lose('a')
+	await subject.run(2000)
+	assert.equal(subject.outcome, 'unknown')
+})
+
+test('a call goes on to the next leader, under its term', async () => {
+	const subject = new Subject()
+	subject.leader = leader('a', 1)
+	subject.begin()
+	await subject.run(10)
+	subject.lose('a')
+	subject.leader = leader('b', 2)
+	await subject.run(100)
+	assert.deepEqual(
+		subject.sent.map(({ to, term }) => [to, term]),
+		[
+			['a', 1],
+			['b', 2],
+		]
+	)
+	subject.answer({ kind: 'accepted' })
+	await subject.run(10)
+	assert.equal(subject.outcome, 'accepted')
+})
+
+test('who does not lead has done nothing: the call is still not run when nobody else comes', async () => {
+	const subject = new Subject()
+	subject.leader = leader('a', 1)
+	subject.begin()
+	await subject.run(10)
+	subject.answer({ kind: 'not-leader' })
+	subject.leader = undefined
+	await subject.run(1500)
+	assert.equal(subject.outcome, 'not-run')
+})
+
+test('a call that could not be sent was not run', async () => {
+	const subject = new Subject()
+	subject.leader = leader('a', 1)
+	subject.reachable = false
+	subject.begin()
+	await subject.run(1700)
+	assert.equal(subject.outcome, 'not-run')
+})
