--- a/packages/runs/src/lib/GroupRun.ts
+++ b/packages/runs/src/lib/GroupRun.ts
@@ -6,13 +6,13 @@
 	DEFAULT_TIMING,
 	Witness,
 	type Founder,
-	type Replica,
 	type ReplicaStatus,
 	type Snapshot,
 } from '@rillrudder/consensus'
 import { EntryKind, type Entry, type GroupMessage } from '@rillrudder/protocol'
 import { invariant, ManualClock, Random } from '@rillrudder/utils'
-import { emptyDisk, RunReplica, type ReplicaDisk } from './RunReplica'
+import { lastStored, RunNode, wipe } from './RunNode'
+import { RunReplica } from './RunReplica'
 
 const STEP = 10
 const SYNC_MOST = 30
@@ -59,35 +59,6 @@
 	readonly message: GroupMessage
 }
 
-/** One instance: a replica, its clock, its disk, and the state that committed entries make. */
-class Node {
-	running!: RunReplica
-	incarnation = ''
-	disk: ReplicaDisk = emptyDisk()
-	/** Digest of everything applied, in order. */
-	state = 0
-	downUntil = 0
-	pausedUntil = 0
-	/** How many times it has booted. */
-	lives = 0
-	/** What came while it was paused. */
-	held: (() => void)[] = []
-
-	constructor(
-		readonly founder: Founder,
-		readonly rate: number,
-		readonly offset: number
-	) {}
-
-	get replica(): Replica {
-		return this.running.replica
-	}
-
-	localTime(trueTime: number): number {
-		return this.offset + trueTime * this.rate
-	}
-}
-
 /**
  * One seeded run.
  *
@@ -117,7 +88,7 @@
 	}
 	private readonly random: Random
 	private readonly witness = new Witness()
-	private readonly nodes = new Map<string, Node>()
+	private readonly nodes = new Map<string, RunNode>()
 	private readonly clock = new ManualClock()
 	private blocked = new Set<string>()
 	private blockedUntil = 0
@@ -133,7 +104,7 @@
 		const { drift } = DEFAULT_TIMING
 		for (const founder of options.founders) {
 			const rate = 1 + (this.random.fraction() * 2 - 1) * drift
-			const node = new Node(founder, rate, this.random.integer(0, 100_000))
+			const node = new RunNode(founder, rate, this.random.integer(0, 100_000))
 			this.nodes.set(founder.id, node)
 			this.boot(node)
 		}
@@ -188,7 +159,11 @@
 	/** Adds an instance with an empty disk after a while. */
 	addNode(id: string, span: number): void {
 		this.clock.after(span, () => {
-			const node = new Node({ id, durable: true, local: true }, 1, this.random.integer(0, 100_000))
+			const node = new RunNode(
+				{ id, durable: true, local: true },
+				1,
+				this.random.integer(0, 100_000)
+			)
 			this.nodes.set(id, node)
 			this.boot(node)
 		})
@@ -269,7 +244,7 @@
 		for (const node of this.nodes.values()) this.run(node)
 	}
 
-	private run(node: Node): void {
+	private run(node: RunNode): void {
 		if (!this.awake(node)) return
 		if (node.downUntil > 0) {
 			node.downUntil = 0
@@ -284,38 +259,38 @@
 		this.compact(node)
 	}
 
-	private proposeSome(node: Node): void {
+	private proposeSome(node: RunNode): void {
 		for (let count = this.random.integer(1, 3); count > 0; count--) this.proposeOne(node)
 	}
 
-	private proposeOne(node: Node): void {
+	private proposeOne(node: RunNode): void {
 		node.running.propose([Buffer.from(String(++this.proposals))])
 	}
 
-	private node(id: string): Node {
+	private node(id: string): RunNode {
 		const node = this.nodes.get(id)
 		invariant(node !== undefined, 'a run knows its replicas', { id })
 		return node
 	}
 
-	private apply(node: Node, entry: Entry): void {
+	private apply(node: RunNode, entry: Entry): void {
 		if (entry.kind !== EntryKind.ENTRY_KIND_COMMAND) return
 		node.state = (node.state * 31 + Number(Buffer.from(entry.data).toString())) % 1_000_000_007
 	}
 
-	private restoreState(node: Node, snapshot: Snapshot): void {
+	private restoreState(node: RunNode, snapshot: Snapshot): void {
 		this.tally.snapshotsInstalled += 1
 		node.state = Number(Buffer.from(snapshot.data).toString().trim())
 	}
 
-	private compact(node: Node): void {
+	private compact(node: RunNode): void {
 		const from = node.replica.snapshot?.index ?? 0
 		if (node.running.applied - from < COMPACT_EVERY) return
 		// Padded to more than one piece, so that an installation can be interrupted.
 		node.running.compact(Buffer.from(String(node.state).padEnd(200_000)))
 	}
 
-	private checkLease(node: Node): void {
+	private checkLease(node: RunNode): void {
 		const local = node.localTime(this.clock.now())
 		if (!node.replica.holdsLease(local)) return
 		const life = `${node.founder.id}#${node.incarnation}`
@@ -325,7 +300,7 @@
 		this.witness.lease(life, this.clock.now(), trueEnd)
 	}
 
-	private dispatch(node: Node, flight: Flight): void {
+	private dispatch(node: RunNode, flight: Flight): void {
 		const from = node.founder.id
 		if (this.blocked.has(`${from}>${flight.to}`)) return
 		if (this.faults && this.random.chance(LOSS)) return
@@ -342,7 +317,7 @@
 	}
 
 	/** A paused process does what has come meanwhile once it goes on. */
-	private whenAwake(node: Node, call: () => void): void {
+	private whenAwake(node: RunNode, call: () => void): void {
 		const waiting = node.held.length > 0
 		if (waiting || node.pausedUntil > this.clock.now()) node.held.push(call)
 		else call()
@@ -356,7 +331,7 @@
 		this.tally.faults[fault] += 1
 	}
 
-	private inflict(fault: Fault, node: Node): boolean {
+	private inflict(fault: Fault, node: RunNode): boolean {
 		const span = this.random.integer(100, 4000)
 		switch (fault) {
 			case Fault.Restart:
@@ -379,24 +354,24 @@
 		}
 	}
 
-	private replaceAtRandom(node: Node, span: number): boolean {
+	private replaceAtRandom(node: RunNode, span: number): boolean {
 		if (!this.othersWhole(node) || !this.mayTakeDown(node)) return false
 		this.replace(node.founder.id, `${node.founder.id.split('.')[0]}.${++this.lives}`, span)
 		return true
 	}
 
 	/** An instance without a disk forgets; a second one that forgets at once would lose the group. */
-	private mayTakeDown(node: Node): boolean {
+	private mayTakeDown(node: RunNode): boolean {
 		return node.downUntil === 0 && (node.founder.durable || this.othersWhole(node))
 	}
 
-	private down(node: Node, span: number): boolean {
+	private down(node: RunNode, span: number): boolean {
 		node.downUntil = this.clock.now() + span
 		node.held = []
 		return true
 	}
 
-	private loseDisk(node: Node, span: number): boolean {
+	private loseDisk(node: RunNode, span: number): boolean {
 		if (!this.othersWhole(node) || !this.mayTakeDown(node)) return false
 		this.down(node, span)
 		wipe(node)
@@ -404,7 +379,7 @@
 	}
 
 	/** Whether every other founder is a voter of the newest membership with all that was committed. */
-	private othersWhole(node: Node): boolean {
+	private othersWhole(node: RunNode): boolean {
 		const others = [...this.nodes.values()].filter((one) => one !== node)
 		const known = this.witness.committedCount
 		return others.every((one) => {
@@ -426,11 +401,11 @@
 		this.blockedUntil = this.clock.now() + span
 	}
 
-	private awake(node: Node): boolean {
+	private awake(node: RunNode): boolean {
 		return node.downUntil <= this.clock.now() && node.pausedUntil <= this.clock.now()
 	}
 
-	private boot(node: Node): void {
+	private boot(node: RunNode): void {
 		const { id, durable } = node.founder
 		if (!durable || node.incarnation === '') node.incarnation = `life-${++this.lives}`
 		node.state = 0
@@ -464,19 +439,9 @@
 	}
 
 	/** A call of one life of a process: dropped when it has died, late when it was paused. */
-	private afterIn(node: Node, life: RunReplica, span: number, call: () => void): void {
+	private afterIn(node: RunNode, life: RunReplica, span: number, call: () => void): void {
 		this.clock.after(span, () => {
 			if (node.running === life && node.downUntil === 0) this.whenAwake(node, call)
 		})
 	}
 }
-
-function wipe(node: Node): void {
-	node.disk = emptyDisk()
-	node.incarnation = ''
-}
-
-function lastStored(disk: ReplicaDisk): number {
-	const last = disk.entries[disk.entries.length - 1]
-	return last?.index ?? disk.snapshot?.index ?? 0
-}
