--- /dev/null
+++ b/packages/protocol/src/lib/Outbox.test.ts
@@ -0,0 +1,62 @@
+/** Events go out on the newest stream, and on an older one when that ends. */
+import assert from 'node:assert/strict'
+import { test } from 'node:test'
+import type { Event, Parcel } from './generated/rillrudder/v1/link'
+import { Outbox, type ParcelStream } from './Outbox'
+
+class Stream implements ParcelStream {
+	readonly parcels: Parcel[] = []
+
+	write(parcel: Parcel, done: (fault?: Error | null) => void): boolean {
+		this.parcels.push(parcel)
+		queueMicrotask(() => done())
+		return true
+	}
+
+	get events(): number {
+		return this.parcels.reduce((sum, parcel) => sum + parcel.events.length, 0)
+	}
+}
+
+const EVENT: Event = { body: { $case: 'peerReply', value: { id: 1, body: Buffer.alloc(0) } } }
+const turn = () => new Promise((done) => setImmediate(done))
+
+test('events of one turn go out in one parcel on the newest stream', async () => {
+	const outbox = new Outbox('self')
+	const [older, newer] = [new Stream(), new Stream()]
+	outbox.connect(older)
+	outbox.connect(newer)
+	outbox.send(EVENT)
+	outbox.send(EVENT)
+	await turn()
+	assert.equal(older.parcels.length, 0)
+	assert.equal(newer.parcels.length, 1)
+	assert.equal(newer.events, 2)
+})
+
+test('an older stream takes over when the newest ends', async () => {
+	const outbox = new Outbox('self')
+	const [older, newer] = [new Stream(), new Stream()]
+	outbox.connect(older)
+	outbox.connect(newer)
+	outbox.disconnect(newer)
+	assert.equal(outbox.connected, true)
+	outbox.send(EVENT)
+	await turn()
+	assert.equal(older.events, 1)
+	outbox.disconnect(older)
+	assert.equal(outbox.connected, false)
+	assert.equal(outbox.send(EVENT), false)
+})
+
+test('a greeting goes out on every stream, so that the peer sees each one alive', async () => {
+	const outbox = new Outbox('self')
+	const streams = [new Stream(), new Stream(), new Stream()]
+	for (const stream of streams) outbox.connect(stream)
+	outbox.greetAll()
+	await turn()
+	assert.deepEqual(
+		streams.map((stream) => stream.parcels.length),
+		[1, 1, 1]
+	)
+})
