--- a/packages/jobs/src/lib/desk/StepBoard.ts
+++ b/packages/jobs/src/lib/desk/StepBoard.ts
@@ -19,7 +19,7 @@
 /** Milliseconds from which an answer is asked for before there is room. */
 const LONG_ANSWER = 150
 /** Workers a question may name at most; the service refuses longer ones. */
-export const MOST_ASKED = 100
+const MOST_ASKED = 100
 
 /**
  * The steps that have tasks to begin.
@@ -66,8 +66,8 @@
 		if (!work.queue.advice) return 'it is about to begin'
 		const now = this.context.clock.now()
 		const allowed = room.filter(({ view }) => work.advice.ticket(view.id, now) !== undefined)
-		if (allowed.length > 0)
-			return work.step.gang ? 'not all of its gang has room' : 'it is about to begin'
+		if (allowed.length > 0 && work.step.gang) return 'not all of its gang has room'
+		if (allowed.length > 0) return 'it is about to begin'
 		if (work.advice.asking) return `advice about ${room.length} workers with room is awaited`
 		return `none of ${room.length} workers with room is allowed by its queue's policy`
 	}
--- a/packages/jobs/src/lib/desk/WorkerBoard.ts
+++ b/packages/jobs/src/lib/desk/WorkerBoard.ts
@@ -21,7 +21,7 @@
 	looked(view: WorkerView, result: LookResult & { kind: 'done' }, sentAt: number): void
 }
 
-/** How workers of one incarnation answered a heartbeat. @internal */
+/** What came of a heartbeat: it counts, or its worker is known to have ended. @internal */
 export type HeartbeatAnswer = 'noted' | 'gone'
 
 /**
