--- a/packages/cell/src/lib/desk/DataCentreDesk.ts
+++ b/packages/cell/src/lib/desk/DataCentreDesk.ts
@@ -80,11 +80,11 @@
 	/** Numbers for metrics. */
 	get figures() {
 		const { requests } = this.parts.state
-		const { waitingCount, runningCount } = this.tasks.placement
+		const { waitingCount, tasksRunning } = this.tasks.placement
 		return {
 			requestsOpen: requests.open,
 			tasksWaiting: waitingCount,
-			tasksRunning: runningCount,
+			tasksRunning,
 			entries: this.holders.size,
 			workersClosed: this.health.closed,
 		}
--- a/packages/scheduler/src/lib/placement/Placement.ts
+++ b/packages/scheduler/src/lib/placement/Placement.ts
@@ -61,7 +61,7 @@
 	}
 
 	/** How many tasks run. */
-	get runningCount(): number {
+	get tasksRunning(): number {
 		return this.running.size
 	}
 
