--- a/packages/jobs/src/lib/desk/StepBoard.ts
+++ b/packages/jobs/src/lib/desk/StepBoard.ts
@@ -188,31 +188,32 @@
 		job.request.steps.forEach((later, number) => {
 			if (!later.dependsOn.includes(step)) return
 			const work = this.open(job, repeat, number)
-			this.askFor(work, [...this.openWorkers().values()], work.step.count)
+			this.askFor(work, this.eligible(work, this.openWorkers()), work.step.count)
 		})
 	}
 
-	private openWorkers(): Map<string, Option> {
-		const open = new Map<string, Option>()
+	private openWorkers(): Option[] {
+		const open: Option[] = []
 		for (const view of this.workers.all()) {
 			const account = this.context.ledger.find(view.id)
-			if (account && this.workers.isOpen(view)) open.set(view.id, { view, account })
+			if (account && this.workers.isOpen(view)) open.push({ view, account })
 		}
 		return open
 	}
 
-	private placeStep(work: StepWork, open: ReadonlyMap<string, Option>, now: number): void {
+	private placeStep(work: StepWork, open: readonly Option[], now: number): void {
 		if (!isStepReady(work.job, work.repeat, work.number)) return
 		const waiting = work.waiting()
 		if (waiting.length === 0) return
-		const options = this.optionsFor(work, open, now)
+		const eligible = this.eligible(work, open)
+		const options = this.optionsFor(work, eligible, now)
 		const placed = work.step.gang
 			? placeGang(work, waiting, options, this.context.ledger, now)
 			: this.placeEach(work, waiting, options)
 		if (placed.length > 0) this.begin(work, placed, now)
 		const left = waiting.length - placed.length
 		work.triedAt = this.context.ledger.releases
-		if (left > 0 && work.queue.advice) this.askFor(work, this.eligible(work, open), left)
+		if (left > 0 && work.queue.advice) this.askFor(work, eligible, left)
 	}
 
 	private placeEach(work: StepWork, waiting: readonly number[], options: Option[]): Placed[] {
@@ -226,17 +227,16 @@
 		return placed
 	}
 
-	/** Workers that may run the step now. */
-	private optionsFor(work: StepWork, open: ReadonlyMap<string, Option>, now: number): Option[] {
-		const eligible = this.eligible(work, open)
+	/** Of the eligible workers those that may run the step now. */
+	private optionsFor(work: StepWork, eligible: Option[], now: number): Option[] {
 		if (!work.queue.advice) return eligible
 		return eligible.filter(({ view }) => work.advice.ticket(view.id, now) !== undefined)
 	}
 
 	/** Workers of the right service with the right label. */
-	private eligible(work: StepWork, open: ReadonlyMap<string, Option>): Option[] {
+	private eligible(work: StepWork, open: readonly Option[]): Option[] {
 		const { queue, step } = work
-		return [...open.values()].filter(
+		return open.filter(
 			({ view: { worker } }) =>
 				worker.service === queue.service &&
 				(step.requires === '' || worker.labels.includes(step.requires))
--- a/packages/jobs/src/lib/desk/WorkerBoard.ts
+++ b/packages/jobs/src/lib/desk/WorkerBoard.ts
@@ -21,9 +21,6 @@
 	looked(view: WorkerView, result: LookResult & { kind: 'done' }, sentAt: number): void
 }
 
-/** What came of a heartbeat: it counts, or its worker is known to have ended. @internal */
-export type HeartbeatAnswer = 'noted' | 'gone'
-
 /**
  * The workers of the cell as the leader sees them.
  *
@@ -110,11 +107,11 @@
 	 * @param heartbeat - the heartbeat.
 	 * @param done - called once what it says is lasting.
 	 */
-	heartbeat(heartbeat: Heartbeat, done: (answer: HeartbeatAnswer) => void): void {
+	heartbeat(heartbeat: Heartbeat, done: () => void): void {
 		const { worker } = heartbeat
 		const { state } = this.context
 		if (state.workers.isGone(worker.id)) {
-			done('gone')
+			done()
 			return
 		}
 		this.replaceEarlierAt(worker)
@@ -125,7 +122,7 @@
 		}
 		this.note(view, heartbeat)
 		if (heartbeat.draining && !view.draining) this.proposeDrain(view, heartbeat, done)
-		else done('noted')
+		else done()
 	}
 
 	/**
@@ -333,7 +330,7 @@
 		if (heartbeat.remaining !== undefined) view.leavesAt = now + heartbeat.remaining
 	}
 
-	private proposeWorker(heartbeat: Heartbeat, done: (answer: HeartbeatAnswer) => void): void {
+	private proposeWorker(heartbeat: Heartbeat, done: () => void): void {
 		const { worker } = heartbeat
 		const { id, address, dataCentre } = worker
 		this.context.log.info(DeskEvent.WorkerJoined, { worker: id, address, dataCentre })
@@ -341,20 +338,16 @@
 			const view = this.views.get(id)
 			if (view) this.note(view, heartbeat)
 			if (view && heartbeat.draining) this.proposeDrain(view, heartbeat, done)
-			else done('noted')
+			else done()
 		})
 	}
 
-	private proposeDrain(
-		view: WorkerView,
-		heartbeat: Heartbeat,
-		done: (answer: HeartbeatAnswer) => void
-	): void {
+	private proposeDrain(view: WorkerView, heartbeat: Heartbeat, done: () => void): void {
 		const { log, proposals } = this.context
 		// Nothing new goes there from now on, whatever becomes of the command.
 		view.draining = true
 		log.info(DeskEvent.WorkerDraining, { worker: view.id, remaining: heartbeat.remaining })
-		proposals.propose({ kind: 'drain', worker: view.id }, () => done('noted'))
+		proposals.propose({ kind: 'drain', worker: view.id }, done)
 	}
 
 	/** A new incarnation at an address means that the earlier one has ended. */
--- a/packages/member/src/lib/ProductServer.ts
+++ b/packages/member/src/lib/ProductServer.ts
@@ -23,6 +23,8 @@
 export interface ProductServerParts {
 	readonly call: (call: CellCall, finality: Finality) => Promise<CellReply>
 	readonly meter: Meter
+	/** Sets gauges that nobody keeps up to date between two readings. */
+	readonly refresh: () => void
 	/** What the instance tells of itself. */
 	readonly status: () => object
 }
@@ -50,6 +52,7 @@
 	private async answer(call: HttpCall): Promise<HttpAnswer> {
 		const { method, path } = call
 		if (method === 'GET' && path === '/metrics') {
+			this.parts.refresh()
 			return { status: 200, body: await this.parts.meter.text(), headers: TEXT }
 		}
 		if (method === 'GET' && path === '/v1/status') {
