A run that was decided for a worker that has ended meanwhile does not begin

The worker's end and the runs' beginning were both in the leader's hands; the end came first in the log, the beginning was applied after it, and nothing ever ended those runs. Change: the state voids a beginning on a worker that it does not know (any more).

--- a/packages/jobs/src/lib/state/CellState.ts
+++ b/packages/jobs/src/lib/state/CellState.ts
@@ -2,7 +2,7 @@
 import { StateMachine } from '@rillrudder/group'
 import { exhaustive } from '@rillrudder/utils'
 import { VError } from 'verror'
-import { decodeCommands, type CellCommand } from '../commands/CellCommand'
+import { decodeCommands, type Begin, type CellCommand } from '../commands/CellCommand'
 import type { CellConfiguration, Worker } from '../records/Cell'
 import type { Change } from './Change'
 import { JobBook } from './JobBook'
@@ -66,7 +66,7 @@
 			case 'cancel':
 				return this.jobs.cancel(command.id, command.at)
 			case 'begin':
-				return command.runs.forEach((run) => this.jobs.begin(run))
+				return command.runs.forEach((run) => this.begin(run))
 			case 'end':
 				return command.runs.forEach((run) => this.jobs.end(run, command.at))
 			case 'worker':
@@ -96,6 +96,12 @@
 		this.changed({ kind: 'worker-joined', worker })
 	}
 
+	/** A worker may have ended between the decision and its place in the log. */
+	private begin(run: Begin): void {
+		if (this.workers.find(run.worker)) this.jobs.begin(run)
+		else this.jobs.voided(run)
+	}
+
 	private gone(worker: string, at: number): void {
 		this.workers.leave(worker)
 		this.jobs.endAllOn(worker, at)
--- a/packages/jobs/src/lib/state/JobBook.ts
+++ b/packages/jobs/src/lib/state/JobBook.ts
@@ -102,7 +102,7 @@
 		if (!place) return
 		const { name, job, task } = place
 		if (!isActive(job) || task.status !== TaskStatus.Waiting || attempt <= task.attempt) {
-			this.report({ kind: 'run-void', task: name, worker })
+			this.voided({ task: text, attempt, worker })
 			return
 		}
 		task.status = TaskStatus.Placed
@@ -113,6 +113,12 @@
 		this.report({ kind: 'run-begun', task: name, attempt, worker })
 	}
 
+	/** Takes note that a run that was decided does not begin. */
+	voided({ task: text, worker }: Begin): void {
+		const place = this.locate(text)
+		if (place) this.report({ kind: 'run-void', task: place.name, worker })
+	}
+
 	/** Takes note of a run's end. */
 	end(run: End, at: number): void {
 		const place = this.locate(run.task)
