A share of each worker for urgent work, preemption by checkpoint, one silent worker casts doubt on its data centre

The 12% that lower work left free counted the urgent work itself, so it was gone whenever it was wanted. Change: the ledger knows what urgent work has; other work takes at most three quarters of a worker beside it. An urgent step that has waited 60 ms for room stops checkpointed runs of lower priority, no more than it needs (event run-preempted).

Change: the first worker that is found silent casts doubt on all of its data centre until they answer a later call.

--- a/packages/jobs/src/lib/desk/DeskEvent.ts
+++ b/packages/jobs/src/lib/desk/DeskEvent.ts
@@ -35,6 +35,11 @@
 	StepPlaced: 'step-placed',
 	/** A run ended; `task`, `attempt`, `worker`, `how`. */
 	RunEnded: 'run-ended',
+	/**
+	 * A run is stopped to make room; `task`, `attempt`, `worker`, `percent` that it had done, `for` which step of
+	 * the highest priority.
+	 */
+	RunPreempted: 'run-preempted',
 	/** A worker refused an order; `task`, `attempt`, `worker`, `reason`, the `order`. */
 	OrderRefused: 'order-refused',
 	/** Advice is asked; `step`, `workers`. Debug level. */
--- a/packages/jobs/src/lib/desk/OutageWatch.ts
+++ b/packages/jobs/src/lib/desk/OutageWatch.ts
@@ -1,12 +1,12 @@
 /**
- * Notices that a data centre can't be reached before each of its workers has failed to answer: when
- * several did not answer calls of the last moments, the others count as doubtful until they do.
+ * Notices that a data centre can't be reached before each of its workers has failed to answer: as soon as one
+ * has, the others count as doubtful until they have answered a call that was sent after that.
  */
 
-/** Workers of one data centre that must have failed to answer. */
-const LEAST_MISSES = 2
-/** Milliseconds for which a failure counts. */
+/** Milliseconds for which a failure casts doubt on the others. */
 const KEPT = 2000
+/** Milliseconds for which further failures cast no new doubt, since every doubt costs a call to each worker. */
+const PAUSE = 300
 
 /**
  * Failures to answer, by data centre.
@@ -14,19 +14,12 @@
  * @internal
  */
 export class OutageWatch {
-	/** For each data centre, when the unanswered call of each worker was sent. */
-	private readonly misses = new Map<string, Map<string, number>>()
+	private readonly doubtedAt = new Map<string, number>()
 
-	/** A call that was sent at this moment got no answer. */
-	missed(dataCentre: string, worker: string, sentAt: number): void {
-		const misses = this.misses.get(dataCentre) ?? new Map<string, number>()
-		misses.set(worker, sentAt)
-		this.misses.set(dataCentre, misses)
-	}
-
-	/** A worker has answered. */
-	answered(dataCentre: string, worker: string): void {
-		this.misses.get(dataCentre)?.delete(worker)
+	/** A worker that had answered before was found not to answer. */
+	missed(dataCentre: string, now: number): void {
+		if (now - (this.doubtedAt.get(dataCentre) ?? Number.NEGATIVE_INFINITY) < PAUSE) return
+		this.doubtedAt.set(dataCentre, now)
 	}
 
 	/**
@@ -34,18 +27,7 @@
 	 * reachable; undefined when there is no reason for doubt.
 	 */
 	doubtfulSince(dataCentre: string, now: number): number | undefined {
-		const misses = this.misses.get(dataCentre)
-		if (!misses) return undefined
-		let count = 0
-		let earliest = Number.POSITIVE_INFINITY
-		for (const [worker, sentAt] of misses) {
-			if (now - sentAt > KEPT) {
-				misses.delete(worker)
-				continue
-			}
-			count += 1
-			earliest = Math.min(earliest, sentAt)
-		}
-		return count >= LEAST_MISSES ? earliest : undefined
+		const since = this.doubtedAt.get(dataCentre)
+		return since !== undefined && now - since <= KEPT ? since : undefined
 	}
 }
--- a/packages/jobs/src/lib/desk/Run.ts
+++ b/packages/jobs/src/lib/desk/Run.ts
@@ -25,6 +25,10 @@
 	readonly worker: string
 	/** What is reserved for it. */
 	readonly need: Resources
+	/** Whether it is of the highest priority. */
+	readonly urgent: boolean
+	/** Whether it makes room for what is. */
+	readonly yields: boolean
 	readonly ticket: string
 	phase: RunPhase
 	/** When the phase began, on the desk's clock. */
--- a/packages/jobs/src/lib/desk/RunBoard.ts
+++ b/packages/jobs/src/lib/desk/RunBoard.ts
@@ -1,7 +1,6 @@
 /** The runs of the cell: orders to start and stop them, sent again until the worker has answered. */
-import type { Resources } from '@rillrudder/scheduler'
 import { Measure } from '@rillrudder/telemetry'
-import { formatTaskName, RunEnd, type Step, type TaskName } from '../records/Job'
+import { formatTaskName, RunEnd, type TaskName } from '../records/Job'
 import type { JobRecord } from '../state/JobRecord'
 import { tasksOf } from '../state/JobBook'
 import { isActive, TaskStatus } from '../state/JobRecord'
@@ -9,6 +8,7 @@
 import { DeskEvent } from './DeskEvent'
 import { Pacing } from './Pacing'
 import { Refusal, type LookResult, type OrderResult } from './ports'
+import { isUrgent, reservedFor, yieldsRoom } from './reservation'
 import { RunPhase, type Run } from './Run'
 import type { WorkerBoard } from './WorkerBoard'
 import type { WorkerView } from './WorkerView'
@@ -18,11 +18,6 @@
 /** Looks in a row that must not list a run before it is given up. */
 const ABSENT_LOOKS = 2
 
-/** @returns what is reserved for a task of a step. @internal */
-export function reservedFor(step: Step): Resources {
-	return step.bestEffort ? { ...step.need, cpu: 0 } : step.need
-}
-
 /** Told of orders that show that a choice was wrong. @internal */
 export interface RunListener {
 	/** The ticket that a run was started with does not hold. */
@@ -59,9 +54,8 @@
 			if (task.status !== TaskStatus.Placed) continue
 			const place = this.context.state.jobs.locate(text)
 			if (!place) continue
-			const step = job.request.steps[place.name.step]
-			this.context.ledger.restore(task.worker, reservedFor(step))
-			const run = this.add(text, place.name, step, task.attempt, task.worker)
+			const run = this.add(text, place.name, job, task.attempt, task.worker)
+			this.context.ledger.restore(task.worker, run.need, run.urgent)
 			run.checkpoint = task.checkpoint
 			// The first look tells which of them run; only what it does not list is ordered again.
 			run.retryAt = this.context.clock.now() + RESTORED_PAUSE
@@ -79,7 +73,7 @@
 		const text = formatTaskName(name)
 		const job = this.context.state.jobs.find(name.job)
 		if (!job) return
-		const run = this.add(text, name, job.request.steps[name.step], attempt, worker)
+		const run = this.add(text, name, job, attempt, worker)
 		this.order(run)
 	}
 
@@ -87,7 +81,9 @@
 	voided(name: TaskName, worker: string): void {
 		const job = this.context.state.jobs.find(name.job)
 		this.tickets.delete(formatTaskName(name))
-		if (job) this.context.ledger.release(worker, reservedFor(job.request.steps[name.step]))
+		if (!job) return
+		const step = job.request.steps[name.step]
+		this.context.ledger.release(worker, reservedFor(step), isUrgent(job.queue, step))
 	}
 
 	/** A run has ended: what it had is free. */
@@ -97,7 +93,7 @@
 		if (!run || run.attempt !== attempt) return
 		this.runs.delete(text)
 		this.workers.find(worker)?.runs.delete(text)
-		this.context.ledger.release(worker, run.need)
+		this.context.ledger.release(worker, run.need, run.urgent)
 		const { health, log, clock, meter } = this.context
 		meter.count(Measure.RunsEnded, { how })
 		if (how === RunEnd.Done) health.succeeded(worker)
@@ -119,6 +115,14 @@
 		if (run) this.beginStop(run)
 	}
 
+	/** Stops a run so that a step of the highest priority finds room; it goes on from its checkpoint later. */
+	preempt(run: Run, step: string): void {
+		const { text: task, attempt, worker, percent } = run
+		this.context.log.info(DeskEvent.RunPreempted, { task, attempt, worker, percent, for: step })
+		this.context.meter.count(Measure.Preemptions)
+		this.beginStop(run)
+	}
+
 	/** Stops what a leaving worker should not be caught with. */
 	leaving(view: WorkerView, now: number): void {
 		const { timing } = this.context
@@ -158,7 +162,8 @@
 		this.pacing.adjust(view)
 	}
 
-	private add(text: string, name: TaskName, step: Step, attempt: number, worker: string): Run {
+	private add(text: string, name: TaskName, job: JobRecord, attempt: number, worker: string): Run {
+		const step = job.request.steps[name.step]
 		const run: Run = {
 			text,
 			name,
@@ -166,6 +171,8 @@
 			attempt,
 			worker,
 			need: reservedFor(step),
+			urgent: isUrgent(job.queue, step),
+			yields: yieldsRoom(job.queue, step),
 			ticket: this.tickets.get(text) ?? '',
 			phase: RunPhase.Starting,
 			since: this.context.clock.now(),
--- a/packages/jobs/src/lib/desk/StepBoard.ts
+++ b/packages/jobs/src/lib/desk/StepBoard.ts
@@ -10,6 +10,7 @@
 import { placeGang, type Placed } from './placeGang'
 import type { AdviceResult } from './ports'
 import type { RunBoard } from './RunBoard'
+import { runsToStop } from './runsToStop'
 import { byUrgency, stepName, StepWork } from './StepWork'
 import type { WorkerBoard } from './WorkerBoard'
 import { workersToAsk } from './workersToAsk'
@@ -18,6 +19,8 @@
 const ASK_AGAIN = 400
 /** Milliseconds from which an answer is asked for before there is room. */
 const LONG_ANSWER = 150
+/** Milliseconds that an urgent step waits for room before runs of lower priority are stopped for it. */
+const PREEMPT_AFTER = 60
 /** Workers a question may name at most; the service refuses longer ones. */
 const MOST_ASKED = 100
 
@@ -214,13 +217,25 @@
 		const left = waiting.length - placed.length
 		work.triedAt = this.context.ledger.releases
 		if (left > 0 && work.queue.advice) this.askFor(work, eligible, left)
+		if (left > 0 && work.urgent && !work.step.gang) this.makeRoom(work, eligible, left, now)
+	}
+
+	/** Stops runs of lower priority where an urgent step has waited for room, and asking finds none. */
+	private makeRoom(work: StepWork, eligible: Option[], tasks: number, now: number): void {
+		const { advice } = work
+		const since = work.queue.advice ? advice.firstAnswerAt : work.since
+		if (since === undefined || now - since < PREEMPT_AFTER) return
+		const options = this.optionsFor(work, eligible, now)
+		const unknown = eligible.filter((one) => !options.includes(one) && !advice.isUnfit(one.view.id))
+		if (unknown.some((option) => admits(work, option))) return
+		for (const run of runsToStop(work, options, tasks)) this.runs.preempt(run, work.name)
 	}
 
 	private placeEach(work: StepWork, waiting: readonly number[], options: Option[]): Placed[] {
 		const placed: Placed[] = []
 		for (const index of waiting) {
 			const option = chooseForStep(work, options)
-			if (!option || !this.context.ledger.reserve(option.view.id, work.need)) break
+			if (!option || !this.context.ledger.reserve(option.view.id, work.need, work.urgent)) break
 			work.count(option.view.id, 1)
 			placed.push({ index, worker: option.view.id })
 		}
--- a/packages/jobs/src/lib/desk/StepWork.ts
+++ b/packages/jobs/src/lib/desk/StepWork.ts
@@ -1,9 +1,9 @@
 /** One step of a job at one of its repeats, while it still has tasks to begin. */
-import type { Resources } from '@rillrudder/scheduler'
+import { fits, type Resources } from '@rillrudder/scheduler'
 import type { Queue } from '../records/Cell'
 import type { Step } from '../records/Job'
 import { TaskStatus, type JobRecord, type StepRecord } from '../state/JobRecord'
-import { reservedFor } from './RunBoard'
+import { isUrgent, reservedFor, yieldsRoom } from './reservation'
 import { StepAdvice } from './StepAdvice'
 
 /** @returns the name that advice is asked under. @internal */
@@ -21,6 +21,10 @@
 	readonly step: Step
 	readonly record: StepRecord
 	readonly need: Resources
+	/** Whether it is of the highest priority. */
+	readonly urgent: boolean
+	/** Whether it leaves room for what is. */
+	readonly yields: boolean
 	readonly advice = new StepAdvice()
 	/** Indexes of tasks whose beginning is decided and not yet applied. */
 	readonly decided = new Set<number>()
@@ -47,14 +51,11 @@
 		this.step = job.request.steps[number]
 		this.record = job.repeats[repeat][number]
 		this.need = reservedFor(this.step)
+		this.urgent = isUrgent(job.queue, this.step)
+		this.yields = yieldsRoom(job.queue, this.step)
 		for (const task of this.record.tasks) if (task.worker !== '') this.count(task.worker, 1)
 	}
 
-	/** Whether it leaves room for work of the highest priority. Lasting work holds its place anyway. */
-	get yields(): boolean {
-		return this.queue.priority > 0 && !this.step.lasting && !this.step.bestEffort
-	}
-
 	/** Indexes of the tasks that wait to begin. */
 	waiting(): number[] {
 		const found: number[] = []
@@ -76,6 +77,17 @@
 		this.failedOn.set(worker, (this.failedOn.get(worker) ?? 0) + 1)
 	}
 
+	/** @returns how many of its tasks a worker may take that has so much room for them. */
+	copiesIn(worker: string, room: Resources): number {
+		const allowance = this.allowance(worker)
+		if (allowance <= 0 || !fits(this.need, room)) return 0
+		const { cpu, memory } = this.need
+		const byCpu = cpu > 0 ? room.cpu / cpu : Number.POSITIVE_INFINITY
+		const byMemory = memory > 0 ? room.memory / memory : Number.POSITIVE_INFINITY
+		const copies = Math.min(byCpu, byMemory, Number.MAX_SAFE_INTEGER)
+		return Math.min(allowance, Math.max(1, Math.floor(copies)))
+	}
+
 	/** @returns how many more of its tasks a worker may hold. */
 	allowance(worker: string): number {
 		const most = this.step.mostPerWorker
--- a/packages/jobs/src/lib/desk/WorkerBoard.ts
+++ b/packages/jobs/src/lib/desk/WorkerBoard.ts
@@ -172,7 +172,6 @@
 		if (view.unreachable) this.context.log.info(DeskEvent.WorkerRegained, { worker: view.id })
 		view.unreachable = false
 		view.answeredAt = now
-		this.outages.answered(view.worker.dataCentre, view.id)
 		if (clock !== undefined) view.lease.read(clock, now)
 	}
 
@@ -180,9 +179,9 @@
 	unanswered(view: WorkerView, message: string, sentAt: number): void {
 		if (sentAt < view.answeredAt) return
 		const { id, address, dataCentre } = view.worker
-		this.outages.missed(dataCentre, id, sentAt)
 		if (view.unreachable) return
 		const now = this.context.clock.now()
+		this.outages.missed(dataCentre, now)
 		this.context.log.warn(DeskEvent.WorkerLost, {
 			worker: id,
 			address,
--- a/packages/jobs/src/lib/desk/chooseForStep.ts
+++ b/packages/jobs/src/lib/desk/chooseForStep.ts
@@ -24,16 +24,18 @@
 }
 
 /**
- * Share of a worker's processors that work of lower priority leaves free for work of the highest, which
- * is short and comes in bursts.
+ * Share of a worker's processors that other work leaves to work of the highest priority, which is short and
+ * comes in bursts. Of the users' mix it takes a sixth of the cell on the mean and twice that in a burst.
  */
-const KEPT_FREE = 0.12
+const URGENT_SHARE = 0.25
 
 /** @returns whether one more task of the step may go to the worker. @internal */
 export function admits(work: StepWork, { view, account }: Option): boolean {
 	if (!fits(work.need, account.free) || work.allowance(view.id) <= 0) return false
 	if (!work.yields) return true
-	return account.free.cpu - work.need.cpu >= account.capacity.cpu * KEPT_FREE
+	// A task that is larger than that by itself may still have a worker without other such work.
+	const most = Math.max(account.capacity.cpu * (1 - URGENT_SHARE), work.need.cpu)
+	return account.ordinary + work.need.cpu <= most
 }
 
 /**
--- a/packages/jobs/src/lib/desk/placeGang.ts
+++ b/packages/jobs/src/lib/desk/placeGang.ts
@@ -49,7 +49,7 @@
 	const placed: Placed[] = []
 	for (const index of waiting) {
 		const option = chooseForStep(work, options)
-		if (!option || !ledger.reserve(option.view.id, work.need)) {
+		if (!option || !ledger.reserve(option.view.id, work.need, work.urgent)) {
 			undo(work, placed, ledger)
 			return []
 		}
@@ -61,7 +61,7 @@
 
 function undo(work: StepWork, placed: readonly Placed[], ledger: Ledger): void {
 	for (const { worker } of placed) {
-		ledger.release(worker, work.need)
+		ledger.release(worker, work.need, work.urgent)
 		work.count(worker, -1)
 	}
 }
--- /dev/null
+++ b/packages/jobs/src/lib/desk/runsToStop.ts
@@ -0,0 +1,84 @@
+/**
+ * Preemption: chooses runs of lower priority to stop so that tasks of the highest priority find room. Only
+ * runs that go on from a checkpoint are chosen, so that little work is lost.
+ */
+import { plus, type Resources } from '@rillrudder/scheduler'
+import type { Option } from './chooseForStep'
+import { RunPhase, type Run } from './Run'
+import type { StepWork } from './StepWork'
+
+/** Percent from which a run is left alone, since it ends soon by itself. */
+const NEARLY_DONE = 85
+/** Most runs that are stopped for one step at a time. */
+const MOST_STOPS = 8
+
+/** Room that a worker has, or will have once what was told to stop there has stopped. */
+interface Prospect {
+	readonly option: Option
+	room: Resources
+	/** Runs that may be stopped, the smallest first. */
+	readonly victims: Run[]
+}
+
+/**
+ * @param work - an urgent step.
+ * @param options - workers that may run it now.
+ * @param tasks - how many of its tasks found no room.
+ * @returns runs to stop; empty when that would not help, or room is on its way already.
+ * @internal
+ */
+export function runsToStop(work: StepWork, options: readonly Option[], tasks: number): Run[] {
+	const prospects = options.filter(({ view }) => work.allowance(view.id) > 0).map(toProspect)
+	let missing = tasks
+	for (const { room, option } of prospects) missing -= work.copiesIn(option.view.id, room)
+	const chosen: Run[] = []
+	while (missing > 0 && chosen.length < MOST_STOPS) {
+		const best = cheapest(work, prospects)
+		if (!best) break
+		missing -= best.gained
+		chosen.push(...best.stops)
+	}
+	return chosen
+}
+
+function toProspect(option: Option): Prospect {
+	let room = option.account.free
+	const victims: Run[] = []
+	for (const run of option.view.runs.values()) {
+		const stopping = run.phase === RunPhase.Stopping || run.phase === RunPhase.Stopped
+		if (stopping) room = plus(room, run.need)
+		else if (isVictim(run)) victims.push(run)
+	}
+	victims.sort((left, right) => left.need.cpu - right.need.cpu)
+	return { option, room, victims }
+}
+
+function isVictim({ yields, phase, percent, step }: Run): boolean {
+	const resumes = step.checkpoints && !step.gang
+	return yields && resumes && phase === RunPhase.Running && percent < NEARLY_DONE
+}
+
+/** Takes, from the worker where it costs least processor time, the runs that make room for one more task. */
+function cheapest(
+	work: StepWork,
+	prospects: readonly Prospect[]
+): { stops: Run[]; gained: number } | undefined {
+	let best: { prospect: Prospect; run: Run; gained: number } | undefined
+	for (const prospect of prospects) {
+		const { id } = prospect.option.view
+		const before = work.copiesIn(id, prospect.room)
+		for (const run of prospect.victims) {
+			const gained = work.copiesIn(id, plus(prospect.room, run.need)) - before
+			if (gained === 0) continue
+			if (!best || run.need.cpu / gained < best.run.need.cpu / best.gained) {
+				best = { prospect, run, gained }
+			}
+			break
+		}
+	}
+	if (!best) return undefined
+	const { prospect, run, gained } = best
+	prospect.room = plus(prospect.room, run.need)
+	prospect.victims.splice(prospect.victims.indexOf(run), 1)
+	return { stops: [run], gained }
+}
--- a/packages/jobs/src/lib/desk/workersToAsk.ts
+++ b/packages/jobs/src/lib/desk/workersToAsk.ts
@@ -1,5 +1,5 @@
 /** Chooses the workers to ask about: few, since each one makes the answer later. */
-import { fits, type Resources } from '@rillrudder/scheduler'
+import type { Resources } from '@rillrudder/scheduler'
 import type { Option } from './chooseForStep'
 import type { StepWork } from './StepWork'
 
@@ -46,7 +46,7 @@
 	if (now.length > 0 || !wish.ahead) return now
 	const covered = eligible
 		.filter(({ view }) => advice.ticket(view.id, wish.until) !== undefined)
-		.reduce((sum, option) => sum + copiesFor(work, option, capacityOf(option)), 0)
+		.reduce((sum, option) => sum + work.copiesIn(option.view.id, capacityOf(option)), 0)
 	return pick(work, candidates(work, useful, capacityOf), wish, covered)
 }
 
@@ -56,7 +56,7 @@
 	amount: (option: Option) => Resources
 ): Candidate[] {
 	return options
-		.map((option) => ({ option, room: copiesFor(work, option, amount(option)) }))
+		.map((option) => ({ option, room: work.copiesIn(option.view.id, amount(option)) }))
 		.filter(({ room }) => room > 0)
 		.sort((left, right) => right.room - left.room)
 }
@@ -84,14 +84,3 @@
 function capacityOf({ account }: Option): Resources {
 	return account.capacity
 }
-
-/** How many tasks of the step fit into an amount on the worker. */
-function copiesFor(work: StepWork, { view }: Option, amount: Resources): number {
-	const allowance = work.allowance(view.id)
-	if (allowance <= 0 || !fits(work.need, amount)) return 0
-	const { cpu, memory } = work.need
-	const byCpu = cpu > 0 ? amount.cpu / cpu : Number.POSITIVE_INFINITY
-	const byMemory = memory > 0 ? amount.memory / memory : Number.POSITIVE_INFINITY
-	const copies = Math.min(byCpu, byMemory, Number.MAX_SAFE_INTEGER)
-	return Math.min(allowance, Math.max(1, Math.floor(copies)))
-}
--- a/packages/jobs/src/lib/testing/DeskSubject.ts
+++ b/packages/jobs/src/lib/testing/DeskSubject.ts
@@ -163,10 +163,15 @@
 	/** @param queue - changes of the one queue. */
 	constructor(queue: Partial<Queue> = {}) {
 		this.lead()
+		this.configure(queue)
+	}
+
+	/** Replaces the configuration by one whose only queue has these changes. */
+	configure(queue: Partial<Queue>): void {
+		const version = (this.state.configuration?.version ?? 0) + 1
 		const queues = [{ ...QUEUE, ...queue }]
 		const services = [{ name: QUEUE.service, enforcesCapacity: false }]
-		const configuration = { version: 1, queues, services, document: '{}' }
-		this.call({ kind: 'configure', configuration })
+		this.call({ kind: 'configure', configuration: { version, queues, services, document: '{}' } })
 	}
 
 	/** What all workers' clocks show. */
--- a/packages/scheduler/src/lib/capacity/Ledger.ts
+++ b/packages/scheduler/src/lib/capacity/Ledger.ts
@@ -94,25 +94,27 @@
 	/**
 	 * Takes an amount.
 	 *
+	 * @param urgent - whether it is for work of the highest priority.
 	 * @returns false when the worker is unknown, closed, or has not that much free.
 	 */
-	reserve(id: string, need: Resources): boolean {
+	reserve(id: string, need: Resources, urgent = false): boolean {
 		const worker = this.workers.get(id)
 		if (!worker || !worker.open || !fits(need, worker.free)) return false
-		this.take(worker, need)
+		this.take(worker, need, urgent)
 		return true
 	}
 
 	/** Takes up an amount that was given away earlier, by a leader before this one. */
-	restore(id: string, need: Resources): void {
+	restore(id: string, need: Resources, urgent = false): void {
 		const worker = this.workers.get(id)
-		if (worker) this.take(worker, need)
+		if (worker) this.take(worker, need, urgent)
 	}
 
 	/** Gives an amount back. */
-	release(id: string, amount: Resources): void {
+	release(id: string, amount: Resources, urgent = false): void {
 		const worker = this.workers.get(id)
 		if (!worker) return
+		if (urgent) worker.urgent -= amount.cpu
 		worker.free = plus(worker.free, amount)
 		invariant(fits(worker.free, worker.capacity), 'no more is given back than was taken', { id })
 		this.releaseCount += 1
@@ -128,7 +130,8 @@
 		return this.index.candidates(need, most)
 	}
 
-	private take(worker: LedgerWorker, need: Resources): void {
+	private take(worker: LedgerWorker, need: Resources, urgent: boolean): void {
+		if (urgent) worker.urgent += need.cpu
 		worker.free = minus(worker.free, need)
 		const within = worker.free.cpu >= 0 && worker.free.memory >= 0 && worker.free.accelerators >= 0
 		invariant(within, 'no worker is given more than it has', {
--- a/packages/scheduler/src/lib/capacity/LedgerWorker.ts
+++ b/packages/scheduler/src/lib/capacity/LedgerWorker.ts
@@ -22,6 +22,8 @@
 	capacity: Resources
 	free: Resources
 	slots: number
+	/** Thousandths of processors that work of the highest priority has of what is reserved. */
+	urgent = 0
 	/** Whether new work may go there. */
 	open = true
 	/** Where the index has filed it; -1 for nowhere. */
@@ -37,6 +39,11 @@
 		this.slots = offer.slots
 	}
 
+	/** Thousandths of processors that all other work has. */
+	get ordinary(): number {
+		return this.reserved.cpu - this.urgent
+	}
+
 	/** What is reserved there. */
 	get reserved(): Resources {
 		return minus(this.capacity, this.free)
--- a/packages/telemetry/src/lib/Meter.ts
+++ b/packages/telemetry/src/lib/Meter.ts
@@ -15,6 +15,8 @@
 	StepWait: 'step_wait_ms',
 	/** Counter by `how`: runs that ended. */
 	RunsEnded: 'runs_ended_total',
+	/** Counter: runs stopped to make room for work of the highest priority. */
+	Preemptions: 'preemptions_total',
 	/** Counter by `order` and `result`: orders to workers. */
 	Orders: 'orders_total',
 	/** Histogram by `order`, milliseconds: until a worker answered. */
