Faster return after a loss of power, fewer messages between entry instances and core, advice kept for short questions

In bursts urgent questions for advice waited behind long ones (p90 1.2 s). A step's waiting time counts from when the steps before it were done, which the measure had always claimed. Tests that fail before: Group.test.ts, LinkHub.test.ts, AdvicePlanner.test.ts, peersForEntry.test.ts.

--- a/deploy/build.mjs
+++ b/deploy/build.mjs
@@ -1,7 +1,14 @@
 // Bundles each program of the platform into one file under target/, straight from the sources.
 import { build } from 'esbuild'
+import { spawnSync } from 'node:child_process'
+import { copyFileSync, writeFileSync } from 'node:fs'
 import { join } from 'node:path'
 
+const PROGRAMS = ['core', 'front']
+const TARGET = join(process.cwd(), 'target')
+/** V8 takes a cache only under the flags that it was made with; the same as in system.toml. */
+const FLAGS = ['--max-old-space-size=200']
+
 const workspaces = {
 	name: 'workspaces',
 	setup(bundler) {
@@ -12,8 +19,8 @@
 }
 
 await build({
-	entryPoints: ['platform/src/core.ts', 'platform/src/front.ts'],
-	outdir: 'target',
+	entryPoints: PROGRAMS.map((name) => ({ in: `platform/src/${name}.ts`, out: `${name}.bundle` })),
+	outdir: TARGET,
 	bundle: true,
 	platform: 'node',
 	target: 'node20',
@@ -21,3 +28,14 @@
 	plugins: [workspaces],
 	logLevel: 'warning',
 })
+
+const launcher = join(TARGET, 'launch.cjs')
+copyFileSync('deploy/launch.cjs', launcher)
+for (const name of PROGRAMS) {
+	const bundle = join(TARGET, `${name}.bundle.js`)
+	const env = { ...process.env, RILLRUDDER_CONFIG: '' }
+	const made = spawnSync(process.execPath, [...FLAGS, launcher, bundle], { env, stdio: 'ignore' })
+	if (made.status !== 0) throw new Error(`no code cache could be made for ${bundle}`)
+	const program = `require('./launch.cjs').launch(require('node:path').join(__dirname, '${name}.bundle.js'))\n`
+	writeFileSync(join(TARGET, `${name}.js`), program)
+}
--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -26,7 +26,7 @@
 	},
 	{
 		// Launchers are plain scripts, so that they exist before anything is built.
-		files: ['apps/*/bin/*.js'],
+		files: ['apps/*/bin/*.js', 'deploy/*.cjs'],
 		rules: { '@typescript-eslint/no-require-imports': 'off' },
 	},
 	{
--- /dev/null
+++ b/packages/group/src/lib/Group.test.ts
@@ -0,0 +1,74 @@
+import assert from 'node:assert/strict'
+import { test } from 'node:test'
+import { Replica } from '@rillrudder/consensus'
+import { ManualClock, Random } from '@rillrudder/utils'
+import { Group } from './Group'
+import { StateMachine } from './StateMachine'
+
+const SELF = 'a'
+const COMMAND = new Uint8Array(1024)
+const TIMING = { heartbeat: 50, election: 300, spread: 0.5, drift: 0.05 }
+
+/** Counts what it is given; its snapshot has a size of its own. */
+class Counter extends StateMachine {
+	commands = 0
+	snapshots = 0
+
+	constructor(private readonly snapshotBytes: number) {
+		super()
+	}
+
+	override apply(): void {
+		this.commands += 1
+	}
+
+	override snapshot(): Uint8Array {
+		this.snapshots += 1
+		return new Uint8Array(this.snapshotBytes)
+	}
+
+	override restore(): void {
+		this.commands = 0
+	}
+}
+
+/** @returns how many snapshots a lone leader makes over so many commands of 1 KiB. */
+async function snapshotsOver(commands: number, snapshotBytes: number): Promise<number> {
+	const clock = new ManualClock()
+	const founders = [{ id: SELF, durable: true, local: true }]
+	const random = new Random(1)
+	const options = { group: 'g', id: SELF, incarnation: '1', founders, timing: TIMING, random }
+	const machine = new Counter(snapshotBytes)
+	const group = new Group({
+		name: 'g',
+		replica: new Replica(options, clock.now()),
+		machine,
+		clock,
+		send: () => undefined,
+		fail: (fault) => {
+			throw fault
+		},
+	})
+	const settle = () => new Promise((resolve) => setImmediate(resolve))
+	while (!group.mayAct) {
+		clock.advance(20)
+		group.tick()
+		await settle()
+	}
+	for (let sent = 0; sent < commands; sent++) {
+		assert.ok(group.propose([COMMAND]))
+		if (sent % 50 === 0) await settle()
+	}
+	await settle()
+	assert.equal(machine.commands, commands)
+	await group.stop()
+	return machine.snapshots
+}
+
+test('a snapshot is made once the log has grown to a share of it, and not for a short log', async () => {
+	assert.equal(await snapshotsOver(200, 1000), 0)
+	const small = await snapshotsOver(2000, 1000)
+	assert.ok(small >= 6 && small <= 8, `${small} snapshots of 1 KB`)
+	const large = await snapshotsOver(2000, 1024 * 1024)
+	assert.ok(large >= 3 && large <= 5, `${large} snapshots of 1 MiB`)
+})
--- a/packages/group/src/lib/Group.ts
+++ b/packages/group/src/lib/Group.ts
@@ -8,7 +8,15 @@
 import { Mailbox, type Clock } from '@rillrudder/utils'
 import type { StateMachine } from './StateMachine'
 
-const DEFAULT_COMPACT_EVERY = 20_000
+/** Entries after which a snapshot is made in any case; bounds the log in memory. */
+const MOST_ENTRIES = 20_000
+/** Bytes of log below which no snapshot is made; to replay them takes about 10 ms. */
+const LEAST_LOG_BYTES = 256 * 1024
+/**
+ * Bytes of log, as a share of the snapshot's, after which the next one is made. To replay a byte of log takes
+ * three times as long as to restore one of a snapshot, so a restart takes about twice the time of a restore.
+ */
+const LOG_SHARE = 0.5
 
 /** What a group is driven with. @public */
 export interface GroupParts {
@@ -24,7 +32,7 @@
 	readonly fail: (fault: Error) => void
 	/** Told after every batch of events, when state and leadership may have changed. */
 	readonly settled?: () => void
-	/** Entries applied between two snapshots. */
+	/** Entries applied between two snapshots; absent to go by their bytes. */
 	readonly compactEvery?: number
 }
 
@@ -46,6 +54,9 @@
 	private saving = false
 	private appliedIndex: number
 	private snapshotIndex: number
+	private snapshotBytes: number
+	/** Bytes of the commands applied since the snapshot. */
+	private logBytes = 0
 	private stopped = false
 
 	/** @param parts - what to drive, and with what. */
@@ -53,6 +64,7 @@
 		const { replica } = parts
 		this.appliedIndex = replica.snapshot?.index ?? 0
 		this.snapshotIndex = this.appliedIndex
+		this.snapshotBytes = replica.snapshot?.data.length ?? 0
 		if (replica.snapshot) parts.machine.restore(replica.snapshot.data)
 		this.mailbox.serve(parts.name, (batch) => this.handle(batch), parts.fail)
 	}
@@ -136,7 +148,7 @@
 		if (output.snapshot) {
 			this.parts.machine.restore(output.snapshot.data)
 			this.appliedIndex = output.snapshot.index
-			this.snapshotIndex = output.snapshot.index
+			this.noteSnapshot(output.snapshot.data.length)
 		}
 		for (const entry of output.committed) this.apply(entry)
 	}
@@ -156,6 +168,7 @@
 	private apply(entry: Entry): void {
 		if (entry.kind === EntryKind.ENTRY_KIND_COMMAND) {
 			this.parts.machine.apply(entry.data, entry.index)
+			this.logBytes += entry.data.length
 		}
 		this.appliedIndex = entry.index
 	}
@@ -193,12 +206,26 @@
 		if (output.commit > this.appliedIndex) this.post(() => undefined)
 	}
 
+	private noteSnapshot(bytes: number): void {
+		this.snapshotIndex = this.appliedIndex
+		this.snapshotBytes = bytes
+		this.logBytes = 0
+	}
+
+	private get compactionDue(): boolean {
+		const { compactEvery } = this.parts
+		const entries = this.appliedIndex - this.snapshotIndex
+		if (compactEvery !== undefined) return entries >= compactEvery
+		if (entries >= MOST_ENTRIES) return true
+		return this.logBytes >= Math.max(LEAST_LOG_BYTES, this.snapshotBytes * LOG_SHARE)
+	}
+
 	private compact(): void {
-		const every = this.parts.compactEvery ?? DEFAULT_COMPACT_EVERY
-		if (this.appliedIndex - this.snapshotIndex < every) return
+		if (!this.compactionDue) return
 		const { replica, machine } = this.parts
-		this.snapshotIndex = this.appliedIndex
-		replica.compact(this.appliedIndex, machine.snapshot())
+		const data = machine.snapshot()
+		this.noteSnapshot(data.length)
+		replica.compact(this.appliedIndex, data)
 		const { snapshot } = replica
 		if (!snapshot || !this.parts.store) return
 		const entries = replica.entriesAfterSnapshot()
--- /dev/null
+++ b/packages/jobs/src/lib/desk/AdvicePlanner.test.ts
@@ -0,0 +1,70 @@
+import assert from 'node:assert/strict'
+import { test } from 'node:test'
+import { ManualClock } from '@rillrudder/utils'
+import { AdvicePlanner, type PlannedQuestion } from './AdvicePlanner'
+import type { DeskContext } from './DeskContext'
+import { Advisers, type AdviceQuestion, type AdviceResult } from './ports'
+
+const ANSWERED: AdviceResult = { kind: 'answered', tickets: new Map() }
+const INSTANCES = Array.from({ length: 10 }, (_, number) => `instance-${number}`)
+const SHORT = 30
+const LONG = 500
+
+/** Answers each question after what it costs. */
+class TimedAdvisers extends Advisers {
+	asked: AdviceQuestion[] = []
+
+	constructor(
+		private readonly clock: ManualClock,
+		private readonly costs: Map<string, number>
+	) {
+		super()
+	}
+
+	override available(): readonly string[] {
+		return INSTANCES
+	}
+
+	override ask(_: string, question: AdviceQuestion, done: (result: AdviceResult) => void): void {
+		this.asked.push(question)
+		this.clock.after(this.costs.get(question.step) ?? 0, () => done(ANSWERED))
+	}
+}
+
+function subject() {
+	const clock = new ManualClock()
+	const costs = new Map<string, number>()
+	const advisers = new TimedAdvisers(clock, costs)
+	const planner = new AdvicePlanner({ clock, advisers } as unknown as DeskContext)
+	const waits: number[] = []
+	const ask = (step: string, cost: number): void => {
+		costs.set(step, cost)
+		const since = clock.now()
+		const done = (): void => {
+			if (cost === SHORT) waits.push(clock.now() - since - cost)
+		}
+		const question: PlannedQuestion = { step, workers: [], cost, rank: cost, done }
+		planner.ask(question)
+	}
+	return { clock, advisers, ask, waits }
+}
+
+test('long answers never take all instances', () => {
+	const { advisers, ask } = subject()
+	for (let number = 0; number < 20; number++) ask(`long ${number}`, LONG)
+	assert.equal(advisers.asked.length, 8)
+	ask('short', SHORT)
+	assert.equal(advisers.asked.length, 9)
+})
+
+test('a burst of short questions keeps more instances free of long answers', () => {
+	const { clock, ask, waits } = subject()
+	for (let number = 0; number < 400; number++) {
+		ask(`long ${number}`, LONG)
+		// 90 short ones a second fill 2.7 instances.
+		ask(`short ${number}`, SHORT)
+		clock.advance(11)
+	}
+	const late = waits.slice(100).filter((wait) => wait > SHORT * 3)
+	assert.ok(late.length < 10, `${late.length} of ${waits.length} waited long`)
+})
--- a/packages/jobs/src/lib/desk/AdvicePlanner.ts
+++ b/packages/jobs/src/lib/desk/AdvicePlanner.ts
@@ -8,8 +8,12 @@
 
 /** Milliseconds from which an answer counts as a long one. */
 const LONG = 150
-/** Instances that are kept free of long answers: the short ones of today's queues fill one. */
-const KEPT_FREE = 2
+/** Instances that are kept free of long answers, at least: the short ones of today's queues fill one. */
+const LEAST_KEPT_FREE = 2
+/** The same for each instance that short answers have filled of late, so that few of them wait. */
+const KEPT_FREE_PER_BUSY = 2
+/** Milliseconds over which the load of short answers is averaged. */
+const LOAD_SPAN = 1000
 /** Times the expected span, plus `PATIENCE`, after which an answer is given up. */
 const PATIENCE_FACTOR = 1.5
 /** Milliseconds; the service may be busy with a call of an earlier leader. */
@@ -40,6 +44,9 @@
 	private waiting: PlannedQuestion[] = []
 	private readonly asked = new Map<string, Asked>()
 	private dispatching = false
+	/** How many instances short answers have filled of late, and as of when. */
+	private shortLoad = 0
+	private shortLoadAt = 0
 	/** Until when instances that brought no answer are asked last. */
 	private readonly resting = new Map<string, number>()
 
@@ -47,6 +54,7 @@
 
 	/** Asks as soon as an instance is free. */
 	ask(question: PlannedQuestion): void {
+		if (question.cost < LONG) this.noteShort(question.cost)
 		this.waiting.push(question)
 		this.dispatch()
 	}
@@ -78,13 +86,27 @@
 		if (free.length === 0) return false
 		const asked = [...this.asked.values()]
 		const long = asked.filter(({ question }) => question.cost >= LONG).length
-		const longMost = Math.max(1, available.length - KEPT_FREE)
+		const longMost = Math.max(1, available.length - this.keptFree())
 		const next = this.takeNext(long < longMost)
 		if (!next) return false
 		this.send(this.mostRested(free), next)
 		return true
 	}
 
+	private noteShort(cost: number): void {
+		this.shortLoad = this.decayedLoad() + cost / LOAD_SPAN
+		this.shortLoadAt = this.context.clock.now()
+	}
+
+	private decayedLoad(): number {
+		const passed = this.context.clock.now() - this.shortLoadAt
+		return this.shortLoad * Math.exp(-passed / LOAD_SPAN)
+	}
+
+	private keptFree(): number {
+		return Math.max(LEAST_KEPT_FREE, Math.ceil(this.decayedLoad() * KEPT_FREE_PER_BUSY))
+	}
+
 	/** Takes the question that matters most; a long one only where there is place for it. */
 	private takeNext(long: boolean): PlannedQuestion | undefined {
 		let best: PlannedQuestion | undefined
--- a/packages/jobs/src/lib/desk/StepBoard.ts
+++ b/packages/jobs/src/lib/desk/StepBoard.ts
@@ -172,8 +172,7 @@
 		const known = this.steps.get(name)
 		if (known) return known
 		const queue = this.queueOf(job)
-		const now = this.context.clock.now()
-		const work = new StepWork(job, queue, repeat, step, deadlineOf(job, repeat, queue), now)
+		const work = new StepWork(job, queue, repeat, step, deadlineOf(job, repeat, queue))
 		this.steps.set(name, work)
 		this.stale = true
 		return work
@@ -206,6 +205,7 @@
 
 	private placeStep(work: StepWork, open: readonly Option[], now: number): void {
 		if (!isStepReady(work.job, work.repeat, work.number)) return
+		work.readyAt ??= now
 		const waiting = work.waiting()
 		if (waiting.length === 0) return
 		const eligible = this.eligible(work, open)
@@ -223,8 +223,8 @@
 	/** Stops runs of lower priority where an urgent step has waited for room, and asking finds none. */
 	private makeRoom(work: StepWork, eligible: Option[], tasks: number, now: number): void {
 		const { advice } = work
-		const since = work.queue.advice ? advice.firstAnswerAt : work.since
-		if (since === undefined || now - since < PREEMPT_AFTER) return
+		if (work.queue.advice && advice.firstAnswerAt === undefined) return
+		if (work.waited(now) < PREEMPT_AFTER) return
 		const options = this.optionsFor(work, eligible, now)
 		const unknown = eligible.filter((one) => !options.includes(one) && !advice.isUnfit(one.view.id))
 		if (unknown.some((option) => admits(work, option))) return
@@ -269,15 +269,15 @@
 			return { task, attempt, worker }
 		})
 		const priority = String(work.queue.priority)
-		this.context.meter.observe(Measure.StepWait, now - work.since, { priority })
+		this.context.meter.observe(Measure.StepWait, work.waited(now), { priority })
 		this.context.log.info(DeskEvent.StepPlaced, {
 			step: work.name,
 			priority: work.queue.priority,
 			runs: runs.length,
 			waiting: work.waiting().length,
-			waited: Math.round(now - work.since),
+			waited: Math.round(work.waited(now)),
 			questions: work.advice.questions,
-			advised: Math.round((work.advice.firstAnswerAt ?? work.since) - work.since),
+			advised: Math.round(work.waited(work.advice.firstAnswerAt ?? 0)),
 			workers: countedWorkers(placed),
 			configuration: this.context.state.configuration?.version ?? 0,
 			term: this.context.term,
@@ -291,7 +291,8 @@
 		if (!queue.advice || advice.asking || now < advice.notBefore) return
 		const answer = queue.advice.base + queue.advice.each * eligible.length
 		// A gang begins only with all its tickets valid, and a long answer comes late for free room.
-		const ahead = answer >= LONG_ANSWER
+		// An urgent step wants to know where room may be made for it.
+		const ahead = answer >= LONG_ANSWER || work.urgent
 		const until = now + ASK_AGAIN + (ahead || work.step.gang ? answer : 0)
 		const workers = workersToAsk(work, eligible, { tasks, until, most: MOST_ASKED, ahead })
 		if (workers.length === 0) return
--- a/packages/jobs/src/lib/desk/StepWork.ts
+++ b/packages/jobs/src/lib/desk/StepWork.ts
@@ -32,20 +32,18 @@
 	readonly onWorker = new Map<string, number>()
 	/** Workers on which runs of its tasks failed, with their counts. */
 	readonly failedOn = new Map<string, number>()
+	/** When the steps before it were done, on the desk's clock; absent while they are not. */
+	readyAt: number | undefined
 	/** What the ledger had released when the step last found no room. */
 	triedAt = -1
 
-	/**
-	 * @param deadline - when the job should be done, milliseconds since the epoch.
-	 * @param since - when the step came here, on the desk's clock.
-	 */
+	/** @param deadline - when the job should be done, milliseconds since the epoch. */
 	constructor(
 		readonly job: JobRecord,
 		readonly queue: Queue,
 		readonly repeat: number,
 		readonly number: number,
-		readonly deadline: number,
-		readonly since: number
+		readonly deadline: number
 	) {
 		this.name = stepName(job.id, repeat, number)
 		this.step = job.request.steps[number]
@@ -56,6 +54,11 @@
 		for (const task of this.record.tasks) if (task.worker !== '') this.count(task.worker, 1)
 	}
 
+	/** @returns for how many milliseconds it could have begun. */
+	waited(now: number): number {
+		return this.readyAt === undefined ? 0 : Math.max(0, now - this.readyAt)
+	}
+
 	/** Indexes of the tasks that wait to begin. */
 	waiting(): number[] {
 		const found: number[] = []
--- a/packages/jobs/src/lib/desk/placeGang.ts
+++ b/packages/jobs/src/lib/desk/placeGang.ts
@@ -35,7 +35,7 @@
 			const placed = placeAll(work, waiting, inRack, ledger)
 			if (placed.length > 0) return placed
 		}
-		if (now - work.since < RACK_PATIENCE) return []
+		if (work.waited(now) < RACK_PATIENCE) return []
 	}
 	return placeAll(work, waiting, options, ledger)
 }
--- a/packages/member/src/lib/EntryInstance.ts
+++ b/packages/member/src/lib/EntryInstance.ts
@@ -8,9 +8,12 @@
 import type { Finality } from './LeaderCalls'
 import { MemberEvent } from './MemberEvent'
 import { PeerLinks } from './PeerLinks'
+import { peersForEntry } from './peersForEntry'
 
 /** Milliseconds between two looks at whom to dial. */
 const DIAL_PERIOD = 250
+/** Milliseconds without a leader after which every instance of the core is dialled; a change takes less. */
+const LEADERLESS = 700
 const ID_PREFIX = 'entry/'
 
 /** What an entry instance is made with. @public */
@@ -33,6 +36,8 @@
 	private readonly links: PeerLinks
 	private timer: Timer | undefined
 	private toldLeader = ''
+	/** When a leader was last known, on the instance's clock. */
+	private ledAt = Number.NEGATIVE_INFINITY
 
 	constructor(private readonly parts: EntryParts) {
 		this.links = new PeerLinks({
@@ -98,6 +103,13 @@
 	}
 
 	private dial(): void {
-		this.links.dialOnly([...this.parts.seeds(), ...this.links.view.members()])
+		const { clock, seeds, name } = this.parts
+		const { view } = this.links
+		const now = clock.now()
+		const leader = view.leader(now)
+		if (leader) this.ledAt = now
+		const lost = now - this.ledAt > LEADERLESS
+		const known = lost ? undefined : { leader: leader?.id, heard: view.heard(now) }
+		this.links.dialOnly(peersForEntry(name, seeds(), view.members(), known))
 	}
 }
--- a/packages/member/src/lib/LeaderView.ts
+++ b/packages/member/src/lib/LeaderView.ts
@@ -59,6 +59,12 @@
 		return { id, term, via }
 	}
 
+	/** @returns the peers whose news are fresh. */
+	heard(now: number): ReadonlySet<string> {
+		const fresh = [...this.told].filter(([, { at }]) => now - at <= NEWS_KEPT)
+		return new Set(fresh.map(([peer]) => peer))
+	}
+
 	/** @returns the members of the core that the newest news name. */
 	members(): readonly string[] {
 		let newest: Told | undefined
--- a/packages/member/src/lib/PeerLinks.ts
+++ b/packages/member/src/lib/PeerLinks.ts
@@ -5,7 +5,7 @@
 import type { Clock } from '@rillrudder/utils'
 import { LeaderCalls } from './LeaderCalls'
 import { LeaderView } from './LeaderView'
-import { LINK_SILENCE } from './linkTiming'
+import { LINK_SILENCE, LONGEST_REDIAL } from './linkTiming'
 import { MemberEvent } from './MemberEvent'
 import { PeerCalls } from './PeerCalls'
 import { tellCall } from './tellCall'
@@ -48,6 +48,7 @@
 			receive,
 			changed: (peer, connected) => this.changed(peer, connected),
 			silence: LINK_SILENCE,
+			longestRetry: LONGEST_REDIAL,
 		})
 		this.calls = new PeerCalls(clock, (peer, event) => this.hub.send(peer, event))
 		const leader = () => this.view.leader(clock.now())
--- a/packages/member/src/lib/linkTiming.ts
+++ b/packages/member/src/lib/linkTiming.ts
@@ -7,3 +7,8 @@
  * in touch after a cut, with two tries in it; longer than the pauses of a slow process.
  */
 export const LINK_SILENCE = 1200
+/**
+ * Longest pause before a lost peer is dialled again. After a loss of power instances come back within a third
+ * of a second of each other, and whoever has no link to a leader can't serve; a try takes about 1 ms.
+ */
+export const LONGEST_REDIAL = 150
--- /dev/null
+++ b/packages/member/src/lib/peersForEntry.test.ts
@@ -0,0 +1,51 @@
+import assert from 'node:assert/strict'
+import { test } from 'node:test'
+import { peersForEntry } from './peersForEntry'
+
+const MEMBERS = ['a:1', 'b:1', 'c:1', 'd:1', 'e:1', 'f:1']
+const SEEDS = ['a:1', 'b:1', 'z:1']
+
+function peers(leader: string | undefined, heard: readonly string[], self = 'edge-1'): string[] {
+	return peersForEntry(self, SEEDS, MEMBERS, { leader, heard: new Set(heard) })
+}
+
+test('without a leader for long, and in a small core, every known instance is dialled', () => {
+	assert.deepEqual(peersForEntry('edge-1', SEEDS, MEMBERS, undefined).sort(), [...MEMBERS, 'z:1'])
+	const small = { leader: 'a:1', heard: new Set(['a:1']) }
+	assert.deepEqual(peersForEntry('edge-1', SEEDS, ['a:1', 'c:1'], small).sort(), [
+		'a:1',
+		'b:1',
+		'c:1',
+		'z:1',
+	])
+})
+
+test('with a leader, links go to it and to two others that talk', () => {
+	const chosen = peers('c:1', MEMBERS)
+	assert.equal(chosen.length, 3)
+	assert.equal(chosen[0], 'c:1')
+	assert.deepEqual(peers('c:1', chosen), chosen, 'the choice stays as it is')
+})
+
+test('a spare that falls silent is replaced by one that talks', () => {
+	const [, lost, kept] = peers('c:1', MEMBERS)
+	const trying = peers('c:1', ['c:1', kept])
+	assert.deepEqual([...trying].sort(), MEMBERS, 'all are tried while too few talk')
+	const next = peers(
+		'c:1',
+		MEMBERS.filter((member) => member !== lost)
+	)
+	assert.equal(next.length, 3)
+	assert.ok(!next.includes(lost))
+})
+
+test('while the leader changes, links that talk stay', () => {
+	const heard = ['a:1', 'd:1', 'f:1']
+	assert.deepEqual([...peers(undefined, heard)].sort(), heard)
+})
+
+test('entry instances spread over the core', () => {
+	const names = Array.from({ length: 30 }, (_, number) => `edge-${number}`)
+	const used = new Set(names.flatMap((name) => peers('a:1', MEMBERS, name)))
+	assert.equal(used.size, MEMBERS.length)
+})
--- /dev/null
+++ b/packages/member/src/lib/peersForEntry.ts
@@ -0,0 +1,46 @@
+/**
+ * Which instances of the core an entry instance keeps links to. Every link costs messages on both sides, and a
+ * large core has many; what is needed is the leader, and others that tell who leads once it is lost.
+ */
+
+/** Links besides the one to the leader. */
+const SPARE_LINKS = 2
+
+/** What an entry instance knows while there is a leader. @internal */
+export interface KnownCore {
+	/** The leader's id; absent during a change of leader. */
+	readonly leader: string | undefined
+	/** Peers that have told news lately. */
+	readonly heard: ReadonlySet<string>
+}
+
+/**
+ * @param self - the entry instance's name; spreads entry instances over the core.
+ * @param seeds - links of instances that may be of the core.
+ * @param members - ids of the core's instances, as far as known.
+ * @param known - what is known while there is a leader; absent to try everything.
+ * @returns ids of the instances to keep links to.
+ * @internal
+ */
+export function peersForEntry(
+	self: string,
+	seeds: readonly string[],
+	members: readonly string[],
+	known: KnownCore | undefined
+): string[] {
+	if (!known || members.length <= SPARE_LINKS + 1) return [...new Set([...seeds, ...members])]
+	const { leader, heard } = known
+	const others = rotated([...members].sort(), self).filter((member) => member !== leader)
+	const live = others.filter((member) => heard.has(member))
+	const spare = live.length >= SPARE_LINKS ? live.slice(0, SPARE_LINKS) : others
+	if (leader !== undefined) return [leader, ...spare]
+	// During a change of leader nothing that still talks is given up.
+	return [...new Set([...live, ...spare])]
+}
+
+function rotated(members: readonly string[], self: string): string[] {
+	let sum = 0
+	for (const char of self) sum = (sum * 31 + char.charCodeAt(0)) % 1_000_003
+	const start = sum % members.length
+	return [...members.slice(start), ...members.slice(0, start)]
+}
--- a/packages/protocol/src/lib/LinkHub.ts
+++ b/packages/protocol/src/lib/LinkHub.ts
@@ -10,8 +10,19 @@
 import { LinkClient, LinkService, type Event, type Parcel } from './generated/rillrudder/v1/link'
 import { Outbox, PROTOCOL_VERSION } from './Outbox'
 
+/** Milliseconds before a lost peer is dialled again; doubled each time. */
 const FIRST_RETRY = 100
+/** The longest of these pauses, unless the hub is made with another. */
 const LONGEST_RETRY = 2000
+/**
+ * Milliseconds that a new connection may take to its first parcel before another one is tried. TCP repeats a
+ * lost opening packet only after a second, by which time a machine that was off may long be back.
+ */
+const FIRST_PATIENCE = 300
+/** What the patience is multiplied by after each try, for peers that are only slow. */
+const PATIENCE_GROWTH = 1.5
+/** Milliseconds between two looks for connections that are silent for too long. */
+const WATCH_PERIOD = 100
 const MOST_MESSAGE_BYTES = 16 * 1024 * 1024
 const CHANNEL_OPTIONS = {
 	'grpc.keepalive_time_ms': 5000,
@@ -20,7 +31,6 @@
 	'grpc.max_receive_message_length': MOST_MESSAGE_BYTES,
 	'grpc.max_send_message_length': MOST_MESSAGE_BYTES,
 	'grpc.initial_reconnect_backoff_ms': FIRST_RETRY,
-	'grpc.max_reconnect_backoff_ms': LONGEST_RETRY,
 	'grpc.enable_http_proxy': 0,
 	// Each channel has its own connections, so that a new channel opens a new one.
 	'grpc.use_local_subchannel_pool': 1,
@@ -41,13 +51,20 @@
 	 * to rely on gRPC's keepalive. Every peer then greets three times in that span.
 	 */
 	readonly silence?: number
+	/** Milliseconds between two tries to reach a peer that is away, at most; 2 s if absent. */
+	readonly longestRetry?: number
 }
 
 interface Dialled {
 	readonly address: string
 	client: LinkClient
 	retry: number
+	/** When a parcel last came, or when the connection was last dialled. */
 	heardAt: number
+	/** Whether a parcel has come by this connection. */
+	heard: boolean
+	/** Milliseconds that a new connection may take to its first parcel. */
+	patience: number
 	stream?: ClientDuplexStream<Parcel, Parcel>
 	timer?: Timer
 }
@@ -67,7 +84,7 @@
 	private readonly dialled = new Map<string, Dialled>()
 	private readonly server: Server
 	private closed = false
-	private readonly watch: Timer | undefined
+	private readonly timers: readonly Timer[]
 
 	/** @param parts - identity, credentials and callbacks. */
 	constructor(private readonly parts: LinkHubParts) {
@@ -76,9 +93,13 @@
 			connect: (stream: ServerDuplexStream<Parcel, Parcel>) => this.accept(stream),
 		})
 		const { silence, clock } = parts
-		if (silence !== undefined) {
-			this.watch = clock.every(silence / GREETINGS_A_SILENCE, () => this.keepAlive(silence))
-		}
+		this.timers =
+			silence === undefined
+				? []
+				: [
+						clock.every(silence / GREETINGS_A_SILENCE, () => this.greetAll()),
+						clock.every(WATCH_PERIOD, () => this.replaceSilent(silence)),
+					]
 	}
 
 	/** The peers that there is a stream to. */
@@ -105,7 +126,15 @@
 	dial(peer: string, address: string): void {
 		if (this.dialled.has(peer)) return
 		const client = this.client(address)
-		this.dialled.set(peer, { address, client, retry: FIRST_RETRY, heardAt: this.now })
+		const dialled: Dialled = {
+			address,
+			client,
+			retry: FIRST_RETRY,
+			heardAt: this.now,
+			heard: false,
+			patience: FIRST_PATIENCE,
+		}
+		this.dialled.set(peer, dialled)
 		this.connect(peer)
 	}
 
@@ -141,7 +170,7 @@
 	/** Ends all streams. */
 	close(): void {
 		this.closed = true
-		this.watch?.cancel()
+		for (const timer of this.timers) timer.cancel()
 		for (const { client, timer } of this.dialled.values()) {
 			timer?.cancel()
 			client.close()
@@ -154,17 +183,20 @@
 		if (!dialled || this.closed) return
 		const stream = dialled.client.connect()
 		dialled.stream = stream
+		dialled.heardAt = this.now
+		dialled.heard = false
 		const outbox = this.outbox(peer)
 		stream.on('data', (parcel: Parcel) => {
 			if (!this.isSpoken(parcel)) return
-			dialled.retry = FIRST_RETRY
-			dialled.heardAt = this.now
+			if (dialled.stream === stream) this.noteHeard(dialled)
 			this.receive(peer, parcel)
 		})
 		const lost = once(() => {
 			outbox.disconnect(stream)
 			if (!outbox.connected) this.parts.changed(peer, false)
-			if (dialled.stream === stream) this.reconnect(peer, dialled)
+			if (dialled.stream !== stream) return
+			dialled.stream = undefined
+			this.reconnect(peer, dialled)
 		})
 		stream.on('error', lost)
 		stream.on('end', lost)
@@ -177,16 +209,32 @@
 		return this.parts.clock.now()
 	}
 
+	private get longestRetry(): number {
+		return this.parts.longestRetry ?? LONGEST_RETRY
+	}
+
 	private client(address: string): LinkClient {
-		return new LinkClient(address, this.parts.channelCredentials, CHANNEL_OPTIONS)
+		// The channel waits by itself too, so its pauses have the same bound.
+		const options = { ...CHANNEL_OPTIONS, 'grpc.max_reconnect_backoff_ms': this.longestRetry }
+		return new LinkClient(address, this.parts.channelCredentials, options)
+	}
+
+	private noteHeard(dialled: Dialled): void {
+		dialled.retry = FIRST_RETRY
+		dialled.heardAt = this.now
+		dialled.heard = true
+		dialled.patience = FIRST_PATIENCE
 	}
 
-	/** Greets every peer, and replaces connections that nothing has come by for too long. */
-	private keepAlive(silence: number): void {
+	private greetAll(): void {
 		for (const outbox of this.outboxes.values()) outbox.greetAll()
+	}
+
+	private replaceSilent(silence: number): void {
 		for (const [peer, dialled] of this.dialled) {
-			if (this.now - dialled.heardAt < silence) continue
-			this.replace(peer, dialled)
+			if (!dialled.stream) continue
+			const limit = dialled.heard ? silence : Math.min(silence, dialled.patience)
+			if (this.now - dialled.heardAt >= limit) this.replace(peer, dialled)
 		}
 	}
 
@@ -195,7 +243,7 @@
 		const { stream, client } = dialled
 		dialled.timer?.cancel()
 		dialled.stream = undefined
-		dialled.heardAt = this.now
+		if (!dialled.heard) dialled.patience *= PATIENCE_GROWTH
 		dialled.client = this.client(dialled.address)
 		stream?.cancel()
 		client.close()
@@ -205,7 +253,7 @@
 	private reconnect(peer: string, dialled: Dialled): void {
 		if (this.closed || this.dialled.get(peer) !== dialled) return
 		const wait = dialled.retry
-		dialled.retry = Math.min(LONGEST_RETRY, wait * 2)
+		dialled.retry = Math.min(this.longestRetry, wait * 2)
 		dialled.timer = this.parts.clock.after(wait, () => this.connect(peer))
 	}
 
@@ -218,8 +266,7 @@
 			}
 			if (peer === '') {
 				peer = parcel.sender
-				this.outbox(peer).connect(stream)
-				this.parts.changed(peer, true)
+				this.welcome(peer, stream)
 			}
 			this.receive(peer, parcel)
 		})
@@ -232,6 +279,14 @@
 		})
 	}
 
+	/** The peer counts the connection as good once it hears something. */
+	private welcome(peer: string, stream: Stream): void {
+		const outbox = this.outbox(peer)
+		outbox.connect(stream)
+		outbox.greet()
+		this.parts.changed(peer, true)
+	}
+
 	private lost(peer: string, stream: Stream): void {
 		if (peer === '') return
 		this.outbox(peer).disconnect(stream)
--- a/packages/protocol/src/lib/Outbox.ts
+++ b/packages/protocol/src/lib/Outbox.ts
@@ -27,6 +27,8 @@
 	private spare: ParcelStream[] = []
 	private writing = false
 	private flushing = false
+	/** Whether something was written since the last greeting. */
+	private spoke = false
 
 	/** @param self - the id that parcels carry. */
 	constructor(private readonly self: string) {}
@@ -66,10 +68,11 @@
 		this.write([])
 	}
 
-	/** Greets on every stream, so that the peer sees that each one is alive. */
+	/** Greets on every stream that has been silent since the last time, so that the peer sees it is alive. */
 	greetAll(): void {
 		for (const stream of this.spare) stream.write(this.parcel([]), () => undefined)
-		if (!this.writing) this.greet()
+		if (!this.writing && !this.spoke) this.greet()
+		this.spoke = false
 	}
 
 	/** At the end of this turn: a message costs far more than an event. */
@@ -92,6 +95,7 @@
 		const stream = this.stream
 		if (!stream) return
 		this.writing = true
+		this.spoke = true
 		stream.write(this.parcel(events), () => {
 			if (this.stream !== stream) return
 			this.writing = false
--- a/packages/runs/src/lib/jobs/FleetWorker.ts
+++ b/packages/runs/src/lib/jobs/FleetWorker.ts
@@ -18,6 +18,7 @@
 import type { Clock, Random } from '@rillrudder/utils'
 import type { GangHall } from './GangHall'
 import type { JobWitness } from './JobWitness'
+import { HOPELESS } from './randomJob'
 
 /** The longest lease that a worker keeps, in milliseconds. */
 const LONGEST_LEASE = 10_000
@@ -208,7 +209,7 @@
 		const { clock, random, stepOf, gangs } = this.parts
 		const step = stepOf(task)
 		const works = step.expectedTime * (0.5 + random.fraction())
-		const fails = this.failing || random.chance(0.02)
+		const fails = this.failing || step.image === HOPELESS || random.chance(0.02)
 		const run: FleetRun = {
 			task,
 			attempt,
--- a/packages/runs/src/lib/jobs/randomJob.ts
+++ b/packages/runs/src/lib/jobs/randomJob.ts
@@ -5,6 +5,8 @@
 /** Labels of the workers' kinds. @internal */
 export const KINDS = ['a', 'b'] as const
 const RACKS = ['r0', 'r1', 'r2', 'r3']
+/** Image of tasks that always fail. @internal */
+export const HOPELESS = 'hopeless'
 /** Milliseconds to the first of a repeating job's times, at most. */
 const FIRST_WITHIN = 2000
 
@@ -41,6 +43,7 @@
 		rack: random.chance(0.3) ? random.pick(RACKS) : '',
 		mostPerWorker: !gang && random.chance(0.15) ? random.integer(1, 2) : 0,
 		copies: !gang && random.chance(0.1),
+		image: random.chance(0.03) ? HOPELESS : '',
 	}
 }
 
