While a vote may still decide its term, the next term gets no support

Replicas that had just voted still counted no leader as heard, and supported whoever asked for the term after.

--- a/packages/consensus/src/lib/Election.ts
+++ b/packages/consensus/src/lib/Election.ts
@@ -117,7 +117,7 @@
 		this.proceed(now)
 	}
 
-	/** A vote that was just given, or asked for, is not disturbed by another quick election. */
+	/** A vote that was just given, or asked for, is not disturbed by another election. */
 	private beBusy(now: number): void {
 		this.busyUntil = now + this.state.timing.election * BUSY
 	}
@@ -152,7 +152,8 @@
 		if (!this.state.belongs) return false
 		const excused = call.transfer || (call.unanimous && !call.pre && !this.state.knewLeader)
 		if (!excused && this.leaderIsFresh(now)) return false
-		if (call.pre && term <= this.state.term) return false
+		// While a vote that was just given may still decide a term, support for the next one would undo it.
+		if (call.pre && (term <= this.state.term || this.isBusy(now))) return false
 		return this.isAsComplete(call)
 	}
 
