Of many workers several must be silent at once before their data centre is doubted

Cause: with one silent worker enough, a data centre of 80 workers of which a few lose an answer each second would be asked about three times a second, 80 calls each, and get nothing new meanwhile (reckoned, not seen). Test: OutageWatch.test.ts.

--- a/packages/jobs/src/lib/desk/OutageWatch.ts
+++ b/packages/jobs/src/lib/desk/OutageWatch.ts
@@ -1,25 +1,47 @@
 /**
- * Notices that a data centre can't be reached before each of its workers has failed to answer: as soon as one
- * has, the others count as doubtful until they have answered a call that was sent after that.
+ * Notices that a data centre can't be reached before each of its workers has failed to answer: as soon as some
+ * of them are silent, the others count as doubtful until they have answered a call that was sent after that.
  */
 
-/** Milliseconds for which a failure casts doubt on the others. */
+/** One silent worker of so many is enough; a larger data centre often has one whose answer was lost. */
+const WORKERS_PER_MISS = 16
+/** Milliseconds for which a silent worker counts, and for which a doubt lasts. */
 const KEPT = 2000
 /** Milliseconds for which further failures cast no new doubt, since every doubt costs a call to each worker. */
 const PAUSE = 300
 
+interface Outage {
+	/** For each silent worker when it was found so. */
+	readonly silent: Map<string, number>
+	doubtedAt: number
+}
+
 /**
  * Failures to answer, by data centre.
  *
  * @internal
  */
 export class OutageWatch {
-	private readonly doubtedAt = new Map<string, number>()
+	private readonly outages = new Map<string, Outage>()
+
+	/**
+	 * A worker that had answered before was found silent.
+	 *
+	 * @param workers - how many workers its data centre has.
+	 */
+	missed(dataCentre: string, worker: string, workers: number, now: number): void {
+		const outage = this.outages.get(dataCentre) ?? { silent: new Map(), doubtedAt: -Infinity }
+		this.outages.set(dataCentre, outage)
+		const { silent } = outage
+		silent.set(worker, now)
+		for (const [other, since] of silent) if (now - since > KEPT) silent.delete(other)
+		const enough = silent.size >= Math.ceil(workers / WORKERS_PER_MISS)
+		if (enough && now - outage.doubtedAt >= PAUSE) outage.doubtedAt = now
+	}
 
-	/** A worker that had answered before was found not to answer. */
-	missed(dataCentre: string, now: number): void {
-		if (now - (this.doubtedAt.get(dataCentre) ?? Number.NEGATIVE_INFINITY) < PAUSE) return
-		this.doubtedAt.set(dataCentre, now)
+	/** A worker has answered. */
+	answered(dataCentre: string, worker: string): void {
+		this.outages.get(dataCentre)?.silent.delete(worker)
 	}
 
 	/**
@@ -27,7 +49,7 @@
 	 * reachable; undefined when there is no reason for doubt.
 	 */
 	doubtfulSince(dataCentre: string, now: number): number | undefined {
-		const since = this.doubtedAt.get(dataCentre)
+		const since = this.outages.get(dataCentre)?.doubtedAt
 		return since !== undefined && now - since <= KEPT ? since : undefined
 	}
 }
--- a/packages/jobs/src/lib/desk/WorkerBoard.ts
+++ b/packages/jobs/src/lib/desk/WorkerBoard.ts
@@ -195,6 +195,7 @@
 		if (view.unreachable) this.context.log.info(DeskEvent.WorkerRegained, { worker: view.id })
 		view.unreachable = false
 		view.answeredAt = now
+		this.outages.answered(view.worker.dataCentre, view.id)
 		if (clock !== undefined) view.lease.read(clock, now)
 	}
 
@@ -204,7 +205,7 @@
 		const { id, address, dataCentre } = view.worker
 		if (view.unreachable) return
 		const now = this.context.clock.now()
-		this.outages.missed(dataCentre, now)
+		this.outages.missed(dataCentre, id, this.countIn(dataCentre), now)
 		this.context.log.warn(DeskEvent.WorkerLost, {
 			worker: id,
 			address,
@@ -225,6 +226,12 @@
 		this.doubts.settle(view)
 	}
 
+	private countIn(dataCentre: string): number {
+		let count = 0
+		for (const { worker } of this.views.values()) if (worker.dataCentre === dataCentre) count += 1
+		return count
+	}
+
 	/** Another incarnation answers at a worker's address. */
 	proposeGone(id: string, reason: string, done?: () => void): void {
 		const { proposals, log } = this.context
