The tasks of a job, and of all kept jobs, are bounded

Cause: a job's steps, tasks of a step and repeats were bounded each for itself; together they allowed 128 million tasks in one accepted submission, which every replica would have kept in memory. Change: 20,000 tasks a job in all repeats (a finding, 400), 300,000 kept in all (503 with when to come back). Test that fails before: JobDesk.test.ts, 'what is kept is bounded by jobs and by tasks'.

--- a/packages/jobs/src/lib/desk/JobDesk.test.ts
+++ b/packages/jobs/src/lib/desk/JobDesk.test.ts
@@ -1,7 +1,9 @@
 /** What the leader's desk decides, with workers that misbehave. */
 import assert from 'node:assert/strict'
 import { test } from 'node:test'
+import { checkJob } from '../records/checkJob'
 import { RunEnd } from '../records/Job'
+import { CellState } from '../state/CellState'
 import { DeskSubject } from '../testing/DeskSubject'
 import { jobOf } from '../testing/samples'
 import { DEFAULT_DESK_TIMING } from './DeskTiming'
@@ -426,6 +428,28 @@
 	assert.equal(subject.worker('w1').starts.at(-1)?.task, `${ID}.1.0.0`)
 })
 
+test('what is kept is bounded by jobs and by tasks, whatever is handed in', () => {
+	const findings = checkJob({
+		...jobOf({ count: 2000 }, { count: 2000 }),
+		repeat: { count: 1000, first: 0, interval: 1 },
+	})
+	assert.equal(findings.length, 1)
+	const subject = new DeskSubject()
+	const large = { ...jobOf({ count: 2000 }), repeat: { count: 10, first: 1e15, interval: 1 } }
+	const accepted = Array.from({ length: 20 }, (_, number) => {
+		const reply = subject.submit(String(number).padStart(16, '0'), large)
+		return reply?.kind === 'accepted'
+	})
+	assert.equal(accepted.filter(Boolean).length, 15)
+	const refused = subject.submit('ffffffffffffffff', large)
+	assert.ok(refused?.kind === 'not-run' && refused.reason === 'too many tasks')
+	assert.equal(subject.submit(ID, jobOf({}))?.kind, 'not-run')
+	assert.equal(subject.state.jobs.taskCount, 300_000)
+	const copy = new CellState()
+	copy.restore(subject.state.snapshot())
+	assert.equal(copy.jobs.taskCount, 300_000)
+})
+
 test('the list and the explanation of jobs say why a step waits', () => {
 	const subject = new DeskSubject()
 	subject.submit(ID, jobOf({ requires: 'none' }, { dependsOn: [0] }))
--- a/packages/jobs/src/lib/desk/JobDesk.ts
+++ b/packages/jobs/src/lib/desk/JobDesk.ts
@@ -2,6 +2,7 @@
 import { Measure } from '@rillrudder/telemetry'
 import { exhaustive } from '@rillrudder/utils'
 import type { CellConfiguration, Heartbeat } from '../records/Cell'
+import { countTasks } from '../records/checkJob'
 import { JobState, type JobRequest } from '../records/Job'
 import type { Change } from '../state/Change'
 import { isActive, type JobRecord } from '../state/JobRecord'
@@ -16,6 +17,8 @@
 
 /** Jobs that may be kept at a time; bounds the leader's memory and its snapshots. */
 const MOST_JOBS = 20_000
+/** Tasks of all kept jobs together, for the same reason: at about 100 bytes each, a sixth of the heap. */
+const MOST_TASKS = 300_000
 /** Milliseconds after which a refused submission may come again. */
 const RETRY_AFTER = 1000
 /** Milliseconds between two passes over steps for which nothing has come free. */
@@ -183,9 +186,10 @@
 			waiting.push(reply)
 			return
 		}
-		if (state.jobs.size >= MOST_JOBS) {
-			log.warn(DeskEvent.JobRefused, { job: id, reason: 'too many jobs', jobs: state.jobs.size })
-			reply({ kind: 'not-run', reason: 'too many jobs', retryAfter: RETRY_AFTER })
+		const full = this.whyFull(job)
+		if (full) {
+			log.warn(DeskEvent.JobRefused, { job: id, reason: full, jobs: state.jobs.size })
+			reply({ kind: 'not-run', reason: full, retryAfter: RETRY_AFTER })
 			return
 		}
 		this.submitting.set(id, [reply])
@@ -193,6 +197,13 @@
 		proposals.propose({ kind: 'submit', id, queue, job, at }, () => this.submitted(id, queue.name))
 	}
 
+	/** @returns why no further job of this size can be kept; undefined when it can. */
+	private whyFull(job: JobRequest): string | undefined {
+		const { jobs } = this.context.state
+		if (jobs.size >= MOST_JOBS) return 'too many jobs'
+		return jobs.taskCount + countTasks(job) > MOST_TASKS ? 'too many tasks' : undefined
+	}
+
 	private submitted(id: string, queue: string): void {
 		const configuration = this.context.state.configuration?.version
 		this.context.log.info(DeskEvent.JobAccepted, { job: id, queue, configuration })
--- a/packages/jobs/src/lib/records/checkJob.ts
+++ b/packages/jobs/src/lib/records/checkJob.ts
@@ -10,6 +10,14 @@
 export const MOST_TASKS = 2000
 /** Times that a job may repeat, for the same reason. @public */
 export const MOST_REPEATS = 1000
+/** Tasks of all steps and repeats of a job together; a kept task takes about 100 bytes. @public */
+export const MOST_TASKS_IN_ALL = 20_000
+
+/** @returns how many tasks a job has in all its steps and repeats. @public */
+export function countTasks({ steps, repeat }: JobRequest): number {
+	const once = steps.reduce((sum, step) => sum + step.count, 0)
+	return once * Math.max(1, repeat?.count ?? 1)
+}
 
 /**
  * @param job - a job whose fields have the right types.
@@ -27,6 +35,9 @@
 	if (job.steps.length === 0) add('steps', 'has no step')
 	if (job.steps.length > MOST_STEPS) add('steps', `has more than ${MOST_STEPS} steps`)
 	job.steps.forEach((step, index) => checkStep(step, index, add))
+	if (countTasks(job) > MOST_TASKS_IN_ALL) {
+		add('steps', `have more than ${MOST_TASKS_IN_ALL} tasks in all repeats`)
+	}
 	const { repeat } = job
 	if (repeat && repeat.count > MOST_REPEATS) add('repeat', `is more than ${MOST_REPEATS} times`)
 	if (repeat && repeat.interval < 0) add('repeat', 'has an interval below 0')
--- a/packages/jobs/src/lib/state/JobBook.ts
+++ b/packages/jobs/src/lib/state/JobBook.ts
@@ -1,6 +1,7 @@
 /** All jobs and the runs of their tasks. */
 import type { Begin, End } from '../commands/CellCommand'
 import type { Queue } from '../records/Cell'
+import { countTasks } from '../records/checkJob'
 import {
 	formatTaskName,
 	JobState,
@@ -49,6 +50,8 @@
 	/** For each worker the names of the tasks that are placed on it. */
 	private readonly placed = new Map<string, Set<string>>()
 
+	private tasks = 0
+
 	/** @param changed - told of each change, in order. */
 	constructor(private readonly report: (change: Change) => void = () => undefined) {}
 
@@ -62,6 +65,11 @@
 		return this.jobs.size
 	}
 
+	/** How many tasks they have in all. */
+	get taskCount(): number {
+		return this.tasks
+	}
+
 	/** @returns a job by its id. */
 	find(id: string): JobRecord | undefined {
 		return this.jobs.get(id)
@@ -86,7 +94,7 @@
 	submit({ id, queue, job, at }: Submission): void {
 		if (this.jobs.has(id)) return
 		const record = newJobRecord(id, queue, job, at)
-		this.jobs.set(id, record)
+		this.keep(record)
 		this.report({ kind: 'job-accepted', job: record })
 	}
 
@@ -140,7 +148,11 @@
 
 	/** Drops jobs that have ended long ago. */
 	forget(ids: readonly string[]): void {
-		for (const id of ids) this.jobs.delete(id)
+		for (const id of ids) {
+			const job = this.jobs.get(id)
+			if (job) this.tasks -= countTasks(job.request)
+			this.jobs.delete(id)
+		}
 	}
 
 	/** @returns all that must be kept. */
@@ -152,14 +164,20 @@
 	restore(jobs: readonly JobRecord[]): void {
 		this.jobs.clear()
 		this.placed.clear()
+		this.tasks = 0
 		for (const job of jobs) {
-			this.jobs.set(job.id, job)
+			this.keep(job)
 			for (const { text, task } of tasksOf(job)) {
 				if (task.status === TaskStatus.Placed) this.placedSet(task.worker).add(text)
 			}
 		}
 	}
 
+	private keep(job: JobRecord): void {
+		this.jobs.set(job.id, job)
+		this.tasks += countTasks(job.request)
+	}
+
 	private endCurrent(place: TaskPlace, run: End, at: number): void {
 		const { name, job, task } = place
 		const { worker } = task
