Only first looks are rationed; workers that are known are looked at whenever they are due

Change: the ration holds for workers whose state is not known, as after a change of leader. Test: JobDesk.test.ts, 'workers that are known are all looked at in the same tick'.

--- a/packages/jobs/src/lib/desk/JobDesk.test.ts
+++ b/packages/jobs/src/lib/desk/JobDesk.test.ts
@@ -147,6 +147,19 @@
 	assert.equal(asked(), ids.length)
 })
 
+test('workers that are known are all looked at in the same tick', () => {
+	const subject = new DeskSubject()
+	const ids = Array.from({ length: 60 }, (_, number) => `w${number}`)
+	for (const id of ids) subject.heartbeat(id)
+	subject.submit(ID, jobOf({ count: 60, mostPerWorker: 1 }))
+	subject.run(100, ...ids)
+	const before = ids.map((id) => subject.worker(id).looks.length)
+	// All of their looks end without news at the same moment.
+	subject.run(DEFAULT_DESK_TIMING.lookWait + 20, ...ids)
+	const again = ids.filter((id, number) => subject.worker(id).looks.length > before[number])
+	assert.equal(again.length, ids.length)
+})
+
 test('a new leader orders nothing where it does not know what runs', () => {
 	const subject = new DeskSubject({ advice: { base: 20, each: 1, valid: 5000 } })
 	subject.heartbeat('w1')
--- a/packages/jobs/src/lib/desk/WorkerBoard.ts
+++ b/packages/jobs/src/lib/desk/WorkerBoard.ts
@@ -18,8 +18,8 @@
  */
 const COPY_PATIENCE = 300
 
-/** Most looks that are begun in one tick; a look and its connection take about 1 ms of processor time. */
-const MOST_LOOKS = 20
+/** Most looks at workers of unknown state in one tick; with a new connection each takes about 1 ms. */
+const MOST_FIRST_LOOKS = 20
 
 /** Told of what looks bring. @internal */
 export interface LookListener {
@@ -171,24 +171,28 @@
 	}
 
 	/**
-	 * Looks at workers that are due, those first that have waited longest. All at once, as after a change of leader,
-	 * they would keep the instance from its heartbeats for longer than its lease.
+	 * Goes on looking at workers that are known, and begins with a few of the others, those first that have waited
+	 * longest. All at once, as after a change of leader, they would keep the instance from its heartbeats for longer
+	 * than its lease.
 	 */
 	private lookAtSome(now: number): void {
-		const due = [...this.views.values()].filter((view) => this.isDue(view, now))
-		if (due.length > MOST_LOOKS) due.sort((left, right) => left.askedAt - right.askedAt)
-		for (const view of due.slice(0, MOST_LOOKS)) {
+		const unclear: WorkerView[] = []
+		for (const view of this.views.values()) {
+			const dueForLook = view.runs.size > 0 && !view.looking && now >= view.lookDue
+			const isUnclear = this.isUnclear(view, now)
+			if (dueForLook && !isUnclear) this.look(view, now)
+			else if (dueForLook || (isUnclear && !view.probing && now >= view.probeDue))
+				unclear.push(view)
+		}
+		if (unclear.length > MOST_FIRST_LOOKS)
+			unclear.sort((left, right) => left.askedAt - right.askedAt)
+		for (const view of unclear.slice(0, MOST_FIRST_LOOKS)) {
 			view.askedAt = now
 			if (view.runs.size > 0 && !view.looking && now >= view.lookDue) this.look(view, now)
 			else this.probe(view, now)
 		}
 	}
 
-	private isDue(view: WorkerView, now: number): boolean {
-		if (view.runs.size > 0 && !view.looking && now >= view.lookDue) return true
-		return this.isUnclear(view, now) && !view.probing && now >= view.probeDue
-	}
-
 	/** A worker has answered a call; `clock` is its own clock, where it told it. */
 	answered(view: WorkerView, clock: number | undefined): void {
 		const now = this.context.clock.now()
--- a/packages/jobs/src/lib/desk/WorkerView.ts
+++ b/packages/jobs/src/lib/desk/WorkerView.ts
@@ -39,7 +39,7 @@
 	endsProposed = 0
 	/** Whether this leader knows what it lists; until then it may have runs that nobody counts. */
 	listed = false
-	/** When it was last looked at or probed, on the desk's clock. */
+	/** When it was last looked at or probed while its state was unknown, on the desk's clock. */
 	askedAt = Number.NEGATIVE_INFINITY
 	/** Whether a look is under way. */
 	looking = false
