--- a/packages/jobs/src/lib/desk/JobDesk.test.ts
+++ b/packages/jobs/src/lib/desk/JobDesk.test.ts
@@ -149,10 +149,10 @@
 
 test('workers that are known are all looked at in the same tick', () => {
 	const subject = new DeskSubject()
-	const ids = Array.from({ length: 60 }, (_, number) => `w${number}`)
+	const ids = Array.from({ length: 700 }, (_, number) => `w${number}`)
 	for (const id of ids) subject.heartbeat(id)
-	subject.submit(ID, jobOf({ count: 60, mostPerWorker: 1 }))
-	subject.run(100, ...ids)
+	subject.submit(ID, jobOf({ count: 700, mostPerWorker: 1 }))
+	subject.run(1000, ...ids)
 	const before = ids.map((id) => subject.worker(id).looks.length)
 	// All of their looks end without news at the same moment.
 	subject.run(DEFAULT_DESK_TIMING.lookWait + 20, ...ids)
