--- /dev/null
+++ b/packages/jobs/src/lib/desk/Looks.ts
@@ -0,0 +1,102 @@
+/** Looks at workers: long polls that renew a lease and wait for the next end, and short ones that only ask. */
+import type { DeskContext } from './DeskContext'
+import type { LookResult } from './ports'
+import type { WorkerView } from './WorkerView'
+
+/** Most looks at workers of unknown state in one tick; with a new connection each takes about 1 ms. */
+const MOST_FIRST_LOOKS = 20
+
+/** What looks need of the board of workers. @internal */
+export interface LookHost {
+	/** @returns whether something about a worker is not known that a short look tells. */
+	isUnclear(view: WorkerView, now: number): boolean
+	/** @param sentAt - when the look was sent, on the desk's clock. */
+	looked(view: WorkerView, result: LookResult, sentAt: number): void
+}
+
+/**
+ * The looks at workers.
+ *
+ * @internal
+ */
+export class Looks {
+	constructor(
+		private readonly context: DeskContext,
+		private readonly host: LookHost
+	) {}
+
+	/**
+	 * Goes on looking at workers that are known, and begins with a few of the others, those first that have waited
+	 * longest. All at once, as after a change of leader, they would keep the instance from its heartbeats for longer
+	 * than its lease.
+	 */
+	begin(views: Iterable<WorkerView>, now: number): void {
+		const unclear: WorkerView[] = []
+		for (const view of views) {
+			if (this.host.isUnclear(view, now)) unclear.push(view)
+			else if (isDueForLook(view, now)) this.look(view, now)
+		}
+		const due = unclear.filter((view) => isDueForLook(view, now) || isDueForProbe(view, now))
+		if (due.length > MOST_FIRST_LOOKS) due.sort((left, right) => left.askedAt - right.askedAt)
+		for (const view of due.slice(0, MOST_FIRST_LOOKS)) {
+			view.askedAt = now
+			if (isDueForLook(view, now)) this.look(view, now)
+			else this.probe(view, now)
+		}
+	}
+
+	/** Waits for the next end, and renews the lease. */
+	private look(view: WorkerView, now: number): void {
+		const { timing } = this.context
+		const leaseUntil = view.unreachable || view.left ? undefined : view.lease.renew(now)
+		view.looking = true
+		view.lookDue = now + timing.retryPause
+		const wait = leaseUntil === undefined || !view.listed ? 0 : this.waitAt(view)
+		this.send(view, leaseUntil, wait, now, () => {
+			view.looking = false
+		})
+	}
+
+	/** Asks only whether the worker is there; a silent one's lease is not renewed. */
+	private probe(view: WorkerView, now: number): void {
+		view.probing = true
+		view.probeDue = now + this.context.timing.retryPause
+		this.send(view, undefined, 0, now, () => {
+			view.probing = false
+		})
+	}
+
+	private send(
+		view: WorkerView,
+		leaseUntil: number | undefined,
+		wait: number,
+		sentAt: number,
+		answered: () => void
+	): void {
+		const { term, orders } = this.context
+		const order = { fence: term, endsSeen: view.endsCommitted, leaseUntil, wait }
+		orders.look(view.worker, order, (result) => {
+			answered()
+			this.host.looked(view, result, sentAt)
+		})
+	}
+
+	private waitAt(view: WorkerView): number {
+		const { timing } = this.context
+		let serves = false
+		let bestEffort = false
+		for (const { step } of view.runs.values()) {
+			if (step.bestEffort) bestEffort = true
+			if (step.latencyTarget > 0) serves = true
+		}
+		return serves && bestEffort ? timing.tightLookWait : timing.lookWait
+	}
+}
+
+function isDueForLook(view: WorkerView, now: number): boolean {
+	return view.runs.size > 0 && !view.looking && now >= view.lookDue
+}
+
+function isDueForProbe(view: WorkerView, now: number): boolean {
+	return !view.probing && now >= view.probeDue
+}
--- /dev/null
+++ b/packages/jobs/src/lib/desk/LostRuns.ts
@@ -0,0 +1,56 @@
+/** Gives up the runs of workers that have fallen silent, so that they may begin elsewhere. */
+import { RunEnd } from '../records/Job'
+import { epochOf, type DeskContext } from './DeskContext'
+import { DeskEvent } from './DeskEvent'
+import type { Doubts } from './Doubts'
+import type { Run } from './Run'
+import type { WorkerView } from './WorkerView'
+
+/**
+ * Milliseconds from when a worker was found unreachable to when runs that may have copies begin elsewhere. It is
+ * asked at once, and a single lost answer is no reason to run anything twice.
+ */
+const COPY_PATIENCE = 300
+
+/**
+ * Gives up runs.
+ *
+ * @internal
+ */
+export class LostRuns {
+	constructor(
+		private readonly context: DeskContext,
+		private readonly doubts: Doubts
+	) {}
+
+	/** The lease of a silent worker is certainly over: nothing runs there any more. */
+	giveUp(view: WorkerView): void {
+		view.doubts.clear()
+		this.lose(view, [...view.runs.values()], 'lease over')
+	}
+
+	/** Of steps that allow copies a run begins elsewhere at once; this one may go on meanwhile. */
+	giveUpCopies(view: WorkerView, now: number): void {
+		if (now - view.lostAt < COPY_PATIENCE) return
+		const copies = [...view.runs.values()].filter((run) => run.step.copies)
+		for (const { text, attempt } of copies) this.doubts.raise(view, text, attempt)
+		this.lose(view, copies, 'copies allowed')
+	}
+
+	private lose(view: WorkerView, lost: readonly Run[], reason: string): void {
+		if (lost.length === 0) return
+		const runs = lost.map((run) => ({
+			task: run.text,
+			attempt: run.attempt,
+			how: RunEnd.Lost,
+			checkpoint: run.checkpoint,
+		}))
+		this.context.log.warn(DeskEvent.RunsLost, { worker: view.id, runs: runs.length, reason })
+		for (const run of lost) {
+			view.runs.delete(run.text)
+			// The worker may answer again before this is committed; the run must not be ordered there then.
+			run.retryAt = Number.POSITIVE_INFINITY
+		}
+		this.context.proposals.propose({ kind: 'end', runs, at: epochOf(this.context) })
+	}
+}
--- a/packages/jobs/src/lib/desk/StepBoard.ts
+++ b/packages/jobs/src/lib/desk/StepBoard.ts
@@ -3,26 +3,18 @@
 import type { Queue } from '../records/Cell'
 import { formatTaskName, RunEnd, type TaskName } from '../records/Job'
 import { isActive, isStepDone, isStepReady, TaskStatus, type JobRecord } from '../state/JobRecord'
-import { AdvicePlanner } from './AdvicePlanner'
 import { admits, chooseForStep, type Option } from './chooseForStep'
 import { epochOf, type DeskContext } from './DeskContext'
 import { DeskEvent } from './DeskEvent'
 import { placeGang, type Placed } from './placeGang'
-import type { AdviceResult } from './ports'
 import type { RunBoard } from './RunBoard'
 import { runsToStop } from './runsToStop'
+import { StepQuestions } from './StepQuestions'
 import { byUrgency, stepName, StepWork } from './StepWork'
 import type { WorkerBoard } from './WorkerBoard'
-import { workersToAsk } from './workersToAsk'
 
-/** Milliseconds that a step's ticket must still hold for its next task to be decided with it. */
-const ASK_AGAIN = 400
-/** Milliseconds from which an answer is asked for before there is room. */
-const LONG_ANSWER = 150
 /** Milliseconds that an urgent step waits for room before runs of lower priority are stopped for it. */
 const PREEMPT_AFTER = 60
-/** Workers a question may name at most; the service refuses longer ones. */
-const MOST_ASKED = 100
 
 /**
  * The steps that have tasks to begin.
@@ -32,7 +24,7 @@
 export class StepBoard {
 	private readonly steps = new Map<string, StepWork>()
 	private order: StepWork[] = []
-	private readonly advice: AdvicePlanner
+	private readonly questions: StepQuestions
 	/** Repeats that are not due yet. */
 	private later: { readonly job: JobRecord; readonly repeat: number; readonly due: number }[] = []
 	private stale = true
@@ -42,7 +34,7 @@
 		private readonly workers: WorkerBoard,
 		private readonly runs: RunBoard
 	) {
-		this.advice = new AdvicePlanner(context)
+		this.questions = new StepQuestions(context)
 	}
 
 	/** Sets the gauges of how many steps wait, by priority. */
@@ -135,7 +127,7 @@
 
 	/** Opens repeats that have become due. */
 	tick(now: number): void {
-		this.advice.tick(now)
+		this.questions.tick(now)
 		const epoch = epochOf(this.context)
 		const due = this.later.filter((item) => item.due <= epoch)
 		if (due.length === 0) return
@@ -190,7 +182,7 @@
 		job.request.steps.forEach((later, number) => {
 			if (!later.dependsOn.includes(step)) return
 			const work = this.open(job, repeat, number)
-			this.askFor(work, this.eligible(work, this.openWorkers()), work.step.count)
+			this.questions.ask(work, this.eligible(work, this.openWorkers()), work.step.count)
 		})
 	}
 
@@ -216,7 +208,7 @@
 		if (placed.length > 0) this.begin(work, placed, now)
 		const left = waiting.length - placed.length
 		work.triedAt = this.context.ledger.releases
-		if (left > 0 && work.queue.advice) this.askFor(work, eligible, left)
+		if (left > 0 && work.queue.advice) this.questions.ask(work, eligible, left)
 		if (left > 0 && work.urgent && !work.step.gang) this.makeRoom(work, eligible, left, now)
 	}
 
@@ -284,52 +276,6 @@
 		})
 		this.context.proposals.propose({ kind: 'begin', runs })
 	}
-
-	private askFor(work: StepWork, eligible: readonly Option[], tasks: number): void {
-		const { advice, queue } = work
-		const now = this.context.clock.now()
-		if (!queue.advice || advice.asking || now < advice.notBefore) return
-		const answer = queue.advice.base + queue.advice.each * eligible.length
-		// A gang begins only with all its tickets valid, and a long answer comes late for free room.
-		// An urgent step wants to know where room may be made for it.
-		const ahead = answer >= LONG_ANSWER || work.urgent
-		const until = now + ASK_AGAIN + (ahead || work.step.gang ? answer : 0)
-		const workers = workersToAsk(work, eligible, { tasks, until, most: MOST_ASKED, ahead })
-		if (workers.length === 0) return
-		advice.asking = true
-		advice.questions += 1
-		const cost = queue.advice.base + queue.advice.each * workers.length
-		const rank = queue.priority * 1e15 + work.deadline
-		const done = (result: AdviceResult): void => this.advised(work, workers, now, result)
-		this.context.log.debug(DeskEvent.AdviceAsked, { step: work.name, workers: workers.length })
-		this.advice.ask({ step: work.name, workers, cost, rank, done })
-	}
-
-	private advised(
-		work: StepWork,
-		asked: readonly string[],
-		askedAt: number,
-		result: AdviceResult
-	): void {
-		const { clock, timing, log, meter } = this.context
-		const now = clock.now()
-		meter.count(Measure.Advice, { outcome: result.kind })
-		meter.observe(Measure.AdviceTime, now - askedAt)
-		work.advice.asking = false
-		work.triedAt = -1
-		if (result.kind !== 'answered') {
-			if (result.kind === 'busy') work.advice.notBefore = now + timing.retryPause
-			const reason = result.kind === 'unknown' ? result.message : undefined
-			log.info(DeskEvent.AdviceCame, { step: work.name, outcome: result.kind, reason })
-			return
-		}
-		const valid = work.queue.advice?.valid ?? 0
-		work.advice.firstAnswerAt ??= now
-		work.advice.answered(asked, result.tickets, now + valid - timing.ticketMargin)
-		const took = Math.round(now - askedAt)
-		const good = result.tickets.size
-		log.debug(DeskEvent.AdviceCame, { step: work.name, asked: asked.length, good, took })
-	}
 }
 
 /** The workers of placed tasks with their counts, as one text for the log. */
--- /dev/null
+++ b/packages/jobs/src/lib/desk/StepQuestions.ts
@@ -0,0 +1,85 @@
+/** Asks for advice about steps: when, about which workers, and what the answers bring. */
+import { Measure } from '@rillrudder/telemetry'
+import { AdvicePlanner } from './AdvicePlanner'
+import type { Option } from './chooseForStep'
+import type { DeskContext } from './DeskContext'
+import { DeskEvent } from './DeskEvent'
+import type { AdviceResult } from './ports'
+import type { StepWork } from './StepWork'
+import { workersToAsk } from './workersToAsk'
+
+/** Milliseconds that a step's ticket must still hold for its next task to be decided with it. */
+const ASK_AGAIN = 400
+/** Milliseconds from which an answer is asked for before there is room. */
+const LONG_ANSWER = 150
+/** Workers a question may name at most; the service refuses longer ones. */
+const MOST_ASKED = 100
+
+/**
+ * The questions about steps.
+ *
+ * @internal
+ */
+export class StepQuestions {
+	private readonly planner: AdvicePlanner
+
+	constructor(private readonly context: DeskContext) {
+		this.planner = new AdvicePlanner(context)
+	}
+
+	/** Gives up answers that will not come. */
+	tick(now: number): void {
+		this.planner.tick(now)
+	}
+
+	/**
+	 * Asks which of the eligible workers may run a step, unless a question about it is under way or would not help.
+	 *
+	 * @param tasks - how many of its tasks want a place.
+	 */
+	ask(work: StepWork, eligible: readonly Option[], tasks: number): void {
+		const { advice, queue } = work
+		const now = this.context.clock.now()
+		if (!queue.advice || advice.asking || now < advice.notBefore) return
+		const answer = queue.advice.base + queue.advice.each * eligible.length
+		// A gang begins only with all its tickets valid, and a long answer comes late for free room.
+		// An urgent step wants to know where room may be made for it.
+		const ahead = answer >= LONG_ANSWER || work.urgent
+		const until = now + ASK_AGAIN + (ahead || work.step.gang ? answer : 0)
+		const workers = workersToAsk(work, eligible, { tasks, until, most: MOST_ASKED, ahead })
+		if (workers.length === 0) return
+		advice.asking = true
+		advice.questions += 1
+		const cost = queue.advice.base + queue.advice.each * workers.length
+		const rank = queue.priority * 1e15 + work.deadline
+		const done = (result: AdviceResult): void => this.advised(work, workers, now, result)
+		this.context.log.debug(DeskEvent.AdviceAsked, { step: work.name, workers: workers.length })
+		this.planner.ask({ step: work.name, workers, cost, rank, done })
+	}
+
+	private advised(
+		work: StepWork,
+		asked: readonly string[],
+		askedAt: number,
+		result: AdviceResult
+	): void {
+		const { clock, timing, log, meter } = this.context
+		const now = clock.now()
+		meter.count(Measure.Advice, { outcome: result.kind })
+		meter.observe(Measure.AdviceTime, now - askedAt)
+		work.advice.asking = false
+		work.triedAt = -1
+		if (result.kind !== 'answered') {
+			if (result.kind === 'busy') work.advice.notBefore = now + timing.retryPause
+			const reason = result.kind === 'unknown' ? result.message : undefined
+			log.info(DeskEvent.AdviceCame, { step: work.name, outcome: result.kind, reason })
+			return
+		}
+		const valid = work.queue.advice?.valid ?? 0
+		work.advice.firstAnswerAt ??= now
+		work.advice.answered(asked, result.tickets, now + valid - timing.ticketMargin)
+		const took = Math.round(now - askedAt)
+		const good = result.tickets.size
+		log.debug(DeskEvent.AdviceCame, { step: work.name, asked: asked.length, good, took })
+	}
+}
--- a/packages/jobs/src/lib/desk/WorkerBoard.ts
+++ b/packages/jobs/src/lib/desk/WorkerBoard.ts
@@ -1,26 +1,17 @@
 /** The workers of the cell as the leader sees them: heartbeats, leases, looks. */
 import { Measure } from '@rillrudder/telemetry'
 import type { Heartbeat, Worker } from '../records/Cell'
-import { RunEnd } from '../records/Job'
 import { epochOf, type DeskContext } from './DeskContext'
 import { DeskEvent } from './DeskEvent'
 import { Doubts } from './Doubts'
 import { Lease } from './Lease'
+import { Looks } from './Looks'
+import { LostRuns } from './LostRuns'
 import { OutageWatch } from './OutageWatch'
 import type { ListedEnd, LookResult } from './ports'
-import type { Run } from './Run'
 import { sameWorker } from './sameWorker'
 import { WorkerView } from './WorkerView'
 
-/**
- * Milliseconds from when a worker was found unreachable to when runs that may have copies begin elsewhere. It is
- * asked at once, and a single lost answer is no reason to run anything twice.
- */
-const COPY_PATIENCE = 300
-
-/** Most looks at workers of unknown state in one tick; with a new connection each takes about 1 ms. */
-const MOST_FIRST_LOOKS = 20
-
 /** Told of what looks bring. @internal */
 export interface LookListener {
 	/** @param sentAt - when the look was sent, on the desk's clock. */
@@ -36,6 +27,8 @@
 	private readonly views = new Map<string, WorkerView>()
 	private readonly outages = new OutageWatch()
 	private readonly doubts: Doubts
+	private readonly looks: Looks
+	private readonly lostRuns: LostRuns
 
 	constructor(
 		private readonly context: DeskContext,
@@ -44,6 +37,11 @@
 		this.doubts = new Doubts(context, (view, message, sentAt) =>
 			this.unanswered(view, message, sentAt)
 		)
+		this.looks = new Looks(context, {
+			isUnclear: (view, now) => this.isUnclear(view, now),
+			looked: (view, result, sentAt) => this.looked(view, result, sentAt),
+		})
+		this.lostRuns = new LostRuns(context, this.doubts)
 		for (const { worker, draining } of context.state.workers.all()) {
 			this.add(worker)
 			if (draining) this.draining(worker.id)
@@ -154,15 +152,15 @@
 
 	/** Looks at workers that are due, and gives up what a silent one can no longer run. */
 	tick(now: number): void {
-		this.lookAtSome(now)
+		this.looks.begin(this.views.values(), now)
 		for (const view of this.views.values()) {
-			if (view.unreachable) this.giveUpCopies(view, now)
+			if (view.unreachable) this.lostRuns.giveUpCopies(view, now)
 			if (!view.unreachable) this.doubts.settle(view)
 			if (view.left && (view.runs.size === 0 || view.lease.isOver(now))) {
 				this.proposeGone(view.id, 'left')
 				view.left = false
 			}
-			if (view.unreachable && view.lease.isOver(now)) this.giveUp(view)
+			if (view.unreachable && view.lease.isOver(now)) this.lostRuns.giveUp(view)
 			const silence = now - view.heartbeatAt
 			if (silence > this.context.timing.workerForgotten && view.runs.size === 0) {
 				this.proposeGone(view.id, 'forgotten')
@@ -170,29 +168,6 @@
 		}
 	}
 
-	/**
-	 * Goes on looking at workers that are known, and begins with a few of the others, those first that have waited
-	 * longest. All at once, as after a change of leader, they would keep the instance from its heartbeats for longer
-	 * than its lease.
-	 */
-	private lookAtSome(now: number): void {
-		const unclear: WorkerView[] = []
-		for (const view of this.views.values()) {
-			const dueForLook = view.runs.size > 0 && !view.looking && now >= view.lookDue
-			const isUnclear = this.isUnclear(view, now)
-			if (dueForLook && !isUnclear) this.look(view, now)
-			else if (dueForLook || (isUnclear && !view.probing && now >= view.probeDue))
-				unclear.push(view)
-		}
-		if (unclear.length > MOST_FIRST_LOOKS)
-			unclear.sort((left, right) => left.askedAt - right.askedAt)
-		for (const view of unclear.slice(0, MOST_FIRST_LOOKS)) {
-			view.askedAt = now
-			if (view.runs.size > 0 && !view.looking && now >= view.lookDue) this.look(view, now)
-			else this.probe(view, now)
-		}
-	}
-
 	/** A worker has answered a call; `clock` is its own clock, where it told it. */
 	answered(view: WorkerView, clock: number | undefined): void {
 		const now = this.context.clock.now()
@@ -258,53 +233,6 @@
 		return since !== undefined && view.answeredAt < since
 	}
 
-	/** Waits for the next end, and renews the lease. */
-	private look(view: WorkerView, now: number): void {
-		const { timing } = this.context
-		const leaseUntil = view.unreachable || view.left ? undefined : view.lease.renew(now)
-		view.looking = true
-		view.lookDue = now + timing.retryPause
-		const wait = leaseUntil === undefined || !view.listed ? 0 : this.waitAt(view)
-		this.send(view, leaseUntil, wait, now, () => {
-			view.looking = false
-		})
-	}
-
-	/** Asks only whether the worker is there; a silent one's lease is not renewed. */
-	private probe(view: WorkerView, now: number): void {
-		view.probing = true
-		view.probeDue = now + this.context.timing.retryPause
-		this.send(view, undefined, 0, now, () => {
-			view.probing = false
-		})
-	}
-
-	private send(
-		view: WorkerView,
-		leaseUntil: number | undefined,
-		wait: number,
-		sentAt: number,
-		answered: () => void
-	): void {
-		const { term, orders } = this.context
-		const order = { fence: term, endsSeen: view.endsCommitted, leaseUntil, wait }
-		orders.look(view.worker, order, (result) => {
-			answered()
-			this.looked(view, result, sentAt)
-		})
-	}
-
-	private waitAt(view: WorkerView): number {
-		const { timing } = this.context
-		let serves = false
-		let bestEffort = false
-		for (const { step } of view.runs.values()) {
-			if (step.bestEffort) bestEffort = true
-			if (step.latencyTarget > 0) serves = true
-		}
-		return serves && bestEffort ? timing.tightLookWait : timing.lookWait
-	}
-
 	private looked(view: WorkerView, result: LookResult, sentAt: number): void {
 		if (this.views.get(view.id) !== view) return
 		switch (result.kind) {
@@ -345,37 +273,6 @@
 		})
 	}
 
-	/** The lease of a silent worker is certainly over: nothing runs there any more. */
-	private giveUp(view: WorkerView): void {
-		view.doubts.clear()
-		this.lose(view, [...view.runs.values()], 'lease over')
-	}
-
-	/** Of steps that allow copies a run begins elsewhere at once; this one may go on meanwhile. */
-	private giveUpCopies(view: WorkerView, now: number): void {
-		if (now - view.lostAt < COPY_PATIENCE) return
-		const copies = [...view.runs.values()].filter((run) => run.step.copies)
-		for (const { text, attempt } of copies) this.doubts.raise(view, text, attempt)
-		this.lose(view, copies, 'copies allowed')
-	}
-
-	private lose(view: WorkerView, lost: readonly Run[], reason: string): void {
-		if (lost.length === 0) return
-		const runs = lost.map((run) => ({
-			task: run.text,
-			attempt: run.attempt,
-			how: RunEnd.Lost,
-			checkpoint: run.checkpoint,
-		}))
-		this.context.log.warn(DeskEvent.RunsLost, { worker: view.id, runs: runs.length, reason })
-		for (const run of lost) {
-			view.runs.delete(run.text)
-			// The worker may answer again before this is committed; the run must not be ordered there then.
-			run.retryAt = Number.POSITIVE_INFINITY
-		}
-		this.context.proposals.propose({ kind: 'end', runs, at: epochOf(this.context) })
-	}
-
 	private note(view: WorkerView, heartbeat: Heartbeat): void {
 		if (heartbeat.sequence <= view.sequence) return
 		const now = this.context.clock.now()
