--- a/apps/demo/src/lib/FakeFleet.ts
+++ b/apps/demo/src/lib/FakeFleet.ts
@@ -1,5 +1,11 @@
 /** Fake workers in racks of eight, and the platform that lists them. */
-import { FakePlatform, FakeWorker, WorkerModel, type PlatformWorker } from '@rillrudder/fakes'
+import {
+	FakePlatform,
+	FakeWorker,
+	WorkerModel,
+	type Execution,
+	type PlatformWorker,
+} from '@rillrudder/fakes'
 import { Random, type Clock } from '@rillrudder/utils'
 
 const RACK_SIZE = 8
@@ -75,15 +81,18 @@
 		this.platform.set(this.listed)
 	}
 
+	/** Every execution of a request that a worker began. */
+	executions(): Execution[] {
+		return this.workers.flatMap(({ model }) => model.executions)
+	}
+
 	/** How often each key of requests that are not repeatable was run, over all workers. */
 	runsByKey(): Map<string, number> {
 		const runs = new Map<string, number>()
-		for (const { model } of this.workers) {
-			for (const { customer, key, repeatable } of model.executions) {
-				if (repeatable) continue
-				const name = `${customer}/${key}`
-				runs.set(name, (runs.get(name) ?? 0) + 1)
-			}
+		for (const { customer, key, repeatable } of this.executions()) {
+			if (repeatable) continue
+			const name = `${customer}/${key}`
+			runs.set(name, (runs.get(name) ?? 0) + 1)
 		}
 		return runs
 	}
--- a/apps/demo/src/lib/MixedDay.ts
+++ b/apps/demo/src/lib/MixedDay.ts
@@ -22,7 +22,10 @@
 
 /** One kind of request and how it went. */
 interface Tally {
+	/** From the call to the whole answer. */
 	readonly times: Histogram
+	/** From the call to the first start on a worker. */
+	readonly waits: Histogram
 	readonly outcomes: Map<string, number>
 }
 
@@ -41,6 +44,8 @@
 	private readonly tallies = new Map<string, Tally>()
 	private readonly lines: string[] = []
 	private sent = 0
+	/** For each request, by customer and key, its kind and when it was made, on the clock. */
+	private readonly made = new Map<string, { readonly kind: string; readonly at: number }>()
 
 	constructor(
 		private readonly cell: LocalCell,
@@ -114,7 +119,10 @@
 		const key = reads ? undefined : `${kind}-${this.sent}`
 		this.sent += 1
 		const call = { address, method, path: `/${kind}`, customer, body, key, timeout: 5000 }
-		this.count(kind, await makeCall(call, () => this.clock.now()))
+		const at = this.clock.now()
+		const result = await makeCall(call, () => this.clock.now())
+		this.made.set(`${customer}/${result.key}`, { kind, at })
+		this.count(kind, result)
 	}
 
 	/** The same key at two entry instances at once: it runs once, and both get the same answer. */
@@ -140,13 +148,17 @@
 	}
 
 	private report(microseconds: number): void {
-		this.lines.push('', 'Requests                 count   p50 ms   p99 ms   outcomes')
-		for (const [kind, { times, outcomes }] of [...this.tallies].sort()) {
-			const at = (percentile: number) =>
-				(times.getValueAtPercentile(percentile) / MICROSECONDS).toFixed(1).padStart(8)
+		this.countWaits()
+		this.lines.push(
+			'',
+			'Requests                 count  wait p50  wait p99  answer p50  answer p99   outcomes (ms)'
+		)
+		for (const [kind, { times, waits, outcomes }] of [...this.tallies].sort()) {
 			const ends = [...outcomes].map(([outcome, count]) => `${outcome} ${count}`).join(', ')
 			const count = String(times.totalCount).padStart(6)
-			this.lines.push(`  ${kind.padEnd(20)} ${count} ${at(50)} ${at(99)}   ${ends}`)
+			const waited = `${at(waits, 50, 9)} ${at(waits, 99, 9)}`
+			const answered = `${at(times, 50, 11)} ${at(times, 99, 11)}`
+			this.lines.push(`  ${kind.padEnd(20)} ${count} ${waited} ${answered}   ${ends}`)
 		}
 		const twice = [...this.fleet.runsByKey()].filter(([, runs]) => runs > 1)
 		if (twice.length > 0)
@@ -161,6 +173,19 @@
 		)
 	}
 
+	/** How long requests waited, from what the workers saw of them. */
+	private countWaits(): void {
+		const started = new Map<string, number>()
+		for (const { customer, key, at } of this.fleet.executions()) {
+			const name = `${customer}/${key}`
+			started.set(name, Math.min(at, started.get(name) ?? at))
+		}
+		for (const [name, { kind, at }] of this.made) {
+			const start = started.get(name)
+			if (start !== undefined) record(this.tallyOf(kind).waits, start - at)
+		}
+	}
+
 	private packing(): string {
 		let given = 0
 		let offered = 0
@@ -175,17 +200,19 @@
 	}
 
 	private count(kind: string, result: CallResult): void {
+		const tally = this.tallyOf(kind)
+		record(tally.times, result.span)
+		const outcome = result.outcome === '' ? 'no answer' : result.outcome
+		tally.outcomes.set(outcome, (tally.outcomes.get(outcome) ?? 0) + 1)
+	}
+
+	private tallyOf(kind: string): Tally {
 		let tally = this.tallies.get(kind)
 		if (!tally) {
-			tally = {
-				times: build({ bitBucketSize: 64, numberOfSignificantValueDigits: 3 }),
-				outcomes: new Map(),
-			}
+			tally = { times: newHistogram(), waits: newHistogram(), outcomes: new Map() }
 			this.tallies.set(kind, tally)
 		}
-		tally.times.recordValue(Math.max(1, Math.round(result.span * MICROSECONDS)))
-		const outcome = result.outcome === '' ? 'no answer' : result.outcome
-		tally.outcomes.set(outcome, (tally.outcomes.get(outcome) ?? 0) + 1)
+		return tally
 	}
 
 	private randomEntry(): { address: string } {
@@ -205,3 +232,18 @@
 		return reply.value.body as Reply
 	}
 }
+
+function newHistogram(): Histogram {
+	return build({ bitBucketSize: 64, numberOfSignificantValueDigits: 3 })
+}
+
+/** Records a span in milliseconds. */
+function record(histogram: Histogram, span: number): void {
+	histogram.recordValue(Math.max(1, Math.round(span * MICROSECONDS)))
+}
+
+/** A percentile in milliseconds as text of a width. */
+function at(histogram: Histogram, percentile: number, width: number): string {
+	const value = histogram.getValueAtPercentile(percentile) / MICROSECONDS
+	return value.toFixed(1).padStart(width)
+}
