--- a/apps/ctl/src/lib/jobCommands.ts
+++ b/apps/ctl/src/lib/jobCommands.ts
@@ -2,7 +2,8 @@
 import { ExitCode } from '@rillrudder/program'
 import { command, number, option, optional, positional, string, subcommands } from 'cmd-ts'
 import { clientFor, common, encode, get, withFile } from './commandParts'
-import { printJob, printJobs, printJobSteps, printMessage } from './jobPrinters'
+import { printJob, printJobs, printJobSteps, printLateJobs, printMessage } from './jobPrinters'
+import { lateJobs } from './lateJobs'
 import { show, type Printer } from './output'
 
 /** Posts a job's description to a queue of a cell with one group. */
@@ -55,6 +56,36 @@
 	},
 })
 
+/** Milliseconds from which a job counts as late unless the flag says otherwise. */
+const LATE = 2500
+
+const jobLate = command({
+	name: 'late',
+	description: 'which jobs were late, and what delayed them, from the lines of the logs',
+	args: {
+		file: positional({
+			type: string,
+			displayName: 'file',
+			description: 'log lines; - reads input',
+		}),
+		over: option({
+			type: number,
+			long: 'over',
+			defaultValue: () => LATE,
+			description: 'milliseconds from which a job counts as late',
+		}),
+		priority: option({ type: optional(number), long: 'priority' }),
+		json: common.json,
+	},
+	handler: ({ file, over, priority, json }) =>
+		withFile(file, (text) => {
+			const late = lateJobs(text.split('\n'), { over, priority })
+			if (json) process.stdout.write(`${JSON.stringify(late)}\n`)
+			else printLateJobs(late)
+			return Promise.resolve(ExitCode.Done)
+		}),
+})
+
 function parseDescription(document: string): object | undefined {
 	try {
 		return JSON.parse(document) as object
@@ -74,5 +105,6 @@
 		show: jobCommand('show', 'the state of a job', printJob),
 		explain: jobCommand('explain', 'what each step of a job waits for', printJobSteps),
 		cancel: jobCancel,
+		late: jobLate,
 	},
 })
--- a/apps/ctl/src/lib/jobPrinters.ts
+++ b/apps/ctl/src/lib/jobPrinters.ts
@@ -1,5 +1,6 @@
 /** Prints jobs for people. */
 import type { JobExplanation, JobSummary } from '@rillrudder/jobs'
+import { Delay, type LateJob } from './lateJobs'
 import { table } from './output'
 
 const JOB_HEAD = ['job', 'queue', 'state', 'submitted', 'took', 'done']
@@ -38,6 +39,19 @@
 	table(['step', 'done', 'placed', 'waiting', 'failed runs', 'workers', 'why it waits'], rows)
 }
 
+/** Prints late jobs, and how many each cause delayed. @internal */
+export function printLateJobs(late: readonly LateJob[]): void {
+	table(
+		['job', 'ended', 'took', 'delayed by'],
+		late.map(({ job, ended, took, delay }) => [job, ended, `${took} ms`, delay])
+	)
+	const counts = Object.values(Delay).map((delay) => {
+		const count = late.filter((one) => one.delay === delay).length
+		return `${delay} ${count}`
+	})
+	process.stdout.write(`${late.length} late: ${counts.join(', ')}\n`)
+}
+
 function rowOf({ id, queue, state, submitted, ended, tasks, done }: JobSummary) {
 	const took = ended > 0 ? `${ended - submitted} ms` : ''
 	return [id, queue, state, new Date(submitted).toISOString(), took, `${done}/${tasks}`]
