--- a/apps/bench/src/soak.ts
+++ b/apps/bench/src/soak.ts
@@ -4,8 +4,11 @@
 import { command, flag, number, option } from 'cmd-ts'
 
 const STEPS_A_GROUP_RUN = 6000
-const CELL_RUN_SPAN = 20_000
-const JOB_RUN_SPAN = 20_000
+/** Milliseconds of a run's own time before it settles. */
+const RUN_SPAN = 20_000
+/** Requests, and jobs, a second of a run. */
+const REQUEST_RATE = 40
+const JOB_RATE = 4
 const FAULT_RATES = [0.5, 1.5, 4]
 const GROUP_FAULT_RATES = [0.005, 0.01, 0.02, 0.04]
 const voter = (id: string, durable: boolean, local: boolean) => ({ id, durable, local })
@@ -51,44 +54,49 @@
 	return soaked
 }
 
-function soakCells(seed: number, count: number): Soaked {
-	const soaked: Soaked = { steps: 0, elections: 0, runs: 0, failed: 0, faults: {} }
-	for (let at = seed; at < seed + count; at++) {
-		const faultRate = FAULT_RATES[at % FAULT_RATES.length]
-		const run = new CellRun({ seed: at, faultRate, requestRate: 40 })
-		soaked.runs += 1
-		try {
-			run.run(CELL_RUN_SPAN)
-			run.settle()
-		} catch (fault) {
-			soaked.failed += 1
-			process.stdout.write(`cell run with seed ${at} failed: ${(fault as Error).message}\n`)
-		}
-		soaked.steps += run.tally.callers.sent
-		add(soaked.faults, run.tally.faults)
-	}
-	return soaked
+/** A run of a whole cell or of its jobs, as far as soaking goes. */
+interface Soakable {
+	run(span: number): void
+	settle(): void
+	readonly tally: { readonly faults: { readonly [fault: string]: number } }
 }
 
-function soakJobs(seed: number, count: number): Soaked {
+/** Runs one seed after the other; `done` tells how much a run has done. */
+function soakRuns<Run extends Soakable>(
+	kind: string,
+	seeds: { readonly first: number; readonly count: number },
+	make: (seed: number, faultRate: number) => Run,
+	done: (run: Run) => number
+): Soaked {
 	const soaked: Soaked = { steps: 0, elections: 0, runs: 0, failed: 0, faults: {} }
-	for (let at = seed; at < seed + count; at++) {
-		const faultRate = FAULT_RATES[at % FAULT_RATES.length]
-		const run = new JobRun({ seed: at, faultRate, jobRate: 4 })
+	for (let at = seeds.first; at < seeds.first + seeds.count; at++) {
+		const run = make(at, FAULT_RATES[at % FAULT_RATES.length])
 		soaked.runs += 1
 		try {
-			run.run(JOB_RUN_SPAN)
+			run.run(RUN_SPAN)
 			run.settle()
 		} catch (fault) {
 			soaked.failed += 1
-			process.stdout.write(`job run with seed ${at} failed: ${(fault as Error).message}\n`)
+			process.stdout.write(`${kind} run with seed ${at} failed: ${(fault as Error).message}\n`)
 		}
-		soaked.steps += run.tally.starts
+		soaked.steps += done(run)
 		add(soaked.faults, run.tally.faults)
 	}
 	return soaked
 }
 
+function soakCells(first: number, count: number): Soaked {
+	const make = (seed: number, faultRate: number): CellRun =>
+		new CellRun({ seed, faultRate, requestRate: REQUEST_RATE })
+	return soakRuns('cell', { first, count }, make, (run) => run.tally.callers.sent)
+}
+
+function soakJobs(first: number, count: number): Soaked {
+	const make = (seed: number, faultRate: number): JobRun =>
+		new JobRun({ seed, faultRate, jobRate: JOB_RATE })
+	return soakRuns('job', { first, count }, make, (run) => run.tally.starts)
+}
+
 const soak = command({
 	name: 'soak',
 	version: '0.1.0',
