--- a/packages/jobs/src/lib/desk/StepQuestions.ts
+++ b/packages/jobs/src/lib/desk/StepQuestions.ts
@@ -14,6 +14,8 @@
 const LONG_ANSWER = 150
 /** Workers a question may name at most; the service refuses longer ones. */
 const MOST_ASKED = 100
+/** Makes every priority rank before all deadlines, which are milliseconds since the epoch. */
+const PRIORITY_RANK = 1e15
 
 /**
  * The questions about steps.
@@ -51,7 +53,7 @@
 		advice.asking = true
 		advice.questions += 1
 		const cost = queue.advice.base + queue.advice.each * workers.length
-		const rank = queue.priority * 1e15 + work.deadline
+		const rank = queue.priority * PRIORITY_RANK + work.deadline
 		const done = (result: AdviceResult): void => this.advised(work, workers, now, result)
 		this.context.log.debug(DeskEvent.AdviceAsked, { step: work.name, workers: workers.length })
 		this.planner.ask({ step: work.name, workers, cost, rank, done })
