--- a/packages/runs/src/lib/GroupRun.ts
+++ b/packages/runs/src/lib/GroupRun.ts
@@ -9,16 +9,15 @@
 	type ReplicaStatus,
 	type Snapshot,
 } from '@rillrudder/consensus'
-import { EntryKind, type Entry, type GroupMessage } from '@rillrudder/protocol'
+import { EntryKind, type Entry } from '@rillrudder/protocol'
 import { invariant, ManualClock, Random } from '@rillrudder/utils'
-import { lastStored, RunNode, wipe } from './RunNode'
+import { GroupNetwork, type Flight } from './GroupNetwork'
+import { RunNode, wipe } from './RunNode'
 import { RunReplica } from './RunReplica'
+import { Wholeness } from './Wholeness'
 
 const STEP = 10
 const SYNC_MOST = 30
-const DELAY_MOST = 40
-const LOSS = 0.02
-const REPEAT = 0.02
 const COMPACT_EVERY = 60
 
 /** What can go wrong in a run. @public */
@@ -54,11 +53,6 @@
 	readonly open?: boolean
 }
 
-interface Flight {
-	readonly to: string
-	readonly message: GroupMessage
-}
-
 /**
  * One seeded run.
  *
@@ -90,8 +84,8 @@
 	private readonly witness = new Witness()
 	private readonly nodes = new Map<string, RunNode>()
 	private readonly clock = new ManualClock()
-	private blocked = new Set<string>()
-	private blockedUntil = 0
+	private readonly network: GroupNetwork
+	private readonly wholeness: Wholeness
 	private faults = true
 	private proposing = true
 	private lives = 0
@@ -101,6 +95,13 @@
 	/** @param options - seed, founders and how often faults come. */
 	constructor(private readonly options: GroupRunOptions) {
 		this.random = new Random(options.seed)
+		this.network = new GroupNetwork({
+			clock: this.clock,
+			random: this.random,
+			ids: () => this.nodes.keys(),
+			deliver: (flight) => this.deliver(flight),
+		})
+		this.wholeness = new Wholeness(this.nodes, this.witness, options.open ?? false)
 		const { drift } = DEFAULT_TIMING
 		for (const founder of options.founders) {
 			const rate = 1 + (this.random.fraction() * 2 - 1) * drift
@@ -181,13 +182,13 @@
 
 	/** Cuts one direction between two replicas for a while. */
 	cut(from: string, to: string, span: number): void {
-		this.block(span, (one, other) => one === from && other === to)
+		this.network.block(span, (one, other) => one === from && other === to)
 	}
 
 	/** Heals everything and checks that all replicas come to the same state with nothing lost. */
 	settle(): void {
 		this.faults = false
-		this.blocked.clear()
+		this.network.heal()
 		for (const node of this.nodes.values()) {
 			node.downUntil = Math.min(node.downUntil, this.clock.now())
 			node.pausedUntil = Math.min(node.pausedUntil, this.clock.now())
@@ -209,38 +210,16 @@
 				node.state === first.state && node.running.applied === first.running.applied,
 				'one state'
 			)
-			this.checkMembers(members)
+			this.wholeness.checkMembers(members)
 		}
 		this.tally.committed = this.witness.committedCount
 	}
 
-	/** Every life votes again; of an open group as many as its size asks for, and all of them live. */
-	private checkMembers(members: ReplicaStatus['members']): void {
-		const voters = members.filter((member) => member.voter)
-		if (!this.options.open) {
-			invariant(voters.length === members.length, 'every life is a voter again', { members })
-			return
-		}
-		const expected = this.nodes.size >= 5 ? 5 : 3
-		const lives = voters.every((one) => this.nodes.get(one.id)?.incarnation === one.incarnation)
-		invariant(voters.length === expected && lives, 'as many live voters as there should be', {
-			members,
-			expected,
-		})
-		for (const id of this.nodes.keys()) {
-			invariant(
-				members.some((one) => one.id === id),
-				'everyone belongs',
-				{ id, members }
-			)
-		}
-	}
-
 	private step(): void {
 		this.clock.advance(STEP)
 		this.tally.steps += 1
 		if (this.faults && this.random.chance(this.options.faultRate)) this.disturb()
-		if (this.clock.now() >= this.blockedUntil) this.blocked.clear()
+		this.network.tick()
 		for (const node of this.nodes.values()) this.run(node)
 	}
 
@@ -300,16 +279,6 @@
 		this.witness.lease(life, this.clock.now(), trueEnd)
 	}
 
-	private dispatch(node: RunNode, flight: Flight): void {
-		const from = node.founder.id
-		if (this.blocked.has(`${from}>${flight.to}`)) return
-		if (this.faults && this.random.chance(LOSS)) return
-		const copies = this.faults && this.random.chance(REPEAT) ? 2 : 1
-		for (let copy = 0; copy < copies; copy++) {
-			this.clock.after(this.random.integer(0, DELAY_MOST), () => this.deliver(flight))
-		}
-	}
-
 	private deliver({ to, message }: Flight): void {
 		const node = this.nodes.get(to)
 		if (!node || node.downUntil > 0) return
@@ -340,10 +309,10 @@
 				node.pausedUntil = Math.max(node.pausedUntil, this.clock.now() + span)
 				return true
 			case Fault.CutOff:
-				this.block(span, (from, to) => from === node.founder.id || to === node.founder.id)
+				this.network.block(span, (from, to) => from === node.founder.id || to === node.founder.id)
 				return true
 			case Fault.OneWay:
-				this.block(span, (from) => from === node.founder.id)
+				this.network.block(span, (from) => from === node.founder.id)
 				return true
 			case Fault.LostDisk:
 				return this.loseDisk(node, span)
@@ -355,14 +324,14 @@
 	}
 
 	private replaceAtRandom(node: RunNode, span: number): boolean {
-		if (!this.othersWhole(node) || !this.mayTakeDown(node)) return false
+		if (!this.wholeness.othersWhole(node) || !this.mayTakeDown(node)) return false
 		this.replace(node.founder.id, `${node.founder.id.split('.')[0]}.${++this.lives}`, span)
 		return true
 	}
 
 	/** An instance without a disk forgets; a second one that forgets at once would lose the group. */
 	private mayTakeDown(node: RunNode): boolean {
-		return node.downUntil === 0 && (node.founder.durable || this.othersWhole(node))
+		return node.downUntil === 0 && (node.founder.durable || this.wholeness.othersWhole(node))
 	}
 
 	private down(node: RunNode, span: number): boolean {
@@ -372,51 +341,12 @@
 	}
 
 	private loseDisk(node: RunNode, span: number): boolean {
-		if (!this.othersWhole(node) || !this.mayTakeDown(node)) return false
+		if (!this.wholeness.othersWhole(node) || !this.mayTakeDown(node)) return false
 		this.down(node, span)
 		wipe(node)
 		return true
 	}
 
-	/**
-	 * Whether the group could lose this instance and nothing else: all others are up and have all that
-	 * was committed. An open group must also have all the voters that its size asks for, and each of
-	 * them must know it: one that is gone counts as lost until its successor votes in its place.
-	 */
-	private othersWhole(node: RunNode): boolean {
-		const others = [...this.nodes.values()].filter((one) => one !== node)
-		if (!this.options.open) return others.every((one) => this.isWhole(one))
-		const full = this.nodes.size >= 5 ? 5 : 3
-		return others.every((one) => {
-			const voters = one.replica.status.members.filter((member) => member.voter)
-			return voters.length === full && voters.every(({ id }) => this.votesWhole(id, node))
-		})
-	}
-
-	private votesWhole(id: string, spared: RunNode): boolean {
-		const voter = this.nodes.get(id)
-		return voter !== undefined && (voter === spared || this.isWhole(voter))
-	}
-
-	/** Whether an instance is up, votes, and has stored all that was committed. */
-	private isWhole(one: RunNode): boolean {
-		const known = this.witness.committedCount
-		const { members, commit } = one.replica.status
-		const self = members.find((member) => member.id === one.founder.id)
-		const stored = one.founder.durable ? lastStored(one.disk) : commit
-		const votes = self?.voter === true && self.incarnation === one.incarnation
-		return one.downUntil === 0 && votes && stored >= known && commit >= known
-	}
-
-	private block(span: number, between: (from: string, to: string) => boolean): void {
-		for (const from of this.nodes.keys()) {
-			for (const to of this.nodes.keys()) {
-				if (from !== to && between(from, to)) this.blocked.add(`${from}>${to}`)
-			}
-		}
-		this.blockedUntil = this.clock.now() + span
-	}
-
 	private awake(node: RunNode): boolean {
 		return node.downUntil <= this.clock.now() && node.pausedUntil <= this.clock.now()
 	}
@@ -447,7 +377,7 @@
 			now: () => node.localTime(this.clock.now()),
 			saveTime: () => this.random.integer(0, SYNC_MOST),
 			after: (span, call) => this.afterIn(node, running, span, call),
-			send: (to, message) => this.dispatch(node, { to, message }),
+			send: (to, message) => this.network.send(node.founder.id, { to, message }),
 			apply: (entry) => this.apply(node, entry),
 			restore: (snapshot) => this.restoreState(node, snapshot),
 		})
