--- a/packages/member/src/lib/CoreInstance.ts
+++ b/packages/member/src/lib/CoreInstance.ts
@@ -23,7 +23,6 @@
 import { TICK_PERIOD } from './linkTiming'
 import { MemberEvent } from './MemberEvent'
 import { PeerLinks } from './PeerLinks'
-import { WakingOrders } from './WakingOrders'
 
 const GROUP = 'cell'
 /** Milliseconds since its last word for which a follower says that its leader is there. */
@@ -78,7 +77,6 @@
 	private readonly machine = new CellMachine(this.state)
 	private readonly links: PeerLinks
 	private readonly advisers: AskingPeers
-	private readonly orders: WakingOrders
 	private group!: Group
 	private leading: Leading | undefined
 	private timers: Timer[] = []
@@ -95,7 +93,6 @@
 			receive: (from, event) => this.receive(from, event),
 			local: (call, done) => this.callHere(call, done),
 		})
-		this.orders = new WakingOrders(parts.orders, () => this.leading?.flushSoon())
 		const peers = (): readonly string[] => this.links.hub.connected
 		this.advisers = new AskingPeers({ self, adviser, calls: this.links.calls, peers })
 	}
@@ -211,8 +208,8 @@
 	}
 
 	private beginLeading(term: number): void {
-		const { clock, random, desk: timing, log, meter } = this.parts
-		const { group, state, advisers, orders } = this
+		const { clock, random, desk: timing, orders, log, meter } = this.parts
+		const { group, state, advisers } = this
 		this.leading = new Leading({
 			group,
 			state,
--- a/packages/member/src/lib/Leading.ts
+++ b/packages/member/src/lib/Leading.ts
@@ -14,6 +14,7 @@
 import { Measure, type Log, type Meter } from '@rillrudder/telemetry'
 import type { Clock, Random } from '@rillrudder/utils'
 import { Batching } from './Batching'
+import { WakingOrders } from './WakingOrders'
 
 /** What a leadership is made with. @internal */
 export interface LeadingParts {
@@ -38,14 +39,16 @@
 	readonly term: number
 	private readonly desk: JobDesk
 	private readonly batching: Batching
+	private readonly orders: WakingOrders
 	private readonly waiting = new Set<(reply: CellReply) => void>()
 	private flushing = false
 	private over = false
 
 	constructor(private readonly parts: LeadingParts) {
-		const { group, state, clock, random, timing, orders, advisers, log, meter, term } = parts
+		const { group, state, clock, random, timing, advisers, log, meter, term } = parts
 		this.term = term
 		this.batching = new Batching(group, clock, meter)
+		this.orders = new WakingOrders(parts.orders, () => this.flushSoon())
 		this.desk = new JobDesk({
 			state,
 			ledger: new Ledger(random),
@@ -54,7 +57,7 @@
 			random,
 			timing,
 			term,
-			orders,
+			orders: this.orders,
 			advisers,
 			proposals: this.batching,
 			log,
@@ -107,6 +110,7 @@
 	/** The leadership is over: nothing more is decided. */
 	end(): void {
 		this.over = true
+		this.orders.end()
 		this.parts.log.info(DeskEvent.LeadershipLost, { term: this.term })
 		this.parts.state.observer = undefined
 		const reply: CellReply = { kind: 'unknown', reason: 'the leader has changed' }
--- a/packages/member/src/lib/WakingOrders.ts
+++ b/packages/member/src/lib/WakingOrders.ts
@@ -1,4 +1,7 @@
-/** Carries orders to workers, and wakes the desk after each answer so that what follows is decided. */
+/**
+ * Carries the orders of one leadership to workers, and wakes its desk after each answer so that what follows is
+ * decided. Once the leadership is over its desk hears of no more answers: it would take them for news of today.
+ */
 import {
 	WorkerOrders,
 	type LookOrder,
@@ -16,6 +19,8 @@
  * @internal
  */
 export class WakingOrders extends WorkerOrders {
+	private over = false
+
 	/**
 	 * @param orders - what carries the orders.
 	 * @param wake - called after each answer.
@@ -43,8 +48,14 @@
 		this.orders.look(worker, order, this.waking(done))
 	}
 
+	/** The leadership is over. */
+	end(): void {
+		this.over = true
+	}
+
 	private waking<Result>(done: (result: Result) => void): (result: Result) => void {
 		return (result) => {
+			if (this.over) return
 			done(result)
 			this.wake()
 		}
