--- a/packages/jobs/src/lib/desk/runsToStop.ts
+++ b/packages/jobs/src/lib/desk/runsToStop.ts
@@ -17,7 +17,7 @@
 	readonly option: Option
 	room: Resources
 	/** Runs that may be stopped, the smallest first. */
-	readonly victims: Run[]
+	readonly stoppable: Run[]
 }
 
 /**
@@ -43,17 +43,17 @@
 
 function toProspect(option: Option): Prospect {
 	let room = option.account.free
-	const victims: Run[] = []
+	const stoppable: Run[] = []
 	for (const run of option.view.runs.values()) {
 		const stopping = run.phase === RunPhase.Stopping || run.phase === RunPhase.Stopped
 		if (stopping) room = plus(room, run.need)
-		else if (isVictim(run)) victims.push(run)
+		else if (isStoppable(run)) stoppable.push(run)
 	}
-	victims.sort((left, right) => left.need.cpu - right.need.cpu)
-	return { option, room, victims }
+	stoppable.sort((left, right) => left.need.cpu - right.need.cpu)
+	return { option, room, stoppable }
 }
 
-function isVictim({ yields, phase, percent, step }: Run): boolean {
+function isStoppable({ yields, phase, percent, step }: Run): boolean {
 	const resumes = step.checkpoints && !step.gang
 	return yields && resumes && phase === RunPhase.Running && percent < NEARLY_DONE
 }
@@ -67,7 +67,7 @@
 	for (const prospect of prospects) {
 		const { id } = prospect.option.view
 		const before = work.copiesIn(id, prospect.room)
-		for (const run of prospect.victims) {
+		for (const run of prospect.stoppable) {
 			const gained = work.copiesIn(id, plus(prospect.room, run.need)) - before
 			if (gained === 0) continue
 			if (!best || run.need.cpu / gained < best.run.need.cpu / best.gained) {
@@ -79,6 +79,6 @@
 	if (!best) return undefined
 	const { prospect, run, gained } = best
 	prospect.room = plus(prospect.room, run.need)
-	prospect.victims.splice(prospect.victims.indexOf(run), 1)
+	prospect.stoppable.splice(prospect.stoppable.indexOf(run), 1)
 	return { stops: [run], gained }
 }
--- a/packages/runs/src/lib/jobs/Fleet.ts
+++ b/packages/runs/src/lib/jobs/Fleet.ts
@@ -1,7 +1,7 @@
 /** The workers of a run: their heartbeats, and how they leave and come back. */
 import type { CellCall, CellReply, Worker } from '@rillrudder/jobs'
 import { FleetWorker, type FleetWorkerParts } from './FleetWorker'
-import { GangHall } from './GangHall'
+import { GangRegistry } from './GangRegistry'
 import { KINDS } from './randomJob'
 
 const DATA_CENTRES = ['vake', 'saburtalo', 'isani']
@@ -26,12 +26,12 @@
  */
 export class Fleet {
 	readonly machines: FleetWorker[] = []
-	readonly gangs: GangHall
+	readonly gangs: GangRegistry
 	private readonly byAddress = new Map<string, FleetWorker>()
 	private lives = 0
 
 	constructor(private readonly parts: FleetParts) {
-		this.gangs = new GangHall(parts.clock)
+		this.gangs = new GangRegistry(parts.clock)
 		for (const dataCentre of DATA_CENTRES) {
 			for (let count = 0; count < WORKERS_EACH; count++) this.add(dataCentre)
 		}
--- a/packages/runs/src/lib/jobs/FleetWorker.ts
+++ b/packages/runs/src/lib/jobs/FleetWorker.ts
@@ -16,7 +16,7 @@
 	type Worker,
 } from '@rillrudder/jobs'
 import type { Clock, Random } from '@rillrudder/utils'
-import type { GangHall } from './GangHall'
+import type { GangRegistry } from './GangRegistry'
 import type { JobWitness } from './JobWitness'
 import { HOPELESS } from './randomJob'
 
@@ -54,7 +54,7 @@
 	readonly clock: Clock
 	readonly random: Random
 	readonly witness: JobWitness
-	readonly gangs: GangHall
+	readonly gangs: GangRegistry
 	/** @returns the step of a task, by the task's name. */
 	readonly stepOf: (task: string) => Step
 	/** @returns whether a ticket lets the worker run the task's step now. */
--- a/packages/runs/src/lib/jobs/GangHall.ts
+++ b/packages/runs/src/lib/jobs/GangRegistry.ts
@@ -1,4 +1,4 @@
-/** Where members of gangs meet: they work once all of one attempt are there, and end together. */
+/** The members of gangs that run: they work once all of one attempt are there, and end together. */
 import { RunEnd } from '@rillrudder/jobs'
 import type { Clock } from '@rillrudder/utils'
 import type { FleetRun } from './FleetWorker'
@@ -19,7 +19,7 @@
  *
  * @internal
  */
-export class GangHall {
+export class GangRegistry {
 	private readonly gangs = new Map<string, Gang>()
 	/** How many runs ended because the others did not come. */
 	alone = 0
