--- a/packages/jobs/src/lib/desk/runsToStop.ts
+++ b/packages/jobs/src/lib/desk/runsToStop.ts
@@ -36,7 +36,7 @@
 		const best = cheapest(work, prospects)
 		if (!best) break
 		missing -= best.gained
-		chosen.push(...best.stops)
+		chosen.push(best.run)
 	}
 	return chosen
 }
@@ -58,11 +58,11 @@
 	return yields && resumes && phase === RunPhase.Running && percent < NEARLY_DONE
 }
 
-/** Takes, from the worker where it costs least processor time, the runs that make room for one more task. */
+/** Takes the run that makes room for one more task, or for several, at the least processor time a task. */
 function cheapest(
 	work: StepWork,
 	prospects: readonly Prospect[]
-): { stops: Run[]; gained: number } | undefined {
+): { run: Run; gained: number } | undefined {
 	let best: { prospect: Prospect; run: Run; gained: number } | undefined
 	for (const prospect of prospects) {
 		const { id } = prospect.option.view
@@ -80,5 +80,5 @@
 	const { prospect, run, gained } = best
 	prospect.room = plus(prospect.room, run.need)
 	prospect.stoppable.splice(prospect.stoppable.indexOf(run), 1)
-	return { stops: [run], gained }
+	return { run, gained }
 }
