--- a/packages/group/src/lib/Group.ts
+++ b/packages/group/src/lib/Group.ts
@@ -54,7 +54,6 @@
 	private saving = false
 	private appliedIndex: number
 	private snapshotIndex: number
-	private snapshotBytes: number
 	/** Bytes of the commands applied since the snapshot. */
 	private logBytes = 0
 	private stopped = false
@@ -64,7 +63,6 @@
 		const { replica } = parts
 		this.appliedIndex = replica.snapshot?.index ?? 0
 		this.snapshotIndex = this.appliedIndex
-		this.snapshotBytes = replica.snapshot?.data.length ?? 0
 		if (replica.snapshot) parts.machine.restore(replica.snapshot.data)
 		this.mailbox.serve(parts.name, (batch) => this.handle(batch), parts.fail)
 	}
@@ -148,7 +146,7 @@
 		if (output.snapshot) {
 			this.parts.machine.restore(output.snapshot.data)
 			this.appliedIndex = output.snapshot.index
-			this.noteSnapshot(output.snapshot.data.length)
+			this.noteSnapshot()
 		}
 		for (const entry of output.committed) this.apply(entry)
 	}
@@ -206,26 +204,25 @@
 		if (output.commit > this.appliedIndex) this.post(() => undefined)
 	}
 
-	private noteSnapshot(bytes: number): void {
+	private noteSnapshot(): void {
 		this.snapshotIndex = this.appliedIndex
-		this.snapshotBytes = bytes
 		this.logBytes = 0
 	}
 
 	private get compactionDue(): boolean {
-		const { compactEvery } = this.parts
+		const { compactEvery, replica } = this.parts
 		const entries = this.appliedIndex - this.snapshotIndex
 		if (compactEvery !== undefined) return entries >= compactEvery
 		if (entries >= MOST_ENTRIES) return true
-		return this.logBytes >= Math.max(LEAST_LOG_BYTES, this.snapshotBytes * LOG_SHARE)
+		const snapshotBytes = replica.snapshot?.data.length ?? 0
+		return this.logBytes >= Math.max(LEAST_LOG_BYTES, snapshotBytes * LOG_SHARE)
 	}
 
 	private compact(): void {
 		if (!this.compactionDue) return
 		const { replica, machine } = this.parts
-		const data = machine.snapshot()
-		this.noteSnapshot(data.length)
-		replica.compact(this.appliedIndex, data)
+		this.noteSnapshot()
+		replica.compact(this.appliedIndex, machine.snapshot())
 		const { snapshot } = replica
 		if (!snapshot || !this.parts.store) return
 		const entries = replica.entriesAfterSnapshot()
--- a/packages/jobs/src/lib/desk/DeskEvent.ts
+++ b/packages/jobs/src/lib/desk/DeskEvent.ts
@@ -30,7 +30,8 @@
 	/**
 	 * Runs of a step begin; `step`, `priority`, `runs`, how many are still `waiting`, `waited` milliseconds
 	 * since the steps before it were done, `questions` for advice and when the first was answered (`advised`,
-	 * after so many of these milliseconds, 0 for before), `workers` with their counts, `configuration` and `term` that it was decided in.
+	 * after so many of these milliseconds, 0 for before), `workers` with their counts, `configuration` and
+	 * `term` that it was decided in.
 	 */
 	StepPlaced: 'step-placed',
 	/** A run ended; `task`, `attempt`, `worker`, `how`. */
--- a/packages/jobs/src/lib/desk/Run.ts
+++ b/packages/jobs/src/lib/desk/Run.ts
@@ -32,7 +32,7 @@
 	readonly ticket: string
 	/** Whether its worker wants a ticket. */
 	readonly ticketed: boolean
-	/** Whether an earlier leader began it, and nothing has been ordered by this one. */
+	/** Whether an earlier leader began it. */
 	restored: boolean
 	phase: RunPhase
 	/** When the phase began, on the desk's clock. */
--- a/packages/jobs/src/lib/desk/StepBoard.ts
+++ b/packages/jobs/src/lib/desk/StepBoard.ts
@@ -209,16 +209,22 @@
 		const left = waiting.length - placed.length
 		work.triedAt = this.context.ledger.releases
 		if (left > 0 && work.queue.advice) this.questions.ask(work, eligible, left)
-		if (left > 0 && work.urgent && !work.step.gang) this.makeRoom(work, eligible, left, now)
+		if (left > 0 && work.urgent && !work.step.gang)
+			this.makeRoom(work, { eligible, options }, left, now)
 	}
 
 	/** Stops runs of lower priority where an urgent step has waited for room, and asking finds none. */
-	private makeRoom(work: StepWork, eligible: Option[], tasks: number, now: number): void {
+	private makeRoom(
+		work: StepWork,
+		{ eligible, options }: { readonly eligible: Option[]; readonly options: Option[] },
+		tasks: number,
+		now: number
+	): void {
 		const { advice } = work
 		if (work.queue.advice && advice.firstAnswerAt === undefined) return
 		if (work.waited(now) < PREEMPT_AFTER) return
-		const options = this.optionsFor(work, eligible, now)
-		const unknown = eligible.filter((one) => !options.includes(one) && !advice.isUnfit(one.view.id))
+		const allowed = new Set(options)
+		const unknown = eligible.filter((one) => !allowed.has(one) && !advice.isUnfit(one.view.id))
 		if (unknown.some((option) => admits(work, option))) return
 		for (const run of runsToStop(work, options, tasks)) this.runs.preempt(run, work.name)
 	}
--- a/packages/runs/src/lib/jobs/JobWitness.ts
+++ b/packages/runs/src/lib/jobs/JobWitness.ts
@@ -41,7 +41,7 @@
 	readonly ends: WitnessedEnd[]
 	/** For each start, how many ends there were before it. */
 	readonly startedAfter: number[]
-	noteDoneAt?: number
+	notedDoneAt?: number
 }
 
 interface WitnessedJob {
@@ -151,7 +151,7 @@
 		end.noted = true
 		const where = { worker, task: text, attempt }
 		if (end.how === RunEnd.Done) {
-			task.noteDoneAt ??= now
+			task.notedDoneAt ??= now
 			const again = task.startedAfter.some((before) => before > task.ends.indexOf(end))
 			const once = !again || step.step.copies || step.step.lasting
 			invariant(once, 'a task that is done does not begin again', where)
@@ -204,8 +204,8 @@
 		now: number,
 		where: Where
 	): void {
-		if (step.lasting || task.noteDoneAt === undefined) return
-		const allowed = step.copies && (run.late || now - task.noteDoneAt <= COPY_NOTED_WITHIN)
+		if (step.lasting || task.notedDoneAt === undefined) return
+		const allowed = step.copies && (run.late || now - task.notedDoneAt <= COPY_NOTED_WITHIN)
 		invariant(allowed, 'a task that is done does not begin again', where)
 	}
 
