Advice in one go: a question covers all workers where that costs little more, and each queue's share is learned

Cause: a step asked about a few workers at a time, one question after another, each of which takes the whole least time of an answer (0.49 s for the queue that waits most) and 7 ms a worker; the share of workers allowed was taken as 0.35 for all queues and is 0.22 to 0.69. Change: a question names all workers when that makes the answer at most half as long again; the share is counted by queue.

--- a/packages/jobs/src/lib/desk/StepQuestions.ts
+++ b/packages/jobs/src/lib/desk/StepQuestions.ts
@@ -1,6 +1,7 @@
 /** Asks for advice about steps: when, about which workers, and what the answers bring. */
 import { Measure } from '@rillrudder/telemetry'
 import { AdvicePlanner } from './AdvicePlanner'
+import { AllowedShare } from './AllowedShare'
 import type { Option } from './chooseForStep'
 import type { DeskContext } from './DeskContext'
 import { DeskEvent } from './DeskEvent'
@@ -24,6 +25,7 @@
  */
 export class StepQuestions {
 	private readonly planner: AdvicePlanner
+	private readonly shares = new AllowedShare()
 
 	constructor(private readonly context: DeskContext) {
 		this.planner = new AdvicePlanner(context)
@@ -48,7 +50,9 @@
 		// An urgent step wants to know where room may be made for it.
 		const ahead = answer >= LONG_ANSWER || work.urgent
 		const until = now + ASK_AGAIN + (ahead || work.step.gang ? answer : 0)
-		const workers = workersToAsk(work, eligible, { tasks, until, most: MOST_ASKED, ahead })
+		const share = this.shares.of(queue.name)
+		const wish = { tasks, until, most: MOST_ASKED, ahead, share, terms: queue.advice }
+		const workers = workersToAsk(work, eligible, wish)
 		if (workers.length === 0) return
 		advice.asking = true
 		advice.questions += 1
@@ -79,6 +83,9 @@
 		}
 		const valid = work.queue.advice?.valid ?? 0
 		work.advice.firstAnswerAt ??= now
+		const news = asked.filter((worker) => !work.advice.isAllowed(worker))
+		const allowed = news.filter((worker) => result.tickets.has(worker)).length
+		this.shares.note(work.queue.name, news.length, allowed)
 		work.advice.answered(asked, result.tickets, now + valid - timing.ticketMargin)
 		const took = Math.round(now - askedAt)
 		const good = result.tickets.size
--- a/packages/jobs/src/lib/desk/workersToAsk.ts
+++ b/packages/jobs/src/lib/desk/workersToAsk.ts
@@ -1,10 +1,14 @@
 /** Chooses the workers to ask about: few, since each one makes the answer later. */
 import type { Resources } from '@rillrudder/scheduler'
+import type { AdviceTerms } from '../records/Cell'
 import type { Option } from './chooseForStep'
 import type { StepWork } from './StepWork'
 
-/** Share of workers that may run a step, until something is known of the step. */
-const ASSUMED_GOOD = 0.35
+/**
+ * Share of its least time that an answer may take longer so that it covers all workers: a second question costs the
+ * whole least time again.
+ */
+const ALL_AT_ONCE = 0.5
 /** Room asked for as a multiple of the room wanted, since others place there meanwhile. */
 const SURPLUS = 1.5
 /** The same for a gang, all of which must find room at once. */
@@ -22,6 +26,10 @@
 	readonly most: number
 	/** Whether to ask also about workers without room now, so that it can be used once it is there. */
 	readonly ahead: boolean
+	/** Share of workers that the queue's policy allows, from 0 to 1, as seen of late. */
+	readonly share: number
+	/** What an answer costs. */
+	readonly terms: AdviceTerms
 }
 
 interface Candidate {
@@ -43,6 +51,9 @@
 		({ view }) => !advice.isUnfit(view.id) && advice.ticket(view.id, wish.until) === undefined
 	)
 	const now = pick(work, candidates(work, useful, freeOf), wish, 0)
+	if (now.length > 0 && coversAllCheaply(useful.length, wish)) {
+		return candidates(work, useful, capacityOf).map(({ option }) => option.view.id)
+	}
 	if (now.length > 0 || !wish.ahead) return now
 	const covered = eligible
 		.filter(({ view }) => advice.ticket(view.id, wish.until) !== undefined)
@@ -50,6 +61,10 @@
 	return pick(work, candidates(work, useful, capacityOf), wish, covered)
 }
 
+function coversAllCheaply(workers: number, { terms, most }: Wish): boolean {
+	return workers <= most && terms.each * workers <= terms.base * ALL_AT_ONCE
+}
+
 function candidates(
 	work: StepWork,
 	options: readonly Option[],
@@ -71,7 +86,7 @@
 		const { id } = option.view
 		if (chosen.length >= wish.most) break
 		if (expected >= wanted && spare-- <= 0) break
-		expected += room * (work.advice.isAllowed(id) ? 1 : ASSUMED_GOOD)
+		expected += room * (work.advice.isAllowed(id) ? 1 : wish.share)
 		chosen.push(id)
 	}
 	return chosen
