Room is kept for gangs and large tasks that wait; accelerators count in the fit

Cause: 13 s at p90 for tasks of 31 cores and 2 to 8 accelerators: smaller tasks took each piece of room as it came free, and the fit left accelerators out, so that tasks of one accelerator spread over all workers. Change: a waiting gang or a task of a quarter of a worker gets the workers on which its room is expected soonest (from the progress that runs report); others begin there only if they are gone by then or fit beside it. Tickets are renewed when that room is near, not all the time. What is left of accelerators counts in a worker's score and in how many tasks fit.

--- a/packages/jobs/src/lib/desk/Run.ts
+++ b/packages/jobs/src/lib/desk/Run.ts
@@ -1,5 +1,6 @@
 /** One run of a task, from its beginning to its end. */
 import type { Resources } from '@rillrudder/scheduler'
+import type { RunProgress } from '../placement/RunProgress'
 import type { Step, TaskName } from '../records/Job'
 
 /** What has been asked of a run's worker. @internal */
@@ -47,6 +48,8 @@
 	checkpoint: string
 	/** How far it has got, from 0 to 100. */
 	percent: number
+	/** How fast it gets on, and when it is expected to end. */
+	readonly progress: RunProgress
 	/** What the worker last reported of it: tail latency or processor use. */
 	measure: number
 	/** Share of its speed that it was last told to work at, from 0 to 100. */
--- a/packages/jobs/src/lib/desk/RunBoard.ts
+++ b/packages/jobs/src/lib/desk/RunBoard.ts
@@ -1,6 +1,7 @@
 /** The runs of the cell: orders to start and stop them, sent again until the worker has answered. */
 import { Measure } from '@rillrudder/telemetry'
 import { formatTaskName, RunEnd, type TaskName } from '../records/Job'
+import { RunProgress } from '../placement/RunProgress'
 import type { JobRecord } from '../state/JobRecord'
 import { tasksOf } from '../state/JobBook'
 import { isActive, TaskStatus } from '../state/JobRecord'
@@ -150,6 +151,7 @@
 			}
 			listed.add(task)
 			Object.assign(run, { checkpoint, percent, measure, absent: 0 })
+			run.progress.read(percent, this.context.clock.now())
 			if (run.phase === RunPhase.Starting) this.enter(run, RunPhase.Running)
 		}
 		for (const end of result.ended) listed.add(end.task)
@@ -180,6 +182,7 @@
 			retryAt: 0,
 			checkpoint: '',
 			percent: 0,
+			progress: new RunProgress(this.context.clock.now(), step.expectedTime),
 			measure: 0,
 			pace: 100,
 			absent: 0,
--- a/packages/jobs/src/lib/desk/StepBoard.ts
+++ b/packages/jobs/src/lib/desk/StepBoard.ts
@@ -3,7 +3,8 @@
 import type { Queue } from '../records/Cell'
 import { formatTaskName, RunEnd, type TaskName } from '../records/Job'
 import { isActive, isStepDone, isStepReady, TaskStatus, type JobRecord } from '../state/JobRecord'
-import { admits, chooseForStep, type Option } from './chooseForStep'
+import { Reservations } from '../placement/Reservations'
+import { admits, chooseForStep, type Option, type RoomCheck } from './chooseForStep'
 import { epochOf, type DeskContext } from './DeskContext'
 import { DeskEvent } from './DeskEvent'
 import { placeGang, type Placed } from './placeGang'
@@ -28,6 +29,9 @@
 	/** Repeats that are not due yet. */
 	private later: { readonly job: JobRecord; readonly repeat: number; readonly due: number }[] = []
 	private stale = true
+	private readonly reservations = new Reservations()
+	/** Whether a worker's room is not kept for a step that goes before. */
+	private readonly isFree: RoomCheck = (work, option) => this.reservations.allows(work, option)
 
 	constructor(
 		private readonly context: DeskContext,
@@ -61,6 +65,10 @@
 		if (!work.queue.advice) return 'it is about to begin'
 		const now = this.context.clock.now()
 		const allowed = room.filter(({ view }) => work.advice.ticket(view.id, now) !== undefined)
+		const keptUntil = this.reservations.expectedAt(work)
+		if (keptUntil !== undefined) {
+			return `room for it is expected in ${Math.round(Math.max(0, keptUntil - now))} ms and kept until then`
+		}
 		if (allowed.length > 0 && work.step.gang) return 'not all of its gang has room'
 		if (allowed.length > 0) return 'it is about to begin'
 		if (work.advice.asking) return `advice about ${room.length} workers with room is awaited`
@@ -79,7 +87,7 @@
 
 	/** Drops a job that has ended. */
 	drop(job: JobRecord): void {
-		for (const [name, work] of this.steps) if (work.job === job) this.steps.delete(name)
+		for (const work of this.steps.values()) if (work.job === job) this.close(work)
 		this.later = this.later.filter((item) => item.job !== job)
 		this.stale = true
 	}
@@ -110,7 +118,8 @@
 		if (!job || !isActive(job)) return
 		const record = job.repeats[task.repeat][task.step]
 		if (isStepDone(record)) {
-			this.steps.delete(nameOf(task))
+			const work = this.steps.get(nameOf(task))
+			if (work) this.close(work)
 			this.stale = true
 			this.openReady(job, task.repeat)
 		} else {
@@ -147,11 +156,17 @@
 			this.stale = false
 		}
 		const open = this.openWorkers()
+		this.reservations.beginPass(now)
 		for (const work of this.order) {
 			if (again || work.triedAt !== this.context.ledger.releases) this.placeStep(work, open, now)
 		}
 	}
 
+	private close(work: StepWork): void {
+		this.steps.delete(work.name)
+		this.reservations.drop(work)
+	}
+
 	private openReady(job: JobRecord, repeat: number): void {
 		if (!isActive(job)) return
 		job.repeats[repeat].forEach((record, step) => {
@@ -198,21 +213,32 @@
 	private placeStep(work: StepWork, open: readonly Option[], now: number): void {
 		if (!isStepReady(work.job, work.repeat, work.number)) return
 		work.readyAt ??= now
+		this.reservations.drop(work)
 		const waiting = work.waiting()
 		if (waiting.length === 0) return
 		const eligible = this.eligible(work, open)
 		const options = this.optionsFor(work, eligible, now)
 		const placed = work.step.gang
-			? placeGang(work, waiting, options, this.context.ledger, now)
+			? placeGang(work, waiting, options, this.context.ledger, this.isFree, now)
 			: this.placeEach(work, waiting, options)
 		if (placed.length > 0) this.begin(work, placed, now)
 		const left = waiting.length - placed.length
 		work.triedAt = this.context.ledger.releases
-		if (left > 0 && work.queue.advice) this.questions.ask(work, eligible, left)
+		const roomAt = left > 0 ? this.reserve(work, left, eligible) : undefined
+		if (left > 0 && work.queue.advice) this.questions.ask(work, eligible, left, roomAt)
 		if (left > 0 && work.urgent && !work.step.gang)
 			this.makeRoom(work, { eligible, options }, left, now)
 	}
 
+	/** Keeps room for tasks that found none. @returns when it is expected; undefined when none is kept. */
+	private reserve(work: StepWork, tasks: number, eligible: readonly Option[]): number | undefined {
+		const { advice, queue } = work
+		const allowed = queue.advice
+			? eligible.filter(({ view }) => advice.isAllowed(view.id))
+			: eligible
+		return this.reservations.keep(work, tasks, allowed)
+	}
+
 	/** Stops runs of lower priority where an urgent step has waited for room, and asking finds none. */
 	private makeRoom(
 		work: StepWork,
@@ -232,7 +258,7 @@
 	private placeEach(work: StepWork, waiting: readonly number[], options: Option[]): Placed[] {
 		const placed: Placed[] = []
 		for (const index of waiting) {
-			const option = chooseForStep(work, options)
+			const option = chooseForStep(work, options, this.isFree)
 			if (!option || !this.context.ledger.reserve(option.view.id, work.need, work.urgent)) break
 			work.count(option.view.id, 1)
 			placed.push({ index, worker: option.view.id })
--- a/packages/jobs/src/lib/desk/StepQuestions.ts
+++ b/packages/jobs/src/lib/desk/StepQuestions.ts
@@ -40,8 +40,9 @@
 	 * Asks which of the eligible workers may run a step, unless a question about it is under way or would not help.
 	 *
 	 * @param tasks - how many of its tasks want a place.
+	 * @param roomAt - when room that is kept for them is expected, on the leader's clock; absent when none is.
 	 */
-	ask(work: StepWork, eligible: readonly Option[], tasks: number): void {
+	ask(work: StepWork, eligible: readonly Option[], tasks: number, roomAt?: number): void {
 		const { advice, queue } = work
 		const now = this.context.clock.now()
 		if (!queue.advice || advice.asking || now < advice.notBefore) return
@@ -51,7 +52,8 @@
 		const ahead = answer >= LONG_ANSWER || work.urgent
 		const until = now + ASK_AGAIN + (ahead || work.step.gang ? answer : 0)
 		const share = this.shares.of(queue.name)
-		const wish = { tasks, until, most: MOST_ASKED, ahead, share, terms: queue.advice }
+		const renew = roomAt === undefined || roomAt <= now + answer + ASK_AGAIN
+		const wish = { tasks, until, most: MOST_ASKED, ahead, renew, share, terms: queue.advice }
 		const workers = workersToAsk(work, eligible, wish)
 		if (workers.length === 0) return
 		advice.asking = true
--- a/packages/jobs/src/lib/desk/StepWork.ts
+++ b/packages/jobs/src/lib/desk/StepWork.ts
@@ -84,10 +84,7 @@
 	copiesIn(worker: string, room: Resources): number {
 		const allowance = this.allowance(worker)
 		if (allowance <= 0 || !fits(this.need, room)) return 0
-		const { cpu, memory } = this.need
-		const byCpu = cpu > 0 ? room.cpu / cpu : Number.POSITIVE_INFINITY
-		const byMemory = memory > 0 ? room.memory / memory : Number.POSITIVE_INFINITY
-		const copies = Math.min(byCpu, byMemory, Number.MAX_SAFE_INTEGER)
+		const copies = copiesOf(this.need, room)
 		return Math.min(allowance, Math.max(1, Math.floor(copies)))
 	}
 
@@ -98,6 +95,17 @@
 	}
 }
 
+/** @returns how many times an amount goes into another, as a fraction; bounded for an amount of nothing. */
+function copiesOf(need: Resources, room: Resources): number {
+	const ratio = (part: number, whole: number): number =>
+		part > 0 ? whole / part : Number.MAX_SAFE_INTEGER
+	return Math.min(
+		ratio(need.cpu, room.cpu),
+		ratio(need.memory, room.memory),
+		ratio(need.accelerators, room.accelerators)
+	)
+}
+
 /** Steps in the order in which they are placed. @internal */
 export function byUrgency(left: StepWork, right: StepWork): number {
 	return left.queue.priority - right.queue.priority || left.deadline - right.deadline
--- a/packages/jobs/src/lib/desk/chooseForStep.ts
+++ b/packages/jobs/src/lib/desk/chooseForStep.ts
@@ -16,6 +16,11 @@
 const FAILED_PENALTY = 6
 /** Weight of the difference between what is left of processors and of memory. */
 const IMBALANCE_WEIGHT = 0.5
+/**
+ * Weight of the share of a worker's accelerators that is left: they are the scarcest, and tasks that need many on one
+ * worker find them only where those that need few are packed together.
+ */
+const ACCELERATOR_WEIGHT = 2
 
 /** A worker with its account. @internal */
 export interface Option {
@@ -38,19 +43,27 @@
 	return account.ordinary + work.need.cpu <= most
 }
 
+/** Tells whether a task of a step may begin on a worker beside what is kept there for others. @internal */
+export type RoomCheck = (work: StepWork, option: Option) => boolean
+
 /**
  * @param work - the step.
  * @param options - workers that may run it.
+ * @param isFree - whether a worker's room is not kept for a step that goes before.
  * @returns the best one that has room, or undefined.
  * @internal
  */
-export function chooseForStep(work: StepWork, options: readonly Option[]): Option | undefined {
+export function chooseForStep(
+	work: StepWork,
+	options: readonly Option[],
+	isFree: RoomCheck
+): Option | undefined {
 	let best: Option | undefined
 	let bestScore = Number.POSITIVE_INFINITY
 	for (const option of options) {
 		if (!admits(work, option)) continue
 		const value = score(work, option)
-		if (value >= bestScore) continue
+		if (value >= bestScore || !isFree(work, option)) continue
 		bestScore = value
 		best = option
 	}
@@ -63,6 +76,8 @@
 	const cpu = (free.cpu - need.cpu) / Math.max(1, capacity.cpu)
 	const memory = (free.memory - need.memory) / Math.max(1, capacity.memory)
 	let value = cpu + memory + Math.abs(cpu - memory) * IMBALANCE_WEIGHT
+	const accelerators = free.accelerators - need.accelerators
+	value += (accelerators / Math.max(1, capacity.accelerators)) * ACCELERATOR_WEIGHT
 	if (step.rack !== '' && step.rack !== account.rack) value += FAR_PENALTY
 	if (step.lasting) value += (work.onWorker.get(view.id) ?? 0) * SIBLING_PENALTY
 	value += (work.failedOn.get(view.id) ?? 0) * FAILED_PENALTY
--- a/packages/jobs/src/lib/desk/placeGang.ts
+++ b/packages/jobs/src/lib/desk/placeGang.ts
@@ -1,6 +1,6 @@
 /** Places all tasks of a gang or none, in one rack where that matters. */
 import type { Ledger } from '@rillrudder/scheduler'
-import { chooseForStep, type Option } from './chooseForStep'
+import { chooseForStep, type Option, type RoomCheck } from './chooseForStep'
 import type { StepWork } from './StepWork'
 
 /** Milliseconds that a gang waits for one rack with room before it takes any workers. */
@@ -17,6 +17,7 @@
  * @param waiting - indexes of its tasks that wait; a gang begins only when all of them do.
  * @param options - workers that may run it.
  * @param ledger - where room is reserved.
+ * @param isFree - whether a worker's room is not kept for a step that goes before.
  * @param now - the moment, on the desk's clock.
  * @returns where all tasks go, with their room reserved; empty when they do not fit.
  * @internal
@@ -26,29 +27,31 @@
 	waiting: readonly number[],
 	options: readonly Option[],
 	ledger: Ledger,
+	isFree: RoomCheck,
 	now: number
 ): Placed[] {
 	if (waiting.length !== work.record.tasks.length) return []
 	if (work.step.sameRack) {
 		for (const rack of new Set(options.map(({ account }) => account.rack))) {
 			const inRack = options.filter(({ account }) => account.rack === rack)
-			const placed = placeAll(work, waiting, inRack, ledger)
+			const placed = placeAll(work, waiting, inRack, ledger, isFree)
 			if (placed.length > 0) return placed
 		}
 		if (work.waited(now) < RACK_PATIENCE) return []
 	}
-	return placeAll(work, waiting, options, ledger)
+	return placeAll(work, waiting, options, ledger, isFree)
 }
 
 function placeAll(
 	work: StepWork,
 	waiting: readonly number[],
 	options: readonly Option[],
-	ledger: Ledger
+	ledger: Ledger,
+	isFree: RoomCheck
 ): Placed[] {
 	const placed: Placed[] = []
 	for (const index of waiting) {
-		const option = chooseForStep(work, options)
+		const option = chooseForStep(work, options, isFree)
 		if (!option || !ledger.reserve(option.view.id, work.need, work.urgent)) {
 			undo(work, placed, ledger)
 			return []
--- a/packages/jobs/src/lib/desk/workersToAsk.ts
+++ b/packages/jobs/src/lib/desk/workersToAsk.ts
@@ -26,6 +26,8 @@
 	readonly most: number
 	/** Whether to ask also about workers without room now, so that it can be used once it is there. */
 	readonly ahead: boolean
+	/** Whether tickets that run out are to be renewed; not while room is expected only later. */
+	readonly renew: boolean
 	/** Share of workers that the queue's policy allows, from 0 to 1, as seen of late. */
 	readonly share: number
 	/** What an answer costs. */
@@ -47,8 +49,10 @@
  */
 export function workersToAsk(work: StepWork, eligible: readonly Option[], wish: Wish): string[] {
 	const { advice } = work
-	const useful = eligible.filter(
-		({ view }) => !advice.isUnfit(view.id) && advice.ticket(view.id, wish.until) === undefined
+	const useful = eligible.filter(({ view: { id } }) =>
+		advice.isAllowed(id)
+			? wish.renew && advice.ticket(id, wish.until) === undefined
+			: !advice.isUnfit(id)
 	)
 	const now = pick(work, candidates(work, useful, freeOf), wish, 0)
 	if (now.length > 0 && coversAllCheaply(useful.length, wish)) {
--- /dev/null
+++ b/packages/jobs/src/lib/placement/Reservations.ts
@@ -0,0 +1,157 @@
+/**
+ * Room that is kept for steps that wait for it. A gang, or a task that takes much of a worker, never finds
+ * room by itself while smaller tasks take each piece as it comes free. So the workers on which its room is expected
+ * soonest are set aside for it; other work may still begin there when it will be gone by then, or fits beside it.
+ */
+import { fits, minus, times, type Resources } from '@rillrudder/scheduler'
+import type { Option } from '../desk/chooseForStep'
+import { byUrgency, type StepWork } from '../desk/StepWork'
+import { RoomForecast } from './RoomForecast'
+
+/** Share of a worker's largest resource from which a task counts as one that finds no room by itself. */
+const LARGE_SHARE = 0.25
+/** Steps that may have room kept at a time; bounds the time of a pass. */
+const MOST_RESERVATIONS = 64
+/** What a task's time is multiplied by before it may begin on kept room: declared times are off by half. */
+const TIME_MARGIN = 1.3
+
+/** Room that is kept on one worker. */
+interface KeptRoom {
+	readonly work: StepWork
+	/** What is kept, for all tasks of the step that are to go there. */
+	readonly room: Resources
+	/** When it is expected to be free, on the leader's clock. */
+	readonly at: number
+}
+
+/** A place for one task, once it is free. */
+interface Place {
+	readonly worker: string
+	readonly at: number
+}
+
+/**
+ * The room that is kept for waiting steps.
+ *
+ * @internal
+ */
+export class Reservations {
+	private readonly byWorker = new Map<string, KeptRoom[]>()
+	private readonly expected = new Map<StepWork, number>()
+	/** Forecasts of this pass, by worker. */
+	private readonly forecasts = new Map<string, RoomForecast>()
+	private now = 0
+
+	/** A new pass over the waiting steps begins. */
+	beginPass(now: number): void {
+		this.now = now
+		this.forecasts.clear()
+	}
+
+	/** @returns when all of a step's room is expected, on the leader's clock; undefined when none is kept. */
+	expectedAt(work: StepWork): number | undefined {
+		return this.expected.get(work)
+	}
+
+	/** How many steps have room kept. */
+	get size(): number {
+		return this.expected.size
+	}
+
+	/** Keeps nothing for a step any more. */
+	drop(work: StepWork): void {
+		if (!this.expected.delete(work)) return
+		for (const [worker, kept] of this.byWorker) {
+			const others = kept.filter((one) => one.work !== work)
+			if (others.length > 0) this.byWorker.set(worker, others)
+			else this.byWorker.delete(worker)
+		}
+	}
+
+	/**
+	 * @param work - a step that wants to begin a task on a worker that has room for it.
+	 * @returns whether that would delay no step that goes before it and for which room is kept there.
+	 */
+	allows(work: StepWork, option: Option): boolean {
+		const before = this.keptBefore(work, option.view.id)
+		if (before.length === 0) return true
+		const at = Math.max(...before.map((kept) => kept.at))
+		const ends = this.now + work.step.expectedTime * TIME_MARGIN
+		if (!work.step.lasting && ends <= at) return true
+		return fits(work.need, withoutKept(this.forecastOf(option).at(at), before))
+	}
+
+	/**
+	 * Keeps room for a step's tasks that found none.
+	 *
+	 * @param work - the step, for which nothing is kept yet.
+	 * @param tasks - how many of its tasks wait.
+	 * @param options - workers that may run it.
+	 * @returns when all its room is expected; undefined when nothing is kept.
+	 */
+	keep(work: StepWork, tasks: number, options: readonly Option[]): number | undefined {
+		if (this.size >= MOST_RESERVATIONS || !needsReservation(work, options)) return undefined
+		const places = this.placesFor(work, tasks, options)
+		if (places.length === 0 || (work.step.gang && places.length < tasks)) return undefined
+		const at = Math.max(...places.map((place) => place.at))
+		const counts = new Map<string, number>()
+		for (const { worker } of places) counts.set(worker, (counts.get(worker) ?? 0) + 1)
+		for (const [worker, count] of counts) {
+			const kept = this.byWorker.get(worker) ?? []
+			this.byWorker.set(worker, [...kept, { work, room: times(work.need, count), at }])
+		}
+		this.expected.set(work, at)
+		return at
+	}
+
+	/** The places that are free soonest, beside what is kept for steps that go before. */
+	private placesFor(work: StepWork, tasks: number, options: readonly Option[]): Place[] {
+		const places: Place[] = []
+		for (const option of options) {
+			const { id } = option.view
+			const before = this.keptBefore(work, id)
+			const forecast = this.forecastOf(option)
+			let copies = 0
+			for (const at of forecast.moments()) {
+				const room = withoutKept(forecast.at(at), before)
+				const more = work.copiesIn(id, room) - copies
+				for (let copy = 0; copy < more && copy < tasks; copy++) places.push({ worker: id, at })
+				copies += Math.max(0, more)
+			}
+		}
+		return places.sort((left, right) => left.at - right.at).slice(0, tasks)
+	}
+
+	private forecastOf(option: Option): RoomForecast {
+		const { id } = option.view
+		const forecast = this.forecasts.get(id) ?? new RoomForecast(option, this.now)
+		this.forecasts.set(id, forecast)
+		return forecast
+	}
+
+	private keptBefore(work: StepWork, worker: string): KeptRoom[] {
+		const kept = this.byWorker.get(worker) ?? []
+		return kept.filter((one) => one.work !== work && byUrgency(one.work, work) < 0)
+	}
+}
+
+function withoutKept(room: Resources, kept: readonly KeptRoom[]): Resources {
+	return kept.reduce((left, one) => minus(left, one.room), room)
+}
+
+/** Whether a step's tasks find no room by themselves. */
+function needsReservation(work: StepWork, options: readonly Option[]): boolean {
+	if (work.step.gang) return true
+	return options.some(
+		({ account: { capacity } }) => largestShare(work.need, capacity) >= LARGE_SHARE
+	)
+}
+
+function largestShare(need: Resources, capacity: Resources): number {
+	const shareOf = (part: number, whole: number): number => (whole > 0 ? part / whole : 0)
+	return Math.max(
+		shareOf(need.cpu, capacity.cpu),
+		shareOf(need.memory, capacity.memory),
+		shareOf(need.accelerators, capacity.accelerators)
+	)
+}
