--- a/apps/ctl/src/lib/jobCommands.ts
+++ b/apps/ctl/src/lib/jobCommands.ts
@@ -56,9 +56,6 @@
 	},
 })
 
-/** Milliseconds from which a job counts as late unless the flag says otherwise. */
-const LATE = 2500
-
 const jobLate = command({
 	name: 'late',
 	description: 'which jobs were late, and what delayed them, from the lines of the logs',
@@ -69,10 +66,9 @@
 			description: 'log lines; - reads input',
 		}),
 		over: option({
-			type: number,
+			type: optional(number),
 			long: 'over',
-			defaultValue: () => LATE,
-			description: 'milliseconds from which a job counts as late',
+			description: 'milliseconds from which a job counts as late, in place of its objective',
 		}),
 		priority: option({ type: optional(number), long: 'priority' }),
 		json: common.json,
--- a/apps/ctl/src/lib/lateJobs.ts
+++ b/apps/ctl/src/lib/lateJobs.ts
@@ -21,8 +21,8 @@
 
 /** Which jobs count. @internal */
 export interface LateTerms {
-	/** Milliseconds from which a job counts as late. */
-	readonly over: number
+	/** Milliseconds from which a job counts as late; its objective when absent. */
+	readonly over?: number
 	/** Only jobs of this priority; all when absent. */
 	readonly priority?: number
 }
@@ -48,6 +48,7 @@
 	readonly task?: string
 	readonly how?: string
 	readonly took?: number
+	readonly objective?: number
 	readonly priority?: number
 	readonly waited?: number
 	readonly advised?: number
@@ -75,7 +76,7 @@
 		else if (parsed) note(stories, parsed)
 	}
 	return ended
-		.filter(({ took = 0 }) => took >= terms.over)
+		.filter(({ took = 0, objective = 0 }) => took >= (terms.over ?? objective))
 		.filter(({ job = '' }) => {
 			const { priority } = storyOf(stories, job)
 			return terms.priority === undefined || priority === terms.priority
--- /dev/null
+++ b/packages/jobs/src/lib/desk/AllowedShare.test.ts
@@ -0,0 +1,18 @@
+import assert from 'node:assert/strict'
+import { test } from 'node:test'
+import { AllowedShare } from './AllowedShare'
+
+test('a queue of which nothing is known is taken to allow a third', () => {
+	const share = new AllowedShare().of('queue')
+	assert.ok(share > 0.3 && share < 0.4)
+})
+
+test('each queue has its own share, and a policy that changes is learned anew', () => {
+	const shares = new AllowedShare()
+	shares.note('generous', 100, 90)
+	shares.note('strict', 100, 10)
+	assert.ok(shares.of('generous') > 0.8)
+	assert.ok(shares.of('strict') < 0.2)
+	for (let answer = 0; answer < 50; answer++) shares.note('generous', 20, 2)
+	assert.ok(shares.of('generous') < 0.2)
+})
--- a/packages/jobs/src/lib/desk/DeskEvent.ts
+++ b/packages/jobs/src/lib/desk/DeskEvent.ts
@@ -21,11 +21,14 @@
 	WorkerRegained: 'worker-regained',
 	/** Runs were given up; `worker`, `runs`, `reason`: the lease is over, or copies are allowed. */
 	RunsLost: 'runs-lost',
-	/** A job is accepted; `job`, `queue`, `configuration` in force. */
+	/**
+	 * A job is accepted; `job`, `queue`, `configuration` in force, its shape (`steps`, `tasks`, most `cpu` and
+	 * `accelerators` of a task, `gang`), and its `objective`: milliseconds that it may take by the times it declares.
+	 */
 	JobAccepted: 'job-accepted',
 	/** A job is not accepted; `job`, `reason`, how many `jobs` there are. */
 	JobRefused: 'job-refused',
-	/** A job has reached its last state; `job`, `state`, `took` milliseconds. */
+	/** A job has reached its last state; `job`, `state`, `took` milliseconds, its `objective` of as many. */
 	JobEnded: 'job-ended',
 	/**
 	 * Runs of a step begin; `step`, `priority`, `runs`, how many are still `waiting`, `waited` milliseconds
@@ -34,6 +37,11 @@
 	 * `term` that it was decided in.
 	 */
 	StepPlaced: 'step-placed',
+	/**
+	 * A step still waits although it had to begin by now for its job to be in time; `step`, `priority`, tasks that
+	 * are `waiting`, `waited` milliseconds, `reason`. Once for each step.
+	 */
+	StepOverdue: 'step-overdue',
 	/** A run ended; `task`, `attempt`, `worker`, `how`. */
 	RunEnded: 'run-ended',
 	/**
@@ -41,6 +49,10 @@
 	 * the highest priority.
 	 */
 	RunPreempted: 'run-preempted',
+	/** A run is moved since it gets on too slowly; `task`, `attempt`, `worker`, `percent` that it had done. */
+	RunMoved: 'run-moved',
+	/** Runs stand still or crawl on a worker that answers, so it gets nothing new for now; `worker`, `runs`. */
+	WorkerSlow: 'worker-slow',
 	/** A worker refused an order; `task`, `attempt`, `worker`, `reason`, the `order`. */
 	OrderRefused: 'order-refused',
 	/** Advice is asked; `step`, `workers`. Debug level. */
--- a/packages/jobs/src/lib/desk/JobDesk.ts
+++ b/packages/jobs/src/lib/desk/JobDesk.ts
@@ -5,11 +5,12 @@
 import { countTasks } from '../records/checkJob'
 import { JobState, type JobRequest } from '../records/Job'
 import type { Change } from '../state/Change'
+import { objectiveOf } from '../placement/stepTimes'
 import { isActive, type JobRecord } from '../state/JobRecord'
 import type { CellCall, CellReply, Destination } from './calls'
 import { epochOf, type DeskContext } from './DeskContext'
 import { DeskEvent } from './DeskEvent'
-import { explainJob, listJobs } from './explainJob'
+import { explainJob, listJobs, shapeOf } from './explainJob'
 import { QueueTable } from './QueueTable'
 import { RunBoard } from './RunBoard'
 import { StepBoard } from './StepBoard'
@@ -58,6 +59,7 @@
 		})
 		this.runs = new RunBoard(context, this.workers, {
 			ticketRefused: (task, worker) => this.steps.ticketRefused(task, worker),
+			moved: (task, worker) => this.steps.movedAway(task, worker),
 		})
 		this.steps = new StepBoard(context, this.workers, this.runs)
 		this.queues = new QueueTable(state.configuration)
@@ -206,7 +208,16 @@
 
 	private submitted(id: string, queue: string): void {
 		const configuration = this.context.state.configuration?.version
-		this.context.log.info(DeskEvent.JobAccepted, { job: id, queue, configuration })
+		const job = this.context.state.jobs.find(id)
+		const shape = job ? shapeOf(job.request) : {}
+		const objective = job ? Math.round(objectiveOf(job.request, job.queue)) : undefined
+		this.context.log.info(DeskEvent.JobAccepted, {
+			job: id,
+			queue,
+			configuration,
+			...shape,
+			objective,
+		})
 		const waiting = this.submitting.get(id) ?? []
 		this.submitting.delete(id)
 		for (const reply of waiting) reply({ kind: 'accepted' })
@@ -286,7 +297,8 @@
 	private jobEnded(job: JobRecord): void {
 		const took = job.ended - job.submitted
 		const { log, meter } = this.context
-		log.info(DeskEvent.JobEnded, { job: job.id, state: job.state, took })
+		const objective = Math.round(objectiveOf(job.request, job.queue))
+		log.info(DeskEvent.JobEnded, { job: job.id, state: job.state, took, objective })
 		meter.count(Measure.JobsEnded, { state: job.state })
 		meter.observe(Measure.JobTime, took, { state: job.state })
 		this.steps.drop(job)
--- a/packages/jobs/src/lib/desk/RunBoard.ts
+++ b/packages/jobs/src/lib/desk/RunBoard.ts
@@ -21,6 +21,8 @@
 export interface RunListener {
 	/** The ticket that a run was started with does not hold. */
 	ticketRefused(task: TaskName, worker: string): void
+	/** A run is moved away from a worker on which it got on too slowly. */
+	moved(task: TaskName, worker: string): void
 }
 
 /**
@@ -151,7 +153,7 @@
 			}
 			listed.add(task)
 			Object.assign(run, { checkpoint, percent, measure, absent: 0 })
-			run.progress.read(percent, this.context.clock.now())
+			run.progress.read(percent, result.clock, this.context.clock.now())
 			if (run.phase === RunPhase.Starting) this.enter(run, RunPhase.Running)
 		}
 		for (const end of result.ended) listed.add(end.task)
@@ -159,6 +161,34 @@
 			if (!listed.has(run.text)) this.notListed(run, sentAt)
 		}
 		this.pacing.adjust(view)
+		this.watchSpeed(view)
+	}
+
+	/** Closes a worker on which runs stand still or crawl, and moves what would be done sooner elsewhere. */
+	private watchSpeed(view: WorkerView): void {
+		const now = this.context.clock.now()
+		const { speed } = this.workers
+		if (speed.judge(view, this.workers.size, now)) {
+			const { log, meter } = this.context
+			log.warn(DeskEvent.WorkerSlow, { worker: view.id, runs: view.runs.size })
+			meter.count(Measure.SlowWorkers)
+		}
+		if (!speed.isSlow(view.id, now) || view.draining) return
+		for (const run of speed.runsToMove(view)) this.move(run)
+	}
+
+	/** Stops a run, with all of its gang, so that it goes on elsewhere. */
+	private move(run: Run): void {
+		if (run.phase !== RunPhase.Running) return
+		const { text: task, attempt, worker, percent, step } = run
+		this.context.log.info(DeskEvent.RunMoved, { task, attempt, worker, percent })
+		this.context.meter.count(Measure.Moves)
+		this.listener.moved(run.name, worker)
+		if (!step.gang) return this.beginStop(run)
+		for (let index = 0; index < step.count; index++) {
+			const member = this.runs.get(formatTaskName({ ...run.name, index }))
+			if (member) this.beginStop(member)
+		}
 	}
 
 	private add(text: string, name: TaskName, job: JobRecord, attempt: number, worker: string): Run {
--- a/packages/jobs/src/lib/desk/StepBoard.ts
+++ b/packages/jobs/src/lib/desk/StepBoard.ts
@@ -4,6 +4,7 @@
 import { formatTaskName, RunEnd, type TaskName } from '../records/Job'
 import { isActive, isStepDone, isStepReady, TaskStatus, type JobRecord } from '../state/JobRecord'
 import { Reservations } from '../placement/Reservations'
+import { timesOf } from '../placement/stepTimes'
 import { admits, chooseForStep, type Option, type RoomCheck } from './chooseForStep'
 import { epochOf, type DeskContext } from './DeskContext'
 import { DeskEvent } from './DeskEvent'
@@ -134,6 +135,11 @@
 		this.steps.get(nameOf(task))?.advice.refused(worker)
 	}
 
+	/** A run was moved away from a worker on which it got on too slowly: another one is taken, if there is one. */
+	movedAway(task: TaskName, worker: string): void {
+		this.steps.get(nameOf(task))?.failed(worker)
+	}
+
 	/** Opens repeats that have become due. */
 	tick(now: number): void {
 		this.questions.tick(now)
@@ -151,10 +157,7 @@
 	 * @param again - whether steps that found no room are tried although nothing has come free.
 	 */
 	place(now: number, again: boolean): void {
-		if (this.stale) {
-			this.order = [...this.steps.values()].sort(byUrgency)
-			this.stale = false
-		}
+		if (this.stale || again) this.sort()
 		const open = this.openWorkers()
 		this.reservations.beginPass(now)
 		for (const work of this.order) {
@@ -162,6 +165,29 @@
 		}
 	}
 
+	private sort(): void {
+		const epoch = epochOf(this.context)
+		for (const work of this.steps.values()) {
+			work.updateUrgency(epoch)
+			if (!work.toldOverdue && work.isOverdue(epoch)) this.tellOverdue(work)
+		}
+		this.order = [...this.steps.values()].sort(byUrgency)
+		this.stale = false
+	}
+
+	private tellOverdue(work: StepWork): void {
+		const waiting = work.waiting().length
+		if (waiting === 0 || work.readyAt === undefined) return
+		work.toldOverdue = true
+		this.context.log.info(DeskEvent.StepOverdue, {
+			step: work.name,
+			priority: work.queue.priority,
+			waiting,
+			waited: Math.round(work.waited(this.context.clock.now())),
+			reason: this.whyWaiting(work.name),
+		})
+	}
+
 	private close(work: StepWork): void {
 		this.steps.delete(work.name)
 		this.reservations.drop(work)
@@ -179,7 +205,7 @@
 		const known = this.steps.get(name)
 		if (known) return known
 		const queue = this.queueOf(job)
-		const work = new StepWork(job, queue, repeat, step, deadlineOf(job, repeat, queue))
+		const work = new StepWork(job, queue, repeat, step, timesOf(job, repeat, step, queue))
 		this.steps.set(name, work)
 		this.stale = true
 		return work
@@ -320,15 +346,3 @@
 function nameOf(task: TaskName): string {
 	return stepName(task.job, task.repeat, task.step)
 }
-
-/** When a repeat of a job should be done: its longest chain of expected times, stretched. */
-function deadlineOf(job: JobRecord, repeat: number, queue: Queue): number {
-	const { steps, repeat: terms } = job.request
-	const ends: number[] = []
-	steps.forEach((step, number) => {
-		const start = Math.max(0, ...step.dependsOn.map((earlier) => ends[earlier]))
-		ends[number] = start + step.expectedTime
-	})
-	const due = terms ? terms.first + repeat * terms.interval : job.submitted
-	return due + queue.latencyTarget + queue.stretch * Math.max(0, ...ends)
-}
--- a/packages/jobs/src/lib/desk/StepQuestions.ts
+++ b/packages/jobs/src/lib/desk/StepQuestions.ts
@@ -59,7 +59,7 @@
 		advice.asking = true
 		advice.questions += 1
 		const cost = queue.advice.base + queue.advice.each * workers.length
-		const rank = queue.priority * PRIORITY_RANK + work.deadline
+		const rank = work.urgency.priority * PRIORITY_RANK + work.urgency.latestStart
 		const done = (result: AdviceResult): void => this.advised(work, workers, now, result)
 		this.context.log.debug(DeskEvent.AdviceAsked, { step: work.name, workers: workers.length })
 		this.planner.ask({ step: work.name, workers, cost, rank, done })
--- a/packages/jobs/src/lib/desk/StepWork.ts
+++ b/packages/jobs/src/lib/desk/StepWork.ts
@@ -3,6 +3,7 @@
 import type { Queue } from '../records/Cell'
 import type { Step } from '../records/Job'
 import { TaskStatus, type JobRecord, type StepRecord } from '../state/JobRecord'
+import { compareUrgency, urgencyOf, type StepTimes, type Urgency } from '../placement/StepUrgency'
 import { isUrgent, reservedFor, yieldsRoom } from './reservation'
 import { StepAdvice } from './StepAdvice'
 
@@ -34,16 +35,21 @@
 	readonly failedOn = new Map<string, number>()
 	/** When the steps before it were done, on the desk's clock; absent while they are not. */
 	readyAt: number | undefined
+	/** Whether a line has told that it waits although it had to begin. */
+	toldOverdue = false
 	/** What the ledger had released when the step last found no room. */
 	triedAt = -1
 
-	/** @param deadline - when the job should be done, milliseconds since the epoch. */
+	/** What orders it among the others; told anew in each full pass. */
+	urgency: Urgency
+
+	/** @param times - when it has to begin. */
 	constructor(
 		readonly job: JobRecord,
 		readonly queue: Queue,
 		readonly repeat: number,
 		readonly number: number,
-		readonly deadline: number
+		readonly times: StepTimes
 	) {
 		this.name = stepName(job.id, repeat, number)
 		this.step = job.request.steps[number]
@@ -51,9 +57,21 @@
 		this.need = reservedFor(this.step)
 		this.urgent = isUrgent(job.queue, this.step)
 		this.yields = yieldsRoom(job.queue, this.step)
+		this.urgency = urgencyOf(queue.priority, times, times.since)
 		for (const task of this.record.tasks) if (task.worker !== '') this.count(task.worker, 1)
 	}
 
+	/** Tells its urgency anew. Lasting work is never late: each second of it counts. */
+	updateUrgency(epoch: number): void {
+		if (this.step.lasting) return
+		this.urgency = urgencyOf(this.queue.priority, this.times, epoch)
+	}
+
+	/** @returns whether it had to begin by now for its job to be in time. */
+	isOverdue(epoch: number): boolean {
+		return !this.step.lasting && epoch > this.times.deadline - this.times.remaining
+	}
+
 	/** @returns for how many milliseconds it could have begun. */
 	waited(now: number): number {
 		return this.readyAt === undefined ? 0 : Math.max(0, now - this.readyAt)
@@ -108,5 +126,5 @@
 
 /** Steps in the order in which they are placed. @internal */
 export function byUrgency(left: StepWork, right: StepWork): number {
-	return left.queue.priority - right.queue.priority || left.deadline - right.deadline
+	return compareUrgency(left.urgency, right.urgency)
 }
--- a/packages/jobs/src/lib/desk/WorkerBoard.ts
+++ b/packages/jobs/src/lib/desk/WorkerBoard.ts
@@ -8,6 +8,7 @@
 import { Looks } from './Looks'
 import { LostRuns } from './LostRuns'
 import { OutageWatch } from './OutageWatch'
+import { SpeedWatch } from '../placement/SpeedWatch'
 import type { ListedEnd, LookResult } from './ports'
 import { sameWorker } from './sameWorker'
 import { WorkerView } from './WorkerView'
@@ -25,6 +26,8 @@
  */
 export class WorkerBoard {
 	private readonly views = new Map<string, WorkerView>()
+	/** Tells which workers are slow. */
+	readonly speed = new SpeedWatch()
 	private readonly outages = new OutageWatch()
 	private readonly doubts: Doubts
 	private readonly looks: Looks
@@ -53,6 +56,11 @@
 		return this.views.get(id)
 	}
 
+	/** How many workers there are. */
+	get size(): number {
+		return this.views.size
+	}
+
 	/** All workers. */
 	all(): IterableIterator<WorkerView> {
 		return this.views.values()
@@ -88,7 +96,7 @@
 		const { clock, timing, health } = this.context
 		const now = clock.now()
 		if (view.draining || view.doubts.size > 0 || view.unreachable || !view.listed) return false
-		if (this.isDoubtful(view, now)) return false
+		if (this.isDoubtful(view, now) || this.speed.isSlow(view.id, now)) return false
 		return now - view.heartbeatAt < timing.workerSilent && health.isOpen(view.id, now)
 	}
 
@@ -111,6 +119,7 @@
 		this.views.delete(id)
 		this.context.ledger.leave(id)
 		this.context.health.forget(id)
+		this.speed.forget(id)
 	}
 
 	/**
--- a/packages/jobs/src/lib/desk/explainJob.ts
+++ b/packages/jobs/src/lib/desk/explainJob.ts
@@ -1,10 +1,24 @@
 /** Tells what is known of jobs: lists, and why a job waits. */
+import { countTasks } from '../records/checkJob'
+import type { JobRequest } from '../records/Job'
 import { isActive, isStepReady, TaskStatus, type JobRecord } from '../state/JobRecord'
 import type { CellState } from '../state/CellState'
 import type { JobExplanation, JobFilter, JobSummary, StepExplanation } from './calls'
 import type { StepBoard } from './StepBoard'
 import { stepName } from './StepWork'
 
+/** A job's shape, as its log line tells it. */
+interface JobShape {
+	readonly steps: number
+	/** Of all steps and repeats. */
+	readonly tasks: number
+	/** Thousandths of a processor that its largest task needs. */
+	readonly cpu: number
+	/** Accelerators that the task with most of them needs. */
+	readonly accelerators: number
+	readonly gang: boolean
+}
+
 /** @returns jobs that pass the filter, the newest first. @internal */
 export function listJobs(state: CellState, filter: JobFilter): JobSummary[] {
 	const found: JobSummary[] = []
@@ -34,6 +48,18 @@
 	return { ...summaryOf(job), term, configuration, steps: explained }
 }
 
+/** @returns a job's shape for its log line: steps, tasks, the most that one task needs, and whether it has a gang. @internal */
+export function shapeOf(request: JobRequest): JobShape {
+	const { steps } = request
+	return {
+		steps: steps.length,
+		tasks: countTasks(request),
+		cpu: Math.max(...steps.map((step) => step.need.cpu)),
+		accelerators: Math.max(...steps.map((step) => step.need.accelerators)),
+		gang: steps.some((step) => step.gang),
+	}
+}
+
 function summaryOf(job: JobRecord): JobSummary {
 	const { id, queue, state, submitted, ended } = job
 	const steps = job.repeats.flat()
--- /dev/null
+++ b/packages/jobs/src/lib/placement/Reservations.test.ts
@@ -0,0 +1,76 @@
+import assert from 'node:assert/strict'
+import { test } from 'node:test'
+import { JobState } from '../records/Job'
+import { DeskSubject } from '../testing/DeskSubject'
+import { jobOf } from '../testing/samples'
+
+const BIG = '00000000000000b1'
+const LATER_BIG = '00000000000000b2'
+const WORKERS = ['w1', 'w2']
+const WHOLE_WORKER = { cpu: 4000, memory: 512, accelerators: 0 }
+const QUARTER = { cpu: 900, memory: 512, accelerators: 0 }
+
+function smallId(number: number): string {
+	return `00000000000001${number.toString(16).padStart(2, '0')}`
+}
+
+/** Two workers on which small tasks come and go, so that neither is ever empty by itself. */
+function busySubject(): DeskSubject {
+	const subject = new DeskSubject({ latencyTarget: 200_000 })
+	for (const id of WORKERS) {
+		subject.heartbeat(id)
+		subject.worker(id).pace = 15
+	}
+	return subject
+}
+
+/** Hands in small tasks of which each takes a second; they end in the order in which they came. */
+function playSmall(subject: DeskSubject, from: number, seconds: number): void {
+	for (let second = 0; second < seconds; second++) {
+		for (let each = 0; each < 2; each++) {
+			const number = from + second * 2 + each
+			subject.submit(smallId(number), jobOf({ need: QUARTER, expectedTime: 3000 }))
+		}
+		subject.run(1000, ...WORKERS)
+		const oldest = smallId(from + second * 2 - 4)
+		const next = smallId(from + second * 2 - 3)
+		for (const id of WORKERS) {
+			for (const job of [oldest, next]) {
+				const task = `${job}.0.0.0`
+				const fake = subject.worker(id)
+				if (fake.running.some((run) => run.task === task)) fake.end(task, 'done')
+			}
+		}
+	}
+}
+
+test('a task that takes a whole worker begins although smaller ones keep coming', () => {
+	const subject = busySubject()
+	playSmall(subject, 0, 6)
+	subject.submit(BIG, jobOf({ need: WHOLE_WORKER, expectedTime: 3000 }))
+	playSmall(subject, 12, 12)
+	assert.equal(subject.state.jobs.find(BIG)?.state, JobState.Running)
+})
+
+test('small work goes on beside what is kept, on the other workers', () => {
+	const subject = busySubject()
+	playSmall(subject, 0, 6)
+	subject.submit(BIG, jobOf({ need: WHOLE_WORKER, expectedTime: 3000 }))
+	const before = subject.startCount
+	playSmall(subject, 12, 4)
+	assert.ok(subject.startCount > before, 'the other worker takes small tasks')
+})
+
+test('what is kept is given up with its job', () => {
+	const subject = busySubject()
+	playSmall(subject, 0, 6)
+	subject.submit(BIG, jobOf({ need: WHOLE_WORKER, expectedTime: 3000 }))
+	subject.submit(LATER_BIG, jobOf({ need: WHOLE_WORKER, expectedTime: 3000 }))
+	subject.run(200, ...WORKERS)
+	for (const id of [BIG, LATER_BIG]) subject.call({ kind: 'cancel', to: { id } })
+	subject.run(1000, ...WORKERS)
+	const before = subject.startCount
+	subject.submit(smallId(90), jobOf({ need: QUARTER, expectedTime: 60_000 }))
+	subject.run(100, ...WORKERS)
+	assert.equal(subject.startCount, before + 1)
+})
--- /dev/null
+++ b/packages/jobs/src/lib/placement/RunProgress.test.ts
@@ -0,0 +1,42 @@
+import assert from 'node:assert/strict'
+import { test } from 'node:test'
+import { RunProgress } from './RunProgress'
+
+const EXPECTED = 4000
+
+test('before it is read a run is expected to take what its step declares', () => {
+	const progress = new RunProgress(1000, EXPECTED)
+	assert.equal(progress.expectedEnd(1500), 5000)
+	assert.equal(progress.expectedEnd(9000), 9000)
+})
+
+test('the end follows from the speed that is seen, and from that of late', () => {
+	const progress = new RunProgress(0, EXPECTED)
+	progress.read(10, 500, 500)
+	progress.read(20, 1000, 1000)
+	assert.equal(progress.expectedEnd(1000), 5000)
+	// It turns five times as slow.
+	for (let half = 1; half <= 6; half++)
+		progress.read(20 + 2 * half, 1000 + 500 * half, 1000 + 500 * half)
+	assert.equal(Math.round(progress.observed ?? 0), 25_000)
+})
+
+test('standing still is told from readings, not from the time without any', () => {
+	const progress = new RunProgress(0, EXPECTED)
+	progress.read(10, 500, 500)
+	progress.read(20, 1000, 1000)
+	assert.equal(progress.stoodStillFor, 0)
+	progress.read(20, 1500, 1500)
+	progress.read(20, 2000, 2000)
+	assert.equal(progress.stoodStillFor, 1000)
+	assert.ok(progress.hasMoved)
+})
+
+test('an answer that is read late does not look like a run that stands still', () => {
+	const progress = new RunProgress(0, EXPECTED)
+	progress.read(10, 500, 500)
+	progress.read(20, 1000, 6000)
+	progress.read(21, 1040, 6010)
+	assert.equal(progress.stoodStillFor, 0)
+	assert.ok((progress.observed ?? 0) < EXPECTED * 2)
+})
--- a/packages/jobs/src/lib/placement/RunProgress.ts
+++ b/packages/jobs/src/lib/placement/RunProgress.ts
@@ -1,7 +1,9 @@
 /** How far a run has got, how fast it goes, and when it is expected to end. */
 
-/** Milliseconds between two readings from which a speed is told; what workers report is half a second old. */
+/** Milliseconds of the shortest span from which a speed is told; workers are read at least twice a second. */
 const LEAST_SPAN = 250
+/** Milliseconds after which older readings are left out, so that a change of speed shows. */
+const WINDOW = 700
 /** Percent of a whole task. */
 const WHOLE = 100
 
@@ -9,55 +11,74 @@
 interface Reading {
 	/** From 0 to 100. */
 	readonly percent: number
-	/** When it was taken, on the leader's clock. */
+	/** When it was taken, on the worker's own clock: neither the way here nor a late leader changes it. */
 	readonly at: number
 }
 
 /**
- * The progress of one run.
+ * The progress of one run, from what its worker lists.
  *
  * @internal
  */
 export class RunProgress {
+	/** Where the span begins from which the speed is told. */
 	private first: Reading | undefined
+	/** Where the next such span begins. */
+	private next: Reading | undefined
 	private latest: Reading | undefined
-	/** When the percentage last rose, on the leader's clock. */
-	private movedAt: number
+	private moved = false
+	/** When the percentage last rose, on the worker's own clock. */
+	private movedAt = 0
+	/** When the latest reading came, on the leader's clock. */
+	private readAt: number
 
 	/**
 	 * @param begunAt - when the run was ordered, on the leader's clock.
 	 * @param expected - milliseconds that a whole task of its step is expected to take.
 	 */
 	constructor(
-		private readonly begunAt: number,
+		begunAt: number,
 		private readonly expected: number
 	) {
-		this.movedAt = begunAt
+		this.readAt = begunAt
 	}
 
-	/** Takes what the worker has listed. */
-	read(percent: number, at: number): void {
-		const rose = this.latest === undefined || percent > this.latest.percent
-		if (rose) this.movedAt = at
-		this.first ??= { percent, at }
-		this.latest = { percent, at }
+	/**
+	 * Takes what the worker has listed.
+	 *
+	 * @param percent - from 0 to 100.
+	 * @param at - when it was so, on the worker's own clock.
+	 * @param now - the moment, on the leader's clock.
+	 */
+	read(percent: number, at: number, now: number): void {
+		this.readAt = now
+		const reading = { percent, at }
+		if (this.latest && percent > this.latest.percent) this.moved = true
+		if (!this.latest || percent > this.latest.percent) this.movedAt = at
+		this.first ??= reading
+		this.next ??= reading
+		this.latest = reading
+		if (at - this.next.at < WINDOW) return
+		this.first = this.next
+		this.next = reading
 	}
 
-	/** When the percentage last rose, on the leader's clock. */
-	get lastMoved(): number {
-		return this.movedAt
+	/** Whether it was seen to get on at all; a gang's member does not before all are there. */
+	get hasMoved(): boolean {
+		return this.moved
 	}
 
-	/** Whether it was seen to get on at all. */
-	get hasMoved(): boolean {
-		return (
-			this.first !== undefined &&
-			this.latest !== undefined &&
-			this.latest.percent > this.first.percent
-		)
+	/** Milliseconds for which readings have shown no progress. */
+	get stoodStillFor(): number {
+		return this.latest ? this.latest.at - this.movedAt : 0
+	}
+
+	/** Percent done when last read. */
+	get percent(): number {
+		return this.latest?.percent ?? 0
 	}
 
-	/** Milliseconds that a whole task takes at the speed seen; undefined while none can be told. */
+	/** Milliseconds that a whole task takes at the speed seen of late; undefined while none can be told. */
 	get observed(): number | undefined {
 		const { first, latest } = this
 		if (!first || !latest) return undefined
@@ -73,8 +94,7 @@
 	 */
 	expectedEnd(now: number): number {
 		const whole = this.observed ?? this.expected
-		const { percent, at } = this.latest ?? { percent: 0, at: this.begunAt }
-		const left = (whole * (WHOLE - percent)) / WHOLE
-		return Math.max(now, at + left)
+		const left = (whole * (WHOLE - this.percent)) / WHOLE
+		return Math.max(now, this.readAt + left)
 	}
 }
--- /dev/null
+++ b/packages/jobs/src/lib/placement/SpeedWatch.test.ts
@@ -0,0 +1,52 @@
+import assert from 'node:assert/strict'
+import { test } from 'node:test'
+import { DeskSubject } from '../testing/DeskSubject'
+import { jobOf } from '../testing/samples'
+
+const ID = '00000000000000aa'
+const OTHER = '00000000000000bb'
+/** Milliseconds within which a standing run is found and stopped. */
+const FOUND_WITHIN = 3000
+const QUICK = { expectedTime: 2000, checkpoints: true }
+
+function subjectOnOneWorker(changes: object = {}): DeskSubject {
+	const subject = new DeskSubject()
+	subject.heartbeat('w1')
+	for (const id of ['w1', 'w2']) subject.worker(id).pace = 20
+	subject.submit(ID, jobOf({ ...QUICK, ...changes }))
+	subject.run(1100, 'w1')
+	subject.heartbeat('w2')
+	return subject
+}
+
+test('what stands still on a worker that answers is moved, and nothing new goes there', () => {
+	const subject = subjectOnOneWorker()
+	subject.worker('w1').pace = 0
+	subject.run(FOUND_WITHIN, 'w1', 'w2')
+	assert.equal(subject.worker('w1').stops.length, 1)
+	assert.equal(subject.worker('w2').starts.length, 1)
+	subject.submit(OTHER, jobOf({ count: 2 }))
+	subject.run(100, 'w1', 'w2')
+	assert.equal(subject.worker('w1').starts.length, 1)
+})
+
+test('a lasting task, one of a worker that gets on, and one without a declared time stay', () => {
+	for (const changes of [{ lasting: true }, { expectedTime: 0 }]) {
+		const subject = subjectOnOneWorker(changes)
+		subject.worker('w1').pace = 0
+		subject.run(FOUND_WITHIN, 'w1', 'w2')
+		assert.equal(subject.worker('w1').stops.length, 0)
+	}
+	const subject = subjectOnOneWorker({ expectedTime: 5000 })
+	subject.worker('w1').pace = 8
+	subject.run(FOUND_WITHIN, 'w1', 'w2')
+	assert.equal(subject.worker('w1').stops.length, 0)
+})
+
+test('a task whose declared time is far off ends all the same: it is moved a few times at most', () => {
+	const subject = subjectOnOneWorker()
+	for (const id of ['w1', 'w2']) subject.worker(id).pace = 0
+	subject.run(FOUND_WITHIN * 20, 'w1', 'w2')
+	const starts = subject.worker('w1').starts.length + subject.worker('w2').starts.length
+	assert.ok(starts <= 4, `${starts} starts`)
+})
--- /dev/null
+++ b/packages/jobs/src/lib/placement/stepTimes.ts
@@ -0,0 +1,35 @@
+/** When the steps of a job have to begin, from the times that it declares and the terms of its queue. */
+import type { Queue } from '../records/Cell'
+import type { JobRequest, Step } from '../records/Job'
+import type { JobRecord } from '../state/JobRecord'
+import type { StepTimes } from './StepUrgency'
+
+/**
+ * @param request - a job.
+ * @param queue - its queue.
+ * @returns milliseconds that one of its repeats may take: its longest chain of declared times, stretched.
+ * @internal
+ */
+export function objectiveOf({ steps }: JobRequest, queue: Queue): number {
+	return queue.latencyTarget + queue.stretch * Math.max(0, ...remainingChains(steps))
+}
+
+/** @returns when a step of one of a job's repeats has to begin. @internal */
+export function timesOf(job: JobRecord, repeat: number, step: number, queue: Queue): StepTimes {
+	const { steps, repeat: terms } = job.request
+	const since = terms ? terms.first + repeat * terms.interval : job.submitted
+	const deadline = since + objectiveOf(job.request, queue)
+	return { since, deadline, remaining: remainingChains(steps)[step] }
+}
+
+/** For each step the milliseconds that it and the longest chain of steps after it are declared to take. */
+function remainingChains(steps: readonly Step[]): number[] {
+	const chains = steps.map((step) => step.expectedTime)
+	for (let number = steps.length - 1; number >= 0; number--) {
+		for (const earlier of steps[number].dependsOn) {
+			const through = steps[earlier].expectedTime + chains[number]
+			chains[earlier] = Math.max(chains[earlier], through)
+		}
+	}
+	return chains
+}
--- a/packages/jobs/src/lib/testing/DeskSubject.ts
+++ b/packages/jobs/src/lib/testing/DeskSubject.ts
@@ -44,10 +44,21 @@
 	losesLooks = 0
 	/** Milliseconds that a stop takes. */
 	stopTakes = 0
+	/** Percent by which what it runs gets on from one look to the next; 0 to let it stand still. */
+	pace = 3
 	/** What the next starts are answered with, in place of being carried out. */
 	startResult: OrderResult | undefined
 	private endCount = 0
 
+	/** What it runs gets on a little. */
+	work(): void {
+		const { pace } = this
+		this.running = this.running.map((run) => ({
+			...run,
+			percent: Math.min(99, run.percent + pace),
+		}))
+	}
+
 	/** A run of it ends. */
 	end(task: string, how: ListedEnd['how'], checkpoint = ''): void {
 		const run = this.running.find((one) => one.task === task)
@@ -98,6 +109,7 @@
 		}
 		fake.ended = fake.ended.filter((end) => end.number > order.endsSeen)
 		const answer = (): void => {
+			fake.work()
 			const { running, ended } = fake
 			done({ kind: 'done', clock: this.subject.workerClock, running, ended: [...ended] })
 		}
--- a/packages/jobs/src/lib/testing/samples.ts
+++ b/packages/jobs/src/lib/testing/samples.ts
@@ -15,11 +15,11 @@
 	timeout: 3000,
 }
 
-/** A plain step of one small task. */
+/** A plain step of one small task, which takes as long as a test may last. */
 export const STEP: Step = {
 	...PLAIN_STEP,
 	need: { cpu: 1000, memory: 512, accelerators: 0 },
-	expectedTime: 500,
+	expectedTime: 30_000,
 }
 
 /** @returns a job of the steps given, each plain but for what is said. */
--- a/packages/runs/src/lib/jobs/FleetWorker.ts
+++ b/packages/runs/src/lib/jobs/FleetWorker.ts
@@ -35,6 +35,8 @@
 	readonly worker: FleetWorker
 	checkpoint: string
 	saves: number
+	/** Milliseconds that it works in all. */
+	readonly works: number
 	/** When it ends by itself; infinite while a gang is not complete, and for lasting tasks. */
 	endsAt: number
 	/** Whether it will fail, of itself or by its worker. */
@@ -218,6 +220,7 @@
 			checkpoint,
 			saves: 0,
 			fails,
+			works,
 			endsAt: step.lasting && !fails ? Number.POSITIVE_INFINITY : clock.now() + works,
 			endsAs: fails ? RunEnd.Failed : RunEnd.Done,
 			savesAt: step.checkpoints ? clock.now() + SAVE_EVERY : Number.POSITIVE_INFINITY,
@@ -262,16 +265,24 @@
 	}
 
 	private list(): LookResult {
-		const running: ListedRun[] = [...this.runs.values()].map(({ task, attempt, checkpoint }) => ({
-			task,
-			attempt,
-			checkpoint,
-			percent: 50,
+		const running: ListedRun[] = [...this.runs.values()].map((run) => ({
+			task: run.task,
+			attempt: run.attempt,
+			checkpoint: run.checkpoint,
+			percent: this.percentOf(run),
 			measure: 100,
 		}))
 		return { kind: 'done', clock: this.ownClock, running, ended: [...this.ended] }
 	}
 
+	/** How far a run has got; nothing while a gang is not complete. */
+	private percentOf({ step, works, endsAt, endsAs }: FleetRun): number {
+		if (step.lasting) return 100
+		if (!Number.isFinite(endsAt) || endsAs === RunEnd.Alone) return 0
+		const left = (endsAt - this.parts.clock.now()) / Math.max(1, works)
+		return Math.floor(Math.min(1, Math.max(0, 1 - left)) * 100)
+	}
+
 	private done(): OrderResult {
 		return { kind: 'done', clock: this.ownClock }
 	}
--- a/packages/telemetry/src/lib/Meter.ts
+++ b/packages/telemetry/src/lib/Meter.ts
@@ -17,6 +17,10 @@
 	RunsEnded: 'runs_ended_total',
 	/** Counter: runs stopped to make room for work of the highest priority. */
 	Preemptions: 'preemptions_total',
+	/** Counter: runs moved away from a worker on which they got on too slowly. */
+	Moves: 'moves_total',
+	/** Counter: times that a worker was found to be slow. */
+	SlowWorkers: 'slow_workers_total',
 	/** Counter by `order` and `result`: orders to workers. */
 	Orders: 'orders_total',
 	/** Histogram by `order`, milliseconds: until a worker answered. */
