What is urgent follows from the priorities at a service; late steps go after those in time of their own priority only

Cause: the share that other work leaves to urgent work, and preemption, knew only "priority 0". The service with accelerators never sees that priority, so its higher one was held to three quarters of a worker: no two tasks of 31 of 64 cores side by side. Change: urgent is the highest priority configured or seen at a service of late; it is no longer held to that share. The objective by which steps are ordered counts a question for advice a step, as the users reckon it.

--- a/packages/jobs/src/lib/desk/JobDesk.ts
+++ b/packages/jobs/src/lib/desk/JobDesk.ts
@@ -5,6 +5,7 @@
 import { countTasks } from '../records/checkJob'
 import { JobState, type JobRequest } from '../records/Job'
 import type { Change } from '../state/Change'
+import { Precedence } from '../placement/Precedence'
 import { objectiveOf } from '../placement/stepTimes'
 import { isActive, type JobRecord } from '../state/JobRecord'
 import type { CellCall, CellReply, Destination } from './calls'
@@ -42,6 +43,7 @@
  */
 export class JobDesk {
 	private readonly workers: WorkerBoard
+	private readonly precedence = new Precedence()
 	private readonly runs: RunBoard
 	private readonly steps: StepBoard
 	private queues: QueueTable
@@ -57,11 +59,12 @@
 		this.workers = new WorkerBoard(context, {
 			looked: (view, result, sentAt) => this.runs.looked(view, result, sentAt),
 		})
-		this.runs = new RunBoard(context, this.workers, {
+		this.precedence.configured(state.configuration?.queues ?? [], context.clock.now())
+		this.runs = new RunBoard(context, this.workers, this.precedence, {
 			ticketRefused: (task, worker) => this.steps.ticketRefused(task, worker),
 			moved: (task, worker) => this.steps.movedAway(task, worker),
 		})
-		this.steps = new StepBoard(context, this.workers, this.runs)
+		this.steps = new StepBoard(context, this.workers, this.runs, this.precedence)
 		this.queues = new QueueTable(state.configuration)
 		for (const job of state.jobs.all()) this.takeUp(job)
 		log.info(DeskEvent.LeadershipGained, {
@@ -288,6 +291,7 @@
 	private configured(configuration: CellConfiguration): void {
 		this.queues = new QueueTable(configuration)
 		const { version, queues } = configuration
+		this.precedence.configured(queues, this.context.clock.now())
 		this.context.log.info(DeskEvent.ConfigurationApplied, {
 			configuration: version,
 			queues: queues.length,
--- a/packages/jobs/src/lib/desk/RunBoard.ts
+++ b/packages/jobs/src/lib/desk/RunBoard.ts
@@ -1,6 +1,7 @@
 /** The runs of the cell: orders to start and stop them, sent again until the worker has answered. */
 import { Measure } from '@rillrudder/telemetry'
 import { formatTaskName, RunEnd, type TaskName } from '../records/Job'
+import type { Precedence, Standing } from '../placement/Precedence'
 import { RunProgress } from '../placement/RunProgress'
 import type { JobRecord } from '../state/JobRecord'
 import { tasksOf } from '../state/JobBook'
@@ -9,7 +10,7 @@
 import { DeskEvent } from './DeskEvent'
 import { Pacing } from './Pacing'
 import { Refusal, type LookResult, type OrderResult } from './ports'
-import { isUrgent, reservedFor, yieldsRoom } from './reservation'
+import { reservedFor } from './reservation'
 import { RunPhase, type Run } from './Run'
 import type { WorkerBoard } from './WorkerBoard'
 import type { WorkerView } from './WorkerView'
@@ -17,6 +18,12 @@
 /** Looks in a row that must not list a run before it is given up. */
 const ABSENT_LOOKS = 2
 
+/** What was decided for a run before it begins. @internal */
+export interface Decision extends Standing {
+	/** Shows its worker that it may run it; empty where none is wanted. */
+	readonly ticket: string
+}
+
 /** Told of orders that show that a choice was wrong. @internal */
 export interface RunListener {
 	/** The ticket that a run was started with does not hold. */
@@ -32,13 +39,14 @@
  */
 export class RunBoard {
 	private readonly runs = new Map<string, Run>()
-	/** Tickets of runs that have been decided and not yet begun. */
-	private readonly tickets = new Map<string, string>()
+	/** Runs that have been decided and not yet begun. */
+	private readonly pending = new Map<string, Decision>()
 	private readonly pacing: Pacing
 
 	constructor(
 		private readonly context: DeskContext,
 		private readonly workers: WorkerBoard,
+		private readonly precedence: Precedence,
 		private readonly listener: RunListener
 	) {
 		this.pacing = new Pacing(context)
@@ -63,9 +71,9 @@
 		}
 	}
 
-	/** Remembers the ticket for a run that has been decided. */
-	decided(task: string, ticket: string): void {
-		if (ticket !== '') this.tickets.set(task, ticket)
+	/** Remembers a run that has been decided, until it begins or will not. */
+	decided(task: string, decision: Decision): void {
+		this.pending.set(task, decision)
 	}
 
 	/** A run has begun: its worker is told. */
@@ -80,10 +88,10 @@
 	/** A run that was decided will not begin. */
 	voided(name: TaskName, worker: string): void {
 		const job = this.context.state.jobs.find(name.job)
-		this.tickets.delete(formatTaskName(name))
+		const decision = this.takeDecision(formatTaskName(name))
 		if (!job) return
-		const step = job.request.steps[name.step]
-		this.context.ledger.release(worker, reservedFor(step), isUrgent(job.queue, step))
+		const need = reservedFor(job.request.steps[name.step])
+		this.context.ledger.release(worker, need, decision?.urgent)
 	}
 
 	/** A run has ended: what it had is free. */
@@ -193,6 +201,9 @@
 
 	private add(text: string, name: TaskName, job: JobRecord, attempt: number, worker: string): Run {
 		const step = job.request.steps[name.step]
+		const decision = this.takeDecision(text)
+		const now = this.context.clock.now()
+		const { urgent, yields } = decision ?? this.precedence.standingOf(job.queue, step, now)
 		const run: Run = {
 			text,
 			name,
@@ -200,29 +211,34 @@
 			attempt,
 			worker,
 			need: reservedFor(step),
-			urgent: isUrgent(job.queue, step),
-			yields: yieldsRoom(job.queue, step),
-			ticket: this.tickets.get(text) ?? '',
+			urgent,
+			yields,
+			ticket: decision?.ticket ?? '',
 			ticketed: job.queue.advice !== undefined,
 			restored: false,
 			phase: RunPhase.Starting,
-			since: this.context.clock.now(),
+			since: now,
 			unanswered: 0,
 			busy: false,
 			retryAt: 0,
 			checkpoint: '',
 			percent: 0,
-			progress: new RunProgress(this.context.clock.now(), step.expectedTime),
+			progress: new RunProgress(now, step.expectedTime),
 			measure: 0,
 			pace: 100,
 			absent: 0,
 		}
-		this.tickets.delete(text)
 		this.runs.set(text, run)
 		this.workers.find(worker)?.runs.set(text, run)
 		return run
 	}
 
+	private takeDecision(task: string): Decision | undefined {
+		const decision = this.pending.get(task)
+		this.pending.delete(task)
+		return decision
+	}
+
 	private enter(run: Run, phase: RunPhase): void {
 		run.phase = phase
 		run.since = this.context.clock.now()
--- a/packages/jobs/src/lib/desk/StepBoard.ts
+++ b/packages/jobs/src/lib/desk/StepBoard.ts
@@ -3,6 +3,7 @@
 import type { Queue } from '../records/Cell'
 import { formatTaskName, RunEnd, type TaskName } from '../records/Job'
 import { isActive, isStepDone, isStepReady, TaskStatus, type JobRecord } from '../state/JobRecord'
+import type { Precedence } from '../placement/Precedence'
 import { Reservations } from '../placement/Reservations'
 import { timesOf } from '../placement/stepTimes'
 import { admits, chooseForStep, type Option, type RoomCheck } from './chooseForStep'
@@ -37,7 +38,8 @@
 	constructor(
 		private readonly context: DeskContext,
 		private readonly workers: WorkerBoard,
-		private readonly runs: RunBoard
+		private readonly runs: RunBoard,
+		private readonly precedence: Precedence
 	) {
 		this.questions = new StepQuestions(context)
 	}
@@ -78,6 +80,7 @@
 
 	/** Takes up a job: all its repeats that are due. */
 	accept(job: JobRecord): void {
+		this.precedence.note(job.queue, this.context.clock.now())
 		const { repeat } = job.request
 		job.repeats.forEach((_, number) => {
 			const due = repeat ? repeat.first + number * repeat.interval : 0
@@ -205,7 +208,10 @@
 		const known = this.steps.get(name)
 		if (known) return known
 		const queue = this.queueOf(job)
-		const work = new StepWork(job, queue, repeat, step, timesOf(job, repeat, step, queue))
+		const times = timesOf(job, repeat, step, queue)
+		const now = this.context.clock.now()
+		const standing = this.precedence.standingOf(queue, job.request.steps[step], now)
+		const work = new StepWork(job, queue, repeat, step, times, standing)
 		this.steps.set(name, work)
 		this.stale = true
 		return work
@@ -315,7 +321,8 @@
 			const task = formatTaskName({ job: job.id, repeat, step, index })
 			const attempt = request.gang ? gangAttempt : record.tasks[index].attempt + 1
 			work.decided.add(index)
-			this.runs.decided(task, work.advice.ticket(worker, now) ?? '')
+			const ticket = work.advice.ticket(worker, now) ?? ''
+			this.runs.decided(task, { ticket, urgent: work.urgent, yields: work.yields })
 			return { task, attempt, worker }
 		})
 		const priority = String(work.queue.priority)
--- a/packages/jobs/src/lib/desk/StepWork.ts
+++ b/packages/jobs/src/lib/desk/StepWork.ts
@@ -3,8 +3,9 @@
 import type { Queue } from '../records/Cell'
 import type { Step } from '../records/Job'
 import { TaskStatus, type JobRecord, type StepRecord } from '../state/JobRecord'
+import type { Standing } from '../placement/Precedence'
 import { compareUrgency, urgencyOf, type StepTimes, type Urgency } from '../placement/StepUrgency'
-import { isUrgent, reservedFor, yieldsRoom } from './reservation'
+import { reservedFor } from './reservation'
 import { StepAdvice } from './StepAdvice'
 
 /** @returns the name that advice is asked under. @internal */
@@ -22,7 +23,7 @@
 	readonly step: Step
 	readonly record: StepRecord
 	readonly need: Resources
-	/** Whether it is of the highest priority. */
+	/** Whether it is of the highest priority at its service. */
 	readonly urgent: boolean
 	/** Whether it leaves room for what is. */
 	readonly yields: boolean
@@ -43,20 +44,24 @@
 	/** What orders it among the others; told anew in each full pass. */
 	urgency: Urgency
 
-	/** @param times - when it has to begin. */
+	/**
+	 * @param times - when it has to begin.
+	 * @param standing - what it is to the others at its service.
+	 */
 	constructor(
 		readonly job: JobRecord,
 		readonly queue: Queue,
 		readonly repeat: number,
 		readonly number: number,
-		readonly times: StepTimes
+		readonly times: StepTimes,
+		standing: Standing
 	) {
 		this.name = stepName(job.id, repeat, number)
 		this.step = job.request.steps[number]
 		this.record = job.repeats[repeat][number]
 		this.need = reservedFor(this.step)
-		this.urgent = isUrgent(job.queue, this.step)
-		this.yields = yieldsRoom(job.queue, this.step)
+		this.urgent = standing.urgent
+		this.yields = standing.yields
 		this.urgency = urgencyOf(queue.priority, times, times.since)
 		for (const task of this.record.tasks) if (task.worker !== '') this.count(task.worker, 1)
 	}
--- /dev/null
+++ b/packages/jobs/src/lib/placement/Precedence.ts
@@ -0,0 +1,58 @@
+/**
+ * Which work goes before which at each service. That follows from the priorities that are configured or were seen there
+ * of late, not from a number: the highest of them counts as urgent, and what is below leaves it a share of each worker.
+ */
+import type { Queue } from '../records/Cell'
+import type { Step } from '../records/Job'
+
+/**
+ * Milliseconds for which a priority counts after its last job was handed in, or after it was configured: longer than the
+ * pause between bursts, and a queue that nobody uses holds nothing back for ever.
+ */
+const KEPT = 60_000
+
+/** What a task of a step is to the others at its service. @internal */
+export interface Standing {
+	/** Whether it is of the highest priority there, and other work leaves it room. */
+	readonly urgent: boolean
+	/** Whether it leaves room for what is. Lasting work holds its place anyway. */
+	readonly yields: boolean
+}
+
+/**
+ * The priorities seen at each service.
+ *
+ * @internal
+ */
+export class Precedence {
+	/** For each service when each priority was last seen, on the leader's clock. */
+	private readonly seen = new Map<string, Map<number, number>>()
+
+	/** These queues are configured from now on. */
+	configured(queues: readonly Queue[], now: number): void {
+		for (const queue of queues) this.note(queue, now)
+	}
+
+	/** A job was handed in to a queue. */
+	note({ service, priority }: Queue, now: number): void {
+		const priorities = this.seen.get(service) ?? new Map<number, number>()
+		this.seen.set(service, priorities)
+		priorities.set(priority, now)
+	}
+
+	/** @returns what tasks of a queue's step are to the others there. */
+	standingOf(queue: Queue, step: Step, now: number): Standing {
+		const highest = this.highest(queue, now)
+		const urgent = queue.priority <= highest && !step.bestEffort
+		const yields = queue.priority > highest && !step.lasting && !step.bestEffort
+		return { urgent, yields }
+	}
+
+	private highest({ service, priority }: Queue, now: number): number {
+		let highest = priority
+		for (const [other, at] of this.seen.get(service) ?? []) {
+			if (now - at <= KEPT) highest = Math.min(highest, other)
+		}
+		return highest
+	}
+}
--- a/packages/jobs/src/lib/placement/StepUrgency.ts
+++ b/packages/jobs/src/lib/placement/StepUrgency.ts
@@ -1,7 +1,7 @@
 /**
  * In which order waiting steps are placed. Priority goes first. Within it what can still be in time goes before what
- * is late already, or an overload would make everything late; what is late yields also to lower priorities that can
- * still be in time. It comes back to its place before it would be of no use at all.
+ * is late already, or an overload would make everything late. What is late comes back to its place before it would be
+ * of no use at all.
  */
 
 /**
@@ -11,8 +11,8 @@
 const LATE_FACTOR = 3
 /** Milliseconds before a late step loses its last use at which it goes first again, so that it finds room. */
 const LAST_CALL = 3000
-/** What is added to the priority of a step that is late: it goes after the next lower priority, before the one below. */
-const LATE_DEMOTION = 1.5
+/** What is added to the priority of a step that is late: it goes after the others of that priority. */
+const LATE_DEMOTION = 0.5
 
 /** When a step has to begin, and until when that matters; milliseconds since the epoch. @internal */
 export interface StepTimes {
--- a/packages/jobs/src/lib/placement/stepTimes.ts
+++ b/packages/jobs/src/lib/placement/stepTimes.ts
@@ -4,14 +4,18 @@
 import type { JobRecord } from '../state/JobRecord'
 import type { StepTimes } from './StepUrgency'
 
+/** Workers that one question for advice is taken to name when a job's objective is told; the users reckon so too. */
+const ADVISED_WORKERS = 30
+
 /**
  * @param request - a job.
  * @param queue - its queue.
- * @returns milliseconds that one of its repeats may take: its longest chain of declared times, stretched.
+ * @returns milliseconds that one of its repeats may take: its longest chain of declared times and of
+ * questions for advice, stretched.
  * @internal
  */
 export function objectiveOf({ steps }: JobRequest, queue: Queue): number {
-	return queue.latencyTarget + queue.stretch * Math.max(0, ...remainingChains(steps))
+	return queue.latencyTarget + queue.stretch * Math.max(0, ...remainingChains(steps, queue))
 }
 
 /** @returns when a step of one of a job's repeats has to begin. @internal */
@@ -19,15 +23,16 @@
 	const { steps, repeat: terms } = job.request
 	const since = terms ? terms.first + repeat * terms.interval : job.submitted
 	const deadline = since + objectiveOf(job.request, queue)
-	return { since, deadline, remaining: remainingChains(steps)[step] }
+	return { since, deadline, remaining: remainingChains(steps, queue)[step] }
 }
 
-/** For each step the milliseconds that it and the longest chain of steps after it are declared to take. */
-function remainingChains(steps: readonly Step[]): number[] {
-	const chains = steps.map((step) => step.expectedTime)
+/** For each step the milliseconds that it and the longest chain of steps after it are expected to take. */
+function remainingChains(steps: readonly Step[], { advice }: Queue): number[] {
+	const asking = advice ? advice.base + advice.each * ADVISED_WORKERS : 0
+	const chains = steps.map((step) => step.expectedTime + asking)
 	for (let number = steps.length - 1; number >= 0; number--) {
 		for (const earlier of steps[number].dependsOn) {
-			const through = steps[earlier].expectedTime + chains[number]
+			const through = steps[earlier].expectedTime + asking + chains[number]
 			chains[earlier] = Math.max(chains[earlier], through)
 		}
 	}
--- a/packages/jobs/src/lib/testing/DeskSubject.ts
+++ b/packages/jobs/src/lib/testing/DeskSubject.ts
@@ -185,10 +185,10 @@
 		this.configure(queue)
 	}
 
-	/** Replaces the configuration by one whose only queue has these changes. */
-	configure(queue: Partial<Queue>): void {
+	/** Replaces the configuration by one of a queue for each set of changes. */
+	configure(...changes: Partial<Queue>[]): void {
 		const version = (this.state.configuration?.version ?? 0) + 1
-		const queues = [{ ...QUEUE, ...queue }]
+		const queues = changes.map((queue) => ({ ...QUEUE, ...queue }))
 		const services = [{ name: QUEUE.service, enforcesCapacity: false }]
 		this.call({ kind: 'configure', configuration: { version, queues, services, document: '{}' } })
 	}
@@ -230,8 +230,8 @@
 	}
 
 	/** Hands a job in. */
-	submit(id: string, job: JobRequest): CellReply | undefined {
-		return this.call({ kind: 'submit', to: { queue: QUEUE.name, id }, job })
+	submit(id: string, job: JobRequest, queue = QUEUE.name): CellReply | undefined {
+		return this.call({ kind: 'submit', to: { queue, id }, job })
 	}
 
 	/** A heartbeat of a worker comes. */
