Late advice is asked through a second instance; preemption only where waiting would be too long, of runs with time in hand

And with priorities as a relation every waiting task of the higher one would stop others after 60 ms, also where its room was about to come. Change: a question without an answer after twice its expected time and 60 ms goes through a second free instance, the first answer counts. A step for which room is kept stops others only if that room comes later than its objective or 5 s allow; what is stopped must have 2 s in hand and is stopped three times at most.

--- a/packages/jobs/src/lib/desk/AdvicePlanner.test.ts
+++ b/packages/jobs/src/lib/desk/AdvicePlanner.test.ts
@@ -13,6 +13,8 @@
 /** Answers each question after what it costs. */
 class TimedAdvisers extends Advisers {
 	asked: AdviceQuestion[] = []
+	/** Instances that bring no answer. */
+	readonly silent = new Set<string>()
 
 	constructor(
 		private readonly clock: ManualClock,
@@ -25,8 +27,9 @@
 		return INSTANCES
 	}
 
-	override ask(_: string, question: AdviceQuestion, done: (result: AdviceResult) => void): void {
+	override ask(via: string, question: AdviceQuestion, done: (result: AdviceResult) => void): void {
 		this.asked.push(question)
+		if (this.silent.has(via)) return
 		this.clock.after(this.costs.get(question.step) ?? 0, () => done(ANSWERED))
 	}
 }
@@ -46,7 +49,7 @@
 		const question: PlannedQuestion = { step, workers: [], cost, rank: cost, done }
 		planner.ask(question)
 	}
-	return { clock, advisers, ask, waits }
+	return { clock, advisers, ask, waits, planner }
 }
 
 test('long answers never take all instances', () => {
@@ -68,3 +71,16 @@
 	const late = waits.slice(100).filter((wait) => wait > SHORT * 3)
 	assert.ok(late.length < 10, `${late.length} of ${waits.length} waited long`)
 })
+
+test('what has no answer in time is asked through a second instance, and answered once', () => {
+	const { clock, advisers, ask, waits, planner } = subject()
+	advisers.silent.add(INSTANCES[0])
+	ask('short', SHORT)
+	for (let tick = 0; tick < 100; tick++) {
+		clock.advance(20)
+		planner.tick(clock.now())
+	}
+	assert.equal(advisers.asked.length, 2)
+	assert.equal(waits.length, 1)
+	assert.ok(waits[0] < SHORT * 6, `${waits[0]} ms`)
+})
--- a/packages/jobs/src/lib/desk/AdvicePlanner.ts
+++ b/packages/jobs/src/lib/desk/AdvicePlanner.ts
@@ -18,6 +18,13 @@
 const PATIENCE_FACTOR = 1.5
 /** Milliseconds; the service may be busy with a call of an earlier leader. */
 const PATIENCE = 600
+/**
+ * Times the expected span, plus `COPY_AFTER`, after which a question that has no answer is asked through a second
+ * instance too: the first one may be cut off, and a caller waits meanwhile.
+ */
+const COPY_FACTOR = 2
+/** Milliseconds; twice the way there and back between data centres, and a late timer. */
+const COPY_AFTER = 60
 /** Milliseconds for which an instance that brought no answer is asked last. */
 const REST = 3000
 
@@ -30,8 +37,19 @@
 	readonly done: (result: AdviceResult) => void
 }
 
-interface Asked {
+/** A question that is being answered, through one instance or two. */
+interface Attempt {
 	readonly question: PlannedQuestion
+	/** How many instances may still bring the answer. */
+	pending: number
+	answered: boolean
+	/** When it is asked through a second instance. */
+	copyAt: number
+}
+
+/** What an instance is asked. */
+interface Asked {
+	readonly attempt: Attempt
 	readonly giveUpAt: number
 }
 
@@ -59,15 +77,27 @@
 		this.dispatch()
 	}
 
-	/** Gives up answers that will not come, and asks what waits. */
+	/** Gives up answers that will not come, asks again what has none, and asks what waits. */
 	tick(now: number): void {
-		for (const [via, { question, giveUpAt }] of this.asked) {
-			if (now < giveUpAt) continue
-			this.asked.delete(via)
-			this.resting.set(via, now + REST)
-			question.done({ kind: 'unknown', message: `no answer through ${via}` })
+		for (const [via, asked] of this.asked) {
+			if (now < asked.giveUpAt) continue
+			this.release(via, asked, now)
+			this.settle(asked.attempt, { kind: 'unknown', message: `no answer through ${via}` })
 		}
 		this.dispatch()
+		this.askCopies(now)
+	}
+
+	/** Asks through a second instance, where one is free, what should have been answered by now. */
+	private askCopies(now: number): void {
+		for (const { attempt } of [...this.asked.values()]) {
+			if (attempt.answered || now < attempt.copyAt) continue
+			const free = this.freeInstances()
+			const kept = attempt.question.cost >= LONG ? this.keptFree() : 0
+			if (free.length <= kept) continue
+			attempt.copyAt = Number.POSITIVE_INFINITY
+			this.send(this.mostRested(free), attempt)
+		}
 	}
 
 	/** Sends what can be sent. An instance that is lost may answer at once, which begins a further round. */
@@ -81,18 +111,22 @@
 	/** @returns whether a question was sent. */
 	private dispatchNext(): boolean {
 		if (this.waiting.length === 0) return false
-		const available = this.context.advisers.available()
-		const free = available.filter((via) => !this.asked.has(via))
+		const free = this.freeInstances()
 		if (free.length === 0) return false
 		const asked = [...this.asked.values()]
-		const long = asked.filter(({ question }) => question.cost >= LONG).length
-		const longMost = Math.max(1, available.length - this.keptFree())
+		const long = asked.filter(({ attempt }) => attempt.question.cost >= LONG).length
+		const longMost = Math.max(1, free.length + asked.length - this.keptFree())
 		const next = this.takeNext(long < longMost)
 		if (!next) return false
-		this.send(this.mostRested(free), next)
+		const copyAt = this.context.clock.now() + next.cost * COPY_FACTOR + COPY_AFTER
+		this.send(this.mostRested(free), { question: next, pending: 0, answered: false, copyAt })
 		return true
 	}
 
+	private freeInstances(): string[] {
+		return this.context.advisers.available().filter((via) => !this.asked.has(via))
+	}
+
 	private noteShort(cost: number): void {
 		this.shortLoad = this.decayedLoad() + cost / LOAD_SPAN
 		this.shortLoadAt = this.context.clock.now()
@@ -122,21 +156,35 @@
 		return free.reduce((best, via) => (this.restsUntil(via) < this.restsUntil(best) ? via : best))
 	}
 
-	private send(via: string, question: PlannedQuestion): void {
+	private send(via: string, attempt: Attempt): void {
 		const now = this.context.clock.now()
-		const giveUpAt = now + question.cost * PATIENCE_FACTOR + PATIENCE
-		const asked = { question, giveUpAt }
+		const { step, workers, cost } = attempt.question
+		const asked = { attempt, giveUpAt: now + cost * PATIENCE_FACTOR + PATIENCE }
 		this.asked.set(via, asked)
-		const { step, workers } = question
+		attempt.pending += 1
 		this.context.advisers.ask(via, { step, workers }, (result) => {
 			if (this.asked.get(via) !== asked) return
-			this.asked.delete(via)
-			if (result.kind !== 'answered') this.resting.set(via, now + REST)
-			question.done(result)
+			this.release(via, asked, result.kind === 'answered' ? undefined : now)
+			this.settle(attempt, result)
 			this.dispatch()
 		})
 	}
 
+	/** An instance is free again; one that brought no answer, as of a moment, rests. */
+	private release(via: string, asked: Asked, failedAt: number | undefined): void {
+		this.asked.delete(via)
+		asked.attempt.pending -= 1
+		if (failedAt !== undefined) this.resting.set(via, failedAt + REST)
+	}
+
+	/** The first answer counts; without any, the last failure. */
+	private settle(attempt: Attempt, result: AdviceResult): void {
+		if (attempt.answered) return
+		if (result.kind !== 'answered' && attempt.pending > 0) return
+		attempt.answered = true
+		attempt.question.done(result)
+	}
+
 	private restsUntil(via: string): number {
 		const until = this.resting.get(via) ?? 0
 		return until > this.context.clock.now() ? until : 0
--- a/packages/jobs/src/lib/desk/Run.ts
+++ b/packages/jobs/src/lib/desk/Run.ts
@@ -1,6 +1,7 @@
 /** One run of a task, from its beginning to its end. */
 import type { Resources } from '@rillrudder/scheduler'
 import type { RunProgress } from '../placement/RunProgress'
+import type { StepTimes } from '../placement/StepUrgency'
 import type { Step, TaskName } from '../records/Job'
 
 /** What has been asked of a run's worker. @internal */
@@ -30,6 +31,8 @@
 	readonly urgent: boolean
 	/** Whether it makes room for what is. */
 	readonly yields: boolean
+	/** When it had to begin for its job to be in time. */
+	readonly times: StepTimes
 	readonly ticket: string
 	/** Whether its worker wants a ticket. */
 	readonly ticketed: boolean
@@ -57,3 +60,14 @@
 	/** Looks in a row that did not list it although they should have. */
 	absent: number
 }
+
+/**
+ * @param run - a run that may be stopped and go on elsewhere.
+ * @param epoch - now, in milliseconds since the epoch.
+ * @returns milliseconds that its job would still have in hand if it had to do the rest of its work from now on.
+ * @internal
+ */
+export function slackOf({ times, step, percent }: Run, epoch: number): number {
+	const done = step.checkpoints ? (step.expectedTime * percent) / 100 : 0
+	return times.deadline - epoch - (times.remaining - done)
+}
--- a/packages/jobs/src/lib/desk/RunBoard.ts
+++ b/packages/jobs/src/lib/desk/RunBoard.ts
@@ -3,6 +3,7 @@
 import { formatTaskName, RunEnd, type TaskName } from '../records/Job'
 import type { Precedence, Standing } from '../placement/Precedence'
 import { RunProgress } from '../placement/RunProgress'
+import { timesOf } from '../placement/stepTimes'
 import type { JobRecord } from '../state/JobRecord'
 import { tasksOf } from '../state/JobBook'
 import { isActive, TaskStatus } from '../state/JobRecord'
@@ -213,6 +214,7 @@
 			need: reservedFor(step),
 			urgent,
 			yields,
+			times: timesOf(job, name.repeat, name.step, job.queue),
 			ticket: decision?.ticket ?? '',
 			ticketed: job.queue.advice !== undefined,
 			restored: false,
--- a/packages/jobs/src/lib/desk/StepBoard.ts
+++ b/packages/jobs/src/lib/desk/StepBoard.ts
@@ -18,6 +18,8 @@
 
 /** Milliseconds that an urgent step waits for room before runs of lower priority are stopped for it. */
 const PREEMPT_AFTER = 60
+/** Milliseconds within which urgent work is to begin; the users ask for 5.8 s, less the time that a stop takes. */
+const URGENT_START = 5000
 
 /**
  * The steps that have tasks to begin.
@@ -258,8 +260,9 @@
 		work.triedAt = this.context.ledger.releases
 		const roomAt = left > 0 ? this.reserve(work, left, eligible) : undefined
 		if (left > 0 && work.queue.advice) this.questions.ask(work, eligible, left, roomAt)
-		if (left > 0 && work.urgent && !work.step.gang)
+		if (left > 0 && work.urgent && !work.step.gang && this.needsRoomNow(work, roomAt, now)) {
 			this.makeRoom(work, { eligible, options }, left, now)
+		}
 	}
 
 	/** Keeps room for tasks that found none. @returns when it is expected; undefined when none is kept. */
@@ -271,6 +274,17 @@
 		return this.reservations.keep(work, tasks, allowed)
 	}
 
+	/**
+	 * Whether it pays to stop other work: not when the room that is kept comes soon and in time, nor when the step is
+	 * late anyway. A step that keeps no room is a small one, for which little has to stop.
+	 */
+	private needsRoomNow(work: StepWork, roomAt: number | undefined, now: number): boolean {
+		if (roomAt === undefined) return true
+		const { deadline, remaining } = work.times
+		const inHand = deadline - remaining - epochOf(this.context)
+		return inHand >= 0 && roomAt - now > Math.min(inHand, URGENT_START)
+	}
+
 	/** Stops runs of lower priority where an urgent step has waited for room, and asking finds none. */
 	private makeRoom(
 		work: StepWork,
@@ -284,7 +298,8 @@
 		const allowed = new Set(options)
 		const unknown = eligible.filter((one) => !allowed.has(one) && !advice.isUnfit(one.view.id))
 		if (unknown.some((option) => admits(work, option))) return
-		for (const run of runsToStop(work, options, tasks)) this.runs.preempt(run, work.name)
+		for (const run of runsToStop(work, options, tasks, epochOf(this.context)))
+			this.runs.preempt(run, work.name)
 	}
 
 	private placeEach(work: StepWork, waiting: readonly number[], options: Option[]): Placed[] {
--- a/packages/jobs/src/lib/desk/runsToStop.ts
+++ b/packages/jobs/src/lib/desk/runsToStop.ts
@@ -4,11 +4,15 @@
  */
 import { plus, type Resources } from '@rillrudder/scheduler'
 import type { Option } from './chooseForStep'
-import { RunPhase, type Run } from './Run'
+import { RunPhase, slackOf, type Run } from './Run'
 import type { StepWork } from './StepWork'
 
 /** Percent from which a run is left alone, since it ends soon by itself. */
 const NEARLY_DONE = 85
+/** Milliseconds that a job must have in hand for one of its runs to be stopped: a stop, a wait for room, a restart. */
+const LEAST_SLACK = 2000
+/** Attempts up to which a run may be stopped for others, so that none is stopped again and again. */
+const LAST_STOPPED_ATTEMPT = 3
 /** Most runs that are stopped for one step at a time. */
 const MOST_STOPS = 8
 
@@ -24,11 +28,19 @@
  * @param work - an urgent step.
  * @param options - workers that may run it now.
  * @param tasks - how many of its tasks found no room.
+ * @param epoch - now, in milliseconds since the epoch.
  * @returns runs to stop; empty when that would not help, or room is on its way already.
  * @internal
  */
-export function runsToStop(work: StepWork, options: readonly Option[], tasks: number): Run[] {
-	const prospects = options.filter(({ view }) => work.allowance(view.id) > 0).map(toProspect)
+export function runsToStop(
+	work: StepWork,
+	options: readonly Option[],
+	tasks: number,
+	epoch: number
+): Run[] {
+	const prospects = options
+		.filter(({ view }) => work.allowance(view.id) > 0)
+		.map((option) => toProspect(option, epoch))
 	let missing = tasks
 	for (const { room, option } of prospects) missing -= work.copiesIn(option.view.id, room)
 	const chosen: Run[] = []
@@ -41,21 +53,23 @@
 	return chosen
 }
 
-function toProspect(option: Option): Prospect {
+function toProspect(option: Option, epoch: number): Prospect {
 	let room = option.account.free
 	const stoppable: Run[] = []
 	for (const run of option.view.runs.values()) {
 		const stopping = run.phase === RunPhase.Stopping || run.phase === RunPhase.Stopped
 		if (stopping) room = plus(room, run.need)
-		else if (isStoppable(run)) stoppable.push(run)
+		else if (isStoppable(run, epoch)) stoppable.push(run)
 	}
 	stoppable.sort((left, right) => left.need.cpu - right.need.cpu)
 	return { option, room, stoppable }
 }
 
-function isStoppable({ yields, phase, percent, step }: Run): boolean {
-	const resumes = step.checkpoints && !step.gang
-	return yields && resumes && phase === RunPhase.Running && percent < NEARLY_DONE
+function isStoppable(run: Run, epoch: number): boolean {
+	const { yields, phase, percent, step, attempt } = run
+	const resumes = step.checkpoints && !step.gang && attempt <= LAST_STOPPED_ATTEMPT
+	if (!yields || !resumes || phase !== RunPhase.Running || percent >= NEARLY_DONE) return false
+	return slackOf(run, epoch) >= LEAST_SLACK
 }
 
 /** Takes the run that makes room for one more task, or for several, at the least processor time a task. */
