--- a/packages/jobs/src/lib/desk/DeskEvent.ts
+++ b/packages/jobs/src/lib/desk/DeskEvent.ts
@@ -37,6 +37,11 @@
 	 * `term` that it was decided in.
 	 */
 	StepPlaced: 'step-placed',
+	/**
+	 * The policy of a step's queue allows none of the open workers of its service, `workers` of them: it waits for others
+	 * to join; `step`, `priority`. Once for each step.
+	 */
+	StepBarred: 'step-barred',
 	/**
 	 * A step still waits although it had to begin by now for its job to be in time; `step`, `priority`, tasks that
 	 * are `waiting`, `waited` milliseconds, `reason`. Once for each step.
--- a/packages/jobs/src/lib/desk/JobDesk.test.ts
+++ b/packages/jobs/src/lib/desk/JobDesk.test.ts
@@ -474,3 +474,20 @@
 	const list = subject.call({ kind: 'list-jobs', filter: { state: 'queued', most: 5 } })
 	assert.ok(list?.kind === 'jobs' && list.jobs.length === 1)
 })
+
+test('a step that no worker may run says so, and is asked about again only for workers that join', () => {
+	const subject = new DeskSubject({ advice: { base: 20, each: 1, valid: 2000 } })
+	subject.allowed = (worker) => worker === 'w3'
+	for (const id of ['w1', 'w2']) subject.heartbeat(id)
+	subject.submit(ID, jobOf({}))
+	subject.run(6000, 'w1', 'w2')
+	assert.equal(subject.questions.length, 1)
+	const reply = subject.call({ kind: 'explain-job', id: ID })
+	assert.ok(reply?.kind === 'explanation')
+	assert.match(reply.explanation.steps[0].reason, /allows none of 2 open workers/)
+	assert.equal(stateOf(subject), 'queued')
+	subject.heartbeat('w3')
+	subject.run(1000, 'w1', 'w2', 'w3')
+	assert.deepEqual(subject.questions.at(-1)?.question.workers, ['w3'])
+	assert.equal(subject.worker('w3').starts.length, 1)
+})
--- a/packages/jobs/src/lib/desk/StepBoard.ts
+++ b/packages/jobs/src/lib/desk/StepBoard.ts
@@ -65,6 +65,9 @@
 		if (!work) return 'it is not due yet'
 		const eligible = this.eligible(work, this.openWorkers())
 		if (eligible.length === 0) return 'no open worker of its service has the label that it asks for'
+		if (isBarred(work, eligible)) {
+			return `its queue's policy allows none of ${eligible.length} open workers; others are asked about as they join`
+		}
 		const room = eligible.filter((option) => admits(work, option))
 		if (room.length === 0) return `none of ${eligible.length} open workers has room for one task`
 		if (!work.queue.advice) return 'it is about to begin'
@@ -180,6 +183,13 @@
 		this.stale = false
 	}
 
+	private tellBarred(work: StepWork, workers: number): void {
+		work.toldBarred = true
+		const { name: step, queue } = work
+		this.context.meter.count(Measure.StepsBarred, { priority: String(queue.priority) })
+		this.context.log.info(DeskEvent.StepBarred, { step, priority: queue.priority, workers })
+	}
+
 	private tellOverdue(work: StepWork): void {
 		const waiting = work.waiting().length
 		if (waiting === 0 || work.readyAt === undefined) return
@@ -251,6 +261,7 @@
 		const waiting = work.waiting()
 		if (waiting.length === 0) return
 		const eligible = this.eligible(work, open)
+		if (!work.toldBarred && isBarred(work, eligible)) this.tellBarred(work, eligible.length)
 		const options = this.optionsFor(work, eligible, now)
 		const placed = work.step.gang
 			? placeGang(work, waiting, options, this.context.ledger, this.isFree, now)
@@ -358,6 +369,12 @@
 	}
 }
 
+/** Whether the queue's policy allows none of the workers that could run a step. */
+function isBarred({ advice, queue }: StepWork, eligible: readonly Option[]): boolean {
+	if (!queue.advice || eligible.length === 0) return false
+	return eligible.every(({ view }) => advice.isUnfit(view.id))
+}
+
 /** The workers of placed tasks with their counts, as one text for the log. */
 function countedWorkers(placed: readonly Placed[]): string {
 	const counts = new Map<string, number>()
--- a/packages/jobs/src/lib/desk/StepWork.ts
+++ b/packages/jobs/src/lib/desk/StepWork.ts
@@ -38,6 +38,8 @@
 	readyAt: number | undefined
 	/** Whether a line has told that it waits although it had to begin. */
 	toldOverdue = false
+	/** Whether a line has told that its queue's policy allows none of the workers. */
+	toldBarred = false
 	/** What the ledger had released when the step last found no room. */
 	triedAt = -1
 
--- a/packages/telemetry/src/lib/Meter.ts
+++ b/packages/telemetry/src/lib/Meter.ts
@@ -15,7 +15,9 @@
 	StepWait: 'step_wait_ms',
 	/** Counter by `how`: runs that ended. */
 	RunsEnded: 'runs_ended_total',
-	/** Counter: runs stopped to make room for work of the highest priority. */
+	/** Counter by `priority`: steps whose queue's policy allowed none of the open workers. */
+	StepsBarred: 'steps_barred_total',
+	/** Counter: runs stopped to make room for work of the highest priority at a service. */
 	Preemptions: 'preemptions_total',
 	/** Counter: runs moved away from a worker on which they got on too slowly. */
 	Moves: 'moves_total',
