--- a/apps/control/src/lib/groups/DataCentreHost.ts
+++ b/apps/control/src/lib/groups/DataCentreHost.ts
@@ -1,7 +1,7 @@
-/** One data centre's group at work in this process, and the driver of its desk. */
+/** One data centre's group at work in this process, and the driver of its controller. */
 import {
-	DeskDriver,
-	Surroundings,
+	LeaderDriver,
+	Environment,
 	type ListedWorker,
 	type GroupCall,
 	type OperatorCall,
@@ -30,10 +30,10 @@
 }
 
 /** The clock, the links and the workers of this process, as the driver sees them. */
-class ProcessSurroundings extends Surroundings {
+class ProcessEnvironment extends Environment {
 	constructor(
 		private readonly parts: DataCentreHostParts,
-		private readonly post: (step: (driver: DeskDriver) => void) => void
+		private readonly post: (step: (driver: LeaderDriver) => void) => void
 	) {
 		super()
 	}
@@ -82,15 +82,15 @@
  * @internal
  */
 export class DataCentreHost {
-	private readonly driver: DeskDriver
-	private readonly mailbox = new Mailbox<(driver: DeskDriver) => void>()
+	private readonly driver: LeaderDriver
+	private readonly mailbox = new Mailbox<(driver: LeaderDriver) => void>()
 	private group!: Group
 
 	constructor(private readonly parts: DataCentreHostParts) {
 		const { layout, self, random, dataCentres, inForce } = parts
 		const { name } = layout
-		const surroundings = new ProcessSurroundings(parts, (step) => void this.mailbox.post(step))
-		this.driver = new DeskDriver({ name, self, random, dataCentres, inForce, surroundings })
+		const surroundings = new ProcessEnvironment(parts, (step) => void this.mailbox.post(step))
+		this.driver = new LeaderDriver({ name, self, random, dataCentres, inForce, surroundings })
 	}
 
 	/** Name of the data centre. */
@@ -111,7 +111,7 @@
 	async start(): Promise<void> {
 		this.group = await openGroup(this.parts, this.driver.state, () => this.followGroup())
 		this.driver.join(new ReplicaAccess(this.group, () => this.isFenced))
-		this.mailbox.serve(`desk ${this.name}`, (batch) => this.run(batch), this.parts.fail)
+		this.mailbox.serve(`controller ${this.name}`, (batch) => this.run(batch), this.parts.fail)
 	}
 
 	/** Takes an event of a peer. */
@@ -151,22 +151,22 @@
 		return isDown(this.parts.inForce().fences, this.name)
 	}
 
-	private post(step: (driver: DeskDriver) => void): void {
+	private post(step: (driver: LeaderDriver) => void): void {
 		this.mailbox.post(step)
 	}
 
-	private run(batch: ((driver: DeskDriver) => void)[]): void {
+	private run(batch: ((driver: LeaderDriver) => void)[]): void {
 		for (const step of batch) step(this.driver)
 		this.driver.carryOut()
 	}
 
-	/** Lets time pass, for the replica and for the desk. */
+	/** Lets time pass, for the replica and for the controller. */
 	tick(): void {
 		this.group.tick()
-		if (this.driver.leads) this.post(() => this.tickDesk())
+		if (this.driver.leads) this.post(() => this.tickController())
 	}
 
-	private tickDesk(): void {
+	private tickController(): void {
 		this.driver.tick()
 		const { requestsOpen, tasksWaiting, tasksRunning, workersClosed } = this.driver.figures
 		const { metrics } = this.parts
--- a/apps/ctl/src/lib/lateJobs.ts
+++ b/apps/ctl/src/lib/lateJobs.ts
@@ -1,5 +1,5 @@
 /** Tells from the lines of the processes' logs which jobs were late, and what delayed most of them. */
-import { DeskEvent } from '@rillrudder/jobs'
+import { LeaderEvent } from '@rillrudder/jobs'
 
 /** What delayed a job; the first that holds counts. @internal */
 export const Delay = {
@@ -72,7 +72,7 @@
 	const ended: Line[] = []
 	for (const line of lines) {
 		const parsed = parse(line)
-		if (parsed?.event === DeskEvent.JobEnded) ended.push(parsed)
+		if (parsed?.event === LeaderEvent.JobEnded) ended.push(parsed)
 		else if (parsed) note(stories, parsed)
 	}
 	return ended
@@ -88,9 +88,9 @@
 }
 
 function note(stories: Map<string, Story>, line: Line): void {
-	if (line.event === DeskEvent.RunEnded && line.task) {
+	if (line.event === LeaderEvent.RunEnded && line.task) {
 		storyOf(stories, jobOf(line.task)).ends.add(line.how ?? '')
-	} else if (line.event === DeskEvent.StepPlaced && line.step) {
+	} else if (line.event === LeaderEvent.StepPlaced && line.step) {
 		const story = storyOf(stories, jobOf(line.step))
 		const { priority, waited = 0, advised = 0 } = line
 		story.priority = priority
--- a/packages/cell/src/index.ts
+++ b/packages/cell/src/index.ts
@@ -1,4 +1,4 @@
-/** The records of a data centre and of the whole system, and the desk that decides on them. */
+/** The records of a data centre and of the whole system, and the controller that decides on them. */
 export {
 	DATA_CENTRE_COMMAND_VERSION,
 	decodeDataCentreCommand,
@@ -17,8 +17,13 @@
 	type ConfigurationRelayParts,
 } from './lib/configuration/ConfigurationRelay'
 export { servesPeer } from './lib/configuration/servesPeer'
-export { DataCentreDesk, type DeskParts } from './lib/desk/DataCentreDesk'
-export { DeskDriver, GroupAccess, Surroundings, type DeskDriverParts } from './lib/desk/DeskDriver'
+export { DataCentreController, type ControllerParts } from './lib/leader/DataCentreController'
+export {
+	LeaderDriver,
+	GroupAccess,
+	Environment,
+	type LeaderDriverParts,
+} from './lib/leader/LeaderDriver'
 export {
 	Effects,
 	type GroupCall,
@@ -26,12 +31,16 @@
 	type Sending,
 	type SettleCall,
 	type WorkerExchange,
-} from './lib/desk/Effects'
-export { lifeOf, type Holder } from './lib/desk/Holders'
-export { operatorCallSchema, type OperatorCall, type OperatorReply } from './lib/desk/operatorCalls'
-export type { ReplyTo } from './lib/desk/OperatorDesk'
-export { OperatorRouter, type OperatorRouterParts } from './lib/desk/OperatorRouter'
-export { SystemDriver, type SystemDriverParts } from './lib/desk/SystemDriver'
+} from './lib/leader/Effects'
+export { lifeOf, type Holder } from './lib/leader/Holders'
+export {
+	operatorCallSchema,
+	type OperatorCall,
+	type OperatorReply,
+} from './lib/leader/operatorCalls'
+export type { ReplyTo } from './lib/leader/OperatorController'
+export { OperatorRouter, type OperatorRouterParts } from './lib/leader/OperatorRouter'
+export { SystemDriver, type SystemDriverParts } from './lib/leader/SystemDriver'
 export {
 	BEAT,
 	DRIFT,
@@ -40,8 +49,8 @@
 	SETTLE_SPAN,
 	START_WINDOW,
 	TASK_LEASE,
-} from './lib/desk/timing'
-export type { ListedWorker } from './lib/desk/WorkerDesk'
+} from './lib/leader/timing'
+export type { ListedWorker } from './lib/leader/WorkerController'
 export {
 	exchangeReplySchema,
 	settleReplySchema,
@@ -51,13 +60,13 @@
 	type StartOrder,
 	type TaskOrder,
 	type ThrottleOrder,
-} from './lib/desk/workerProtocol'
+} from './lib/leader/workerProtocol'
 export { keepAnswer, restoreAnswer, type KeptAnswer } from './lib/records/Answer'
 export { Outcome, Problem } from './lib/records/Outcome'
 export { type AuditFilter, type AuditRecord } from './lib/state/AuditTrail'
 export { DataCentreState, type Applied } from './lib/state/DataCentreState'
 export { type OperatorAnswer } from './lib/state/OperatorAnswers'
-export { Phase, type RequestRecord } from './lib/state/RequestBook'
+export { Phase, type RequestRecord } from './lib/state/RequestTable'
 export { SystemState } from './lib/state/SystemState'
-export { PlanPhase, TaskPhase, type PlanRecord, type TaskRecord } from './lib/state/TaskBook'
-export { type Loan, type WorkerRecord } from './lib/state/WorkerBook'
+export { PlanPhase, TaskPhase, type PlanRecord, type TaskRecord } from './lib/state/TaskTable'
+export { type Loan, type WorkerRecord } from './lib/state/WorkerTable'
--- a/packages/cell/src/lib/desk/DataCentreDesk.ts
+++ b/packages/cell/src/lib/leader/DataCentreController.ts
@@ -9,21 +9,21 @@
 import type { Applied, DataCentreState } from '../state/DataCentreState'
 import { Effects, type GroupCall, type Moment } from './Effects'
 import { Holders } from './Holders'
-import { HomeDesk } from './HomeDesk'
-import { LoanDesk } from './LoanDesk'
+import { HomeController } from './HomeController'
+import { LoanController } from './LoanController'
 import type { OperatorCall, OperatorReply } from './operatorCalls'
-import { OperatorDesk, type ReplyTo } from './OperatorDesk'
-import { PlanDesk } from './PlanDesk'
-import { RequestDesk } from './RequestDesk'
+import { OperatorController, type ReplyTo } from './OperatorController'
+import { PlanController } from './PlanController'
+import { RequestController } from './RequestController'
 import { SlotChoice } from './SlotChoice'
-import { TaskDesk } from './TaskDesk'
-import { WorkerDesk, type ListedWorker } from './WorkerDesk'
+import { TaskController } from './TaskController'
+import { WorkerController, type ListedWorker } from './WorkerController'
 import type { ExchangeReply, SettleReply } from './workerProtocol'
 
 const FORGET_EVERY = 10_000
 
-/** What a desk decides with. @public */
-export interface DeskParts {
+/** What a controller decides with. @public */
+export interface ControllerParts {
 	/** Name of the data centre. */
 	readonly name: string
 	readonly state: DataCentreState
@@ -35,44 +35,44 @@
 }
 
 /**
- * The desk of one data centre.
+ * The controller of one data centre.
  *
  * @public
  */
-export class DataCentreDesk {
+export class DataCentreController {
 	readonly effects = new Effects()
 	readonly health = new WorkerHealth()
 	private readonly holders = new Holders()
 	private readonly slots: SlotChoice
-	private readonly requests: RequestDesk
-	private readonly loans: LoanDesk
-	private readonly tasks: TaskDesk
-	private readonly workers: WorkerDesk
-	private readonly operators: OperatorDesk
-	private readonly homes: HomeDesk
+	private readonly requests: RequestController
+	private readonly loans: LoanController
+	private readonly tasks: TaskController
+	private readonly workers: WorkerController
+	private readonly operators: OperatorController
+	private readonly homes: HomeController
 	private leading = false
 	private forgetDue = 0
 
 	/** @param parts - the state and what else decisions need. */
-	constructor(private readonly parts: DeskParts) {
+	constructor(private readonly parts: ControllerParts) {
 		const { name, dataCentres, state, random, inForce } = parts
 		const configuration = () => inForce().configuration
 		const { effects, holders } = this
 		this.slots = new SlotChoice(state.workers, this.health, random)
-		this.homes = new HomeDesk(name, dataCentres, state, effects, inForce)
-		this.requests = new RequestDesk(state, holders, this.slots, effects, this.homes, () =>
+		this.homes = new HomeController(name, dataCentres, state, effects, inForce)
+		this.requests = new RequestController(state, holders, this.slots, effects, this.homes, () =>
 			this.limits()
 		)
-		this.loans = new LoanDesk(name, state, holders, this.slots, effects)
-		this.tasks = new TaskDesk(state, effects, random, configuration)
-		this.workers = new WorkerDesk(state, effects, configuration)
+		this.loans = new LoanController(name, state, holders, this.slots, effects)
+		this.tasks = new TaskController(state, effects, random, configuration)
+		this.workers = new WorkerController(state, effects, configuration)
 		const usage = (team: string) => this.tasks.placement.usage(team)
-		const plans = new PlanDesk(() => this.tasks.ledger, configuration, usage)
+		const plans = new PlanController(() => this.tasks.ledger, configuration, usage)
 		const whyWaiting = (task: string) => this.tasks.whyWaiting(task)
-		this.operators = new OperatorDesk(state, plans, effects, whyWaiting)
+		this.operators = new OperatorController(state, plans, effects, whyWaiting)
 	}
 
-	/** Whether this desk decides. */
+	/** Whether this controller decides. */
 	get active(): boolean {
 		return this.leading
 	}
--- a/packages/cell/src/lib/desk/Effects.ts
+++ b/packages/cell/src/lib/leader/Effects.ts
@@ -1,4 +1,4 @@
-/** What a desk asks its process to do. */
+/** What a controller asks its process to do. */
 import type { Event } from '@rillrudder/protocol'
 import type { DataCentreCommand } from '../commands/DataCentreCommand'
 import type { OperatorCall } from './operatorCalls'
@@ -64,7 +64,7 @@
 }
 
 /**
- * The moment of a step, and whether its desk may act for its data centre.
+ * The moment of a step, and whether its controller may act for its data centre.
  *
  * @public
  */
--- a/packages/cell/src/lib/desk/HomeDesk.ts
+++ b/packages/cell/src/lib/leader/HomeController.ts
@@ -9,10 +9,10 @@
  */
 import { fencedAt, homeOf, isDown, type InForce } from '@rillrudder/settings'
 import type { DataCentreState } from '../state/DataCentreState'
-import type { RequestRecord } from '../state/RequestBook'
+import type { RequestRecord } from '../state/RequestTable'
 import type { Effects, Moment } from './Effects'
 import type { OperatorCall, OperatorReply } from './operatorCalls'
-import type { ReplyTo } from './OperatorDesk'
+import type { ReplyTo } from './OperatorController'
 
 const ASK_EVERY = 500
 /** Bytes of kept answers that go along with a home; the newest stay. */
@@ -41,11 +41,11 @@
 type ClaimCall = Extract<OperatorCall, { kind: 'take-home' }>
 
 /**
- * The leader's desk for customers' homes.
+ * The leader's controller for customers' homes.
  *
  * @internal
  */
-export class HomeDesk {
+export class HomeController {
 	private readonly claims = new Map<string, Claim>()
 	private readonly firstHomes = new Map<string, string>()
 
--- a/packages/cell/src/lib/desk/DeskDriver.ts
+++ b/packages/cell/src/lib/leader/LeaderDriver.ts
@@ -1,17 +1,17 @@
 /**
- * Joins a data centre's desk to its group and its surroundings: follows leadership, hands committed
- * commands to the desk, and carries its effects out only while its replica may act.
+ * Joins a data centre's controller to its group and its surroundings: follows leadership, hands committed
+ * commands to the controller, and carries its effects out only while its replica may act.
  */
 import type { Event } from '@rillrudder/protocol'
 import type { InForce } from '@rillrudder/settings'
 import type { Random } from '@rillrudder/utils'
 import { encodeDataCentreCommand } from '../commands/DataCentreCommand'
 import { DataCentreState, type Applied } from '../state/DataCentreState'
-import { DataCentreDesk } from './DataCentreDesk'
+import { DataCentreController } from './DataCentreController'
 import type { GroupCall, Moment, SettleCall, WorkerExchange } from './Effects'
 import type { OperatorCall, OperatorReply } from './operatorCalls'
-import type { ReplyTo } from './OperatorDesk'
-import type { ListedWorker } from './WorkerDesk'
+import type { ReplyTo } from './OperatorController'
+import type { ListedWorker } from './WorkerController'
 import type { ExchangeReply, SettleReply } from './workerProtocol'
 
 /** The group as its driver sees it. @public */
@@ -28,24 +28,24 @@
 }
 
 /** What is around a driver. @public */
-export abstract class Surroundings {
+export abstract class Environment {
 	/** Monotonic milliseconds. */
 	abstract now(): number
 	/** Milliseconds since the epoch. */
 	abstract at(): number
 	abstract send(to: string, event: Event): void
-	/** Calls a worker about its tasks; the reply goes to `DeskDriver.replied`. */
+	/** Calls a worker about its tasks; the reply goes to `LeaderDriver.replied`. */
 	abstract exchange(exchange: WorkerExchange): void
-	/** Asks a worker about an attempt; the word goes to `DeskDriver.settled`. */
+	/** Asks a worker about an attempt; the word goes to `LeaderDriver.settled`. */
 	abstract settle(call: SettleCall): void
-	/** Calls the leader of another group; the reply goes to `DeskDriver.claimAnswered`. */
+	/** Calls the leader of another group; the reply goes to `LeaderDriver.claimAnswered`. */
 	abstract callGroup(call: GroupCall): void
 	/** Leadership was gained or lost. */
 	abstract leadership(gained: boolean): void
 }
 
 /** What a driver is made with. @public */
-export interface DeskDriverParts {
+export interface LeaderDriverParts {
 	/** Name of the data centre. */
 	readonly name: string
 	/** This instance. */
@@ -54,7 +54,7 @@
 	readonly dataCentres: readonly string[]
 	/** @returns what is in force. */
 	readonly inForce: () => InForce
-	readonly surroundings: Surroundings
+	readonly surroundings: Environment
 }
 
 type Step = (moment: Moment) => void
@@ -63,21 +63,27 @@
 const NOT_THE_LEADER = 421
 
 /**
- * The driver of one data centre's desk in one process.
+ * The driver of one data centre's controller in one process.
  *
  * @public
  */
-export class DeskDriver {
+export class LeaderDriver {
 	readonly state: DataCentreState
-	private readonly desk: DataCentreDesk
+	private readonly controller: DataCentreController
 	private group: GroupAccess | undefined
 	private applied: Applied[] = []
 
 	/** @param parts - identity and surroundings. */
-	constructor(private readonly parts: DeskDriverParts) {
+	constructor(private readonly parts: LeaderDriverParts) {
 		const { name, random, dataCentres, inForce } = parts
 		this.state = new DataCentreState((applied) => this.applied.push(applied))
-		this.desk = new DataCentreDesk({ name, dataCentres, state: this.state, random, inForce })
+		this.controller = new DataCentreController({
+			name,
+			dataCentres,
+			state: this.state,
+			random,
+			inForce,
+		})
 	}
 
 	/** Joins the group, once it is open. */
@@ -87,12 +93,12 @@
 
 	/** Whether this process decides for the data centre. */
 	get leads(): boolean {
-		return this.desk.active
+		return this.controller.active
 	}
 
 	/** Numbers for metrics. */
 	get figures() {
-		return this.desk.figures
+		return this.controller.figures
 	}
 
 	/** Takes an event of an entry instance, or says who leads. */
@@ -100,16 +106,20 @@
 		const body = event.body
 		switch (body?.$case) {
 			case 'beat':
-				return this.decide(from, '', '', (moment) => this.desk.beat(from, body.value, moment))
+				return this.decide(from, '', '', (moment) => this.controller.beat(from, body.value, moment))
 			case 'submit': {
 				const { customer, key } = body.value
-				const step: Step = (moment) => this.desk.submit(from, body.value, moment)
+				const step: Step = (moment) => this.controller.submit(from, body.value, moment)
 				return this.decide(from, customer, key, step)
 			}
 			case 'report':
-				return this.decide(from, '', '', (moment) => this.desk.report(from, body.value, moment))
+				return this.decide(from, '', '', (moment) =>
+					this.controller.report(from, body.value, moment)
+				)
 			case 'withdraw':
-				return this.decide(from, '', '', (moment) => this.desk.withdraw(from, body.value, moment))
+				return this.decide(from, '', '', (moment) =>
+					this.controller.withdraw(from, body.value, moment)
+				)
 			default:
 				return
 		}
@@ -117,59 +127,59 @@
 
 	/** Takes an operator's call, or says who leads. */
 	call(call: OperatorCall, reply: ReplyTo): void {
-		if (this.mayDecide) this.desk.call(call, this.moment(), reply)
+		if (this.mayDecide) this.controller.call(call, this.moment(), reply)
 		else reply({ code: NOT_THE_LEADER, message: this.group?.leader ?? '' })
 	}
 
 	/** Takes the platform's list. */
 	list(workers: readonly ListedWorker[]): void {
 		const here = workers.filter((worker) => worker.dataCentre === this.parts.name)
-		if (this.mayDecide) this.desk.list(here, this.moment())
+		if (this.mayDecide) this.controller.list(here, this.moment())
 	}
 
 	/** Takes a worker's reply; undefined when none came. */
 	replied(worker: string, reply: ExchangeReply | undefined): void {
 		if (!this.mayDecide) return
-		if (reply) this.desk.reply(worker, reply, this.moment())
-		else this.desk.silent(worker)
+		if (reply) this.controller.reply(worker, reply, this.moment())
+		else this.controller.silent(worker)
 	}
 
 	/** Takes a worker's word on an attempt. */
 	settled(call: SettleCall, reply: SettleReply): void {
 		const { customer, key, fence } = call
-		if (this.mayDecide) this.desk.settled(customer, key, fence, reply, this.moment())
+		if (this.mayDecide) this.controller.settled(customer, key, fence, reply, this.moment())
 	}
 
 	/** Takes another data centre's answer to a claim of a customer's home. */
 	claimAnswered(call: GroupCall, reply: OperatorReply): void {
-		if (this.mayDecide) this.desk.claimAnswered(call, reply)
+		if (this.mayDecide) this.controller.claimAnswered(call, reply)
 	}
 
 	/** The configuration has changed. */
 	configured(): void {
-		this.desk.configured()
+		this.controller.configured()
 	}
 
 	/** Lets time pass. */
 	tick(): void {
-		if (this.mayDecide) this.desk.tick(this.moment())
+		if (this.mayDecide) this.controller.tick(this.moment())
 	}
 
 	/** The group has taken a step: leadership may have moved, and commands may have been applied. */
 	followGroup(): number {
 		this.followLeadership()
-		if (!this.desk.active) this.applied = []
+		if (!this.controller.active) this.applied = []
 		if (!this.mayDecide) return 0
 		const applied = this.applied
 		this.applied = []
 		const moment = this.moment()
-		for (const one of applied) this.desk.applied(one, moment)
+		for (const one of applied) this.controller.applied(one, moment)
 		return applied.length
 	}
 
 	/** Carries out what was decided. To be called after every step, before anything is waited for. */
 	carryOut(): void {
-		const { effects } = this.desk
+		const { effects } = this.controller
 		if (effects.empty || !this.mayDecide) return
 		const { commands, sendings, settles, exchanges, groupCalls } = effects.take()
 		const { surroundings } = this.parts
@@ -180,9 +190,9 @@
 		for (const call of groupCalls) surroundings.callGroup(call)
 	}
 
-	/** Whether the desk decides now; the lease is looked at anew at every step. */
+	/** Whether the controller decides now; the lease is looked at anew at every step. */
 	private get mayDecide(): boolean {
-		return this.desk.active && this.group?.mayAct === true
+		return this.controller.active && this.group?.mayAct === true
 	}
 
 	private decide(from: string, customer: string, key: string, step: Step): void {
@@ -199,12 +209,12 @@
 
 	private followLeadership(): void {
 		if (!this.group) return
-		if (this.desk.active && !this.group.leads) {
-			this.desk.resign()
+		if (this.controller.active && !this.group.leads) {
+			this.controller.resign()
 			this.parts.surroundings.leadership(false)
-		} else if (!this.desk.active && this.group.mayAct) {
+		} else if (!this.controller.active && this.group.mayAct) {
 			this.applied = []
-			this.desk.takeOver(this.moment())
+			this.controller.takeOver(this.moment())
 			this.parts.surroundings.leadership(true)
 		}
 	}
--- a/packages/cell/src/lib/desk/LoanDesk.ts
+++ b/packages/cell/src/lib/leader/LoanController.ts
@@ -7,7 +7,7 @@
 import type { Beat } from '@rillrudder/protocol'
 import type { CommandOf } from '../commands/DataCentreCommand'
 import type { DataCentreState } from '../state/DataCentreState'
-import type { Loan } from '../state/WorkerBook'
+import type { Loan } from '../state/WorkerTable'
 import type { Effects, Moment } from './Effects'
 import type { Holder, Holders } from './Holders'
 import type { SlotChoice } from './SlotChoice'
@@ -22,11 +22,11 @@
 const RUN_OUT = 1000
 
 /**
- * The leader's desk for lent slots.
+ * The leader's controller for lent slots.
  *
  * @internal
  */
-export class LoanDesk {
+export class LoanController {
 	/** Entry instances whose loan is being changed, with the slots held back for the change. */
 	private readonly busy = new Map<string, Map<string, number>>()
 
--- a/packages/cell/src/lib/desk/OperatorDesk.ts
+++ b/packages/cell/src/lib/leader/OperatorController.ts
@@ -9,10 +9,10 @@
 	type PlanRecord,
 	type PlanStep,
 	type TaskRecord,
-} from '../state/TaskBook'
+} from '../state/TaskTable'
 import type { Effects, Moment } from './Effects'
 import type { OperatorCall, OperatorReply } from './operatorCalls'
-import type { PlanDesk } from './PlanDesk'
+import type { PlanController } from './PlanController'
 
 const MOST_LISTED = 5000
 
@@ -22,17 +22,17 @@
 type OperatorCommand = Extract<DataCentreCommand, { request: string }>
 
 /**
- * The leader's desk for operators.
+ * The leader's controller for operators.
  *
  * @internal
  */
-export class OperatorDesk {
+export class OperatorController {
 	/** Replies that wait for a commitment, by the request's id. */
 	private readonly replies = new Map<string, ReplyTo[]>()
 
 	constructor(
 		private readonly state: DataCentreState,
-		private readonly plans: PlanDesk,
+		private readonly plans: PlanController,
 		private readonly effects: Effects,
 		private readonly whyWaiting: (task: string) => string | undefined
 	) {}
--- a/packages/cell/src/lib/desk/OperatorRouter.ts
+++ b/packages/cell/src/lib/leader/OperatorRouter.ts
@@ -8,7 +8,7 @@
 import type { GroupLayout } from '@rillrudder/settings'
 import type { Clock } from '@rillrudder/utils'
 import { operatorCallSchema, type OperatorCall, type OperatorReply } from './operatorCalls'
-import type { ReplyTo } from './OperatorDesk'
+import type { ReplyTo } from './OperatorController'
 
 const TRY_FOR = 1500
 const TRIES = 6
--- a/packages/cell/src/lib/desk/PlanDesk.ts
+++ b/packages/cell/src/lib/leader/PlanController.ts
@@ -8,7 +8,7 @@
 	type Resources,
 } from '@rillrudder/scheduler'
 import { IntentKind, type Configuration, type Intent } from '@rillrudder/settings'
-import type { PlanStep } from '../state/TaskBook'
+import type { PlanStep } from '../state/TaskTable'
 
 /** Tasks that are tried out one by one; beyond them the plan counts on. */
 const MOST_TRIED = 2000
@@ -29,7 +29,7 @@
  *
  * @internal
  */
-export class PlanDesk {
+export class PlanController {
 	constructor(
 		private readonly ledger: () => Ledger,
 		private readonly configuration: () => Configuration,
--- a/packages/cell/src/lib/desk/RequestDesk.ts
+++ b/packages/cell/src/lib/leader/RequestController.ts
@@ -7,11 +7,11 @@
 import { keepAnswer } from '../records/Answer'
 import { Outcome, Problem } from '../records/Outcome'
 import type { DataCentreState } from '../state/DataCentreState'
-import { Phase, type RequestRecord } from '../state/RequestBook'
-import { Doubts } from './Doubts'
+import { Phase, type RequestRecord } from '../state/RequestTable'
+import { SuspectWorkers } from './SuspectWorkers'
 import type { Effects, Moment } from './Effects'
 import type { Holder, Holders } from './Holders'
-import type { HomeDesk } from './HomeDesk'
+import type { HomeController } from './HomeController'
 import type { SlotChoice } from './SlotChoice'
 import { outlast, START_WINDOW } from './timing'
 import { Verdicts } from './Verdicts'
@@ -31,11 +31,11 @@
 }
 
 /**
- * The leader's desk for requests that are not repeatable.
+ * The leader's controller for requests that are not repeatable.
  *
  * @internal
  */
-export class RequestDesk {
+export class RequestController {
 	private readonly waiters = new Waiters()
 	private readonly verdicts: Verdicts
 	/** Requests for which a command is under way. */
@@ -44,7 +44,7 @@
 	private readonly chained = new Set<string>()
 	/** Customers whose oldest request waits for a slot, the longest wait first. */
 	private readonly starved = new Set<string>()
-	private readonly doubts: Doubts
+	private readonly doubts: SuspectWorkers
 	/** When this leader last said that a request may go; such an attempt is never taken back unasked. */
 	private readonly goSaidAt = new Map<string, number>()
 	/** An attempt that was taken back is followed by the next one only after a pause that grows. */
@@ -56,10 +56,10 @@
 		private readonly holders: Holders,
 		private readonly slots: SlotChoice,
 		private readonly effects: Effects,
-		private readonly homes: HomeDesk,
+		private readonly homes: HomeController,
 		private readonly limits: () => RequestLimits
 	) {
-		this.doubts = new Doubts(state, effects)
+		this.doubts = new SuspectWorkers(state, effects)
 		this.verdicts = new Verdicts(state.requests, effects)
 	}
 
@@ -413,7 +413,7 @@
 		this.effects.commands.push({ kind: 'park', customer, key, at: moment.at })
 	}
 
-	/** Looks after a request whose holder has gone silent, or has not heard that it may go. */
+	/** WorkerPolls after a request whose holder has gone silent, or has not heard that it may go. */
 	private watch(record: RequestRecord, moment: Moment): void {
 		const { now } = moment
 		if (record.phase === Phase.Admitted) {
--- a/packages/cell/src/lib/desk/SlotChoice.ts
+++ b/packages/cell/src/lib/leader/SlotChoice.ts
@@ -1,7 +1,7 @@
 /** Chooses workers for requests, by free slots and health, a few candidates at a time. */
 import type { WorkerHealth } from '@rillrudder/scheduler'
 import type { Random } from '@rillrudder/utils'
-import type { WorkerBook, WorkerRecord } from '../state/WorkerBook'
+import type { WorkerTable, WorkerRecord } from '../state/WorkerTable'
 
 const SAMPLE = 4
 const REFRESH_EVERY = 200
@@ -18,12 +18,12 @@
 	private readonly pending = new Map<string, number>()
 
 	constructor(
-		private readonly workers: WorkerBook,
+		private readonly workers: WorkerTable,
 		private readonly health: WorkerHealth,
 		private readonly random: Random
 	) {}
 
-	/** Looks again at which workers are open. */
+	/** WorkerPolls again at which workers are open. */
 	refresh(now: number): void {
 		this.refreshedAt = now
 		this.open = []
@@ -76,7 +76,7 @@
 
 	/** Slots of a worker that nobody has. */
 	free(worker: WorkerRecord): number {
-		// The record in the book is replaced when the worker changes, so it is looked up anew.
+		// The record in the table is replaced when the worker changes, so it is looked up anew.
 		const record = this.workers.find(worker.id)
 		if (!record || record.state !== 'live') return 0
 		const limit = this.health.isOnProbe(worker.id) ? 1 : record.slots
--- a/packages/cell/src/lib/desk/Doubts.ts
+++ b/packages/cell/src/lib/leader/SuspectWorkers.ts
@@ -1,6 +1,6 @@
 /** Attempts that nobody has answered for: their workers are asked until they say, or until time is up. */
 import type { DataCentreState } from '../state/DataCentreState'
-import { Phase, type RequestRecord } from '../state/RequestBook'
+import { Phase, type RequestRecord } from '../state/RequestTable'
 import type { Effects } from './Effects'
 import { outlast, SETTLE_SPAN, START_WINDOW } from './timing'
 
@@ -22,7 +22,7 @@
  *
  * @internal
  */
-export class Doubts {
+export class SuspectWorkers {
 	private readonly doubts = new Map<string, Doubt>()
 
 	constructor(
--- a/packages/cell/src/lib/desk/SystemDriver.ts
+++ b/packages/cell/src/lib/leader/SystemDriver.ts
@@ -3,9 +3,9 @@
 import { formatFinding } from '@rillrudder/utils'
 import { encodeSystemCommand, type SystemCommand } from '../commands/SystemCommand'
 import { SystemState } from '../state/SystemState'
-import type { GroupAccess } from './DeskDriver'
+import type { GroupAccess } from './LeaderDriver'
 import type { OperatorCall } from './operatorCalls'
-import type { ReplyTo } from './OperatorDesk'
+import type { ReplyTo } from './OperatorController'
 
 const NOT_THE_LEADER = 421
 
--- a/packages/cell/src/lib/desk/TaskDesk.ts
+++ b/packages/cell/src/lib/leader/TaskController.ts
@@ -13,7 +13,7 @@
 import type { Random } from '@rillrudder/utils'
 import type { CommandOf } from '../commands/DataCentreCommand'
 import type { DataCentreState } from '../state/DataCentreState'
-import { hasEnded, TaskPhase, type TaskRecord } from '../state/TaskBook'
+import { hasEnded, TaskPhase, type TaskRecord } from '../state/TaskTable'
 import type { Effects, Moment } from './Effects'
 import { WorkerLeases } from './WorkerLeases'
 import type { ExchangeReply } from './workerProtocol'
@@ -21,11 +21,11 @@
 const DECISIONS_A_ROUND = 500
 
 /**
- * The leader's desk for tasks.
+ * The leader's controller for tasks.
  *
  * @internal
  */
-export class TaskDesk {
+export class TaskController {
 	ledger: Ledger
 	placement: Placement
 	readonly leases: WorkerLeases
--- a/packages/cell/src/lib/desk/Verdicts.ts
+++ b/packages/cell/src/lib/leader/Verdicts.ts
@@ -1,7 +1,7 @@
 /** Tells entry instances how requests have ended, and when to come back. */
 import { restoreAnswer } from '../records/Answer'
 import { Outcome, Problem } from '../records/Outcome'
-import type { RequestBook, RequestRecord } from '../state/RequestBook'
+import type { RequestTable, RequestRecord } from '../state/RequestTable'
 import type { Effects } from './Effects'
 import { requestName, type RequestName } from './Waiters'
 
@@ -21,7 +21,7 @@
 	private readonly startedAt = new Map<string, number>()
 
 	constructor(
-		private readonly requests: RequestBook,
+		private readonly requests: RequestTable,
 		private readonly effects: Effects
 	) {}
 
--- a/packages/cell/src/lib/desk/Waiters.ts
+++ b/packages/cell/src/lib/leader/Waiters.ts
@@ -80,7 +80,7 @@
 		return due
 	}
 
-	/** Looks at a request once more a little later. */
+	/** WorkerPolls at a request once more a little later. */
 	lookAgain(waiter: Waiter, now: number): void {
 		this.put({ ...waiter, deadline: now + LOOK_AGAIN_AFTER })
 	}
--- a/packages/cell/src/lib/desk/WorkerDesk.ts
+++ b/packages/cell/src/lib/leader/WorkerController.ts
@@ -20,11 +20,11 @@
 const MISSING_FOR = 15_000
 
 /**
- * The leader's desk for the workers themselves.
+ * The leader's controller for the workers themselves.
  *
  * @internal
  */
-export class WorkerDesk {
+export class WorkerController {
 	private readonly missingSince = new Map<string, number>()
 	private readonly busy = new Set<string>()
 
--- a/packages/cell/src/lib/desk/WorkerLeases.ts
+++ b/packages/cell/src/lib/leader/WorkerLeases.ts
@@ -1,6 +1,6 @@
 /** The exchanges with workers: orders, renewals, and when a silent worker's leases are certainly over. */
 import type { DataCentreState } from '../state/DataCentreState'
-import { TaskPhase, type TaskRecord } from '../state/TaskBook'
+import { TaskPhase, type TaskRecord } from '../state/TaskTable'
 import type { Effects, Moment } from './Effects'
 import { outlast, TASK_LEASE } from './timing'
 import type { ExchangeReply, StartOrder, TaskOrder, ThrottleOrder } from './workerProtocol'
--- a/packages/cell/src/lib/state/DataCentreState.test.ts
+++ b/packages/cell/src/lib/state/DataCentreState.test.ts
@@ -8,7 +8,7 @@
 	type DataCentreCommand,
 } from '../commands/DataCentreCommand'
 import { DataCentreState, type Applied } from './DataCentreState'
-import { Phase } from './RequestBook'
+import { Phase } from './RequestTable'
 
 const WORKER = {
 	kind: 'worker',
--- a/packages/cell/src/lib/state/DataCentreState.ts
+++ b/packages/cell/src/lib/state/DataCentreState.ts
@@ -8,11 +8,11 @@
 	type DataCentreCommand,
 } from '../commands/DataCentreCommand'
 import { AuditTrail } from './AuditTrail'
-import { HomeBook } from './HomeBook'
+import { HomeTable } from './HomeTable'
 import { OperatorAnswers, type OperatorAnswer } from './OperatorAnswers'
-import { Phase, RequestBook, type RequestRecord } from './RequestBook'
-import { hasEnded, PlanPhase, TaskBook, TaskPhase } from './TaskBook'
-import { WorkerBook } from './WorkerBook'
+import { Phase, RequestTable, type RequestRecord } from './RequestTable'
+import { hasEnded, PlanPhase, TaskTable, TaskPhase } from './TaskTable'
+import { WorkerTable } from './WorkerTable'
 
 /** A command and whether it counted. @public */
 export interface Applied {
@@ -31,10 +31,10 @@
  * @public
  */
 export class DataCentreState extends StateMachine {
-	readonly requests = new RequestBook()
-	readonly workers = new WorkerBook()
-	readonly tasks = new TaskBook()
-	readonly homes = new HomeBook()
+	readonly requests = new RequestTable()
+	readonly workers = new WorkerTable()
+	readonly tasks = new TaskTable()
+	readonly homes = new HomeTable()
 	readonly audit = new AuditTrail()
 	readonly answers = new OperatorAnswers()
 	/** Grows with every change of workers and of confirmed intents, which is what a plan stands on. */
--- a/packages/cell/src/lib/state/HomeBook.ts
+++ b/packages/cell/src/lib/state/HomeTable.ts
@@ -17,7 +17,7 @@
  *
  * @public
  */
-export class HomeBook {
+export class HomeTable {
 	private records = new Map<string, HomeRecord>()
 
 	/** @returns the newest that is known here of a customer's home. */
@@ -40,7 +40,7 @@
 		return this.change({ customer, revision, open: true, to: '' })
 	}
 
-	/** @returns the book for a snapshot. */
+	/** @returns the table for a snapshot. */
 	save(): HomeRecord[] {
 		return [...this.records.values()]
 	}
--- a/packages/cell/src/lib/state/RequestBook.ts
+++ b/packages/cell/src/lib/state/RequestTable.ts
@@ -37,7 +37,7 @@
 	at: number
 }
 
-interface CustomerBook {
+interface CustomerTable {
 	/** Keys that are admitted or started, oldest first. */
 	readonly open: string[]
 	readonly records: Map<string, RequestRecord>
@@ -58,8 +58,8 @@
  *
  * @public
  */
-export class RequestBook {
-	private readonly customers = new Map<string, CustomerBook>()
+export class RequestTable {
+	private readonly customers = new Map<string, CustomerTable>()
 	private finished: Finished[] = []
 	private answerBytes = 0
 	private openCount = 0
@@ -81,14 +81,14 @@
 
 	/** @returns the customer's oldest request that has not finished. */
 	head(customer: string): RequestRecord | undefined {
-		const book = this.customers.get(customer)
-		return book && book.open.length > 0 ? book.records.get(book.open[0]) : undefined
+		const table = this.customers.get(customer)
+		return table && table.open.length > 0 ? table.records.get(table.open[0]) : undefined
 	}
 
 	/** @returns the request that follows the customer's oldest that has not finished. */
 	next(customer: string): RequestRecord | undefined {
-		const book = this.customers.get(customer)
-		return book && book.open.length > 1 ? book.records.get(book.open[1]) : undefined
+		const table = this.customers.get(customer)
+		return table && table.open.length > 1 ? table.records.get(table.open[1]) : undefined
 	}
 
 	/** @returns how many of the customer's requests have not finished. */
@@ -98,21 +98,21 @@
 
 	/** @returns every request that has not finished, by customer in their order. */
 	*allOpen(): IterableIterator<RequestRecord> {
-		for (const book of this.customers.values()) {
-			for (const key of book.open) yield book.records.get(key) as RequestRecord
+		for (const table of this.customers.values()) {
+			for (const key of table.open) yield table.records.get(key) as RequestRecord
 		}
 	}
 
 	admit(command: CommandOf<'admit'>): void {
-		const book = this.book(command.customer)
-		const known = book.records.get(command.key)
+		const table = this.table(command.customer)
+		const known = table.records.get(command.key)
 		if (known && known.phase !== Phase.Parked) return
 		const { customer, key, digest, holder, timeout, at } = command
 		const record = blankRecord({ customer, key, digest, holder, timeout, at })
 		// Attempts go on counting, so that no two of them are ever the same.
 		record.attempt = known?.attempt ?? 0
-		book.records.set(key, record)
-		book.open.push(key)
+		table.records.set(key, record)
+		table.open.push(key)
 		this.openCount += 1
 	}
 
@@ -141,10 +141,10 @@
 
 	/** @returns whether the request left the queue. */
 	park(command: CommandOf<'park'>): boolean {
-		const book = this.book(command.customer)
-		const record = book.records.get(command.key)
+		const table = this.table(command.customer)
+		const record = table.records.get(command.key)
 		if (record?.phase !== Phase.Admitted) return false
-		book.open.splice(book.open.indexOf(command.key), 1)
+		table.open.splice(table.open.indexOf(command.key), 1)
 		this.openCount -= 1
 		record.phase = Phase.Parked
 		record.at = command.at
@@ -154,16 +154,16 @@
 
 	/** @returns whether the request ended by this command; the first end stands. */
 	finish(command: CommandOf<'finish'>): boolean {
-		const book = this.book(command.customer)
-		let record = book.records.get(command.key)
+		const table = this.table(command.customer)
+		let record = table.records.get(command.key)
 		if (record?.phase === Phase.Finished) return false
 		if (!record) {
 			record = this.neverAdmitted(command)
-			book.records.set(command.key, record)
+			table.records.set(command.key, record)
 		} else if (record.phase !== Phase.Parked) {
 			const started = record.phase === Phase.Started
 			if (started && command.outcome === Outcome.NotRun) return false
-			book.open.splice(book.open.indexOf(command.key), 1)
+			table.open.splice(table.open.indexOf(command.key), 1)
 			this.openCount -= 1
 		}
 		record.phase = Phase.Finished
@@ -202,22 +202,22 @@
 	/** Takes up records from a customer's earlier home. */
 	adopt(records: readonly RequestRecord[]): void {
 		for (const record of records) {
-			const book = this.book(record.customer)
-			if (book.records.has(record.key)) continue
+			const table = this.table(record.customer)
+			if (table.records.has(record.key)) continue
 			const ended = record.phase === Phase.Finished || record.phase === Phase.Parked
 			invariant(ended, 'a home moves only when nothing is open')
-			book.records.set(record.key, { ...record })
+			table.records.set(record.key, { ...record })
 			this.remember(record)
 		}
 	}
 
-	/** @returns the book for a snapshot. */
+	/** @returns the table for a snapshot. */
 	save(): unknown {
 		return {
-			customers: [...this.customers].map(([name, book]) => ({
+			customers: [...this.customers].map(([name, table]) => ({
 				name,
-				open: book.open,
-				records: [...book.records.values()],
+				open: table.open,
+				records: [...table.records.values()],
 			})),
 			finished: this.finished,
 			answerBytes: this.answerBytes,
@@ -226,28 +226,28 @@
 
 	/** @param saved - what `save` returned. */
 	load(saved: unknown): void {
-		const book = saved as {
+		const table = saved as {
 			customers: { name: string; open: string[]; records: RequestRecord[] }[]
 			finished: Finished[]
 			answerBytes: number
 		}
 		this.customers.clear()
 		this.openCount = 0
-		for (const { name, open, records } of book.customers) {
+		for (const { name, open, records } of table.customers) {
 			this.customers.set(name, { open, records: new Map(records.map((one) => [one.key, one])) })
 			this.openCount += open.length
 		}
-		this.finished = book.finished
-		this.answerBytes = book.answerBytes
+		this.finished = table.finished
+		this.answerBytes = table.answerBytes
 	}
 
-	private book(customer: string): CustomerBook {
-		let book = this.customers.get(customer)
-		if (!book) {
-			book = { open: [], records: new Map() }
-			this.customers.set(customer, book)
+	private table(customer: string): CustomerTable {
+		let table = this.customers.get(customer)
+		if (!table) {
+			table = { open: [], records: new Map() }
+			this.customers.set(customer, table)
 		}
-		return book
+		return table
 	}
 
 	private neverAdmitted(command: CommandOf<'finish'>): RequestRecord {
--- a/packages/cell/src/lib/state/TaskBook.ts
+++ b/packages/cell/src/lib/state/TaskTable.ts
@@ -68,7 +68,7 @@
  *
  * @public
  */
-export class TaskBook {
+export class TaskTable {
 	private readonly plans = new Map<string, PlanRecord>()
 	private readonly tasks = new Map<string, TaskRecord>()
 	private readonly intents = new Map<string, string[]>()
@@ -150,7 +150,7 @@
 		this.end(record)
 	}
 
-	/** @returns the book for a snapshot. */
+	/** @returns the table for a snapshot. */
 	save(): unknown {
 		return {
 			plans: [...this.plans.values()],
@@ -162,7 +162,7 @@
 
 	/** @param saved - what `save` returned. */
 	load(saved: unknown): void {
-		const book = saved as {
+		const table = saved as {
 			plans: PlanRecord[]
 			tasks: TaskRecord[]
 			intents: [string, string[]][]
@@ -171,10 +171,10 @@
 		this.plans.clear()
 		this.tasks.clear()
 		this.intents.clear()
-		for (const plan of book.plans) this.plans.set(plan.id, plan)
-		for (const record of book.tasks) this.tasks.set(record.task.id, record)
-		for (const [name, ids] of book.intents) this.intents.set(name, ids)
-		this.ended = book.ended
+		for (const plan of table.plans) this.plans.set(plan.id, plan)
+		for (const record of table.tasks) this.tasks.set(record.task.id, record)
+		for (const [name, ids] of table.intents) this.intents.set(name, ids)
+		this.ended = table.ended
 	}
 
 	private make(plan: PlanRecord, number: number, at: number): TaskRecord {
--- a/packages/cell/src/lib/state/WorkerBook.ts
+++ b/packages/cell/src/lib/state/WorkerTable.ts
@@ -35,7 +35,7 @@
  *
  * @public
  */
-export class WorkerBook {
+export class WorkerTable {
 	private readonly workers = new Map<string, WorkerRecord>()
 	private readonly lentTo = new Map<string, Loan>()
 
@@ -129,7 +129,7 @@
 		invariant(fits(NOTHING, worker.reserved), 'no more is given back than was taken', { id })
 	}
 
-	/** @returns the book for a snapshot. */
+	/** @returns the table for a snapshot. */
 	save(): unknown {
 		const loans = [...this.lentTo.values()].map((loan) => ({ ...loan, slots: [...loan.slots] }))
 		return { workers: [...this.workers.values()], loans }
@@ -137,14 +137,14 @@
 
 	/** @param saved - what `save` returned. */
 	load(saved: unknown): void {
-		const book = saved as {
+		const table = saved as {
 			workers: WorkerRecord[]
 			loans: { holder: string; grant: number; slots: [string, number][] }[]
 		}
 		this.workers.clear()
 		this.lentTo.clear()
-		for (const worker of book.workers) this.workers.set(worker.id, worker)
-		for (const loan of book.loans) {
+		for (const worker of table.workers) this.workers.set(worker.id, worker)
+		for (const loan of table.loans) {
 			this.lentTo.set(loan.holder, { ...loan, slots: new Map(loan.slots) })
 		}
 	}
--- a/packages/consensus/src/lib/Leadership.ts
+++ b/packages/consensus/src/lib/Leadership.ts
@@ -96,7 +96,7 @@
 		if (now >= this.heartbeatDue) this.heartbeat(now)
 		if (this.handing) this.continueHanding(now)
 		else this.preferBetterLeader(now)
-		if (this.state.options.applicant) this.tendRoster(now)
+		if (this.state.options.applicant) this.reviewMembers(now)
 		else this.promoteCaughtUp()
 		this.stepDownWhenCutOff(now)
 	}
@@ -280,7 +280,7 @@
 	}
 
 	/** Keeps the voters of an open membership as many and as alive as they should be. */
-	private tendRoster(now: number): void {
+	private reviewMembers(now: number): void {
 		if (!this.mayChangeMembership()) return
 		const self = this.state.options.id
 		const seats = this.state.memberships.current.members.map((member) => this.seat(member, now))
--- a/packages/intake/src/lib/CallerRequest.ts
+++ b/packages/intake/src/lib/CallerRequest.ts
@@ -1,4 +1,4 @@
-/** A caller's request as the desks see it. */
+/** A caller's request as the controllers see it. */
 import type { Outcome, Problem } from '@rillrudder/cell'
 import type { Answer } from '@rillrudder/protocol'
 import type { PassedHeader } from '@rillrudder/web'
--- a/packages/intake/src/lib/HomeDesk.ts
+++ b/packages/intake/src/lib/HomeForwarder.ts
@@ -27,8 +27,8 @@
 /** Attempts that are remembered after their callers have gone. */
 const MOST_REMEMBERED = 100_000
 
-/** What the desk works with. @internal */
-export interface HomeDeskParts {
+/** What the controller works with. @internal */
+export interface HomeForwarderParts {
 	readonly clock: Clock
 	readonly metrics: Metrics
 	readonly groups: Groups
@@ -66,11 +66,11 @@
 }
 
 /**
- * The desk for requests that are not repeatable.
+ * The controller for requests that are not repeatable.
  *
  * @internal
  */
-export class HomeDesk {
+export class HomeForwarder {
 	private readonly submissions = new Map<string, Submission>()
 	/** Attempts that were begun, the newest last; a leader that asks late is told the truth. */
 	private readonly begun = new Map<string, number>()
@@ -78,7 +78,7 @@
 	private readonly refused = new Map<string, number>()
 	private readonly timer: Timer
 
-	constructor(private readonly parts: HomeDeskParts) {
+	constructor(private readonly parts: HomeForwarderParts) {
 		this.timer = parts.clock.every(SEND_AGAIN_EVERY / 5, () => this.tick())
 	}
 
--- a/packages/intake/src/lib/Intake.ts
+++ b/packages/intake/src/lib/Intake.ts
@@ -13,8 +13,8 @@
 import { invariant, type Clock, type Random } from '@rillrudder/utils'
 import type { CallerRequest } from './CallerRequest'
 import { Groups } from './Groups'
-import { HomeDesk } from './HomeDesk'
-import { RepeatableDesk } from './RepeatableDesk'
+import { HomeForwarder } from './HomeForwarder'
+import { RepeatableForwarder } from './RepeatableForwarder'
 import type { WorkerCalls } from './WorkerCalls'
 
 /** What an intake works with. @public */
@@ -39,8 +39,8 @@
  */
 export class Intake {
 	private readonly groups: Groups
-	private readonly home: HomeDesk
-	private readonly repeatable: RepeatableDesk
+	private readonly home: HomeForwarder
+	private readonly repeatable: RepeatableForwarder
 	private readonly connected = new Set<string>()
 	private readonly dataCentres: readonly string[]
 	private configuration: Configuration = DEFAULT_CONFIGURATION
@@ -153,9 +153,9 @@
 		})
 	}
 
-	private makeRepeatable(): RepeatableDesk {
+	private makeRepeatable(): RepeatableForwarder {
 		const { clock, random, metrics, workers, self } = this.parts
-		return new RepeatableDesk({
+		return new RepeatableForwarder({
 			clock,
 			random,
 			metrics,
@@ -166,9 +166,9 @@
 		})
 	}
 
-	private makeHome(): HomeDesk {
+	private makeHome(): HomeForwarder {
 		const { clock, metrics, workers, send, incarnation } = this.parts
-		return new HomeDesk({
+		return new HomeForwarder({
 			incarnation,
 			send,
 			clock,
--- a/packages/intake/src/lib/RepeatableDesk.ts
+++ b/packages/intake/src/lib/RepeatableForwarder.ts
@@ -25,8 +25,8 @@
 const SERVICE_TIME_WEIGHT = 0.05
 const FIRST_SERVICE_TIME = 20
 
-/** What the desk works with. @internal */
-export interface RepeatableDeskParts {
+/** What the controller works with. @internal */
+export interface RepeatableForwarderParts {
 	readonly clock: Clock
 	readonly random: Random
 	readonly metrics: Metrics
@@ -53,11 +53,11 @@
 }
 
 /**
- * The desk for repeatable requests.
+ * The controller for repeatable requests.
  *
  * @internal
  */
-export class RepeatableDesk {
+export class RepeatableForwarder {
 	private readonly pool: SlotPool
 	private readonly budget: RetryBudget
 	private waiting: Run[] = []
@@ -73,7 +73,7 @@
 	/** The newest grant that was seen. */
 	grant = 0
 
-	constructor(private readonly parts: RepeatableDeskParts) {
+	constructor(private readonly parts: RepeatableForwarderParts) {
 		this.pool = new SlotPool(parts.random)
 		this.budget = new RetryBudget(parts.retryShare())
 		this.timer = parts.clock.every(TICK, () => this.tick())
--- a/packages/intake/src/lib/WorkerCalls.ts
+++ b/packages/intake/src/lib/WorkerCalls.ts
@@ -1,4 +1,4 @@
-/** What the desks ask of whoever calls workers. */
+/** What the controllers ask of whoever calls workers. */
 import type { Answer } from '@rillrudder/protocol'
 import type { PassedHeader } from '@rillrudder/web'
 
--- a/packages/jobs/src/index.ts
+++ b/packages/jobs/src/index.ts
@@ -1,4 +1,4 @@
-/** Jobs of a cell: replicated records, and the leader's desk that places them. */
+/** Jobs of a cell: replicated records, and the leader's controller that places them. */
 export {
 	COMMAND_VERSION,
 	decodeCommands,
@@ -7,17 +7,17 @@
 	type CellCommand,
 	type End,
 } from './lib/commands/CellCommand'
-export type * from './lib/desk/calls'
-export type { DeskContext } from './lib/desk/DeskContext'
-export { DeskEvent } from './lib/desk/DeskEvent'
-export { DEFAULT_DESK_TIMING, type DeskTiming } from './lib/desk/DeskTiming'
-export { JobDesk } from './lib/desk/JobDesk'
-export * from './lib/desk/ports'
-export { QueueTable } from './lib/desk/QueueTable'
+export type * from './lib/leader/calls'
+export type { LeaderContext } from './lib/leader/LeaderContext'
+export { LeaderEvent } from './lib/leader/LeaderEvent'
+export { DEFAULT_LEADER_TIMING, type LeaderTiming } from './lib/leader/LeaderTiming'
+export { JobController } from './lib/leader/JobController'
+export * from './lib/leader/ports'
+export { QueueTable } from './lib/leader/QueueTable'
 export * from './lib/records/Cell'
 export * from './lib/records/checkJob'
 export * from './lib/records/Job'
 export { CellState } from './lib/state/CellState'
 export type { Change } from './lib/state/Change'
-export { JobBook } from './lib/state/JobBook'
+export { JobTable } from './lib/state/JobTable'
 export { isActive, TaskStatus, type JobRecord } from './lib/state/JobRecord'
--- a/packages/jobs/src/lib/desk/AdvicePlanner.ts
+++ b/packages/jobs/src/lib/leader/AdvicePlanner.ts
@@ -3,7 +3,7 @@
  * each instance, and some queues' answers take twenty times as long as others': those may not take every
  * instance at once.
  */
-import type { DeskContext } from './DeskContext'
+import type { LeaderContext } from './LeaderContext'
 import type { AdviceQuestion, AdviceResult } from './ports'
 
 /** Milliseconds from which an answer counts as a long one. */
@@ -68,7 +68,7 @@
 	/** Until when instances that brought no answer are asked last. */
 	private readonly resting = new Map<string, number>()
 
-	constructor(private readonly context: DeskContext) {}
+	constructor(private readonly context: LeaderContext) {}
 
 	/** Asks as soon as an instance is free. */
 	ask(question: PlannedQuestion): void {
--- a/packages/jobs/src/lib/desk/JobDesk.ts
+++ b/packages/jobs/src/lib/leader/JobController.ts
@@ -1,4 +1,4 @@
-/** The desk of a cell's leader: answers calls, and decides what runs where. */
+/** The controller of a cell's leader: answers calls, and decides what runs where. */
 import { Measure } from '@rillrudder/telemetry'
 import { exhaustive } from '@rillrudder/utils'
 import type { CellConfiguration, Heartbeat } from '../records/Cell'
@@ -9,13 +9,13 @@
 import { objectiveOf } from '../placement/stepTimes'
 import { isActive, type JobRecord } from '../state/JobRecord'
 import type { CellCall, CellReply, Destination } from './calls'
-import { epochOf, type DeskContext } from './DeskContext'
-import { DeskEvent } from './DeskEvent'
+import { epochOf, type LeaderContext } from './LeaderContext'
+import { LeaderEvent } from './LeaderEvent'
 import { explainJob, listJobs, shapeOf } from './explainJob'
 import { QueueTable } from './QueueTable'
-import { RunBoard } from './RunBoard'
-import { StepBoard } from './StepBoard'
-import { WorkerBoard } from './WorkerBoard'
+import { RunController } from './RunController'
+import { StepScheduler } from './StepScheduler'
+import { WorkerRegistry } from './WorkerRegistry'
 
 /** Jobs that may be kept at a time; bounds the leader's memory and its snapshots. */
 const MOST_JOBS = 20_000
@@ -31,21 +31,21 @@
 type Reply = (reply: CellReply) => void
 
 /**
- * The desk of a cell's leader. It lives as long as one leadership.
+ * The controller of a cell's leader. It lives as long as one leadership.
  *
  * @example
  * ```ts
- * const desk = new JobDesk(context)
- * desk.call({ kind: 'submit', to, job }, (reply) => send(reply))
- * desk.tick()
+ * const controller = new JobController(context)
+ * controller.call({ kind: 'submit', to, job }, (reply) => send(reply))
+ * controller.tick()
  * ```
  * @public
  */
-export class JobDesk {
-	private readonly workers: WorkerBoard
+export class JobController {
+	private readonly workers: WorkerRegistry
 	private readonly precedence = new Precedence()
-	private readonly runs: RunBoard
-	private readonly steps: StepBoard
+	private readonly runs: RunController
+	private readonly steps: StepScheduler
 	private queues: QueueTable
 	/** Callers that wait for a submission to be committed, by the job's id. */
 	private readonly submitting = new Map<string, Reply[]>()
@@ -54,20 +54,20 @@
 	private placing = false
 
 	/** @param context - the state as of the beginning of this leadership, and the world around it. */
-	constructor(private readonly context: DeskContext) {
+	constructor(private readonly context: LeaderContext) {
 		const { state, log, term } = context
-		this.workers = new WorkerBoard(context, {
-			looked: (view, result, sentAt) => this.runs.looked(view, result, sentAt),
+		this.workers = new WorkerRegistry(context, {
+			polled: (view, result, sentAt) => this.runs.polled(view, result, sentAt),
 		})
 		this.precedence.configured(state.configuration?.queues ?? [], context.clock.now())
-		this.runs = new RunBoard(context, this.workers, this.precedence, {
+		this.runs = new RunController(context, this.workers, this.precedence, {
 			ticketRefused: (task, worker) => this.steps.ticketRefused(task, worker),
 			moved: (task, worker) => this.steps.movedAway(task, worker),
 		})
-		this.steps = new StepBoard(context, this.workers, this.runs, this.precedence)
+		this.steps = new StepScheduler(context, this.workers, this.runs, this.precedence)
 		this.queues = new QueueTable(state.configuration)
 		for (const job of state.jobs.all()) this.takeUp(job)
-		log.info(DeskEvent.LeadershipGained, {
+		log.info(LeaderEvent.LeadershipGained, {
 			term,
 			jobs: state.jobs.size,
 			runs: this.runs.size,
@@ -75,7 +75,7 @@
 		})
 	}
 
-	/** Sets the gauges of what the desk has on it. */
+	/** Sets the gauges of what the controller has on it. */
 	measure(): void {
 		const { meter, state } = this.context
 		meter.gauge(Measure.Runs, this.runs.size)
@@ -193,7 +193,7 @@
 		}
 		const full = this.whyFull(job)
 		if (full) {
-			log.warn(DeskEvent.JobRefused, { job: id, reason: full, jobs: state.jobs.size })
+			log.warn(LeaderEvent.JobRefused, { job: id, reason: full, jobs: state.jobs.size })
 			reply({ kind: 'not-run', reason: full, retryAfter: RETRY_AFTER })
 			return
 		}
@@ -214,7 +214,7 @@
 		const job = this.context.state.jobs.find(id)
 		const shape = job ? shapeOf(job.request) : {}
 		const objective = job ? Math.round(objectiveOf(job.request, job.queue)) : undefined
-		this.context.log.info(DeskEvent.JobAccepted, {
+		this.context.log.info(LeaderEvent.JobAccepted, {
 			job: id,
 			queue,
 			configuration,
@@ -292,7 +292,7 @@
 		this.queues = new QueueTable(configuration)
 		const { version, queues } = configuration
 		this.precedence.configured(queues, this.context.clock.now())
-		this.context.log.info(DeskEvent.ConfigurationApplied, {
+		this.context.log.info(LeaderEvent.ConfigurationApplied, {
 			configuration: version,
 			queues: queues.length,
 		})
@@ -302,7 +302,7 @@
 		const took = job.ended - job.submitted
 		const { log, meter } = this.context
 		const objective = Math.round(objectiveOf(job.request, job.queue))
-		log.info(DeskEvent.JobEnded, { job: job.id, state: job.state, took, objective })
+		log.info(LeaderEvent.JobEnded, { job: job.id, state: job.state, took, objective })
 		meter.count(Measure.JobsEnded, { state: job.state })
 		meter.observe(Measure.JobTime, took, { state: job.state })
 		this.steps.drop(job)
--- a/packages/jobs/src/lib/desk/DeskContext.ts
+++ b/packages/jobs/src/lib/leader/LeaderContext.ts
@@ -1,19 +1,19 @@
-/** What the parts of the desk share. */
+/** What the parts of the controller share. */
 import type { Ledger, WorkerHealth } from '@rillrudder/scheduler'
 import type { Log, Meter } from '@rillrudder/telemetry'
 import type { Clock, Random } from '@rillrudder/utils'
 import type { CellState } from '../state/CellState'
-import type { DeskTiming } from './DeskTiming'
+import type { LeaderTiming } from './LeaderTiming'
 import type { Advisers, Proposals, WorkerOrders } from './ports'
 
-/** What the parts of the desk share. @public */
-export interface DeskContext {
+/** What the parts of the controller share. @public */
+export interface LeaderContext {
 	readonly state: CellState
 	readonly ledger: Ledger
 	readonly health: WorkerHealth
 	readonly clock: Clock
 	readonly random: Random
-	readonly timing: DeskTiming
+	readonly timing: LeaderTiming
 	/** Term of this leadership, the fence of its orders. */
 	readonly term: number
 	readonly orders: WorkerOrders
@@ -26,6 +26,6 @@
 }
 
 /** @returns milliseconds since the epoch. @internal */
-export function epochOf(context: DeskContext): number {
+export function epochOf(context: LeaderContext): number {
 	return context.clock.date().getTime()
 }
--- a/packages/jobs/src/lib/desk/DeskEvent.ts
+++ b/packages/jobs/src/lib/leader/LeaderEvent.ts
@@ -1,7 +1,7 @@
-/** The log events of the desk: one for each decision that touches a job or changes what it believes. */
+/** The log events of the controller: one for each decision that touches a job or changes what it believes. */
 
-/** Events of the desk. @public */
-export const DeskEvent = {
+/** Events of the controller. @public */
+export const LeaderEvent = {
 	/** This instance leads; `term`, `jobs` and `runs` that it takes up, `configuration` in force. */
 	LeadershipGained: 'leadership-gained',
 	/** This instance leads no longer; `term`. */
@@ -73,4 +73,4 @@
 	RunPaced: 'run-paced',
 } as const
 /** One of the events. @public */
-export type DeskEvent = (typeof DeskEvent)[keyof typeof DeskEvent]
+export type LeaderEvent = (typeof LeaderEvent)[keyof typeof LeaderEvent]
--- a/packages/jobs/src/lib/desk/DeskTiming.ts
+++ b/packages/jobs/src/lib/leader/LeaderTiming.ts
@@ -1,17 +1,17 @@
-/** The spans that the desk works with, in milliseconds. */
+/** The spans that the controller works with, in milliseconds. */
 
 /** Spans of a cell; the platform's settings give some of them. @public */
-export interface DeskTiming {
+export interface LeaderTiming {
 	/** Length of a worker's lease from the moment it is renewed. */
 	readonly lease: number
 	/** How slow a worker's clock may be, as a share. */
 	readonly clockDrift: number
 	/** Added to the end of a lease before it counts as over. */
 	readonly leaseMargin: number
-	/** How long a look waits for the next end. */
-	readonly lookWait: number
+	/** How long a poll waits for the next end. */
+	readonly pollWait: number
 	/** The same at a worker where best-effort work runs beside work with a latency target. */
-	readonly tightLookWait: number
+	readonly tightPollWait: number
 	/** Pause before a worker that did not answer is tried again. */
 	readonly retryPause: number
 	/** How long the state of an ended job is kept. */
@@ -27,14 +27,14 @@
 }
 
 /** Spans that suit data centres a few milliseconds apart. @public */
-export const DEFAULT_DESK_TIMING: DeskTiming = {
-	// Longer than a change of leader (up to 1.2 s) and the look after it.
+export const DEFAULT_LEADER_TIMING: LeaderTiming = {
+	// Longer than a change of leader (up to 1.2 s) and the poll after it.
 	lease: 4000,
 	clockDrift: 0.02,
 	leaseMargin: 100,
 	// A lost answer hides ends for this long and half a second more.
-	lookWait: 500,
-	tightLookWait: 300,
+	pollWait: 500,
+	tightPollWait: 300,
 	retryPause: 200,
 	keepEnded: 150_000,
 	// Three missed heartbeats of 1.5 s.
--- a/packages/jobs/src/lib/desk/Lease.ts
+++ b/packages/jobs/src/lib/leader/Lease.ts
@@ -1,8 +1,8 @@
 /**
  * A worker's lease, counted on two clocks. The worker keeps what it runs until a time on its own clock;
- * the desk must know when that is certainly over, and may only assume how slow the other clock is.
+ * the controller must know when that is certainly over, and may only assume how slow the other clock is.
  */
-import type { DeskTiming } from './DeskTiming'
+import type { LeaderTiming } from './LeaderTiming'
 
 /**
  * The lease of one incarnation of a worker.
@@ -18,11 +18,11 @@
 	 * @param overBy - when everything that earlier leaders granted is certainly over.
 	 */
 	constructor(
-		private readonly timing: DeskTiming,
+		private readonly timing: LeaderTiming,
 		private overBy: number
 	) {}
 
-	/** When the lease is certainly over, on the desk's clock. */
+	/** When the lease is certainly over, on the leader's clock. */
 	get endsBy(): number {
 		return this.overBy
 	}
--- a/packages/jobs/src/lib/desk/LostRuns.ts
+++ b/packages/jobs/src/lib/leader/LostRuns.ts
@@ -1,8 +1,8 @@
 /** Gives up the runs of workers that have fallen silent, so that they may begin elsewhere. */
 import { RunEnd } from '../records/Job'
-import { epochOf, type DeskContext } from './DeskContext'
-import { DeskEvent } from './DeskEvent'
-import type { Doubts } from './Doubts'
+import { epochOf, type LeaderContext } from './LeaderContext'
+import { LeaderEvent } from './LeaderEvent'
+import type { SuspectRuns } from './SuspectRuns'
 import type { Run } from './Run'
 import type { WorkerView } from './WorkerView'
 
@@ -19,13 +19,13 @@
  */
 export class LostRuns {
 	constructor(
-		private readonly context: DeskContext,
-		private readonly doubts: Doubts
+		private readonly context: LeaderContext,
+		private readonly suspects: SuspectRuns
 	) {}
 
 	/** The lease of a silent worker is certainly over: nothing runs there any more. */
 	giveUp(view: WorkerView): void {
-		view.doubts.clear()
+		view.suspects.clear()
 		this.lose(view, [...view.runs.values()], 'lease over')
 	}
 
@@ -33,7 +33,7 @@
 	giveUpCopies(view: WorkerView, now: number): void {
 		if (now - view.lostAt < COPY_PATIENCE) return
 		const copies = [...view.runs.values()].filter((run) => run.step.copies)
-		for (const { text, attempt } of copies) this.doubts.raise(view, text, attempt)
+		for (const { text, attempt } of copies) this.suspects.raise(view, text, attempt)
 		this.lose(view, copies, 'copies allowed')
 	}
 
@@ -45,7 +45,7 @@
 			how: RunEnd.Lost,
 			checkpoint: run.checkpoint,
 		}))
-		this.context.log.warn(DeskEvent.RunsLost, { worker: view.id, runs: runs.length, reason })
+		this.context.log.warn(LeaderEvent.RunsLost, { worker: view.id, runs: runs.length, reason })
 		for (const run of lost) {
 			view.runs.delete(run.text)
 			// The worker may answer again before this is committed; the run must not be ordered there then.
--- a/packages/jobs/src/lib/desk/OutageWatch.ts
+++ b/packages/jobs/src/lib/leader/OutageWatch.ts
@@ -1,13 +1,13 @@
 /**
  * Notices that a data centre can't be reached before each of its workers has failed to answer: as soon as some
- * of them are silent, the others count as doubtful until they have answered a call that was sent after that.
+ * of them are silent, the others count as suspect until they have answered a call that was sent after that.
  */
 
 /** One silent worker of so many is enough; a larger data centre often has one whose answer was lost. */
 const WORKERS_PER_MISS = 16
-/** Milliseconds for which a silent worker counts, and for which a doubt lasts. */
+/** Milliseconds for which a silent worker counts, and for which a suspicion lasts. */
 const KEPT = 2000
-/** Milliseconds for which further failures cast no new doubt, since every doubt costs a call to each worker. */
+/** Milliseconds for which further failures raise no new suspicion, since each one costs a call to each worker. */
 const PAUSE = 300
 
 interface Outage {
@@ -46,9 +46,9 @@
 
 	/**
 	 * @returns the moment since which workers of the data centre must have answered to count as
-	 * reachable; undefined when there is no reason for doubt.
+	 * reachable; undefined when there is no reason for suspicion.
 	 */
-	doubtfulSince(dataCentre: string, now: number): number | undefined {
+	suspectSince(dataCentre: string, now: number): number | undefined {
 		const since = this.outages.get(dataCentre)?.doubtedAt
 		return since !== undefined && now - since <= KEPT ? since : undefined
 	}
--- a/packages/jobs/src/lib/desk/Pacing.ts
+++ b/packages/jobs/src/lib/leader/Pacing.ts
@@ -3,8 +3,8 @@
  * tail latency has room again. Slowing down is fast and letting go on is slow, so that the tail stays
  * under its target rather than around it.
  */
-import type { DeskContext } from './DeskContext'
-import { DeskEvent } from './DeskEvent'
+import type { LeaderContext } from './LeaderContext'
+import { LeaderEvent } from './LeaderEvent'
 import { RunPhase, type Run } from './Run'
 import type { WorkerView } from './WorkerView'
 
@@ -25,9 +25,9 @@
  * @internal
  */
 export class Pacing {
-	constructor(private readonly context: DeskContext) {}
+	constructor(private readonly context: LeaderContext) {}
 
-	/** Sets the pace after a look at a worker. */
+	/** Sets the pace after a poll of a worker. */
 	adjust(view: WorkerView): void {
 		const runs = [...view.runs.values()].filter((run) => run.phase === RunPhase.Running)
 		const bestEffort = runs.filter((run) => run.step.bestEffort)
@@ -45,9 +45,9 @@
 		const { text: task, attempt } = run
 		const before = run.pace
 		run.pace = percent
-		log.info(DeskEvent.RunPaced, { task, worker: view.id, percent, pressure })
+		log.info(LeaderEvent.RunPaced, { task, worker: view.id, percent, pressure })
 		orders.pace(view.worker, { task, attempt, percent, fence: term }, (result) => {
-			// What was not heard of is decided anew after the next look.
+			// What was not heard of is decided anew after the next poll.
 			if (result.kind !== 'done') run.pace = before
 		})
 	}
--- a/packages/jobs/src/lib/desk/Run.ts
+++ b/packages/jobs/src/lib/leader/Run.ts
@@ -39,7 +39,7 @@
 	/** Whether an earlier leader began it. */
 	restored: boolean
 	phase: RunPhase
-	/** When the phase began, on the desk's clock. */
+	/** When the phase began, on the leader's clock. */
 	since: number
 	/** Orders of this phase that got no answer. */
 	unanswered: number
@@ -57,7 +57,7 @@
 	measure: number
 	/** Share of its speed that it was last told to work at, from 0 to 100. */
 	pace: number
-	/** Looks in a row that did not list it although they should have. */
+	/** WorkerPolls in a row that did not list it although they should have. */
 	absent: number
 }
 
--- a/packages/jobs/src/lib/desk/RunBoard.ts
+++ b/packages/jobs/src/lib/leader/RunController.ts
@@ -5,19 +5,19 @@
 import { RunProgress } from '../placement/RunProgress'
 import { timesOf } from '../placement/stepTimes'
 import type { JobRecord } from '../state/JobRecord'
-import { tasksOf } from '../state/JobBook'
+import { tasksOf } from '../state/JobTable'
 import { isActive, TaskStatus } from '../state/JobRecord'
-import { epochOf, type DeskContext } from './DeskContext'
-import { DeskEvent } from './DeskEvent'
+import { epochOf, type LeaderContext } from './LeaderContext'
+import { LeaderEvent } from './LeaderEvent'
 import { Pacing } from './Pacing'
-import { Refusal, type LookResult, type OrderResult } from './ports'
+import { Refusal, type PollResult, type OrderResult } from './ports'
 import { reservedFor } from './reservation'
 import { RunPhase, type Run } from './Run'
-import type { WorkerBoard } from './WorkerBoard'
+import type { WorkerRegistry } from './WorkerRegistry'
 import type { WorkerView } from './WorkerView'
 
-/** Looks in a row that must not list a run before it is given up. */
-const ABSENT_LOOKS = 2
+/** WorkerPolls in a row that must not list a run before it is given up. */
+const ABSENT_POLLS = 2
 
 /** What was decided for a run before it begins. @internal */
 export interface Decision extends Standing {
@@ -38,15 +38,15 @@
  *
  * @internal
  */
-export class RunBoard {
+export class RunController {
 	private readonly runs = new Map<string, Run>()
 	/** Runs that have been decided and not yet begun. */
 	private readonly pending = new Map<string, Decision>()
 	private readonly pacing: Pacing
 
 	constructor(
-		private readonly context: DeskContext,
-		private readonly workers: WorkerBoard,
+		private readonly context: LeaderContext,
+		private readonly workers: WorkerRegistry,
 		private readonly precedence: Precedence,
 		private readonly listener: RunListener
 	) {
@@ -107,7 +107,7 @@
 		meter.count(Measure.RunsEnded, { how })
 		if (how === RunEnd.Done) health.succeeded(worker)
 		if (how === RunEnd.Failed) health.failed(worker, name.job, clock.now())
-		if (how !== RunEnd.Done) log.info(DeskEvent.RunEnded, { task: text, attempt, worker, how })
+		if (how !== RunEnd.Done) log.info(LeaderEvent.RunEnded, { task: text, attempt, worker, how })
 	}
 
 	/** Stops everything that a job runs. */
@@ -127,7 +127,7 @@
 	/** Stops a run so that a step of the highest priority finds room; it goes on from its checkpoint later. */
 	preempt(run: Run, step: string): void {
 		const { text: task, attempt, worker, percent } = run
-		this.context.log.info(DeskEvent.RunPreempted, { task, attempt, worker, percent, for: step })
+		this.context.log.info(LeaderEvent.RunPreempted, { task, attempt, worker, percent, for: step })
 		this.context.meter.count(Measure.Preemptions)
 		this.beginStop(run)
 	}
@@ -152,7 +152,7 @@
 	}
 
 	/** Compares what a worker lists with what it should run. */
-	looked(view: WorkerView, result: LookResult & { kind: 'done' }, sentAt: number): void {
+	polled(view: WorkerView, result: PollResult & { kind: 'done' }, sentAt: number): void {
 		const listed = new Set<string>()
 		for (const { task, attempt, checkpoint, percent, measure } of result.running) {
 			const run = this.runs.get(task)
@@ -179,7 +179,7 @@
 		const { speed } = this.workers
 		if (speed.judge(view, this.workers.size, now)) {
 			const { log, meter } = this.context
-			log.warn(DeskEvent.WorkerSlow, { worker: view.id, runs: view.runs.size })
+			log.warn(LeaderEvent.WorkerSlow, { worker: view.id, runs: view.runs.size })
 			meter.count(Measure.SlowWorkers)
 		}
 		if (!speed.isSlow(view.id, now) || view.draining) return
@@ -190,7 +190,7 @@
 	private move(run: Run): void {
 		if (run.phase !== RunPhase.Running) return
 		const { text: task, attempt, worker, percent, step } = run
-		this.context.log.info(DeskEvent.RunMoved, { task, attempt, worker, percent })
+		this.context.log.info(LeaderEvent.RunMoved, { task, attempt, worker, percent })
 		this.context.meter.count(Measure.Moves)
 		this.listener.moved(run.name, worker)
 		if (!step.gang) return this.beginStop(run)
@@ -322,7 +322,7 @@
 			if (run.phase === RunPhase.Starting) this.enter(run, RunPhase.Running)
 			else if (run.phase === RunPhase.Stopping) this.order(run)
 			const view = this.workers.find(run.worker)
-			if (view && !view.looking) view.lookDue = 0
+			if (view && !view.polling) view.pollDue = 0
 		} else if (run.phase === RunPhase.Stopping) {
 			this.enter(run, RunPhase.Stopped)
 		}
@@ -331,7 +331,7 @@
 	private refused(run: Run, asked: RunPhase, reason: Refusal): void {
 		const { log, health, clock, timing } = this.context
 		const { text, attempt, worker } = run
-		log.info(DeskEvent.OrderRefused, { task: text, attempt, worker, reason, order: asked })
+		log.info(LeaderEvent.OrderRefused, { task: text, attempt, worker, reason, order: asked })
 		if (reason === Refusal.Fence) {
 			this.context.deposed()
 			return
@@ -363,8 +363,8 @@
 		const settled = run.phase === RunPhase.Running || run.phase === RunPhase.Stopped
 		if (!settled || run.since >= sentAt) return
 		run.absent += 1
-		const looks = run.phase === RunPhase.Stopped ? 1 : ABSENT_LOOKS
-		if (run.absent < looks) return
+		const polls = run.phase === RunPhase.Stopped ? 1 : ABSENT_POLLS
+		if (run.absent < polls) return
 		this.proposeEnd(run, run.phase === RunPhase.Stopped ? RunEnd.Refused : RunEnd.Lost)
 	}
 
--- a/packages/jobs/src/lib/desk/StepAdvice.ts
+++ b/packages/jobs/src/lib/leader/StepAdvice.ts
@@ -3,7 +3,7 @@
 /** A worker that may run the step. */
 interface Ticket {
 	readonly text: string
-	/** Until when a start may be decided with it, on the desk's clock. */
+	/** Until when a start may be decided with it, on the leader's clock. */
 	readonly until: number
 }
 
@@ -17,7 +17,7 @@
 	asking = false
 	/** How many questions have been asked. */
 	questions = 0
-	/** When the first answer came, on the desk's clock. */
+	/** When the first answer came, on the leader's clock. */
 	firstAnswerAt: number | undefined
 	/** When the next question may be asked, after one that failed. */
 	notBefore = 0
--- a/packages/jobs/src/lib/desk/StepQuestions.ts
+++ b/packages/jobs/src/lib/leader/StepQuestions.ts
@@ -3,8 +3,8 @@
 import { AdvicePlanner } from './AdvicePlanner'
 import { AllowedShare } from './AllowedShare'
 import type { Option } from './chooseForStep'
-import type { DeskContext } from './DeskContext'
-import { DeskEvent } from './DeskEvent'
+import type { LeaderContext } from './LeaderContext'
+import { LeaderEvent } from './LeaderEvent'
 import type { AdviceResult } from './ports'
 import type { StepWork } from './StepWork'
 import { workersToAsk } from './workersToAsk'
@@ -27,7 +27,7 @@
 	private readonly planner: AdvicePlanner
 	private readonly shares = new AllowedShare()
 
-	constructor(private readonly context: DeskContext) {
+	constructor(private readonly context: LeaderContext) {
 		this.planner = new AdvicePlanner(context)
 	}
 
@@ -53,15 +53,15 @@
 		const until = now + ASK_AGAIN + (ahead || work.step.gang ? answer : 0)
 		const share = this.shares.of(queue.name)
 		const renew = roomAt === undefined || roomAt <= now + answer + ASK_AGAIN
-		const wish = { tasks, until, most: MOST_ASKED, ahead, renew, share, terms: queue.advice }
-		const workers = workersToAsk(work, eligible, wish)
+		const need = { tasks, until, most: MOST_ASKED, ahead, renew, share, terms: queue.advice }
+		const workers = workersToAsk(work, eligible, need)
 		if (workers.length === 0) return
 		advice.asking = true
 		advice.questions += 1
 		const cost = queue.advice.base + queue.advice.each * workers.length
 		const rank = work.urgency.priority * PRIORITY_RANK + work.urgency.latestStart
 		const done = (result: AdviceResult): void => this.advised(work, workers, now, result)
-		this.context.log.debug(DeskEvent.AdviceAsked, { step: work.name, workers: workers.length })
+		this.context.log.debug(LeaderEvent.AdviceAsked, { step: work.name, workers: workers.length })
 		this.planner.ask({ step: work.name, workers, cost, rank, done })
 	}
 
@@ -80,7 +80,7 @@
 		if (result.kind !== 'answered') {
 			if (result.kind === 'busy') work.advice.notBefore = now + timing.retryPause
 			const reason = result.kind === 'unknown' ? result.message : undefined
-			log.info(DeskEvent.AdviceCame, { step: work.name, outcome: result.kind, reason })
+			log.info(LeaderEvent.AdviceCame, { step: work.name, outcome: result.kind, reason })
 			return
 		}
 		const valid = work.queue.advice?.valid ?? 0
@@ -91,6 +91,6 @@
 		work.advice.answered(asked, result.tickets, now + valid - timing.ticketMargin)
 		const took = Math.round(now - askedAt)
 		const good = result.tickets.size
-		log.debug(DeskEvent.AdviceCame, { step: work.name, asked: asked.length, good, took })
+		log.debug(LeaderEvent.AdviceCame, { step: work.name, asked: asked.length, good, took })
 	}
 }
--- a/packages/jobs/src/lib/desk/StepBoard.ts
+++ b/packages/jobs/src/lib/leader/StepScheduler.ts
@@ -7,14 +7,14 @@
 import { Reservations } from '../placement/Reservations'
 import { timesOf } from '../placement/stepTimes'
 import { admits, chooseForStep, type Option, type RoomCheck } from './chooseForStep'
-import { epochOf, type DeskContext } from './DeskContext'
-import { DeskEvent } from './DeskEvent'
+import { epochOf, type LeaderContext } from './LeaderContext'
+import { LeaderEvent } from './LeaderEvent'
 import { placeGang, type Placed } from './placeGang'
-import type { RunBoard } from './RunBoard'
+import type { RunController } from './RunController'
 import { runsToStop } from './runsToStop'
 import { StepQuestions } from './StepQuestions'
 import { byUrgency, stepName, StepWork } from './StepWork'
-import type { WorkerBoard } from './WorkerBoard'
+import type { WorkerRegistry } from './WorkerRegistry'
 
 /** Milliseconds that an urgent step waits for room before runs of lower priority are stopped for it. */
 const PREEMPT_AFTER = 60
@@ -26,7 +26,7 @@
  *
  * @internal
  */
-export class StepBoard {
+export class StepScheduler {
 	private readonly steps = new Map<string, StepWork>()
 	private order: StepWork[] = []
 	private readonly questions: StepQuestions
@@ -38,9 +38,9 @@
 	private readonly isFree: RoomCheck = (work, option) => this.reservations.allows(work, option)
 
 	constructor(
-		private readonly context: DeskContext,
-		private readonly workers: WorkerBoard,
-		private readonly runs: RunBoard,
+		private readonly context: LeaderContext,
+		private readonly workers: WorkerRegistry,
+		private readonly runs: RunController,
 		private readonly precedence: Precedence
 	) {
 		this.questions = new StepQuestions(context)
@@ -161,7 +161,7 @@
 	/**
 	 * Begins what can begin now.
 	 *
-	 * @param now - the moment, on the desk's clock.
+	 * @param now - the moment, on the leader's clock.
 	 * @param again - whether steps that found no room are tried although nothing has come free.
 	 */
 	place(now: number, again: boolean): void {
@@ -187,14 +187,14 @@
 		work.toldBarred = true
 		const { name: step, queue } = work
 		this.context.meter.count(Measure.StepsBarred, { priority: String(queue.priority) })
-		this.context.log.info(DeskEvent.StepBarred, { step, priority: queue.priority, workers })
+		this.context.log.info(LeaderEvent.StepBarred, { step, priority: queue.priority, workers })
 	}
 
 	private tellOverdue(work: StepWork): void {
 		const waiting = work.waiting().length
 		if (waiting === 0 || work.readyAt === undefined) return
 		work.toldOverdue = true
-		this.context.log.info(DeskEvent.StepOverdue, {
+		this.context.log.info(LeaderEvent.StepOverdue, {
 			step: work.name,
 			priority: work.queue.priority,
 			waiting,
@@ -353,7 +353,7 @@
 		})
 		const priority = String(work.queue.priority)
 		this.context.meter.observe(Measure.StepWait, work.waited(now), { priority })
-		this.context.log.info(DeskEvent.StepPlaced, {
+		this.context.log.info(LeaderEvent.StepPlaced, {
 			step: work.name,
 			priority: work.queue.priority,
 			runs: runs.length,
--- a/packages/jobs/src/lib/desk/StepWork.ts
+++ b/packages/jobs/src/lib/leader/StepWork.ts
@@ -34,7 +34,7 @@
 	readonly onWorker = new Map<string, number>()
 	/** Workers on which runs of its tasks failed, with their counts. */
 	readonly failedOn = new Map<string, number>()
-	/** When the steps before it were done, on the desk's clock; absent while they are not. */
+	/** When the steps before it were done, on the leader's clock; absent while they are not. */
 	readyAt: number | undefined
 	/** Whether a line has told that it waits although it had to begin. */
 	toldOverdue = false
--- a/packages/jobs/src/lib/desk/Looks.ts
+++ b/packages/jobs/src/lib/leader/WorkerPolls.ts
@@ -1,32 +1,32 @@
-/** Looks at workers: long polls that renew a lease and wait for the next end, and short ones that only ask. */
-import type { DeskContext } from './DeskContext'
-import type { LookResult } from './ports'
+/** Polls of workers: long polls that renew a lease and wait for the next end, and short ones that only ask. */
+import type { LeaderContext } from './LeaderContext'
+import type { PollResult } from './ports'
 import type { WorkerView } from './WorkerView'
 
-/** Most looks at workers of unknown state in one tick; with a new connection each takes about 1 ms. */
-const MOST_FIRST_LOOKS = 20
+/** Most polls of workers of unknown state in one tick; with a new connection each takes about 1 ms. */
+const MOST_FIRST_POLLS = 20
 
-/** What looks need of the board of workers. @internal */
-export interface LookHost {
-	/** @returns whether something about a worker is not known that a short look tells. */
+/** What polls need of the registry of workers. @internal */
+export interface PollHost {
+	/** @returns whether something about a worker is not known that a short poll tells. */
 	isUnclear(view: WorkerView, now: number): boolean
-	/** @param sentAt - when the look was sent, on the desk's clock. */
-	looked(view: WorkerView, result: LookResult, sentAt: number): void
+	/** @param sentAt - when the poll was sent, on the leader's clock. */
+	polled(view: WorkerView, result: PollResult, sentAt: number): void
 }
 
 /**
- * The looks at workers.
+ * The polls of workers.
  *
  * @internal
  */
-export class Looks {
+export class WorkerPolls {
 	constructor(
-		private readonly context: DeskContext,
-		private readonly host: LookHost
+		private readonly context: LeaderContext,
+		private readonly host: PollHost
 	) {}
 
 	/**
-	 * Goes on looking at workers that are known, and begins with a few of the others, those first that have waited
+	 * Goes on polling workers that are known, and begins with a few of the others, those first that have waited
 	 * longest. All at once, as after a change of leader, they would keep the instance from its heartbeats for longer
 	 * than its lease.
 	 */
@@ -34,26 +34,26 @@
 		const unclear: WorkerView[] = []
 		for (const view of views) {
 			if (this.host.isUnclear(view, now)) unclear.push(view)
-			else if (isDueForLook(view, now)) this.look(view, now)
+			else if (isDueForPoll(view, now)) this.poll(view, now)
 		}
-		const due = unclear.filter((view) => isDueForLook(view, now) || isDueForProbe(view, now))
-		if (due.length > MOST_FIRST_LOOKS) due.sort((left, right) => left.askedAt - right.askedAt)
-		for (const view of due.slice(0, MOST_FIRST_LOOKS)) {
+		const due = unclear.filter((view) => isDueForPoll(view, now) || isDueForProbe(view, now))
+		if (due.length > MOST_FIRST_POLLS) due.sort((left, right) => left.askedAt - right.askedAt)
+		for (const view of due.slice(0, MOST_FIRST_POLLS)) {
 			view.askedAt = now
-			if (isDueForLook(view, now)) this.look(view, now)
+			if (isDueForPoll(view, now)) this.poll(view, now)
 			else this.probe(view, now)
 		}
 	}
 
 	/** Waits for the next end, and renews the lease. */
-	private look(view: WorkerView, now: number): void {
+	private poll(view: WorkerView, now: number): void {
 		const { timing } = this.context
 		const leaseUntil = view.unreachable || view.left ? undefined : view.lease.renew(now)
-		view.looking = true
-		view.lookDue = now + timing.retryPause
+		view.polling = true
+		view.pollDue = now + timing.retryPause
 		const wait = leaseUntil === undefined || !view.listed ? 0 : this.waitAt(view)
 		this.send(view, leaseUntil, wait, now, () => {
-			view.looking = false
+			view.polling = false
 		})
 	}
 
@@ -75,9 +75,9 @@
 	): void {
 		const { term, orders } = this.context
 		const order = { fence: term, endsSeen: view.endsCommitted, leaseUntil, wait }
-		orders.look(view.worker, order, (result) => {
+		orders.poll(view.worker, order, (result) => {
 			answered()
-			this.host.looked(view, result, sentAt)
+			this.host.polled(view, result, sentAt)
 		})
 	}
 
@@ -89,12 +89,12 @@
 			if (step.bestEffort) bestEffort = true
 			if (step.latencyTarget > 0) serves = true
 		}
-		return serves && bestEffort ? timing.tightLookWait : timing.lookWait
+		return serves && bestEffort ? timing.tightPollWait : timing.pollWait
 	}
 }
 
-function isDueForLook(view: WorkerView, now: number): boolean {
-	return view.runs.size > 0 && !view.looking && now >= view.lookDue
+function isDueForPoll(view: WorkerView, now: number): boolean {
+	return view.runs.size > 0 && !view.polling && now >= view.pollDue
 }
 
 function isDueForProbe(view: WorkerView, now: number): boolean {
--- a/packages/jobs/src/lib/desk/WorkerBoard.ts
+++ b/packages/jobs/src/lib/leader/WorkerRegistry.ts
@@ -1,22 +1,22 @@
-/** The workers of the cell as the leader sees them: heartbeats, leases, looks. */
+/** The workers of the cell as the leader sees them: heartbeats, leases, polls. */
 import { Measure } from '@rillrudder/telemetry'
 import type { Heartbeat, Worker } from '../records/Cell'
-import { epochOf, type DeskContext } from './DeskContext'
-import { DeskEvent } from './DeskEvent'
-import { Doubts } from './Doubts'
+import { epochOf, type LeaderContext } from './LeaderContext'
+import { LeaderEvent } from './LeaderEvent'
+import { SuspectRuns } from './SuspectRuns'
 import { Lease } from './Lease'
-import { Looks } from './Looks'
+import { WorkerPolls } from './WorkerPolls'
 import { LostRuns } from './LostRuns'
 import { OutageWatch } from './OutageWatch'
 import { SpeedWatch } from '../placement/SpeedWatch'
-import type { ListedEnd, LookResult } from './ports'
+import type { ListedEnd, PollResult } from './ports'
 import { sameWorker } from './sameWorker'
 import { WorkerView } from './WorkerView'
 
-/** Told of what looks bring. @internal */
-export interface LookListener {
-	/** @param sentAt - when the look was sent, on the desk's clock. */
-	looked(view: WorkerView, result: LookResult & { kind: 'done' }, sentAt: number): void
+/** Told of what polls bring. @internal */
+export interface PollListener {
+	/** @param sentAt - when the poll was sent, on the leader's clock. */
+	polled(view: WorkerView, result: PollResult & { kind: 'done' }, sentAt: number): void
 }
 
 /**
@@ -24,27 +24,27 @@
  *
  * @internal
  */
-export class WorkerBoard {
+export class WorkerRegistry {
 	private readonly views = new Map<string, WorkerView>()
 	/** Tells which workers are slow. */
 	readonly speed = new SpeedWatch()
 	private readonly outages = new OutageWatch()
-	private readonly doubts: Doubts
-	private readonly looks: Looks
+	private readonly suspects: SuspectRuns
+	private readonly polls: WorkerPolls
 	private readonly lostRuns: LostRuns
 
 	constructor(
-		private readonly context: DeskContext,
-		private readonly listener: LookListener
+		private readonly context: LeaderContext,
+		private readonly listener: PollListener
 	) {
-		this.doubts = new Doubts(context, (view, message, sentAt) =>
+		this.suspects = new SuspectRuns(context, (view, message, sentAt) =>
 			this.unanswered(view, message, sentAt)
 		)
-		this.looks = new Looks(context, {
+		this.polls = new WorkerPolls(context, {
 			isUnclear: (view, now) => this.isUnclear(view, now),
-			looked: (view, result, sentAt) => this.looked(view, result, sentAt),
+			polled: (view, result, sentAt) => this.polled(view, result, sentAt),
 		})
-		this.lostRuns = new LostRuns(context, this.doubts)
+		this.lostRuns = new LostRuns(context, this.suspects)
 		for (const { worker, draining } of context.state.workers.all()) {
 			this.add(worker)
 			if (draining) this.draining(worker.id)
@@ -95,8 +95,8 @@
 	isOpen(view: WorkerView): boolean {
 		const { clock, timing, health } = this.context
 		const now = clock.now()
-		if (view.draining || view.doubts.size > 0 || view.unreachable || !view.listed) return false
-		if (this.isDoubtful(view, now) || this.speed.isSlow(view.id, now)) return false
+		if (view.draining || view.suspects.size > 0 || view.unreachable || !view.listed) return false
+		if (this.isSuspect(view, now) || this.speed.isSlow(view.id, now)) return false
 		return now - view.heartbeatAt < timing.workerSilent && health.isOpen(view.id, now)
 	}
 
@@ -159,12 +159,12 @@
 		done()
 	}
 
-	/** Looks at workers that are due, and gives up what a silent one can no longer run. */
+	/** Polls of workers that are due, and gives up what a silent one can no longer run. */
 	tick(now: number): void {
-		this.looks.begin(this.views.values(), now)
+		this.polls.begin(this.views.values(), now)
 		for (const view of this.views.values()) {
 			if (view.unreachable) this.lostRuns.giveUpCopies(view, now)
-			if (!view.unreachable) this.doubts.settle(view)
+			if (!view.unreachable) this.suspects.settle(view)
 			if (view.left && (view.runs.size === 0 || view.lease.isOver(now))) {
 				this.proposeGone(view.id, 'left')
 				view.left = false
@@ -180,7 +180,7 @@
 	/** A worker has answered a call; `clock` is its own clock, where it told it. */
 	answered(view: WorkerView, clock: number | undefined): void {
 		const now = this.context.clock.now()
-		if (view.unreachable) this.context.log.info(DeskEvent.WorkerRegained, { worker: view.id })
+		if (view.unreachable) this.context.log.info(LeaderEvent.WorkerRegained, { worker: view.id })
 		view.unreachable = false
 		view.answeredAt = now
 		this.outages.answered(view.worker.dataCentre, view.id)
@@ -194,7 +194,7 @@
 		if (view.unreachable) return
 		const now = this.context.clock.now()
 		this.outages.missed(dataCentre, id, this.countIn(dataCentre), now)
-		this.context.log.warn(DeskEvent.WorkerLost, {
+		this.context.log.warn(LeaderEvent.WorkerLost, {
 			worker: id,
 			address,
 			dataCentre,
@@ -210,8 +210,8 @@
 
 	/** A worker lists a run that it should not have: of a job that ended, or given up earlier. */
 	foundStray(view: WorkerView, task: string, attempt: number): void {
-		this.doubts.raise(view, task, attempt)
-		this.doubts.settle(view)
+		this.suspects.raise(view, task, attempt)
+		this.suspects.settle(view)
 	}
 
 	private countIn(dataCentre: string): number {
@@ -225,33 +225,33 @@
 		const { proposals, log } = this.context
 		const view = this.views.get(id)
 		if (view) view.givenUp = true
-		log.info(DeskEvent.WorkerGone, { worker: id, reason })
+		log.info(LeaderEvent.WorkerGone, { worker: id, reason })
 		proposals.propose({ kind: 'gone', worker: id, at: epochOf(this.context) }, done)
 	}
 
-	/** Whether something about it is not known that a short look tells. */
+	/** Whether something about it is not known that a short poll tells. */
 	private isUnclear(view: WorkerView, now: number): boolean {
-		const { unreachable, doubts, lease, listed } = view
+		const { unreachable, suspects, lease, listed } = view
 		const unknown = !lease.known || !listed
-		return unreachable || doubts.size > 0 || unknown || this.isDoubtful(view, now)
+		return unreachable || suspects.size > 0 || unknown || this.isSuspect(view, now)
 	}
 
 	/** Whether its data centre seems out of reach and it has not answered since. */
-	private isDoubtful(view: WorkerView, now: number): boolean {
-		const since = this.outages.doubtfulSince(view.worker.dataCentre, now)
+	private isSuspect(view: WorkerView, now: number): boolean {
+		const since = this.outages.suspectSince(view.worker.dataCentre, now)
 		return since !== undefined && view.answeredAt < since
 	}
 
-	private looked(view: WorkerView, result: LookResult, sentAt: number): void {
+	private polled(view: WorkerView, result: PollResult, sentAt: number): void {
 		if (this.views.get(view.id) !== view) return
 		switch (result.kind) {
 			case 'done':
 				this.answered(view, result.clock)
 				view.listed = true
-				view.lookDue = 0
+				view.pollDue = 0
 				this.takeEnds(view, result.ended)
-				this.doubts.drop(view, result.running, sentAt)
-				this.listener.looked(view, result, sentAt)
+				this.suspects.drop(view, result.running, sentAt)
+				this.listener.polled(view, result, sentAt)
 				return
 			case 'refused':
 				this.answered(view, result.clock)
@@ -294,7 +294,7 @@
 	private proposeWorker(heartbeat: Heartbeat, done: () => void): void {
 		const { worker } = heartbeat
 		const { id, address, dataCentre } = worker
-		this.context.log.info(DeskEvent.WorkerJoined, { worker: id, address, dataCentre })
+		this.context.log.info(LeaderEvent.WorkerJoined, { worker: id, address, dataCentre })
 		this.context.proposals.propose({ kind: 'worker', worker }, () => {
 			const view = this.views.get(id)
 			if (view) this.note(view, heartbeat)
@@ -307,7 +307,7 @@
 		const { log, proposals } = this.context
 		// Nothing new goes there from now on, whatever becomes of the command.
 		view.draining = true
-		log.info(DeskEvent.WorkerDraining, { worker: view.id, remaining: heartbeat.remaining })
+		log.info(LeaderEvent.WorkerDraining, { worker: view.id, remaining: heartbeat.remaining })
 		proposals.propose({ kind: 'drain', worker: view.id }, done)
 	}
 
--- a/packages/jobs/src/lib/desk/WorkerView.ts
+++ b/packages/jobs/src/lib/leader/WorkerView.ts
@@ -1,33 +1,33 @@
-/** A worker as the leader's desk sees it. */
+/** A worker as the leader's controller sees it. */
 import type { Worker } from '../records/Cell'
 import type { Lease } from './Lease'
 import type { Run } from './Run'
 
 /** A run that was given up early: what it takes is not known until the worker has stopped it. @internal */
-export interface Doubt {
+export interface SuspectRun {
 	readonly attempt: number
 	/** Whether an order to stop it is under way. */
 	busy: boolean
-	/** When the worker said that it will not run any more, on the desk's clock. */
+	/** When the worker said that it will not run any more, on the leader's clock. */
 	stoppedAt?: number
 }
 
-/** A worker as the desk sees it. @internal */
+/** A worker as the controller sees it. @internal */
 export class WorkerView {
 	draining = false
-	/** When its latest heartbeat came, on the desk's clock. */
+	/** When its latest heartbeat came, on the leader's clock. */
 	heartbeatAt: number
 	/** Number of its latest heartbeat. */
 	sequence = 0
-	/** Whether the latest order or look got no answer. */
+	/** Whether the latest order or poll got no answer. */
 	unreachable = false
-	/** When it was found unreachable, on the desk's clock. */
+	/** When it was found unreachable, on the leader's clock. */
 	lostAt = Number.NEGATIVE_INFINITY
-	/** When it last answered, on the desk's clock. */
+	/** When it last answered, on the leader's clock. */
 	answeredAt = Number.NEGATIVE_INFINITY
 	/** Runs that were given up although they may still be there, or may yet begin, by task name. */
-	readonly doubts = new Map<string, Doubt>()
-	/** Whether a short look is under way that only asks whether it is there. */
+	readonly suspects = new Map<string, SuspectRun>()
+	/** Whether a short poll is under way that only asks whether it is there. */
 	probing = false
 	/** When it may be probed next. */
 	probeDue = 0
@@ -39,17 +39,17 @@
 	endsProposed = 0
 	/** Whether this leader knows what it lists; until then it may have runs that nobody counts. */
 	listed = false
-	/** When it was last looked at or probed while its state was unknown, on the desk's clock. */
+	/** When it was last polled or probed while its state was unknown, on the leader's clock. */
 	askedAt = Number.NEGATIVE_INFINITY
-	/** Whether a look is under way. */
-	looking = false
-	/** When it may be looked at next. */
-	lookDue = 0
+	/** Whether a poll is under way. */
+	polling = false
+	/** When it may be polled next. */
+	pollDue = 0
 	/** Whether it said that it has ended; what it ran counts as ended once its lease is over. */
 	left = false
 	/** Whether it counts as ended and only the commit of that is awaited: nothing is ordered there. */
 	givenUp = false
-	/** When it will have left, where it said so; on the desk's clock. */
+	/** When it will have left, where it said so; on the leader's clock. */
 	leavesAt = Number.POSITIVE_INFINITY
 
 	/**
--- a/packages/jobs/src/lib/desk/explainJob.ts
+++ b/packages/jobs/src/lib/leader/explainJob.ts
@@ -4,7 +4,7 @@
 import { isActive, isStepReady, TaskStatus, type JobRecord } from '../state/JobRecord'
 import type { CellState } from '../state/CellState'
 import type { JobExplanation, JobFilter, JobSummary, StepExplanation } from './calls'
-import type { StepBoard } from './StepBoard'
+import type { StepScheduler } from './StepScheduler'
 import { stepName } from './StepWork'
 
 /** A job's shape, as its log line tells it. */
@@ -34,7 +34,7 @@
 /** @returns what is known of a job, with the reason why its tasks wait. @internal */
 export function explainJob(
 	state: CellState,
-	steps: StepBoard,
+	steps: StepScheduler,
 	job: JobRecord,
 	term: number
 ): JobExplanation {
@@ -69,7 +69,7 @@
 }
 
 function explainStep(
-	steps: StepBoard,
+	steps: StepScheduler,
 	job: JobRecord,
 	repeat: number,
 	number: number
@@ -95,7 +95,7 @@
 	}
 }
 
-function reasonOf(steps: StepBoard, job: JobRecord, repeat: number, number: number): string {
+function reasonOf(steps: StepScheduler, job: JobRecord, repeat: number, number: number): string {
 	if (!isActive(job)) return `the job is ${job.state}`
 	if (!isStepReady(job, repeat, number)) return 'earlier steps are not done'
 	return steps.whyWaiting(stepName(job.id, repeat, number))
--- a/packages/jobs/src/lib/desk/placeGang.ts
+++ b/packages/jobs/src/lib/leader/placeGang.ts
@@ -18,7 +18,7 @@
  * @param options - workers that may run it.
  * @param ledger - where room is reserved.
  * @param isFree - whether a worker's room is not kept for a step that goes before.
- * @param now - the moment, on the desk's clock.
+ * @param now - the moment, on the leader's clock.
  * @returns where all tasks go, with their room reserved; empty when they do not fit.
  * @internal
  */
--- a/packages/jobs/src/lib/desk/ports.ts
+++ b/packages/jobs/src/lib/leader/ports.ts
@@ -1,4 +1,4 @@
-/** What the desk asks of the world: orders to workers, advice, and the replicated log. */
+/** What the controller asks of the world: orders to workers, advice, and the replicated log. */
 import type { CellCommand } from '../commands/CellCommand'
 import type { Worker } from '../records/Cell'
 import type { RunEnd } from '../records/Job'
@@ -33,7 +33,7 @@
 }
 
 /** Renews a worker's lease and asks what runs and what has ended there. @public */
-export interface LookOrder {
+export interface PollOrder {
 	readonly fence: number
 	/** Ends up to this number are committed; the worker may forget them. */
 	readonly endsSeen: number
@@ -93,8 +93,8 @@
 	readonly checkpoint: string
 }
 
-/** What a look at a worker brought. @public */
-export type LookResult =
+/** What a poll of a worker brought. @public */
+export type PollResult =
 	| {
 			readonly kind: 'done'
 			readonly clock: number
@@ -108,7 +108,7 @@
 	abstract start(worker: Worker, order: StartOrder, done: (result: OrderResult) => void): void
 	abstract stop(worker: Worker, order: StopOrder, done: (result: OrderResult) => void): void
 	abstract pace(worker: Worker, order: PaceOrder, done: (result: OrderResult) => void): void
-	abstract look(worker: Worker, order: LookOrder, done: (result: LookResult) => void): void
+	abstract poll(worker: Worker, order: PollOrder, done: (result: PollResult) => void): void
 }
 
 /** A question to the service that knows a queue's policy. @public */
@@ -134,7 +134,7 @@
 	abstract ask(via: string, question: AdviceQuestion, done: (result: AdviceResult) => void): void
 }
 
-/** The replicated log as the desk sees it. @public */
+/** The replicated log as the controller sees it. @public */
 export abstract class Proposals {
 	/**
 	 * Adds a command; it takes effect once it is committed.
--- a/packages/jobs/src/lib/desk/workersToAsk.ts
+++ b/packages/jobs/src/lib/leader/workersToAsk.ts
@@ -17,7 +17,7 @@
 const SPARE_WORKERS = 2
 
 /** What a question is for. @internal */
-export interface Wish {
+export interface AdviceNeed {
 	/** How many tasks want a place. */
 	readonly tasks: number
 	/** Tickets that end before this moment count as ended. */
@@ -43,29 +43,33 @@
 /**
  * @param work - the step.
  * @param eligible - workers of the right service and label.
- * @param wish - what the question is for.
+ * @param need - what the question is for.
  * @returns ids of the workers to ask about; empty when asking would not help.
  * @internal
  */
-export function workersToAsk(work: StepWork, eligible: readonly Option[], wish: Wish): string[] {
+export function workersToAsk(
+	work: StepWork,
+	eligible: readonly Option[],
+	need: AdviceNeed
+): string[] {
 	const { advice } = work
 	const useful = eligible.filter(({ view: { id } }) =>
 		advice.isAllowed(id)
-			? wish.renew && advice.ticket(id, wish.until) === undefined
+			? need.renew && advice.ticket(id, need.until) === undefined
 			: !advice.isUnfit(id)
 	)
-	const now = pick(work, candidates(work, useful, freeOf), wish, 0)
-	if (now.length > 0 && coversAllCheaply(useful.length, wish)) {
+	const now = pick(work, candidates(work, useful, freeOf), need, 0)
+	if (now.length > 0 && coversAllCheaply(useful.length, need)) {
 		return candidates(work, useful, capacityOf).map(({ option }) => option.view.id)
 	}
-	if (now.length > 0 || !wish.ahead) return now
+	if (now.length > 0 || !need.ahead) return now
 	const covered = eligible
-		.filter(({ view }) => advice.ticket(view.id, wish.until) !== undefined)
+		.filter(({ view }) => advice.ticket(view.id, need.until) !== undefined)
 		.reduce((sum, option) => sum + work.copiesIn(option.view.id, capacityOf(option)), 0)
-	return pick(work, candidates(work, useful, capacityOf), wish, covered)
+	return pick(work, candidates(work, useful, capacityOf), need, covered)
 }
 
-function coversAllCheaply(workers: number, { terms, most }: Wish): boolean {
+function coversAllCheaply(workers: number, { terms, most }: AdviceNeed): boolean {
 	return workers <= most && terms.each * workers <= terms.base * ALL_AT_ONCE
 }
 
@@ -81,16 +85,21 @@
 }
 
 /** Takes workers until they are likely to have enough room among them. */
-function pick(work: StepWork, from: readonly Candidate[], wish: Wish, covered: number): string[] {
-	const wanted = wish.tasks * (work.step.gang ? GANG_SURPLUS : SURPLUS)
+function pick(
+	work: StepWork,
+	from: readonly Candidate[],
+	need: AdviceNeed,
+	covered: number
+): string[] {
+	const wanted = need.tasks * (work.step.gang ? GANG_SURPLUS : SURPLUS)
 	const chosen: string[] = []
 	let expected = covered
 	let spare = covered >= wanted ? 0 : SPARE_WORKERS
 	for (const { option, room } of from) {
 		const { id } = option.view
-		if (chosen.length >= wish.most) break
+		if (chosen.length >= need.most) break
 		if (expected >= wanted && spare-- <= 0) break
-		expected += room * (work.advice.isAllowed(id) ? 1 : wish.share)
+		expected += room * (work.advice.isAllowed(id) ? 1 : need.share)
 		chosen.push(id)
 	}
 	return chosen
--- a/packages/jobs/src/lib/placement/SpeedWatch.ts
+++ b/packages/jobs/src/lib/placement/SpeedWatch.ts
@@ -2,13 +2,13 @@
  * Finds workers on which runs stand still or crawl although the workers answer, by the progress that they report. Such a
  * worker gets nothing new for a while, and what runs there is moved when it would be done sooner elsewhere.
  */
-import { RunPhase, type Run } from '../desk/Run'
-import { stepName } from '../desk/StepWork'
-import type { WorkerView } from '../desk/WorkerView'
+import { RunPhase, type Run } from '../leader/Run'
+import { stepName } from '../leader/StepWork'
+import type { WorkerView } from '../leader/WorkerView'
 
 /** How many times what its step declares a whole run may take before it counts as crawling; declared times are off. */
 const CRAWLS = 3
-/** Milliseconds without progress after which a run counts as standing, at least: more than a look and a half. */
+/** Milliseconds without progress after which a run counts as standing, at least: more than a poll and a half. */
 const STANDS_AFTER = 750
 /** The same as a share of the declared time: progress is told in whole percents. */
 const STANDS_SHARE = 0.2
--- a/packages/jobs/src/lib/state/CellState.ts
+++ b/packages/jobs/src/lib/state/CellState.ts
@@ -5,9 +5,9 @@
 import { decodeCommands, type Begin, type CellCommand } from '../commands/CellCommand'
 import type { CellConfiguration, Worker } from '../records/Cell'
 import type { Change } from './Change'
-import { JobBook } from './JobBook'
+import { JobTable } from './JobTable'
 import type { JobRecord } from './JobRecord'
-import { WorkerRoster, type RosterSnapshot } from './WorkerRoster'
+import { KnownWorkers, type KnownWorkersSnapshot } from './KnownWorkers'
 
 /** Version of the snapshot that is written. */
 const SNAPSHOT_VERSION = 1
@@ -15,7 +15,7 @@
 interface CellSnapshot {
 	readonly version: number
 	readonly configuration?: CellConfiguration
-	readonly workers: RosterSnapshot
+	readonly workers: KnownWorkersSnapshot
 	readonly jobs: readonly JobRecord[]
 }
 
@@ -25,8 +25,8 @@
  * @public
  */
 export class CellState extends StateMachine {
-	readonly jobs = new JobBook((change) => this.changed(change))
-	readonly workers = new WorkerRoster()
+	readonly jobs = new JobTable((change) => this.changed(change))
+	readonly workers = new KnownWorkers()
 	/** The newest configuration; absent before the first. */
 	configuration: CellConfiguration | undefined
 	/** Told of each change while set. */
--- a/packages/jobs/src/lib/state/Change.ts
+++ b/packages/jobs/src/lib/state/Change.ts
@@ -1,4 +1,4 @@
-/** What an applied command has changed, told to the desk of the instance that leads. */
+/** What an applied command has changed, told to the controller of the instance that leads. */
 import type { CellConfiguration, Worker } from '../records/Cell'
 import type { RunEnd, TaskName } from '../records/Job'
 import type { JobRecord } from './JobRecord'
--- a/packages/jobs/src/lib/state/JobBook.ts
+++ b/packages/jobs/src/lib/state/JobTable.ts
@@ -45,7 +45,7 @@
  *
  * @public
  */
-export class JobBook {
+export class JobTable {
 	private readonly jobs = new Map<string, JobRecord>()
 	/** For each worker the names of the tasks that are placed on it. */
 	private readonly placed = new Map<string, Set<string>>()
--- a/packages/jobs/src/lib/state/WorkerRoster.ts
+++ b/packages/jobs/src/lib/state/KnownWorkers.ts
@@ -5,14 +5,14 @@
 const MOST_GONE = 4000
 
 /** A worker and whether it is leaving. @public */
-export interface RosterWorker {
+export interface KnownWorker {
 	readonly worker: Worker
 	draining: boolean
 }
 
 /** The part of a snapshot that holds the workers. @public */
-export interface RosterSnapshot {
-	readonly workers: readonly RosterWorker[]
+export interface KnownWorkersSnapshot {
+	readonly workers: readonly KnownWorker[]
 	readonly gone: readonly string[]
 }
 
@@ -21,18 +21,18 @@
  *
  * @public
  */
-export class WorkerRoster {
-	private readonly workers = new Map<string, RosterWorker>()
+export class KnownWorkers {
+	private readonly workers = new Map<string, KnownWorker>()
 	private readonly byAddress = new Map<string, string>()
 	private readonly gone = new Set<string>()
 
 	/** All workers that are not gone. */
-	all(): IterableIterator<RosterWorker> {
+	all(): IterableIterator<KnownWorker> {
 		return this.workers.values()
 	}
 
 	/** @returns a worker by its id. */
-	find(id: string): RosterWorker | undefined {
+	find(id: string): KnownWorker | undefined {
 		return this.workers.get(id)
 	}
 
@@ -42,7 +42,7 @@
 	}
 
 	/** @returns the worker that was last known at an address. */
-	at(address: string): RosterWorker | undefined {
+	at(address: string): KnownWorker | undefined {
 		return this.workers.get(this.byAddress.get(address) ?? '')
 	}
 
@@ -71,12 +71,12 @@
 	}
 
 	/** @returns all that must be kept. */
-	snapshot(): RosterSnapshot {
+	snapshot(): KnownWorkersSnapshot {
 		return { workers: [...this.workers.values()], gone: [...this.gone] }
 	}
 
 	/** Takes a snapshot's place. */
-	restore(kept: RosterSnapshot): void {
+	restore(kept: KnownWorkersSnapshot): void {
 		this.workers.clear()
 		this.byAddress.clear()
 		this.gone.clear()
--- a/packages/jobs/src/lib/testing/DeskSubject.ts
+++ b/packages/jobs/src/lib/testing/LeaderSubject.ts
@@ -1,11 +1,11 @@
-/** A desk with a log that commits at once, and workers that answer as the test says. */
+/** A controller with a log that commits at once, and workers that answer as the test says. */
 import { Ledger, WorkerHealth } from '@rillrudder/scheduler'
 import { Log, Meter } from '@rillrudder/telemetry'
 import { ManualClock, Random } from '@rillrudder/utils'
 import { encodeCommands, type CellCommand } from '../commands/CellCommand'
-import type { CellCall, CellReply } from '../desk/calls'
-import { DEFAULT_DESK_TIMING } from '../desk/DeskTiming'
-import { JobDesk } from '../desk/JobDesk'
+import type { CellCall, CellReply } from '../leader/calls'
+import { DEFAULT_LEADER_TIMING } from '../leader/LeaderTiming'
+import { JobController } from '../leader/JobController'
 import {
 	Advisers,
 	Proposals,
@@ -14,13 +14,13 @@
 	type AdviceResult,
 	type ListedEnd,
 	type ListedRun,
-	type LookOrder,
-	type LookResult,
+	type PollOrder,
+	type PollResult,
 	type OrderResult,
 	type PaceOrder,
 	type StartOrder,
 	type StopOrder,
-} from '../desk/ports'
+} from '../leader/ports'
 import type { Queue, Worker } from '../records/Cell'
 import type { JobRequest } from '../records/Job'
 import { CellState } from '../state/CellState'
@@ -35,16 +35,16 @@
 	readonly starts: StartOrder[] = []
 	readonly stops: StopOrder[] = []
 	readonly paces: PaceOrder[] = []
-	readonly looks: LookOrder[] = []
+	readonly polls: PollOrder[] = []
 	running: ListedRun[] = []
 	ended: ListedEnd[] = []
 	/** Set to make it silent: orders get no answer and are not carried out. */
 	silent = false
-	/** How many of the next looks get no answer. */
-	losesLooks = 0
+	/** How many of the next polls get no answer. */
+	losesPolls = 0
 	/** Milliseconds that a stop takes. */
 	stopTakes = 0
-	/** Percent by which what it runs gets on from one look to the next; 0 to let it stand still. */
+	/** Percent by which what it runs gets on from one poll to the next; 0 to let it stand still. */
 	pace = 3
 	/** What the next starts are answered with, in place of being carried out. */
 	startResult: OrderResult | undefined
@@ -69,7 +69,7 @@
 }
 
 class FakeOrders extends WorkerOrders {
-	constructor(private readonly subject: DeskSubject) {
+	constructor(private readonly subject: LeaderSubject) {
 		super()
 	}
 
@@ -98,12 +98,12 @@
 		done({ kind: 'done', clock: this.subject.workerClock })
 	}
 
-	override look(worker: Worker, order: LookOrder, done: (result: LookResult) => void): void {
+	override poll(worker: Worker, order: PollOrder, done: (result: PollResult) => void): void {
 		const fake = this.subject.worker(worker.id)
-		fake.looks.push(order)
+		fake.polls.push(order)
 		if (fake.silent) return this.lose(done)
-		if (order.wait > 0 && fake.losesLooks > 0) {
-			fake.losesLooks -= 1
+		if (order.wait > 0 && fake.losesPolls > 0) {
+			fake.losesPolls -= 1
 			this.subject.clock.after(order.wait, () => this.lose(done))
 			return
 		}
@@ -127,7 +127,7 @@
 }
 
 class FakeAdvisers extends Advisers {
-	constructor(private readonly subject: DeskSubject) {
+	constructor(private readonly subject: LeaderSubject) {
 		super()
 	}
 
@@ -149,7 +149,7 @@
 	private readonly queue: { command: CellCommand; done?: () => void }[] = []
 	private applying = false
 
-	constructor(private readonly subject: DeskSubject) {
+	constructor(private readonly subject: LeaderSubject) {
 		super()
 	}
 
@@ -166,15 +166,15 @@
 	}
 }
 
-/** A desk under test. */
-export class DeskSubject {
+/** A controller under test. */
+export class LeaderSubject {
 	readonly clock = new ManualClock()
 	readonly state = new CellState()
 	readonly proposals = new InstantProposals(this)
 	readonly questions: { readonly via: string; readonly question: AdviceQuestion }[] = []
 	allowed: (worker: string) => boolean = () => true
 	deposed = false
-	desk!: JobDesk
+	controller!: JobController
 	private readonly workers = new Map<string, FakeWorker>()
 	private term = 0
 	private sequence = 0
@@ -203,13 +203,13 @@
 		this.state.observer = undefined
 		const random = new Random(7)
 		const silent = (): void => undefined
-		this.desk = new JobDesk({
+		this.controller = new JobController({
 			state: this.state,
 			ledger: new Ledger(random),
 			health: new WorkerHealth(),
 			clock: this.clock,
 			random,
-			timing: DEFAULT_DESK_TIMING,
+			timing: DEFAULT_LEADER_TIMING,
 			term: ++this.term,
 			orders: new FakeOrders(this),
 			advisers: new FakeAdvisers(this),
@@ -218,14 +218,14 @@
 			meter: new Meter(),
 			deposed: () => (this.deposed = true),
 		})
-		this.state.observer = (change) => this.desk.changed(change)
+		this.state.observer = (change) => this.controller.changed(change)
 	}
 
 	/** Makes a call. @returns the reply, if it came at once. */
 	call(call: CellCall): CellReply | undefined {
 		let reply: CellReply | undefined
-		this.desk.call(call, (value) => (reply = value))
-		this.desk.place()
+		this.controller.call(call, (value) => (reply = value))
+		this.controller.place()
 		return reply
 	}
 
@@ -259,7 +259,7 @@
 		for (let spent = 0; spent < span; spent += TICK) {
 			if (spent % 1000 === 0) for (const id of alive) this.heartbeat(id)
 			this.clock.advance(TICK)
-			this.desk.tick()
+			this.controller.tick()
 		}
 	}
 
--- a/packages/jobs/src/lib/testing/samples.ts
+++ b/packages/jobs/src/lib/testing/samples.ts
@@ -8,7 +8,7 @@
 	host: 'city.example',
 	prefix: '/checks/',
 	priority: 0,
-	service: 'desk',
+	service: 'checks-service',
 	maxAttempts: 2,
 	latencyTarget: 250,
 	stretch: 2,
--- a/packages/member/src/lib/AskingPeers.ts
+++ b/packages/member/src/lib/AskingPeers.ts
@@ -1,4 +1,4 @@
-/** Advice for the leader's desk, asked through this instance and every one that is linked to it. */
+/** Advice for the leader's controller, asked through this instance and every one that is linked to it. */
 import { Advisers, type AdviceQuestion, type AdviceResult, type CellReply } from '@rillrudder/jobs'
 import type { Adviser } from './Adviser'
 import type { PeerCalls, PeerOutcome } from './PeerCalls'
--- a/packages/member/src/lib/Batching.ts
+++ b/packages/member/src/lib/Batching.ts
@@ -46,7 +46,7 @@
 		this.commands = []
 		this.calls = []
 		if (!this.group.propose([encodeCommands(commands)])) {
-			// While leadership is being handed over nothing is taken; what waits goes with the desk.
+			// While leadership is being handed over nothing is taken; what waits goes with the controller.
 			this.commands = [...commands, ...this.commands]
 			this.calls = [...calls, ...this.calls]
 			return
--- a/packages/member/src/lib/CoreInstance.ts
+++ b/packages/member/src/lib/CoreInstance.ts
@@ -1,4 +1,4 @@
-/** An instance of the core: a replica of the cell's group, and the desk while it leads. */
+/** An instance of the core: a replica of the cell's group, and the controller while it leads. */
 import { randomUUID } from 'node:crypto'
 import { join } from 'node:path'
 import { Replica, type Founder, type Timing } from '@rillrudder/consensus'
@@ -7,7 +7,7 @@
 	CellState,
 	type CellCall,
 	type CellReply,
-	type DeskTiming,
+	type LeaderTiming,
 	type WorkerOrders,
 } from '@rillrudder/jobs'
 import type { Event, PeerCall } from '@rillrudder/protocol'
@@ -52,7 +52,7 @@
 	readonly startedAt: number
 	readonly random: Random
 	readonly timing: Timing
-	readonly desk: DeskTiming
+	readonly controller: LeaderTiming
 	readonly orders: WorkerOrders
 	readonly adviser: Adviser
 	readonly log: Log
@@ -208,7 +208,7 @@
 	}
 
 	private beginLeading(term: number): void {
-		const { clock, random, desk: timing, orders, log, meter } = this.parts
+		const { clock, random, controller: timing, orders, log, meter } = this.parts
 		const { group, state, advisers } = this
 		this.leading = new Leading({
 			group,
--- a/packages/member/src/lib/EntryInstance.ts
+++ b/packages/member/src/lib/EntryInstance.ts
@@ -10,7 +10,7 @@
 import { PeerLinks } from './PeerLinks'
 import { peersForEntry } from './peersForEntry'
 
-/** Milliseconds between two looks at whom to dial. */
+/** Milliseconds between two polls of whom to dial. */
 const DIAL_PERIOD = 250
 /** Milliseconds without a leader after which every instance of the core is dialled; a change takes less. */
 const LEADERLESS = 700
--- a/packages/member/src/lib/Leading.ts
+++ b/packages/member/src/lib/Leading.ts
@@ -1,13 +1,13 @@
-/** One leadership: the desk, and what it proposes. It begins with the lease and ends with the term. */
+/** One leadership: the controller, and what it proposes. It begins with the lease and ends with the term. */
 import type { Group } from '@rillrudder/group'
 import {
-	DeskEvent,
-	JobDesk,
+	LeaderEvent,
+	JobController,
 	type Advisers,
 	type CellCall,
 	type CellReply,
 	type CellState,
-	type DeskTiming,
+	type LeaderTiming,
 	type WorkerOrders,
 } from '@rillrudder/jobs'
 import { Ledger, WorkerHealth } from '@rillrudder/scheduler'
@@ -23,7 +23,7 @@
 	readonly term: number
 	readonly clock: Clock
 	readonly random: Random
-	readonly timing: DeskTiming
+	readonly timing: LeaderTiming
 	readonly orders: WorkerOrders
 	readonly advisers: Advisers
 	readonly log: Log
@@ -37,7 +37,7 @@
  */
 export class Leading {
 	readonly term: number
-	private readonly desk: JobDesk
+	private readonly controller: JobController
 	private readonly batching: Batching
 	private readonly orders: WakingOrders
 	private readonly waiting = new Set<(reply: CellReply) => void>()
@@ -49,7 +49,7 @@
 		this.term = term
 		this.batching = new Batching(group, clock, meter)
 		this.orders = new WakingOrders(parts.orders, () => this.flushSoon())
-		this.desk = new JobDesk({
+		this.controller = new JobController({
 			state,
 			ledger: new Ledger(random),
 			health: new WorkerHealth(),
@@ -65,7 +65,7 @@
 			deposed: () => group.handOver(),
 		})
 		meter.count(Measure.Leaderships)
-		state.observer = (change) => this.desk.changed(change)
+		state.observer = (change) => this.controller.changed(change)
 	}
 
 	/** Answers a call; callers that still wait when the leadership ends are told so. */
@@ -74,7 +74,7 @@
 			if (this.waiting.delete(reply)) done(value)
 		}
 		this.waiting.add(reply)
-		this.desk.call(call, reply)
+		this.controller.call(call, reply)
 		this.flushSoon()
 	}
 
@@ -86,13 +86,13 @@
 
 	/** Lets time pass. */
 	tick(): void {
-		this.desk.tick()
+		this.controller.tick()
 		this.batching.flush()
 	}
 
-	/** Sets the gauges of the desk. */
+	/** Sets the gauges of the controller. */
 	measure(): void {
-		this.desk.measure()
+		this.controller.measure()
 	}
 
 	/** Something outside has happened, such as an answer of a worker: places and proposes. */
@@ -102,7 +102,7 @@
 		setImmediate(() => {
 			this.flushing = false
 			if (this.over || !this.parts.group.mayAct) return
-			this.desk.place()
+			this.controller.place()
 			this.batching.flush()
 		})
 	}
@@ -111,7 +111,7 @@
 	end(): void {
 		this.over = true
 		this.orders.end()
-		this.parts.log.info(DeskEvent.LeadershipLost, { term: this.term })
+		this.parts.log.info(LeaderEvent.LeadershipLost, { term: this.term })
 		this.parts.state.observer = undefined
 		const reply: CellReply = { kind: 'unknown', reason: 'the leader has changed' }
 		for (const waiting of [...this.waiting]) waiting(reply)
--- a/packages/member/src/lib/WakingOrders.ts
+++ b/packages/member/src/lib/WakingOrders.ts
@@ -1,11 +1,11 @@
 /**
- * Carries the orders of one leadership to workers, and wakes its desk after each answer so that what follows is
- * decided. Once the leadership is over its desk hears of no more answers: it would take them for news of today.
+ * Carries the orders of one leadership to workers, and wakes its controller after each answer so that what follows is
+ * decided. Once the leadership is over its controller hears of no more answers: it would take them for news of today.
  */
 import {
 	WorkerOrders,
-	type LookOrder,
-	type LookResult,
+	type PollOrder,
+	type PollResult,
 	type OrderResult,
 	type PaceOrder,
 	type StartOrder,
@@ -14,7 +14,7 @@
 } from '@rillrudder/jobs'
 
 /**
- * Orders that wake the desk.
+ * Orders that wake the controller.
  *
  * @internal
  */
@@ -44,8 +44,8 @@
 		this.orders.pace(worker, order, this.waking(done))
 	}
 
-	override look(worker: Worker, order: LookOrder, done: (result: LookResult) => void): void {
-		this.orders.look(worker, order, this.waking(done))
+	override poll(worker: Worker, order: PollOrder, done: (result: PollResult) => void): void {
+		this.orders.poll(worker, order, this.waking(done))
 	}
 
 	/** The leadership is over. */
--- a/packages/runs/src/lib/Wholeness.ts
+++ b/packages/runs/src/lib/Consistency.ts
@@ -13,7 +13,7 @@
  *
  * @internal
  */
-export class Wholeness {
+export class Consistency {
 	/**
 	 * @param nodes - the instances there are, by id.
 	 * @param witness - knows what was committed.
--- a/packages/runs/src/lib/GroupRun.ts
+++ b/packages/runs/src/lib/GroupRun.ts
@@ -14,7 +14,7 @@
 import { GroupNetwork, type Flight } from './GroupNetwork'
 import { RunNode, wipe } from './RunNode'
 import { RunReplica } from './RunReplica'
-import { Wholeness } from './Wholeness'
+import { Consistency } from './Consistency'
 
 const STEP = 10
 const SYNC_MOST = 30
@@ -85,7 +85,7 @@
 	private readonly nodes = new Map<string, RunNode>()
 	private readonly clock = new ManualClock()
 	private readonly network: GroupNetwork
-	private readonly wholeness: Wholeness
+	private readonly wholeness: Consistency
 	private faults = true
 	private proposing = true
 	private lives = 0
@@ -101,7 +101,7 @@
 			ids: () => this.nodes.keys(),
 			deliver: (flight) => this.deliver(flight),
 		})
-		this.wholeness = new Wholeness(this.nodes, this.witness, options.open ?? false)
+		this.wholeness = new Consistency(this.nodes, this.witness, options.open ?? false)
 		const { drift } = DEFAULT_TIMING
 		for (const founder of options.founders) {
 			const rate = 1 + (this.random.fraction() * 2 - 1) * drift
--- a/packages/runs/src/lib/cell/CellRun.ts
+++ b/packages/runs/src/lib/cell/CellRun.ts
@@ -1,5 +1,5 @@
 /**
- * A seeded run of a whole cell on a clock moved by hand: the real replicas, desks, intakes and workers'
+ * A seeded run of a whole cell on a clock moved by hand: the real replicas, controllers, intakes and workers'
  * model, with faults of every kind, alone and together. What must always hold is asserted by the program
  * itself and, where it takes more than one process to see it, here.
  */
--- a/packages/runs/src/lib/cell/RunControl.ts
+++ b/packages/runs/src/lib/cell/RunControl.ts
@@ -2,7 +2,7 @@
 import {
 	ConfigurationHolder,
 	ConfigurationRelay,
-	DeskDriver,
+	LeaderDriver,
 	OperatorRouter,
 	servesPeer,
 	SystemDriver,
@@ -27,7 +27,7 @@
 import { emptyDisk, RunReplica, type ReplicaDisk } from '../RunReplica'
 import { RunClock, type RunProcess } from './RunProcess'
 import type { Receiver, RunNetwork } from './RunNetwork'
-import { RunAccess, RunKeeper, RunSurroundings } from './RunSurroundings'
+import { RunAccess, RunKeeper, RunEnvironment } from './RunEnvironment'
 import type { RunWorkers } from './RunWorkers'
 
 const TICK = 20
@@ -79,7 +79,7 @@
 export class RunControl implements Receiver {
 	readonly process: RunProcess
 	readonly clock: RunClock
-	readonly drivers = new Map<string, DeskDriver>()
+	readonly drivers = new Map<string, LeaderDriver>()
 	private readonly members: Member[] = []
 	private readonly holder: ConfigurationHolder
 	private readonly relay: ConfigurationRelay
@@ -98,7 +98,7 @@
 		this.router = this.makeRouter()
 		for (const layout of this.groups) this.open(layout)
 		this.clock.every(TICK, () => this.tick())
-		this.clock.every(DESK_TICK, () => this.tickDesks())
+		this.clock.every(DESK_TICK, () => this.tickControllers())
 	}
 
 	/** The configuration revision in force here. */
@@ -187,7 +187,7 @@
 		this.follow()
 	}
 
-	private tickDesks(): void {
+	private tickControllers(): void {
 		for (const driver of this.drivers.values()) {
 			driver.tick()
 			driver.carryOut()
@@ -236,8 +236,8 @@
 
 	private openDataCentre(layout: GroupLayout): void {
 		const { self, instances } = this.parts
-		const surroundings = new RunSurroundings(this)
-		const driver = new DeskDriver({
+		const surroundings = new RunEnvironment(this)
+		const driver = new LeaderDriver({
 			name: layout.name,
 			self: self.id,
 			random: this.seeded(),
--- a/packages/runs/src/lib/cell/RunSurroundings.ts
+++ b/packages/runs/src/lib/cell/RunEnvironment.ts
@@ -2,8 +2,8 @@
 import {
 	GroupAccess,
 	RevisionKeeper,
-	Surroundings,
-	type DeskDriver,
+	Environment,
+	type LeaderDriver,
 	type GroupCall,
 	type SettleCall,
 	type WorkerExchange,
@@ -62,8 +62,8 @@
 }
 
 /** The surroundings of one data centre's driver. @internal */
-export class RunSurroundings extends Surroundings {
-	driver!: DeskDriver
+export class RunEnvironment extends Environment {
+	driver!: LeaderDriver
 
 	constructor(private readonly control: RunControl) {
 		super()
--- a/packages/runs/src/lib/cell/sessions.ts
+++ b/packages/runs/src/lib/cell/sessions.ts
@@ -79,13 +79,13 @@
 		'{ kind: service, name: watch, team: feeds, tasks: 3, each: { cpu: 1, memory: 1Gi }, command: [serve] }'
 	)
 	plan(
-		"{ kind: batch, name: settle, team: books, tasks: 4, each: { cpu: 2, memory: 2Gi }, deadline: '2026-01-01T05:00:00Z', runTime: 3s, command: [sleep, '3000'] }"
+		"{ kind: batch, name: settle, team: tables, tasks: 4, each: { cpu: 2, memory: 2Gi }, deadline: '2026-01-01T05:00:00Z', runTime: 3s, command: [sleep, '3000'] }"
 	)
 	plan(
-		"{ kind: gang, name: close, team: books, tasks: 3, each: { cpu: 1, memory: 1Gi, accelerators: 1 }, command: [sleep, '4000'] }"
+		"{ kind: gang, name: close, team: tables, tasks: 3, each: { cpu: 1, memory: 1Gi, accelerators: 1 }, command: [sleep, '4000'] }"
 	)
 	session.say('a job that can never run')
-	plan('{ kind: batch, name: giant, team: books, each: { cpu: 64, memory: 1Gi }, command: [run] }')
+	plan('{ kind: batch, name: giant, team: tables, each: { cpu: 64, memory: 1Gi }, command: [run] }')
 	session.say('a worker of the service leaves')
 	session.leave('vake-w1')
 	session.pass(8000)
--- a/packages/runs/src/lib/jobs/FleetOrders.ts
+++ b/packages/runs/src/lib/jobs/FleetOrders.ts
@@ -1,8 +1,8 @@
-/** The way between a desk and the workers of a run: calls take time, get lost, or are carried out late. */
+/** The way between a controller and the workers of a run: calls take time, get lost, or are carried out late. */
 import {
 	WorkerOrders,
-	type LookOrder,
-	type LookResult,
+	type PollOrder,
+	type PollResult,
 	type OrderResult,
 	type PaceOrder,
 	type StartOrder,
@@ -55,13 +55,13 @@
 		this.carry(worker, done, () => ({ kind: 'done' }))
 	}
 
-	override look(worker: Worker, order: LookOrder, done: Answer<LookResult>): void {
+	override poll(worker: Worker, order: PollOrder, done: Answer<PollResult>): void {
 		const answer = this.limited(done, ANSWER_LIMIT + order.wait)
 		this.after(() => {
 			const machine = this.reach(worker)
 			if (!machine) return
 			if (machine.worker.id !== worker.id) return this.answer(machine, answer, OTHER)
-			machine.look(order, (result) => this.answer(machine, answer, result))
+			machine.poll(order, (result) => this.answer(machine, answer, result))
 		})
 	}
 
--- a/packages/runs/src/lib/jobs/FleetWorker.ts
+++ b/packages/runs/src/lib/jobs/FleetWorker.ts
@@ -7,8 +7,8 @@
 	RunEnd,
 	type ListedEnd,
 	type ListedRun,
-	type LookOrder,
-	type LookResult,
+	type PollOrder,
+	type PollResult,
 	type OrderResult,
 	type StartOrder,
 	type Step,
@@ -17,7 +17,7 @@
 } from '@rillrudder/jobs'
 import type { Clock, Random } from '@rillrudder/utils'
 import type { GangRegistry } from './GangRegistry'
-import type { JobWitness } from './JobWitness'
+import type { JobInvariants } from './JobInvariants'
 import { HOPELESS } from './randomJob'
 
 /** The longest lease that a worker keeps, in milliseconds. */
@@ -55,7 +55,7 @@
 export interface FleetWorkerParts {
 	readonly clock: Clock
 	readonly random: Random
-	readonly witness: JobWitness
+	readonly witness: JobInvariants
 	readonly gangs: GangRegistry
 	/** @returns the step of a task, by the task's name. */
 	readonly stepOf: (task: string) => Step
@@ -167,10 +167,10 @@
 		return this.done()
 	}
 
-	/** Answers a look, at once or when there is an end to list. */
-	look(order: LookOrder, answer: (result: LookResult) => void): void {
+	/** Answers a poll, at once or when there is an end to list. */
+	poll(order: PollOrder, answer: (result: PollResult) => void): void {
 		if (order.fence < this.fence) {
-			answer(this.refuse(Refusal.Fence) as LookResult)
+			answer(this.refuse(Refusal.Fence) as PollResult)
 			return
 		}
 		this.fence = order.fence
@@ -264,7 +264,7 @@
 		this.ended = this.ended.filter((end) => end.number > seen)
 	}
 
-	private list(): LookResult {
+	private list(): PollResult {
 		const running: ListedRun[] = [...this.runs.values()].map((run) => ({
 			task: run.task,
 			attempt: run.attempt,
--- a/packages/runs/src/lib/jobs/JobWitness.ts
+++ b/packages/runs/src/lib/jobs/JobInvariants.ts
@@ -1,6 +1,6 @@
 /**
  * Sees everything that the workers of a run do, and says at once when a rule of jobs is broken. It knows
- * only what was handed in and what workers did, never what the desk believes.
+ * only what was handed in and what workers did, never what the controller believes.
  */
 import { parseTaskName, RunEnd, type JobRequest, type Queue, type Step } from '@rillrudder/jobs'
 import { fits, NOTHING, plus, type Resources } from '@rillrudder/scheduler'
@@ -64,7 +64,7 @@
  *
  * @internal
  */
-export class JobWitness {
+export class JobInvariants {
 	private readonly jobs = new Map<string, WitnessedJob>()
 	private readonly tasks = new Map<string, WitnessedTask>()
 	/** Names of the tasks that run on each worker. */
--- a/packages/runs/src/lib/jobs/JobRun.ts
+++ b/packages/runs/src/lib/jobs/JobRun.ts
@@ -1,11 +1,11 @@
 /**
- * A seeded run of a cell's jobs on a clock moved by hand: the real desk and the real state under a series of
+ * A seeded run of a cell's jobs on a clock moved by hand: the real controller and the real state under a series of
  * leaders, with workers and clients that behave as on the platform, and faults of every kind.
  */
 import {
 	CellState,
-	DEFAULT_DESK_TIMING,
-	JobDesk,
+	DEFAULT_LEADER_TIMING,
+	JobController,
 	JobState,
 	type CellReply,
 	type JobRequest,
@@ -17,14 +17,14 @@
 import { Fleet } from './Fleet'
 import { FleetOrders } from './FleetOrders'
 import { JobFaults } from './JobFaults'
-import { JobWitness } from './JobWitness'
+import { JobInvariants } from './JobInvariants'
 import { randomJob } from './randomJob'
 import { RunAdvisers } from './RunAdvisers'
 import { RunLog } from './RunLog'
 
 /** Milliseconds of one step of a run. */
 const STEP = 10
-/** Milliseconds between two readings of the desk's clockwork. */
+/** Milliseconds between two readings of the leader's clockwork. */
 const TICK = 20
 /** Milliseconds after which a client without an answer asks again. */
 const ASK_AGAIN = 400
@@ -60,7 +60,7 @@
 	cancelled: boolean
 }
 
-const SERVICE = 'desk'
+const SERVICE = 'controller'
 const QUEUES: readonly Queue[] = [
 	queueOf('urgent', 0, 2),
 	{ ...queueOf('batch', 2, 3), advice: { base: 40, each: 4, valid: 2000 } },
@@ -94,14 +94,14 @@
 export class JobRun {
 	readonly clock = new ManualClock()
 	readonly random: Random
-	readonly witness = new JobWitness()
+	readonly witness = new JobInvariants()
 	readonly fleet: Fleet
 	private readonly faults: JobFaults
 	private readonly asked = new Map<string, Asked>()
 	private readonly orders: FleetOrders
 	readonly advisers: RunAdvisers
 	private state = new CellState()
-	private desk: JobDesk | undefined
+	private controller: JobController | undefined
 	private log: RunLog | undefined
 	private term = 0
 	private nextJobAt = 0
@@ -119,7 +119,7 @@
 			service: SERVICE,
 			stepOf: (task) => this.stepOf(task),
 			mayRun: (task, worker, ticket) => this.mayRun(task, worker, ticket),
-			call: (call, reply) => this.desk?.call(call, reply),
+			call: (call, reply) => this.controller?.call(call, reply),
 		})
 		this.faults = new JobFaults(this, options.faultRate)
 		this.orders = new FleetOrders({
@@ -132,7 +132,7 @@
 		this.lead()
 		const services = [{ name: SERVICE, enforcesCapacity: false }]
 		const configuration = { version: 1, queues: QUEUES, services, document: '{}' }
-		this.desk?.call({ kind: 'configure', configuration }, () => undefined)
+		this.controller?.call({ kind: 'configure', configuration }, () => undefined)
 		this.advance(2000)
 	}
 
@@ -162,17 +162,17 @@
 	/** Ends all faults, waits, and checks that nothing accepted is lost. */
 	settle(): void {
 		this.faults.end()
-		if (!this.desk) this.lead()
+		if (!this.controller) this.lead()
 		this.advance(SETTLE_FOR)
 		for (const job of this.asked.values()) this.checkOutcome(job)
 	}
 
 	/** The leader is lost; another leads after a while, in milliseconds. */
 	loseLeader(gap: number): void {
-		if (!this.desk) return
+		if (!this.controller) return
 		this.state.observer = undefined
 		this.log?.end()
-		this.desk = undefined
+		this.controller = undefined
 		this.log = undefined
 		this.clock.after(gap, () => this.lead())
 	}
@@ -187,36 +187,38 @@
 	}
 
 	private lead(): void {
-		if (this.desk) return
+		if (this.controller) return
 		const { clock, random, orders, advisers } = this
 		const state = new CellState()
 		state.restore(this.state.snapshot())
 		this.state = state
 		const log = new RunLog(clock, random, state)
 		const silent = (): void => undefined
-		const desk: JobDesk = new JobDesk({
+		const controller: JobController = new JobController({
 			state,
 			ledger: new Ledger(new Random(this.options.seed)),
 			health: new WorkerHealth(),
 			clock,
 			random,
-			timing: DEFAULT_DESK_TIMING,
+			timing: DEFAULT_LEADER_TIMING,
 			term: ++this.term,
 			orders,
 			advisers,
 			proposals: log,
 			log: new Log('run', clock, 'silent', silent),
 			meter: new Meter(),
-			deposed: () => this.deposed(desk),
+			deposed: () => this.deposed(controller),
 		})
 		this.log = log
-		this.desk = desk
-		state.observer = (change) => desk.changed(change)
+		this.controller = controller
+		state.observer = (change) => controller.changed(change)
 	}
 
 	/** Only a leader that has been followed by another is refused by a worker. */
-	private deposed(desk: JobDesk): void {
-		invariant(this.desk !== desk, 'a leader is not refused for its term', { term: this.term })
+	private deposed(controller: JobController): void {
+		invariant(this.controller !== controller, 'a leader is not refused for its term', {
+			term: this.term,
+		})
 	}
 
 	private advance(span: number): void {
@@ -225,9 +227,9 @@
 			this.fleet.tick()
 			if (this.clock.now() >= this.tickAt) {
 				this.tickAt = this.clock.now() + TICK
-				this.desk?.tick()
+				this.controller?.tick()
 			}
-			this.desk?.place()
+			this.controller?.place()
 			this.log?.flush()
 		}
 	}
@@ -250,7 +252,7 @@
 	private submit(job: Asked, queue: string): void {
 		if (job.accepted) return
 		const call = { kind: 'submit', to: { queue, id: job.id }, job: job.request } as const
-		this.desk?.call(call, ({ kind }: CellReply) => {
+		this.controller?.call(call, ({ kind }: CellReply) => {
 			if (kind === 'accepted') job.accepted = true
 		})
 		this.clock.after(ASK_AGAIN, () => this.submit(job, queue))
@@ -258,7 +260,7 @@
 
 	private cancel(job: Asked): void {
 		if (job.cancelled) return
-		this.desk?.call({ kind: 'cancel', to: { id: job.id } }, ({ kind }: CellReply) => {
+		this.controller?.call({ kind: 'cancel', to: { id: job.id } }, ({ kind }: CellReply) => {
 			if (kind !== 'noted') return
 			job.cancelled = true
 			this.witness.cancelled(job.id, this.clock.now())
--- a/packages/scheduler/src/lib/placement/feasibility.ts
+++ b/packages/scheduler/src/lib/placement/feasibility.ts
@@ -4,7 +4,7 @@
 import { fits, times, type Resources } from '../capacity/Resources'
 
 /**
- * Looks whether an intent could run in an empty data centre.
+ * WorkerPolls whether an intent could run in an empty data centre.
  *
  * @param ledger - the workers.
  * @param intent - the intent.
