Tickets are renewed for the next task of a step, not for its last; urgent work is left its share only in a service in demand

A step's tickets were renewed only when all its room was near; of a wide step the last place may be far away, so that nothing began although there was room for the next task. The share is now kept back only while half of the service's processors are reserved, and the forecast of room counts it. Of steps that are no gang each kept place has its own time.

--- a/packages/jobs/src/lib/leader/StepQuestions.ts
+++ b/packages/jobs/src/lib/leader/StepQuestions.ts
@@ -40,7 +40,7 @@
 	 * Asks which of the eligible workers may run a step, unless a question about it is under way or would not help.
 	 *
 	 * @param tasks - how many of its tasks want a place.
-	 * @param roomAt - when room that is kept for them is expected, on the leader's clock; absent when none is.
+	 * @param roomAt - when room that is kept for the next of them is expected, on the leader's clock; absent when none is.
 	 */
 	ask(work: StepWork, eligible: readonly Option[], tasks: number, roomAt?: number): void {
 		const { advice, queue } = work
--- a/packages/jobs/src/lib/leader/StepScheduler.ts
+++ b/packages/jobs/src/lib/leader/StepScheduler.ts
@@ -4,9 +4,10 @@
 import { formatTaskName, RunEnd, type TaskName } from '../records/Job'
 import { isActive, isStepDone, isStepReady, TaskStatus, type JobRecord } from '../state/JobRecord'
 import type { Precedence } from '../placement/Precedence'
-import { Reservations } from '../placement/Reservations'
+import { Reservations, type RoomTimes } from '../placement/Reservations'
 import { timesOf } from '../placement/stepTimes'
-import { admits, chooseForStep, type Option, type RoomCheck } from './chooseForStep'
+import { UrgentShare } from '../placement/UrgentShare'
+import { chooseForStep, hasRoom, type Option, type RoomCheck } from './chooseForStep'
 import { epochOf, type LeaderContext } from './LeaderContext'
 import { LeaderEvent } from './LeaderEvent'
 import { placeGang, type Placed } from './placeGang'
@@ -33,9 +34,11 @@
 	/** Repeats that are not due yet. */
 	private later: { readonly job: JobRecord; readonly repeat: number; readonly due: number }[] = []
 	private stale = true
-	private readonly reservations = new Reservations()
-	/** Whether a worker's room is not kept for a step that goes before. */
-	private readonly isFree: RoomCheck = (work, option) => this.reservations.allows(work, option)
+	private readonly urgentShare = new UrgentShare()
+	private readonly reservations = new Reservations(this.urgentShare)
+	/** Whether a worker's room is not kept for others. */
+	private readonly isFree: RoomCheck = (work, option) =>
+		this.urgentShare.allows(work, option) && this.reservations.allows(work, option)
 
 	constructor(
 		private readonly context: LeaderContext,
@@ -68,7 +71,7 @@
 		if (isBarred(work, eligible)) {
 			return `its queue's policy allows none of ${eligible.length} open workers; others are asked about as they join`
 		}
-		const room = eligible.filter((option) => admits(work, option))
+		const room = eligible.filter((option) => this.admits(work, option))
 		if (room.length === 0) return `none of ${eligible.length} open workers has room for one task`
 		if (!work.queue.advice) return 'it is about to begin'
 		const now = this.context.clock.now()
@@ -167,6 +170,7 @@
 	place(now: number, again: boolean): void {
 		if (this.stale || again) this.sort()
 		const open = this.openWorkers()
+		this.urgentShare.beginPass(open)
 		this.reservations.beginPass(now)
 		for (const work of this.order) {
 			if (again || work.triedAt !== this.context.ledger.releases) this.placeStep(work, open, now)
@@ -245,6 +249,11 @@
 		})
 	}
 
+	/** Whether a worker has room for one more task of a step, and that leaves urgent work its share. */
+	private admits(work: StepWork, option: Option): boolean {
+		return hasRoom(work, option) && this.urgentShare.allows(work, option)
+	}
+
 	private openWorkers(): Option[] {
 		const open: Option[] = []
 		for (const view of this.workers.all()) {
@@ -269,15 +278,19 @@
 		if (placed.length > 0) this.begin(work, placed, now)
 		const left = waiting.length - placed.length
 		work.triedAt = this.context.ledger.releases
-		const roomAt = left > 0 ? this.reserve(work, left, eligible) : undefined
-		if (left > 0 && work.queue.advice) this.questions.ask(work, eligible, left, roomAt)
-		if (left > 0 && work.urgent && !work.step.gang && this.needsRoomNow(work, roomAt, now)) {
+		const room = left > 0 ? this.reserve(work, left, eligible) : undefined
+		if (left > 0 && work.queue.advice) this.questions.ask(work, eligible, left, room?.next)
+		if (left > 0 && work.urgent && !work.step.gang && this.needsRoomNow(work, room?.last, now)) {
 			this.makeRoom(work, { eligible, options }, left, now)
 		}
 	}
 
 	/** Keeps room for tasks that found none. @returns when it is expected; undefined when none is kept. */
-	private reserve(work: StepWork, tasks: number, eligible: readonly Option[]): number | undefined {
+	private reserve(
+		work: StepWork,
+		tasks: number,
+		eligible: readonly Option[]
+	): RoomTimes | undefined {
 		const { advice, queue } = work
 		const allowed = queue.advice
 			? eligible.filter(({ view }) => advice.isAllowed(view.id))
@@ -308,7 +321,7 @@
 		if (work.waited(now) < PREEMPT_AFTER) return
 		const allowed = new Set(options)
 		const unknown = eligible.filter((one) => !allowed.has(one) && !advice.isUnfit(one.view.id))
-		if (unknown.some((option) => admits(work, option))) return
+		if (unknown.some((option) => this.admits(work, option))) return
 		for (const run of runsToStop(work, options, tasks, epochOf(this.context)))
 			this.runs.preempt(run, work.name)
 	}
@@ -319,6 +332,7 @@
 			const option = chooseForStep(work, options, this.isFree)
 			if (!option || !this.context.ledger.reserve(option.view.id, work.need, work.urgent)) break
 			work.count(option.view.id, 1)
+			this.urgentShare.took(work)
 			placed.push({ index, worker: option.view.id })
 		}
 		return placed
--- a/packages/jobs/src/lib/leader/chooseForStep.ts
+++ b/packages/jobs/src/lib/leader/chooseForStep.ts
@@ -28,19 +28,9 @@
 	readonly account: LedgerWorker
 }
 
-/**
- * Share of a worker's processors that other work leaves to work of the highest priority, which is short and
- * comes in bursts. Of the users' mix it takes a sixth of the cell on the mean and twice that in a burst.
- */
-const URGENT_SHARE = 0.25
-
-/** @returns whether one more task of the step may go to the worker. @internal */
-export function admits(work: StepWork, { view, account }: Option): boolean {
-	if (!fits(work.need, account.free) || work.allowance(view.id) <= 0) return false
-	if (!work.yields) return true
-	// A task that is larger than that by itself may still have a worker without other such work.
-	const most = Math.max(account.capacity.cpu * (1 - URGENT_SHARE), work.need.cpu)
-	return account.ordinary + work.need.cpu <= most
+/** @returns whether a worker has room for one more task of the step. @internal */
+export function hasRoom(work: StepWork, { view, account }: Option): boolean {
+	return fits(work.need, account.free) && work.allowance(view.id) > 0
 }
 
 /** Tells whether a task of a step may begin on a worker beside what is kept there for others. @internal */
@@ -61,7 +51,7 @@
 	let best: Option | undefined
 	let bestScore = Number.POSITIVE_INFINITY
 	for (const option of options) {
-		if (!admits(work, option)) continue
+		if (!hasRoom(work, option)) continue
 		const value = score(work, option)
 		if (value >= bestScore || !isFree(work, option)) continue
 		bestScore = value
--- a/packages/jobs/src/lib/placement/Reservations.test.ts
+++ b/packages/jobs/src/lib/placement/Reservations.test.ts
@@ -52,6 +52,25 @@
 	assert.equal(subject.state.jobs.find(BIG)?.state, JobState.Running)
 })
 
+test('tasks of a wide step begin as room comes, however long the last of them has to wait', () => {
+	const subject = new LeaderSubject({ advice: { base: 20, each: 1, valid: 2000 } })
+	for (const id of WORKERS) subject.heartbeat(id)
+	const half = { cpu: 2000, memory: 512, accelerators: 0 }
+	// What runs on the other worker goes on for long, so the last tasks have to wait.
+	subject.allowed = (worker) => worker === 'w2'
+	subject.submit(smallId(1), jobOf({ need: WHOLE_WORKER, expectedTime: 120_000 }))
+	subject.run(500, ...WORKERS)
+	subject.allowed = () => true
+	subject.submit(BIG, jobOf({ count: 6, need: half, expectedTime: 3000 }))
+	subject.run(3000, ...WORKERS)
+	const fake = subject.worker('w1')
+	assert.equal(fake.running.length, 2)
+	// Their tickets have run out by now; as they end the next ones begin all the same.
+	for (const { task } of fake.running) fake.end(task, 'done')
+	subject.run(1500, ...WORKERS)
+	assert.equal(subject.worker('w1').running.length, 2)
+})
+
 test('small work goes on beside what is kept, on the other workers', () => {
 	const subject = busySubject()
 	playSmall(subject, 0, 6)
--- a/packages/jobs/src/lib/placement/Reservations.ts
+++ b/packages/jobs/src/lib/placement/Reservations.ts
@@ -7,6 +7,7 @@
 import type { Option } from '../leader/chooseForStep'
 import { byUrgency, type StepWork } from '../leader/StepWork'
 import { RoomForecast } from './RoomForecast'
+import type { UrgentShare } from './UrgentShare'
 
 /** Share of a worker's largest resource from which a task counts as one that finds no room by itself. */
 const LARGE_SHARE = 0.25
@@ -24,6 +25,14 @@
 	readonly at: number
 }
 
+/** When kept room is expected, on the leader's clock. @internal */
+export interface RoomTimes {
+	/** For the next task that can begin; of a gang none begins before all can. */
+	readonly next: number
+	/** For the last one that waits. */
+	readonly last: number
+}
+
 /** A place for one task, once it is free. */
 interface Place {
 	readonly worker: string
@@ -42,6 +51,9 @@
 	private readonly forecasts = new Map<string, RoomForecast>()
 	private now = 0
 
+	/** @param urgentShare - room that is left to urgent work. */
+	constructor(private readonly urgentShare: UrgentShare) {}
+
 	/** A new pass over the waiting steps begins. */
 	beginPass(now: number): void {
 		this.now = now
@@ -87,21 +99,22 @@
 	 * @param work - the step, for which nothing is kept yet.
 	 * @param tasks - how many of its tasks wait.
 	 * @param options - workers that may run it.
-	 * @returns when all its room is expected; undefined when nothing is kept.
+	 * @returns when its room is expected; undefined when nothing is kept.
 	 */
-	keep(work: StepWork, tasks: number, options: readonly Option[]): number | undefined {
+	keep(work: StepWork, tasks: number, options: readonly Option[]): RoomTimes | undefined {
 		if (this.size >= MOST_RESERVATIONS || !needsReservation(work, options)) return undefined
 		const places = this.placesFor(work, tasks, options)
 		if (places.length === 0 || (work.step.gang && places.length < tasks)) return undefined
-		const at = Math.max(...places.map((place) => place.at))
-		const counts = new Map<string, number>()
-		for (const { worker } of places) counts.set(worker, (counts.get(worker) ?? 0) + 1)
-		for (const [worker, count] of counts) {
+		const last = Math.max(...places.map((place) => place.at))
+		for (const [worker, { count, at }] of gather(places)) {
 			const kept = this.byWorker.get(worker) ?? []
-			this.byWorker.set(worker, [...kept, { work, room: times(work.need, count), at }])
+			// A gang begins at once everywhere; of other steps each task as soon as there is room for it.
+			const until = work.step.gang ? last : at
+			this.byWorker.set(worker, [...kept, { work, room: times(work.need, count), at: until }])
 		}
-		this.expected.set(work, at)
-		return at
+		this.expected.set(work, last)
+		const next = work.step.gang ? last : Math.min(...places.map((place) => place.at))
+		return { next, last }
 	}
 
 	/** The places that are free soonest, beside what is kept for steps that go before. */
@@ -114,7 +127,8 @@
 			let copies = 0
 			for (const at of forecast.moments()) {
 				const room = withoutKept(forecast.at(at), before)
-				const more = work.copiesIn(id, room) - copies
+				const beside = this.urgentShare.copiesBeside(work, option, forecast.ordinaryAt(at))
+				const more = Math.min(work.copiesIn(id, room), beside) - copies
 				for (let copy = 0; copy < more && copy < tasks; copy++) places.push({ worker: id, at })
 				copies += Math.max(0, more)
 			}
@@ -135,6 +149,16 @@
 	}
 }
 
+/** How many of the places are on each worker, and when the last of them is free. */
+function gather(places: readonly Place[]): Map<string, { count: number; at: number }> {
+	const gathered = new Map<string, { count: number; at: number }>()
+	for (const { worker, at } of places) {
+		const known = gathered.get(worker) ?? { count: 0, at: 0 }
+		gathered.set(worker, { count: known.count + 1, at: Math.max(known.at, at) })
+	}
+	return gathered
+}
+
 function withoutKept(room: Resources, kept: readonly KeptRoom[]): Resources {
 	return kept.reduce((left, one) => minus(left, one.room), room)
 }
--- a/packages/jobs/src/lib/placement/RoomForecast.ts
+++ b/packages/jobs/src/lib/placement/RoomForecast.ts
@@ -10,6 +10,8 @@
 interface Release {
 	readonly at: number
 	readonly room: Resources
+	/** Whether urgent work has it. */
+	readonly urgent: boolean
 }
 
 /**
@@ -30,7 +32,7 @@
 		this.now = now
 		this.account = account
 		this.releases = [...view.runs.values()]
-			.map((run) => ({ at: endOf(run, now), room: run.need }))
+			.map((run) => ({ at: endOf(run, now), room: run.need, urgent: run.urgent }))
 			.filter(({ at }) => Number.isFinite(at))
 			.sort((left, right) => left.at - right.at)
 	}
@@ -45,6 +47,16 @@
 		return free
 	}
 
+	/** @returns thousandths of a processor that work which is not urgent is expected to have at a moment. */
+	ordinaryAt(moment: number): number {
+		let { ordinary } = this.account
+		for (const { at, room, urgent } of this.releases) {
+			if (at > moment) break
+			if (!urgent) ordinary -= room.cpu
+		}
+		return ordinary
+	}
+
 	/** The moments at which more becomes free, from now on. */
 	moments(): number[] {
 		return [this.now, ...this.releases.map(({ at }) => at)]
