Only runs that stand still close a worker; kept room is told anew ten times a second, for a dozen steps of a service

Crawling no longer counts, standing does. Now a step is tried when something came free at its own service, and room is forecast in the full passes alone.

--- a/packages/jobs/src/lib/leader/LeaderEvent.ts
+++ b/packages/jobs/src/lib/leader/LeaderEvent.ts
@@ -54,10 +54,10 @@
 	 * the highest priority.
 	 */
 	RunPreempted: 'run-preempted',
-	/** A run is moved since it gets on too slowly; `task`, `attempt`, `worker`, `percent` that it had done. */
+	/** A run is moved since it stands still; `task`, `attempt`, `worker`, `percent` that it had done. */
 	RunMoved: 'run-moved',
-	/** Runs stand still or crawl on a worker that answers, so it gets nothing new for now; `worker`, `runs`. */
-	WorkerSlow: 'worker-slow',
+	/** Runs stand still on a worker that answers, so it gets nothing new for now; `worker`, `runs`. */
+	WorkerStalled: 'worker-stalled',
 	/** A worker refused an order; `task`, `attempt`, `worker`, `reason`, the `order`. */
 	OrderRefused: 'order-refused',
 	/** Advice is asked; `step`, `workers`. Debug level. */
--- a/packages/jobs/src/lib/leader/RunController.ts
+++ b/packages/jobs/src/lib/leader/RunController.ts
@@ -29,7 +29,7 @@
 export interface RunListener {
 	/** The ticket that a run was started with does not hold. */
 	ticketRefused(task: TaskName, worker: string): void
-	/** A run is moved away from a worker on which it got on too slowly. */
+	/** A run is moved away from a worker on which it stood still. */
 	moved(task: TaskName, worker: string): void
 }
 
@@ -170,20 +170,20 @@
 			if (!listed.has(run.text)) this.notListed(run, sentAt)
 		}
 		this.pacing.adjust(view)
-		this.watchSpeed(view)
+		this.watchStalls(view)
 	}
 
-	/** Closes a worker on which runs stand still or crawl, and moves what would be done sooner elsewhere. */
-	private watchSpeed(view: WorkerView): void {
+	/** Closes a worker on which runs stand still, and moves those. */
+	private watchStalls(view: WorkerView): void {
 		const now = this.context.clock.now()
-		const { speed } = this.workers
-		if (speed.judge(view, this.workers.size, now)) {
+		const { stalls } = this.workers
+		if (stalls.judge(view, this.workers.size, now)) {
 			const { log, meter } = this.context
-			log.warn(LeaderEvent.WorkerSlow, { worker: view.id, runs: view.runs.size })
-			meter.count(Measure.SlowWorkers)
+			log.warn(LeaderEvent.WorkerStalled, { worker: view.id, runs: view.runs.size })
+			meter.count(Measure.StalledWorkers)
 		}
-		if (!speed.isSlow(view.id, now) || view.draining) return
-		for (const run of speed.runsToMove(view)) this.move(run)
+		if (!stalls.isStalled(view.id, now) || view.draining) return
+		for (const run of stalls.runsToMove(view)) this.move(run)
 	}
 
 	/** Stops a run, with all of its gang, so that it goes on elsewhere. */
--- a/packages/jobs/src/lib/leader/StepScheduler.ts
+++ b/packages/jobs/src/lib/leader/StepScheduler.ts
@@ -4,7 +4,7 @@
 import { formatTaskName, RunEnd, type TaskName } from '../records/Job'
 import { isActive, isStepDone, isStepReady, TaskStatus, type JobRecord } from '../state/JobRecord'
 import type { Precedence } from '../placement/Precedence'
-import { Reservations, type RoomTimes } from '../placement/Reservations'
+import { Reservations } from '../placement/Reservations'
 import { timesOf } from '../placement/stepTimes'
 import { UrgentShare } from '../placement/UrgentShare'
 import { chooseForStep, hasRoom, type Option, type RoomCheck } from './chooseForStep'
@@ -19,9 +19,20 @@
 
 /** Milliseconds that an urgent step waits for room before runs of lower priority are stopped for it. */
 const PREEMPT_AFTER = 60
+/** What each open worker adds to its service's stamp: more than anything that comes free in a leadership. */
+const WORKER_STAMP = 1e9
 /** Milliseconds within which urgent work is to begin; the users ask for 5.8 s, less the time that a stop takes. */
 const URGENT_START = 5000
 
+/** One pass over the waiting steps. */
+interface Pass {
+	readonly open: readonly Option[]
+	/** The moment, on the leader's clock. */
+	readonly now: number
+	/** Whether all waiting steps are tried, and room is kept anew. */
+	readonly full: boolean
+}
+
 /**
  * The steps that have tasks to begin.
  *
@@ -78,7 +89,8 @@
 		const allowed = room.filter(({ view }) => work.advice.ticket(view.id, now) !== undefined)
 		const keptUntil = this.reservations.expectedAt(work)
 		if (keptUntil !== undefined) {
-			return `room for it is expected in ${Math.round(Math.max(0, keptUntil - now))} ms and kept until then`
+			const wait = Math.round(Math.max(0, keptUntil.last - now))
+			return `room for all of it is expected in ${wait} ms and kept until then`
 		}
 		if (allowed.length > 0 && work.step.gang) return 'not all of its gang has room'
 		if (allowed.length > 0) return 'it is about to begin'
@@ -146,7 +158,7 @@
 		this.steps.get(nameOf(task))?.advice.refused(worker)
 	}
 
-	/** A run was moved away from a worker on which it got on too slowly: another one is taken, if there is one. */
+	/** A run was moved away from a worker on which it stood still: another one is taken, if there is one. */
 	movedAway(task: TaskName, worker: string): void {
 		this.steps.get(nameOf(task))?.failed(worker)
 	}
@@ -165,15 +177,20 @@
 	 * Begins what can begin now.
 	 *
 	 * @param now - the moment, on the leader's clock.
-	 * @param again - whether steps that found no room are tried although nothing has come free.
+	 * @param full - whether steps that found no room are tried although nothing has come free.
 	 */
-	place(now: number, again: boolean): void {
-		if (this.stale || again) this.sort()
+	place(now: number, full: boolean): void {
+		if (this.stale || full) this.sort()
 		const open = this.openWorkers()
+		const stamps = stampsOf(open)
+		const pass = { open, now, full }
 		this.urgentShare.beginPass(open)
-		this.reservations.beginPass(now)
+		this.reservations.beginPass(now, full)
 		for (const work of this.order) {
-			if (again || work.triedAt !== this.context.ledger.releases) this.placeStep(work, open, now)
+			const stamp = stamps.get(work.queue.service) ?? 0
+			if (!full && work.triedAt === stamp) continue
+			work.triedAt = stamp
+			this.placeStep(work, pass)
 		}
 	}
 
@@ -263,10 +280,9 @@
 		return open
 	}
 
-	private placeStep(work: StepWork, open: readonly Option[], now: number): void {
+	private placeStep(work: StepWork, { open, now, full }: Pass): void {
 		if (!isStepReady(work.job, work.repeat, work.number)) return
 		work.readyAt ??= now
-		this.reservations.drop(work)
 		const waiting = work.waiting()
 		if (waiting.length === 0) return
 		const eligible = this.eligible(work, open)
@@ -277,25 +293,22 @@
 			: this.placeEach(work, waiting, options)
 		if (placed.length > 0) this.begin(work, placed, now)
 		const left = waiting.length - placed.length
-		work.triedAt = this.context.ledger.releases
-		const room = left > 0 ? this.reserve(work, left, eligible) : undefined
-		if (left > 0 && work.queue.advice) this.questions.ask(work, eligible, left, room?.next)
-		if (left > 0 && work.urgent && !work.step.gang && this.needsRoomNow(work, room?.last, now)) {
+		if (left === 0) return this.reservations.drop(work)
+		if (full) this.reserve(work, left, eligible)
+		const room = this.reservations.expectedAt(work)
+		if (work.queue.advice) this.questions.ask(work, eligible, left, room?.next)
+		if (work.urgent && !work.step.gang && this.needsRoomNow(work, room?.last, now)) {
 			this.makeRoom(work, { eligible, options }, left, now)
 		}
 	}
 
-	/** Keeps room for tasks that found none. @returns when it is expected; undefined when none is kept. */
-	private reserve(
-		work: StepWork,
-		tasks: number,
-		eligible: readonly Option[]
-	): RoomTimes | undefined {
+	/** Keeps room for the tasks of a step that found none. */
+	private reserve(work: StepWork, tasks: number, eligible: readonly Option[]): void {
 		const { advice, queue } = work
 		const allowed = queue.advice
 			? eligible.filter(({ view }) => advice.isAllowed(view.id))
 			: eligible
-		return this.reservations.keep(work, tasks, allowed)
+		this.reservations.keep(work, tasks, allowed)
 	}
 
 	/**
@@ -383,6 +396,16 @@
 	}
 }
 
+/** For each service a number that changes when something came free at its open workers, or their number changed. */
+function stampsOf(open: readonly Option[]): Map<string, number> {
+	const stamps = new Map<string, number>()
+	for (const { view, account } of open) {
+		const { service } = view.worker
+		stamps.set(service, (stamps.get(service) ?? 0) + account.releases + WORKER_STAMP)
+	}
+	return stamps
+}
+
 /** Whether the queue's policy allows none of the workers that could run a step. */
 function isBarred({ advice, queue }: StepWork, eligible: readonly Option[]): boolean {
 	if (!queue.advice || eligible.length === 0) return false
--- a/packages/jobs/src/lib/leader/StepWork.ts
+++ b/packages/jobs/src/lib/leader/StepWork.ts
@@ -40,7 +40,7 @@
 	toldOverdue = false
 	/** Whether a line has told that its queue's policy allows none of the workers. */
 	toldBarred = false
-	/** What the ledger had released when the step last found no room. */
+	/** The stamp of its service when it was last tried; see the scheduler. */
 	triedAt = -1
 
 	/** What orders it among the others; told anew in each full pass. */
--- a/packages/jobs/src/lib/leader/WorkerRegistry.ts
+++ b/packages/jobs/src/lib/leader/WorkerRegistry.ts
@@ -8,7 +8,7 @@
 import { WorkerPolls } from './WorkerPolls'
 import { LostRuns } from './LostRuns'
 import { OutageWatch } from './OutageWatch'
-import { SpeedWatch } from '../placement/SpeedWatch'
+import { StallWatch } from '../placement/StallWatch'
 import type { ListedEnd, PollResult } from './ports'
 import { sameWorker } from './sameWorker'
 import { WorkerView } from './WorkerView'
@@ -26,8 +26,8 @@
  */
 export class WorkerRegistry {
 	private readonly views = new Map<string, WorkerView>()
-	/** Tells which workers are slow. */
-	readonly speed = new SpeedWatch()
+	/** Tells on which workers runs stand still. */
+	readonly stalls = new StallWatch()
 	private readonly outages = new OutageWatch()
 	private readonly suspects: SuspectRuns
 	private readonly polls: WorkerPolls
@@ -96,7 +96,7 @@
 		const { clock, timing, health } = this.context
 		const now = clock.now()
 		if (view.draining || view.suspects.size > 0 || view.unreachable || !view.listed) return false
-		if (this.isSuspect(view, now) || this.speed.isSlow(view.id, now)) return false
+		if (this.isSuspect(view, now) || this.stalls.isStalled(view.id, now)) return false
 		return now - view.heartbeatAt < timing.workerSilent && health.isOpen(view.id, now)
 	}
 
@@ -119,7 +119,7 @@
 		this.views.delete(id)
 		this.context.ledger.leave(id)
 		this.context.health.forget(id)
-		this.speed.forget(id)
+		this.stalls.forget(id)
 	}
 
 	/**
--- a/packages/jobs/src/lib/placement/Reservations.ts
+++ b/packages/jobs/src/lib/placement/Reservations.ts
@@ -11,8 +11,8 @@
 
 /** Share of a worker's largest resource from which a task counts as one that finds no room by itself. */
 const LARGE_SHARE = 0.25
-/** Steps that may have room kept at a time; bounds the time of a pass. */
-const MOST_RESERVATIONS = 64
+/** Steps of one service that may have room kept at a time, the most urgent ones; bounds the time of a pass. */
+const MOST_OF_SERVICE = 12
 /** What a task's time is multiplied by before it may begin on kept room: declared times are off by half. */
 const TIME_MARGIN = 1.3
 
@@ -46,7 +46,9 @@
  */
 export class Reservations {
 	private readonly byWorker = new Map<string, KeptRoom[]>()
-	private readonly expected = new Map<StepWork, number>()
+	private readonly expected = new Map<StepWork, RoomTimes>()
+	/** How many steps of each service have room kept. */
+	private readonly counts = new Map<string, number>()
 	/** Forecasts of this pass, by worker. */
 	private readonly forecasts = new Map<string, RoomForecast>()
 	private now = 0
@@ -54,25 +56,29 @@
 	/** @param urgentShare - room that is left to urgent work. */
 	constructor(private readonly urgentShare: UrgentShare) {}
 
-	/** A new pass over the waiting steps begins. */
-	beginPass(now: number): void {
+	/**
+	 * A new pass over the waiting steps begins.
+	 *
+	 * @param full - whether all waiting steps are tried, in their order: then what is kept is told anew.
+	 */
+	beginPass(now: number, full: boolean): void {
 		this.now = now
 		this.forecasts.clear()
+		if (!full) return
+		this.byWorker.clear()
+		this.expected.clear()
+		this.counts.clear()
 	}
 
-	/** @returns when all of a step's room is expected, on the leader's clock; undefined when none is kept. */
-	expectedAt(work: StepWork): number | undefined {
+	/** @returns when a step's room is expected, on the leader's clock; undefined when none is kept. */
+	expectedAt(work: StepWork): RoomTimes | undefined {
 		return this.expected.get(work)
 	}
 
-	/** How many steps have room kept. */
-	get size(): number {
-		return this.expected.size
-	}
-
 	/** Keeps nothing for a step any more. */
 	drop(work: StepWork): void {
 		if (!this.expected.delete(work)) return
+		this.counts.set(work.queue.service, this.countOf(work) - 1)
 		for (const [worker, kept] of this.byWorker) {
 			const others = kept.filter((one) => one.work !== work)
 			if (others.length > 0) this.byWorker.set(worker, others)
@@ -90,7 +96,7 @@
 		const at = Math.max(...before.map((kept) => kept.at))
 		const ends = this.now + work.step.expectedTime * TIME_MARGIN
 		if (!work.step.lasting && ends <= at) return true
-		return fits(work.need, withoutKept(this.forecastOf(option).at(at), before))
+		return fits(work.need, withoutKept(this.forecastOf(option).freeAt(at), before))
 	}
 
 	/**
@@ -99,12 +105,11 @@
 	 * @param work - the step, for which nothing is kept yet.
 	 * @param tasks - how many of its tasks wait.
 	 * @param options - workers that may run it.
-	 * @returns when its room is expected; undefined when nothing is kept.
 	 */
-	keep(work: StepWork, tasks: number, options: readonly Option[]): RoomTimes | undefined {
-		if (this.size >= MOST_RESERVATIONS || !needsReservation(work, options)) return undefined
+	keep(work: StepWork, tasks: number, options: readonly Option[]): void {
+		if (this.countOf(work) >= MOST_OF_SERVICE || !needsReservation(work, options)) return
 		const places = this.placesFor(work, tasks, options)
-		if (places.length === 0 || (work.step.gang && places.length < tasks)) return undefined
+		if (places.length === 0 || (work.step.gang && places.length < tasks)) return
 		const last = Math.max(...places.map((place) => place.at))
 		for (const [worker, { count, at }] of gather(places)) {
 			const kept = this.byWorker.get(worker) ?? []
@@ -112,9 +117,9 @@
 			const until = work.step.gang ? last : at
 			this.byWorker.set(worker, [...kept, { work, room: times(work.need, count), at: until }])
 		}
-		this.expected.set(work, last)
 		const next = work.step.gang ? last : Math.min(...places.map((place) => place.at))
-		return { next, last }
+		this.expected.set(work, { next, last })
+		this.counts.set(work.queue.service, this.countOf(work) + 1)
 	}
 
 	/** The places that are free soonest, beside what is kept for steps that go before. */
@@ -123,11 +128,10 @@
 		for (const option of options) {
 			const { id } = option.view
 			const before = this.keptBefore(work, id)
-			const forecast = this.forecastOf(option)
 			let copies = 0
-			for (const at of forecast.moments()) {
-				const room = withoutKept(forecast.at(at), before)
-				const beside = this.urgentShare.copiesBeside(work, option, forecast.ordinaryAt(at))
+			for (const { at, free, ordinary } of this.forecastOf(option).moments()) {
+				const room = withoutKept(free, before)
+				const beside = this.urgentShare.copiesBeside(work, option, ordinary)
 				const more = Math.min(work.copiesIn(id, room), beside) - copies
 				for (let copy = 0; copy < more && copy < tasks; copy++) places.push({ worker: id, at })
 				copies += Math.max(0, more)
@@ -136,6 +140,10 @@
 		return places.sort((left, right) => left.at - right.at).slice(0, tasks)
 	}
 
+	private countOf({ queue }: StepWork): number {
+		return this.counts.get(queue.service) ?? 0
+	}
+
 	private forecastOf(option: Option): RoomForecast {
 		const { id } = option.view
 		const forecast = this.forecasts.get(id) ?? new RoomForecast(option, this.now)
--- a/packages/jobs/src/lib/placement/RoomForecast.ts
+++ b/packages/jobs/src/lib/placement/RoomForecast.ts
@@ -1,17 +1,27 @@
 /** When room is expected on a worker: what its runs have, and when they are expected to end. */
-import { plus, type LedgerWorker, type Resources } from '@rillrudder/scheduler'
+import { NOTHING, plus, type LedgerWorker, type Resources } from '@rillrudder/scheduler'
 import type { Option } from '../leader/chooseForStep'
 import { RunPhase, type Run } from '../leader/Run'
 
 /** Milliseconds from a stop's order until its room is free: a stop, its listing and the commit of the end. */
 const STOP_SPAN = 500
 
-/** Room that comes free at a moment. */
+/** What one more run's end adds to what is free. */
 interface Release {
 	readonly at: number
-	readonly room: Resources
-	/** Whether urgent work has it. */
-	readonly urgent: boolean
+	/** What this and all earlier ends free. */
+	readonly freed: Resources
+	/** Thousandths of a processor of it that work had which is not urgent. */
+	readonly ordinary: number
+}
+
+/** What is expected at a moment. @internal */
+export interface Forecast {
+	/** When, on the leader's clock. */
+	readonly at: number
+	readonly free: Resources
+	/** Thousandths of a processor that work which is not urgent has. */
+	readonly ordinary: number
 }
 
 /**
@@ -20,7 +30,6 @@
  * @internal
  */
 export class RoomForecast {
-	private readonly now: number
 	private readonly account: LedgerWorker
 	private readonly releases: readonly Release[]
 
@@ -28,38 +37,42 @@
 	 * @param option - the worker.
 	 * @param now - the moment, on the leader's clock.
 	 */
-	constructor({ view, account }: Option, now: number) {
-		this.now = now
+	constructor(
+		{ view, account }: Option,
+		private readonly now: number
+	) {
 		this.account = account
-		this.releases = [...view.runs.values()]
-			.map((run) => ({ at: endOf(run, now), room: run.need, urgent: run.urgent }))
+		const ends = [...view.runs.values()]
+			.map((run) => ({ run, at: endOf(run, now) }))
 			.filter(({ at }) => Number.isFinite(at))
 			.sort((left, right) => left.at - right.at)
+		let freed = NOTHING
+		let ordinary = 0
+		this.releases = ends.map(({ run, at }) => {
+			freed = plus(freed, run.need)
+			ordinary += run.urgent ? 0 : run.need.cpu
+			return { at, freed, ordinary }
+		})
 	}
 
 	/** @returns what is expected to be free at a moment. */
-	at(moment: number): Resources {
-		let { free } = this.account
-		for (const { at, room } of this.releases) {
-			if (at > moment) break
-			free = plus(free, room)
+	freeAt(moment: number): Resources {
+		let freed = NOTHING
+		for (const release of this.releases) {
+			if (release.at > moment) break
+			freed = release.freed
 		}
-		return free
+		return plus(this.account.free, freed)
 	}
 
-	/** @returns thousandths of a processor that work which is not urgent is expected to have at a moment. */
-	ordinaryAt(moment: number): number {
-		let { ordinary } = this.account
-		for (const { at, room, urgent } of this.releases) {
-			if (at > moment) break
-			if (!urgent) ordinary -= room.cpu
+	/** What is expected now and after each end. */
+	*moments(): IterableIterator<Forecast> {
+		const { free, ordinary } = this.account
+		yield { at: this.now, free, ordinary }
+		for (const release of this.releases) {
+			const { at, freed } = release
+			yield { at, free: plus(free, freed), ordinary: ordinary - release.ordinary }
 		}
-		return ordinary
-	}
-
-	/** The moments at which more becomes free, from now on. */
-	moments(): number[] {
-		return [this.now, ...this.releases.map(({ at }) => at)]
 	}
 }
 
--- /dev/null
+++ b/packages/jobs/src/lib/placement/StallWatch.ts
@@ -0,0 +1,85 @@
+/**
+ * Finds workers on which runs stand still although the workers answer, by the progress that they report. Such a worker
+ * gets nothing new for a while, and what stands still there begins elsewhere.
+ *
+ * Runs that only get on slowly are left alone: declared times are so far off that on a calm day one worker in two
+ * seemed slow at some moment (see docs/POLICY.md).
+ */
+import { RunPhase, type Run } from '../leader/Run'
+import type { WorkerView } from '../leader/WorkerView'
+
+/** Milliseconds without progress after which a run counts as standing, at least: more than a poll and a half. */
+const STANDS_AFTER = 750
+/** The same as a share of the declared time: progress is told in whole percents. */
+const STANDS_SHARE = 0.2
+/** Share of a worker's runs that must stand before the worker is the cause. */
+const MOST_RUNS = 0.5
+/** Share of all workers that may be closed at a time; with more of them the cause is not theirs. */
+const MOST_WORKERS = 0.25
+/** Milliseconds for which a worker stays closed after a run was last seen to stand there. */
+const CLOSED_FOR = 1500
+/** Attempts up to which a run may be moved, so that none is moved again and again. */
+const LAST_MOVED_ATTEMPT = 3
+/** Percent of a worker's speed that a run which is not paced works at. */
+const FULL_PACE = 100
+
+/**
+ * Watches whether runs get on.
+ *
+ * @internal
+ */
+export class StallWatch {
+	/** Until when workers stay closed, on the leader's clock. */
+	private readonly closed = new Map<string, number>()
+
+	/** @returns whether runs were seen to stand still on a worker of late. */
+	isStalled(worker: string, now: number): boolean {
+		return (this.closed.get(worker) ?? 0) > now
+	}
+
+	/** Forgets a worker that has ended. */
+	forget(worker: string): void {
+		this.closed.delete(worker)
+	}
+
+	/**
+	 * Judges a worker that has just been read.
+	 *
+	 * @param workers - how many workers there are.
+	 * @returns whether it was found to stand still, and was not known to.
+	 */
+	judge(view: WorkerView, workers: number, now: number): boolean {
+		const judged = [...view.runs.values()].filter(isJudged)
+		const standing = judged.filter(isStanding)
+		if (standing.length === 0 || standing.length < judged.length * MOST_RUNS) return false
+		const known = this.isStalled(view.id, now)
+		if (!known && this.countClosed(now) >= Math.max(1, workers * MOST_WORKERS)) return false
+		this.closed.set(view.id, now + CLOSED_FOR)
+		return !known
+	}
+
+	/** @returns the runs of a worker that stand still and may begin elsewhere. */
+	runsToMove(view: WorkerView): Run[] {
+		return [...view.runs.values()].filter(
+			(run) => isJudged(run) && isStanding(run) && run.attempt <= LAST_MOVED_ATTEMPT
+		)
+	}
+
+	private countClosed(now: number): number {
+		let count = 0
+		for (const until of this.closed.values()) if (until > now) count += 1
+		return count
+	}
+}
+
+/** Whether a run's progress tells of its worker: not that of one which was slowed down, or waits for others. */
+function isJudged({ phase, step, pace, progress }: Run): boolean {
+	if (phase !== RunPhase.Running || step.lasting || step.bestEffort || pace < FULL_PACE)
+		return false
+	if (step.expectedTime <= 0) return false
+	return !step.gang || progress.hasMoved
+}
+
+function isStanding({ progress, step }: Run): boolean {
+	return progress.stoodStillFor >= Math.max(STANDS_AFTER, step.expectedTime * STANDS_SHARE)
+}
--- a/packages/scheduler/src/lib/capacity/Ledger.ts
+++ b/packages/scheduler/src/lib/capacity/Ledger.ts
@@ -67,6 +67,7 @@
 			known.free = plus(known.free, minus(offer.capacity, known.capacity))
 			known.capacity = offer.capacity
 			known.slots = offer.slots
+			known.releases += 1
 			if (known.open) this.index.refresh(known)
 		}
 		this.releaseCount += 1
@@ -118,6 +119,7 @@
 		worker.free = plus(worker.free, amount)
 		invariant(fits(worker.free, worker.capacity), 'no more is given back than was taken', { id })
 		this.releaseCount += 1
+		worker.releases += 1
 		if (worker.open) this.index.refresh(worker)
 	}
 
--- a/packages/telemetry/src/lib/Meter.ts
+++ b/packages/telemetry/src/lib/Meter.ts
@@ -19,10 +19,10 @@
 	StepsBarred: 'steps_barred_total',
 	/** Counter: runs stopped to make room for work of the highest priority at a service. */
 	Preemptions: 'preemptions_total',
-	/** Counter: runs moved away from a worker on which they got on too slowly. */
+	/** Counter: runs moved away from a worker on which they stood still. */
 	Moves: 'moves_total',
-	/** Counter: times that a worker was found to be slow. */
-	SlowWorkers: 'slow_workers_total',
+	/** Counter: times that a worker was found on which runs stand still. */
+	StalledWorkers: 'stalled_workers_total',
 	/** Counter by `order` and `result`: orders to workers. */
 	Orders: 'orders_total',
 	/** Histogram by `order`, milliseconds: until a worker answered. */
