--- a/packages/jobs/src/lib/leader/StepScheduler.ts
+++ b/packages/jobs/src/lib/leader/StepScheduler.ts
@@ -180,7 +180,8 @@
 	 * @param full - whether steps that found no room are tried although nothing has come free.
 	 */
 	place(now: number, full: boolean): void {
-		if (this.stale || full) this.sort()
+		if (this.stale) this.sort()
+		if (full) this.tellWaits()
 		const open = this.openWorkers()
 		const stamps = stampsOf(open)
 		const pass = { open, now, full }
@@ -195,13 +196,15 @@
 	}
 
 	private sort(): void {
+		this.order = [...this.steps.values()].sort(byUrgency)
+		this.stale = false
+	}
+
+	private tellWaits(): void {
 		const epoch = epochOf(this.context)
-		for (const work of this.steps.values()) {
-			work.updateUrgency(epoch)
+		for (const work of this.order) {
 			if (!work.toldOverdue && work.isOverdue(epoch)) this.tellOverdue(work)
 		}
-		this.order = [...this.steps.values()].sort(byUrgency)
-		this.stale = false
 	}
 
 	private tellBarred(work: StepWork, workers: number): void {
--- a/packages/jobs/src/lib/leader/StepWork.ts
+++ b/packages/jobs/src/lib/leader/StepWork.ts
@@ -43,8 +43,8 @@
 	/** The stamp of its service when it was last tried; see the scheduler. */
 	triedAt = -1
 
-	/** What orders it among the others; told anew in each full pass. */
-	urgency: Urgency
+	/** What orders it among the others. */
+	readonly urgency: Urgency
 
 	/**
 	 * @param times - when it has to begin.
@@ -64,19 +64,13 @@
 		this.need = reservedFor(this.step)
 		this.urgent = standing.urgent
 		this.yields = standing.yields
-		this.urgency = urgencyOf(queue.priority, times, times.since)
+		this.urgency = urgencyOf(queue.priority, times)
 		for (const task of this.record.tasks) if (task.worker !== '') this.count(task.worker, 1)
 	}
 
-	/** Tells its urgency anew. Lasting work is never late: each second of it counts. */
-	updateUrgency(epoch: number): void {
-		if (this.step.lasting) return
-		this.urgency = urgencyOf(this.queue.priority, this.times, epoch)
-	}
-
 	/** @returns whether it had to begin by now for its job to be in time. */
 	isOverdue(epoch: number): boolean {
-		return !this.step.lasting && epoch > this.times.deadline - this.times.remaining
+		return !this.step.lasting && epoch > this.urgency.latestStart
 	}
 
 	/** @returns for how many milliseconds it could have begun. */
--- a/packages/jobs/src/lib/placement/stepTimes.ts
+++ b/packages/jobs/src/lib/placement/stepTimes.ts
@@ -23,7 +23,7 @@
 	const { steps, repeat: terms } = job.request
 	const since = terms ? terms.first + repeat * terms.interval : job.submitted
 	const deadline = since + objectiveOf(job.request, queue)
-	return { since, deadline, remaining: remainingChains(steps, queue)[step] }
+	return { deadline, remaining: remainingChains(steps, queue)[step] }
 }
 
 /** For each step the milliseconds that it and the longest chain of steps after it are expected to take. */
