--- a/packages/jobs/src/lib/placement/RunProgress.ts
+++ b/packages/jobs/src/lib/placement/RunProgress.ts
@@ -26,7 +26,6 @@
 	/** Where the next such span begins. */
 	private next: Reading | undefined
 	private latest: Reading | undefined
-	private moved = false
 	/** When the percentage last rose, on the worker's own clock. */
 	private movedAt = 0
 	/** When the latest reading came, on the leader's clock. */
@@ -53,7 +52,6 @@
 	read(percent: number, at: number, now: number): void {
 		this.readAt = now
 		const reading = { percent, at }
-		if (this.latest && percent > this.latest.percent) this.moved = true
 		if (!this.latest || percent > this.latest.percent) this.movedAt = at
 		this.first ??= reading
 		this.next ??= reading
@@ -63,21 +61,11 @@
 		this.next = reading
 	}
 
-	/** Whether it was seen to get on at all; a gang's member does not before all are there. */
-	get hasMoved(): boolean {
-		return this.moved
-	}
-
 	/** Milliseconds for which readings have shown no progress. */
 	get stoodStillFor(): number {
 		return this.latest ? this.latest.at - this.movedAt : 0
 	}
 
-	/** Percent done when last read. */
-	get percent(): number {
-		return this.latest?.percent ?? 0
-	}
-
 	/** Milliseconds that a whole task takes at the speed seen of late; undefined while none can be told. */
 	get observed(): number | undefined {
 		const { first, latest } = this
@@ -94,7 +82,7 @@
 	 */
 	expectedEnd(now: number): number {
 		const whole = this.observed ?? this.expected
-		const left = (whole * (WHOLE - this.percent)) / WHOLE
+		const left = (whole * (WHOLE - (this.latest?.percent ?? 0))) / WHOLE
 		return Math.max(now, this.readAt + left)
 	}
 }
--- a/packages/jobs/src/lib/placement/StallWatch.ts
+++ b/packages/jobs/src/lib/placement/StallWatch.ts
@@ -20,6 +20,8 @@
 const CLOSED_FOR = 1500
 /** Attempts up to which a run may be moved, so that none is moved again and again. */
 const LAST_MOVED_ATTEMPT = 3
+/** Percent of a run that has done its work and is about to end. */
+const ALL_DONE = 100
 /** Percent of a worker's speed that a run which is not paced works at. */
 const FULL_PACE = 100
 
@@ -72,12 +74,13 @@
 	}
 }
 
-/** Whether a run's progress tells of its worker: not that of one which was slowed down, or waits for others. */
-function isJudged({ phase, step, pace, progress }: Run): boolean {
-	if (phase !== RunPhase.Running || step.lasting || step.bestEffort || pace < FULL_PACE)
-		return false
-	if (step.expectedTime <= 0) return false
-	return !step.gang || progress.hasMoved
+/**
+ * Whether a run's progress tells of its worker: not that of one which was slowed down, or has done all its work, and not a
+ * gang's member, which waits for the others before its work and after.
+ */
+function isJudged({ phase, step, pace, percent }: Run): boolean {
+	if (phase !== RunPhase.Running || pace < FULL_PACE || percent >= ALL_DONE) return false
+	return !step.lasting && !step.bestEffort && !step.gang && step.expectedTime > 0
 }
 
 function isStanding({ progress, step }: Run): boolean {
