--- /dev/null
+++ b/packages/jobs/src/lib/leader/StepLog.ts
@@ -0,0 +1,63 @@
+/** Log lines and measures of steps: that they begin, and why they do not. */
+import { Measure } from '@rillrudder/telemetry'
+import type { LeaderContext } from './LeaderContext'
+import { LeaderEvent } from './LeaderEvent'
+import type { Placed } from './placeGang'
+import type { StepWork } from './StepWork'
+
+/**
+ * Tells of steps.
+ *
+ * @internal
+ */
+export class StepLog {
+	constructor(private readonly context: LeaderContext) {}
+
+	/** Runs of a step begin. */
+	placed(work: StepWork, placed: readonly Placed[], now: number): void {
+		const { meter, log, state, term } = this.context
+		const waited = work.waited(now)
+		meter.observe(Measure.StepWait, waited, { priority: String(work.queue.priority) })
+		log.info(LeaderEvent.StepPlaced, {
+			step: work.name,
+			priority: work.queue.priority,
+			runs: placed.length,
+			waiting: work.waiting().length,
+			waited: Math.round(waited),
+			questions: work.advice.questions,
+			advised: Math.round(work.waited(work.advice.firstAnswerAt ?? 0)),
+			workers: countedWorkers(placed),
+			configuration: state.configuration?.version ?? 0,
+			term,
+		})
+	}
+
+	/** The policy of a step's queue allows none of so many open workers. Told once for each step. */
+	barred(work: StepWork, workers: number): void {
+		if (work.toldBarred) return
+		work.toldBarred = true
+		const { name: step, queue } = work
+		this.context.meter.count(Measure.StepsBarred, { priority: String(queue.priority) })
+		this.context.log.info(LeaderEvent.StepBarred, { step, priority: queue.priority, workers })
+	}
+
+	/** A step still waits although it had to begin by now. Told once for each step. */
+	overdue(work: StepWork, reason: string): void {
+		if (work.toldOverdue) return
+		work.toldOverdue = true
+		this.context.log.info(LeaderEvent.StepOverdue, {
+			step: work.name,
+			priority: work.queue.priority,
+			waiting: work.waiting().length,
+			waited: Math.round(work.waited(this.context.clock.now())),
+			reason,
+		})
+	}
+}
+
+/** The workers of placed tasks with their counts, as one text for the log. */
+function countedWorkers(placed: readonly Placed[]): string {
+	const counts = new Map<string, number>()
+	for (const { worker } of placed) counts.set(worker, (counts.get(worker) ?? 0) + 1)
+	return [...counts].map(([worker, count]) => `${worker}:${count}`).join(' ')
+}
--- a/packages/jobs/src/lib/leader/StepScheduler.ts
+++ b/packages/jobs/src/lib/leader/StepScheduler.ts
@@ -9,12 +9,13 @@
 import { UrgentShare } from '../placement/UrgentShare'
 import { chooseForStep, hasRoom, type Option, type RoomCheck } from './chooseForStep'
 import { epochOf, type LeaderContext } from './LeaderContext'
-import { LeaderEvent } from './LeaderEvent'
 import { placeGang, type Placed } from './placeGang'
 import type { RunController } from './RunController'
 import { runsToStop } from './runsToStop'
+import { StepLog } from './StepLog'
 import { StepQuestions } from './StepQuestions'
 import { byUrgency, stepName, StepWork } from './StepWork'
+import { isBarred, waitReason } from './waitReason'
 import type { WorkerRegistry } from './WorkerRegistry'
 
 /** Milliseconds that an urgent step waits for room before runs of lower priority are stopped for it. */
@@ -42,12 +43,13 @@
 	private readonly steps = new Map<string, StepWork>()
 	private order: StepWork[] = []
 	private readonly questions: StepQuestions
+	private readonly log: StepLog
 	/** Repeats that are not due yet. */
 	private later: { readonly job: JobRecord; readonly repeat: number; readonly due: number }[] = []
 	private stale = true
 	private readonly urgentShare = new UrgentShare()
 	private readonly reservations = new Reservations(this.urgentShare)
-	/** Whether a worker's room is not kept for others. */
+	/** Whether a task may begin in a worker's room: it is kept neither for urgent work nor for a step that goes before. */
 	private readonly isFree: RoomCheck = (work, option) =>
 		this.urgentShare.allows(work, option) && this.reservations.allows(work, option)
 
@@ -58,6 +60,7 @@
 		private readonly precedence: Precedence
 	) {
 		this.questions = new StepQuestions(context)
+		this.log = new StepLog(context)
 	}
 
 	/** Sets the gauges of how many steps wait, by priority. */
@@ -78,24 +81,9 @@
 		const work = this.steps.get(name)
 		if (!work) return 'it is not due yet'
 		const eligible = this.eligible(work, this.openWorkers())
-		if (eligible.length === 0) return 'no open worker of its service has the label that it asks for'
-		if (isBarred(work, eligible)) {
-			return `its queue's policy allows none of ${eligible.length} open workers; others are asked about as they join`
-		}
 		const room = eligible.filter((option) => this.admits(work, option))
-		if (room.length === 0) return `none of ${eligible.length} open workers has room for one task`
-		if (!work.queue.advice) return 'it is about to begin'
-		const now = this.context.clock.now()
-		const allowed = room.filter(({ view }) => work.advice.ticket(view.id, now) !== undefined)
-		const keptUntil = this.reservations.expectedAt(work)
-		if (keptUntil !== undefined) {
-			const wait = Math.round(Math.max(0, keptUntil.last - now))
-			return `room for all of it is expected in ${wait} ms and kept until then`
-		}
-		if (allowed.length > 0 && work.step.gang) return 'not all of its gang has room'
-		if (allowed.length > 0) return 'it is about to begin'
-		if (work.advice.asking) return `advice about ${room.length} workers with room is awaited`
-		return `none of ${room.length} workers with room is allowed by its queue's policy`
+		const kept = this.reservations.expectedAt(work)
+		return waitReason(work, { eligible, room, kept, now: this.context.clock.now() })
 	}
 
 	/** Takes up a job: all its repeats that are due. */
@@ -203,30 +191,12 @@
 	private tellWaits(): void {
 		const epoch = epochOf(this.context)
 		for (const work of this.order) {
-			if (!work.toldOverdue && work.isOverdue(epoch)) this.tellOverdue(work)
+			if (work.toldOverdue || !work.isOverdue(epoch)) continue
+			const waits = work.readyAt !== undefined && work.waiting().length > 0
+			if (waits) this.log.overdue(work, this.whyWaiting(work.name))
 		}
 	}
 
-	private tellBarred(work: StepWork, workers: number): void {
-		work.toldBarred = true
-		const { name: step, queue } = work
-		this.context.meter.count(Measure.StepsBarred, { priority: String(queue.priority) })
-		this.context.log.info(LeaderEvent.StepBarred, { step, priority: queue.priority, workers })
-	}
-
-	private tellOverdue(work: StepWork): void {
-		const waiting = work.waiting().length
-		if (waiting === 0 || work.readyAt === undefined) return
-		work.toldOverdue = true
-		this.context.log.info(LeaderEvent.StepOverdue, {
-			step: work.name,
-			priority: work.queue.priority,
-			waiting,
-			waited: Math.round(work.waited(this.context.clock.now())),
-			reason: this.whyWaiting(work.name),
-		})
-	}
-
 	private close(work: StepWork): void {
 		this.steps.delete(work.name)
 		this.reservations.drop(work)
@@ -289,11 +259,12 @@
 		const waiting = work.waiting()
 		if (waiting.length === 0) return
 		const eligible = this.eligible(work, open)
-		if (!work.toldBarred && isBarred(work, eligible)) this.tellBarred(work, eligible.length)
+		if (!work.toldBarred && isBarred(work, eligible)) this.log.barred(work, eligible.length)
 		const options = this.optionsFor(work, eligible, now)
 		const placed = work.step.gang
 			? placeGang(work, waiting, options, this.context.ledger, this.isFree, now)
 			: this.placeEach(work, waiting, options)
+		if (work.step.gang) this.urgentShare.took(work, placed.length)
 		if (placed.length > 0) this.begin(work, placed, now)
 		const left = waiting.length - placed.length
 		if (left === 0) return this.reservations.drop(work)
@@ -348,7 +319,7 @@
 			const option = chooseForStep(work, options, this.isFree)
 			if (!option || !this.context.ledger.reserve(option.view.id, work.need, work.urgent)) break
 			work.count(option.view.id, 1)
-			this.urgentShare.took(work)
+			this.urgentShare.took(work, 1)
 			placed.push({ index, worker: option.view.id })
 		}
 		return placed
@@ -381,20 +352,7 @@
 			this.runs.decided(task, { ticket, urgent: work.urgent, yields: work.yields })
 			return { task, attempt, worker }
 		})
-		const priority = String(work.queue.priority)
-		this.context.meter.observe(Measure.StepWait, work.waited(now), { priority })
-		this.context.log.info(LeaderEvent.StepPlaced, {
-			step: work.name,
-			priority: work.queue.priority,
-			runs: runs.length,
-			waiting: work.waiting().length,
-			waited: Math.round(work.waited(now)),
-			questions: work.advice.questions,
-			advised: Math.round(work.waited(work.advice.firstAnswerAt ?? 0)),
-			workers: countedWorkers(placed),
-			configuration: this.context.state.configuration?.version ?? 0,
-			term: this.context.term,
-		})
+		this.log.placed(work, placed, now)
 		this.context.proposals.propose({ kind: 'begin', runs })
 	}
 }
@@ -409,19 +367,6 @@
 	return stamps
 }
 
-/** Whether the queue's policy allows none of the workers that could run a step. */
-function isBarred({ advice, queue }: StepWork, eligible: readonly Option[]): boolean {
-	if (!queue.advice || eligible.length === 0) return false
-	return eligible.every(({ view }) => advice.isUnfit(view.id))
-}
-
-/** The workers of placed tasks with their counts, as one text for the log. */
-function countedWorkers(placed: readonly Placed[]): string {
-	const counts = new Map<string, number>()
-	for (const { worker } of placed) counts.set(worker, (counts.get(worker) ?? 0) + 1)
-	return [...counts].map(([worker, count]) => `${worker}:${count}`).join(' ')
-}
-
 function nameOf(task: TaskName): string {
 	return stepName(task.job, task.repeat, task.step)
 }
--- /dev/null
+++ b/packages/jobs/src/lib/leader/waitReason.ts
@@ -0,0 +1,48 @@
+/** Tells people why tasks of a step wait. */
+import type { RoomTimes } from '../placement/Reservations'
+import type { Option } from './chooseForStep'
+import type { StepWork } from './StepWork'
+
+/** What is known of a waiting step at a moment. @internal */
+export interface StepSituation {
+	/** Open workers of its service that have its label. */
+	readonly eligible: readonly Option[]
+	/** Those of them that have room for one of its tasks. */
+	readonly room: readonly Option[]
+	/** When room that is kept for it is expected; undefined when none is kept. */
+	readonly kept: RoomTimes | undefined
+	/** The moment, on the leader's clock. */
+	readonly now: number
+}
+
+/** @returns whether the queue's policy allows none of the workers that could run a step. @internal */
+export function isBarred({ advice, queue }: StepWork, eligible: readonly Option[]): boolean {
+	if (!queue.advice || eligible.length === 0) return false
+	return eligible.every(({ view }) => advice.isUnfit(view.id))
+}
+
+/** @returns why tasks of a step wait. @internal */
+export function waitReason(work: StepWork, situation: StepSituation): string {
+	const { eligible, room, kept, now } = situation
+	const open = eligible.length
+	if (open === 0) return 'no open worker of its service has the label that it asks for'
+	if (isBarred(work, eligible)) {
+		return `its queue's policy allows none of ${open} open workers; others are asked about as they join`
+	}
+	if (room.length === 0) return `none of ${open} open workers has room for one task`
+	if (!work.queue.advice) return 'it is about to begin'
+	if (kept) {
+		const wait = Math.round(Math.max(0, kept.last - now))
+		return `room for all of it is expected in ${wait} ms and kept until then`
+	}
+	return adviceReason(work, room, now)
+}
+
+function adviceReason(work: StepWork, room: readonly Option[], now: number): string {
+	const { advice, step } = work
+	const allowed = room.some(({ view }) => advice.ticket(view.id, now) !== undefined)
+	if (allowed && step.gang) return 'not all of its gang has room'
+	if (allowed) return 'it is about to begin'
+	if (advice.asking) return `advice about ${room.length} workers with room is awaited`
+	return `none of ${room.length} workers with room is allowed by its queue's policy`
+}
--- a/packages/jobs/src/lib/placement/UrgentShare.ts
+++ b/packages/jobs/src/lib/placement/UrgentShare.ts
@@ -38,10 +38,10 @@
 		}
 	}
 
-	/** A task of a step has been given room in this pass. */
-	took({ queue, need }: StepWork): void {
+	/** So many tasks of a step have been given room in this pass. */
+	took({ queue, need }: StepWork, tasks: number): void {
 		const use = this.uses.get(queue.service)
-		if (use) use.reserved += need.cpu
+		if (use) use.reserved += need.cpu * tasks
 	}
 
 	/** @returns whether one more task of a step leaves the worker's share to urgent work. */
