--- a/apps/ctl/src/lib/lateJobs.test.ts
+++ b/apps/ctl/src/lib/lateJobs.test.ts
@@ -13,8 +13,8 @@
 	return line('step-placed', { step: `${job}.0.0`, priority, runs: 1, waited, advised })
 }
 
-function ended(job: string, took: number): string {
-	return line('job-ended', { job, state: 'completed', took })
+function ended(job: string, took: number, objective?: number): string {
+	return line('job-ended', { job, state: 'completed', took, objective })
 }
 
 test('each late job is told with what delayed it first of all', () => {
@@ -63,3 +63,16 @@
 		[['urgent', 3000]]
 	)
 })
+
+test('without a bound each job counts against its own objective', () => {
+	const lines = [
+		placed('short', 10, 10),
+		placed('long', 10, 10),
+		ended('short', 2000, 1500),
+		ended('long', 9000, 12_000),
+	]
+	assert.deepEqual(
+		lateJobs(lines, {}).map(({ job }) => job),
+		['short']
+	)
+})
