--- a/packages/jobs/src/lib/leader/RunController.ts
+++ b/packages/jobs/src/lib/leader/RunController.ts
@@ -186,18 +186,13 @@
 		for (const run of stalls.runsToMove(view)) this.move(run)
 	}
 
-	/** Stops a run, with all of its gang, so that it goes on elsewhere. */
+	/** Stops a run so that it goes on elsewhere. */
 	private move(run: Run): void {
-		if (run.phase !== RunPhase.Running) return
-		const { text: task, attempt, worker, percent, step } = run
+		const { text: task, attempt, worker, percent } = run
 		this.context.log.info(LeaderEvent.RunMoved, { task, attempt, worker, percent })
 		this.context.meter.count(Measure.Moves)
 		this.listener.moved(run.name, worker)
-		if (!step.gang) return this.beginStop(run)
-		for (let index = 0; index < step.count; index++) {
-			const member = this.runs.get(formatTaskName({ ...run.name, index }))
-			if (member) this.beginStop(member)
-		}
+		this.beginStop(run)
 	}
 
 	private add(text: string, name: TaskName, job: JobRecord, attempt: number, worker: string): Run {
--- a/packages/jobs/src/lib/leader/StepLog.ts
+++ b/packages/jobs/src/lib/leader/StepLog.ts
@@ -32,18 +32,16 @@
 		})
 	}
 
-	/** The policy of a step's queue allows none of so many open workers. Told once for each step. */
+	/** The policy of a step's queue allows none of so many open workers; to be told once for each step. */
 	barred(work: StepWork, workers: number): void {
-		if (work.toldBarred) return
 		work.toldBarred = true
 		const { name: step, queue } = work
 		this.context.meter.count(Measure.StepsBarred, { priority: String(queue.priority) })
 		this.context.log.info(LeaderEvent.StepBarred, { step, priority: queue.priority, workers })
 	}
 
-	/** A step still waits although it had to begin by now. Told once for each step. */
+	/** A step still waits although it had to begin by now; to be told once for each step. */
 	overdue(work: StepWork, reason: string): void {
-		if (work.toldOverdue) return
 		work.toldOverdue = true
 		this.context.log.info(LeaderEvent.StepOverdue, {
 			step: work.name,
--- a/packages/jobs/src/lib/leader/StepScheduler.ts
+++ b/packages/jobs/src/lib/leader/StepScheduler.ts
@@ -291,8 +291,7 @@
 	 */
 	private needsRoomNow(work: StepWork, roomAt: number | undefined, now: number): boolean {
 		if (roomAt === undefined) return true
-		const { deadline, remaining } = work.times
-		const inHand = deadline - remaining - epochOf(this.context)
+		const inHand = work.urgency.latestStart - epochOf(this.context)
 		return inHand >= 0 && roomAt - now > Math.min(inHand, URGENT_START)
 	}
 
--- a/packages/jobs/src/lib/leader/StepWork.ts
+++ b/packages/jobs/src/lib/leader/StepWork.ts
@@ -55,7 +55,7 @@
 		readonly queue: Queue,
 		readonly repeat: number,
 		readonly number: number,
-		readonly times: StepTimes,
+		times: StepTimes,
 		standing: Standing
 	) {
 		this.name = stepName(job.id, repeat, number)
--- a/packages/jobs/src/lib/placement/Reservations.ts
+++ b/packages/jobs/src/lib/placement/Reservations.ts
@@ -110,19 +110,19 @@
 		if (this.countOf(work) >= MOST_OF_SERVICE || !needsReservation(work, options)) return
 		const places = this.placesFor(work, tasks, options)
 		if (places.length === 0 || (work.step.gang && places.length < tasks)) return
-		const last = Math.max(...places.map((place) => place.at))
+		const first = places[0].at
+		const last = places[places.length - 1].at
 		for (const [worker, { count, at }] of gather(places)) {
 			const kept = this.byWorker.get(worker) ?? []
 			// A gang begins at once everywhere; of other steps each task as soon as there is room for it.
 			const until = work.step.gang ? last : at
 			this.byWorker.set(worker, [...kept, { work, room: times(work.need, count), at: until }])
 		}
-		const next = work.step.gang ? last : Math.min(...places.map((place) => place.at))
-		this.expected.set(work, { next, last })
+		this.expected.set(work, { next: work.step.gang ? last : first, last })
 		this.counts.set(work.queue.service, this.countOf(work) + 1)
 	}
 
-	/** The places that are free soonest, beside what is kept for steps that go before. */
+	/** The places that are free soonest, the soonest first, beside what is kept for steps that go before. */
 	private placesFor(work: StepWork, tasks: number, options: readonly Option[]): Place[] {
 		const places: Place[] = []
 		for (const option of options) {
--- a/packages/jobs/src/lib/placement/stepTimes.ts
+++ b/packages/jobs/src/lib/placement/stepTimes.ts
@@ -15,15 +15,19 @@
  * @internal
  */
 export function objectiveOf({ steps }: JobRequest, queue: Queue): number {
-	return queue.latencyTarget + queue.stretch * Math.max(0, ...remainingChains(steps, queue))
+	return stretched(remainingChains(steps, queue), queue)
 }
 
 /** @returns when a step of one of a job's repeats has to begin. @internal */
 export function timesOf(job: JobRecord, repeat: number, step: number, queue: Queue): StepTimes {
 	const { steps, repeat: terms } = job.request
 	const since = terms ? terms.first + repeat * terms.interval : job.submitted
-	const deadline = since + objectiveOf(job.request, queue)
-	return { deadline, remaining: remainingChains(steps, queue)[step] }
+	const chains = remainingChains(steps, queue)
+	return { deadline: since + stretched(chains, queue), remaining: chains[step] }
+}
+
+function stretched(chains: readonly number[], { latencyTarget, stretch }: Queue): number {
+	return latencyTarget + stretch * Math.max(0, ...chains)
 }
 
 /** For each step the milliseconds that it and the longest chain of steps after it are expected to take. */
