--- a/deploy/build.mjs
+++ b/deploy/build.mjs
@@ -4,10 +4,12 @@
 import { copyFileSync, writeFileSync } from 'node:fs'
 import { join } from 'node:path'
 
-const PROGRAMS = ['core', 'front']
 const TARGET = join(process.cwd(), 'target')
-/** V8 takes a cache only under the flags that it was made with; the same as in system.toml. */
-const FLAGS = ['--max-old-space-size=200']
+/** The programs with their flags, the same as in system.toml: V8 takes a cache only under those that it was made with. */
+const PROGRAMS = {
+	core: ['--max-old-space-size=200', '--max-semi-space-size=32'],
+	front: ['--max-old-space-size=200'],
+}
 
 const workspaces = {
 	name: 'workspaces',
@@ -19,7 +21,7 @@
 }
 
 await build({
-	entryPoints: PROGRAMS.map((name) => ({ in: `platform/src/${name}.ts`, out: `${name}.bundle` })),
+	entryPoints: Object.keys(PROGRAMS).map((name) => ({ in: `platform/src/${name}.ts`, out: `${name}.bundle` })),
 	outdir: TARGET,
 	bundle: true,
 	platform: 'node',
@@ -31,10 +33,10 @@
 
 const launcher = join(TARGET, 'launch.cjs')
 copyFileSync('deploy/launch.cjs', launcher)
-for (const name of PROGRAMS) {
+for (const [name, flags] of Object.entries(PROGRAMS)) {
 	const bundle = join(TARGET, `${name}.bundle.js`)
 	const env = { ...process.env, RILLRUDDER_CONFIG: '' }
-	const made = spawnSync(process.execPath, [...FLAGS, launcher, bundle], { env, stdio: 'ignore' })
+	const made = spawnSync(process.execPath, [...flags, launcher, bundle], { env, stdio: 'ignore' })
 	// The program runs without it, only its start takes longer.
 	if (made.status !== 0) process.stderr.write(`no code cache could be made for ${bundle}\n`)
 	const program = `require('./launch.cjs').launch(require('node:path').join(__dirname, '${name}.bundle.js'))\n`
--- a/packages/jobs/src/lib/leader/JobController.test.ts
+++ b/packages/jobs/src/lib/leader/JobController.test.ts
@@ -328,6 +328,22 @@
 	)
 })
 
+test('a new leader does not order again what its worker lists as ended, while that is being committed', () => {
+	const subject = new LeaderSubject()
+	subject.heartbeat('w1')
+	subject.submit(ID, jobOf({}))
+	subject.run(20, 'w1')
+	const worker = subject.worker('w1')
+	worker.end(`${ID}.0.0.0`, RunEnd.Done)
+	subject.lead()
+	subject.proposals.held = true
+	subject.run(400)
+	assert.equal(worker.starts.length, 1)
+	subject.proposals.held = false
+	subject.proposals.commit()
+	assert.equal(stateOf(subject), 'completed')
+})
+
 test('a run that nobody counts closes its worker until it is gone, also under a new leader', () => {
 	const subject = new LeaderSubject()
 	subject.heartbeat('w1')
--- a/packages/jobs/src/lib/leader/RunController.ts
+++ b/packages/jobs/src/lib/leader/RunController.ts
@@ -165,7 +165,10 @@
 			run.progress.read(percent, result.clock, this.context.clock.now())
 			if (run.phase === RunPhase.Starting) this.enter(run, RunPhase.Running)
 		}
-		for (const end of result.ended) listed.add(end.task)
+		for (const { task, attempt } of result.ended) {
+			listed.add(task)
+			this.foundEnded(view, task, attempt)
+		}
 		for (const run of view.runs.values()) {
 			if (!listed.has(run.text)) this.notListed(run, sentAt)
 		}
@@ -173,6 +176,13 @@
 		this.watchStalls(view)
 	}
 
+	/** A run that its worker lists as ended is not ordered again while that is being committed. */
+	private foundEnded(view: WorkerView, task: string, attempt: number): void {
+		const run = this.runs.get(task)
+		if (!run || run.worker !== view.id || run.attempt !== attempt) return
+		if (run.phase === RunPhase.Starting && !run.busy) this.enter(run, RunPhase.Stopped)
+	}
+
 	/** Closes a worker on which runs stand still, and moves those. */
 	private watchStalls(view: WorkerView): void {
 		const now = this.context.clock.now()
--- a/packages/jobs/src/lib/testing/LeaderSubject.ts
+++ b/packages/jobs/src/lib/testing/LeaderSubject.ts
@@ -165,6 +165,8 @@
 	readonly committed: CellCommand[] = []
 	private readonly queue: { command: CellCommand; done?: () => void }[] = []
 	private applying = false
+	/** While true nothing is committed. */
+	held = false
 
 	constructor(private readonly subject: LeaderSubject) {
 		super()
@@ -172,7 +174,12 @@
 
 	override propose(command: CellCommand, done?: () => void): void {
 		this.queue.push({ command, done })
-		if (this.applying) return
+		this.commit()
+	}
+
+	/** Commits what waits. */
+	commit(): void {
+		if (this.applying || this.held) return
 		this.applying = true
 		for (let next = this.queue.shift(); next; next = this.queue.shift()) {
 			this.committed.push(next.command)
