--- a/deploy/build.mjs
+++ b/deploy/build.mjs
@@ -21,7 +21,10 @@
 }
 
 await build({
-	entryPoints: Object.keys(PROGRAMS).map((name) => ({ in: `platform/src/${name}.ts`, out: `${name}.bundle` })),
+	entryPoints: Object.keys(PROGRAMS).map((name) => ({
+		in: `platform/src/${name}.ts`,
+		out: `${name}.bundle`,
+	})),
 	outdir: TARGET,
 	bundle: true,
 	platform: 'node',
