Questions name no further workers; a carrier counts as silent after 0.16 s

In the same log the loss of one follower that carried (31.3 s) cost a quarter of a second before its 105 orders went out again, and 27 checks of the two seconds were late: an instance that is silent for three answers of its replica counts as silent now.

--- a/packages/jobs/src/lib/leader/workersToAsk.ts
+++ b/packages/jobs/src/lib/leader/workersToAsk.ts
@@ -9,11 +9,6 @@
  * whole least time again.
  */
 const ALL_AT_ONCE = 0.5
-/**
- * Share of its least time that an answer may take longer so that it covers workers beyond those that are wanted: with
- * hundreds of them the room of the best is gone when the answer comes, and a second question costs a whole answer.
- */
-const FURTHER_SHARE = 0.3
 /** Room asked for as a multiple of the room wanted, since others place there meanwhile. */
 const SURPLUS = 1.5
 /** The same for a gang, all of which must find room at once. */
@@ -67,8 +62,7 @@
 	if (now.length > 0 && coversAllCheaply(useful.length, need)) {
 		return candidates(work, useful, capacityOf).map(({ option }) => option.view.id)
 	}
-	if (now.length > 0) return withFurther(work, now, useful, need)
-	if (!need.ahead) return now
+	if (now.length > 0 || !need.ahead) return now
 	const covered = eligible
 		.filter(({ view }) => advice.ticket(view.id, need.until) !== undefined)
 		.reduce((sum, option) => sum + work.copiesIn(option.view.id, capacityOf(option)), 0)
@@ -79,20 +73,6 @@
 	return workers <= most && terms.each * workers <= terms.base * ALL_AT_ONCE
 }
 
-/** Adds workers for which the answer takes little longer: those with room first, then the largest. */
-function withFurther(
-	work: StepWork,
-	chosen: readonly string[],
-	useful: readonly Option[],
-	{ terms, most }: AdviceNeed
-): string[] {
-	const cheap = Math.min(most, Math.floor((terms.base * FURTHER_SHARE) / terms.each))
-	if (chosen.length >= cheap) return [...chosen]
-	const further = [...candidates(work, useful, freeOf), ...candidates(work, useful, capacityOf)]
-	const named = new Set([...chosen, ...further.map(({ option }) => option.view.id)])
-	return [...named].slice(0, cheap)
-}
-
 function candidates(
 	work: StepWork,
 	options: readonly Option[],
--- a/packages/member/src/lib/carriers/CarriedOrders.ts
+++ b/packages/member/src/lib/carriers/CarriedOrders.ts
@@ -25,8 +25,11 @@
  * and a hop would only cost time.
  */
 const LEAST_WORKERS = 100
-/** Milliseconds without a word after which an instance counts as silent; replicas answer every 50. */
-const SILENCE = 250
+/**
+ * Milliseconds without a word after which an instance counts as silent: replicas answer every 50. To be wrong costs a second
+ * copy of the orders that it has; to wait costs a start for each of them, of which urgent ones have 0.5 s in hand.
+ */
+const SILENCE = 160
 /** Milliseconds that an order may take besides its own wait: a call to a worker has 250, the rest is the way. */
 const ORDER_LIMIT = 500
 /** Milliseconds for which an instance that did not carry an order is given none. */
