--- /dev/null
+++ b/packages/jobs/src/lib/leader/Preemption.ts
@@ -0,0 +1,75 @@
+/** Makes room for urgent steps: when it pays to stop other work, and which runs. */
+import type { Option, RoomCheck } from './chooseForStep'
+import { epochOf, type LeaderContext } from './LeaderContext'
+import type { Run } from './Run'
+import { runsToStop } from './runsToStop'
+import type { StepWork } from './StepWork'
+
+/** Milliseconds that an urgent step waits for room before runs of lower priority are stopped for it. */
+const PREEMPT_AFTER = 60
+/** Milliseconds within which urgent work is to begin; the users ask for 5.8 s, less the time that a stop takes. */
+const URGENT_START = 5000
+
+/** An urgent step that found no room. @internal */
+export interface RoomNeed {
+	/** Open workers of its service that have its label. */
+	readonly eligible: readonly Option[]
+	/** Those of them that may run it now. */
+	readonly options: readonly Option[]
+	/** How many of its tasks wait. */
+	readonly tasks: number
+	/** When room that is kept for the last of them is expected, on the leader's clock; undefined when none is kept. */
+	readonly roomAt: number | undefined
+}
+
+/** Stops a run so that a step finds room. @internal */
+export interface RunStopper {
+	/** @param step - name of the step that it is stopped for. */
+	preempt(run: Run, step: string): void
+}
+
+/**
+ * Preemption.
+ *
+ * @internal
+ */
+export class Preemption {
+	/**
+	 * @param context - what the parts of the leader share.
+	 * @param runs - stops runs.
+	 * @param admits - whether a worker has room for one more task of a step.
+	 */
+	constructor(
+		private readonly context: LeaderContext,
+		private readonly runs: RunStopper,
+		private readonly admits: RoomCheck
+	) {}
+
+	/** Stops runs of lower priority where an urgent step has waited for room, and asking for advice finds none. */
+	makeRoom(work: StepWork, need: RoomNeed, now: number): void {
+		const { advice } = work
+		if (!this.needsRoomNow(work, need.roomAt, now)) return
+		if (work.queue.advice && advice.firstAnswerAt === undefined) return
+		if (work.waited(now) < PREEMPT_AFTER) return
+		if (this.mayFindRoom(work, need)) return
+		for (const run of runsToStop(work, need.options, need.tasks, epochOf(this.context)))
+			this.runs.preempt(run, work.name)
+	}
+
+	/**
+	 * Whether it pays to stop other work: not when the room that is kept comes soon and in time, nor when the step is
+	 * late anyway. A step that keeps no room is a small one, for which little has to stop.
+	 */
+	private needsRoomNow(work: StepWork, roomAt: number | undefined, now: number): boolean {
+		if (roomAt === undefined) return true
+		const inHand = work.urgency.latestStart - epochOf(this.context)
+		return inHand >= 0 && roomAt - now > Math.min(inHand, URGENT_START)
+	}
+
+	/** Whether a worker that has not been asked about has room. */
+	private mayFindRoom(work: StepWork, { eligible, options }: RoomNeed): boolean {
+		const allowed = new Set(options)
+		const unknown = eligible.filter((one) => !allowed.has(one) && !work.advice.isUnfit(one.view.id))
+		return unknown.some((option) => this.admits(work, option))
+	}
+}
--- a/packages/jobs/src/lib/leader/StepScheduler.ts
+++ b/packages/jobs/src/lib/leader/StepScheduler.ts
@@ -10,20 +10,16 @@
 import { chooseForStep, hasRoom, type Option, type RoomCheck } from './chooseForStep'
 import { epochOf, type LeaderContext } from './LeaderContext'
 import { placeGang, type Placed } from './placeGang'
+import { Preemption } from './Preemption'
 import type { RunController } from './RunController'
-import { runsToStop } from './runsToStop'
 import { StepLog } from './StepLog'
 import { StepQuestions } from './StepQuestions'
 import { byUrgency, stepName, StepWork } from './StepWork'
 import { isBarred, waitReason } from './waitReason'
 import type { WorkerRegistry } from './WorkerRegistry'
 
-/** Milliseconds that an urgent step waits for room before runs of lower priority are stopped for it. */
-const PREEMPT_AFTER = 60
 /** What each open worker adds to its service's stamp: more than anything that comes free in a leadership. */
 const WORKER_STAMP = 1e9
-/** Milliseconds within which urgent work is to begin; the users ask for 5.8 s, less the time that a stop takes. */
-const URGENT_START = 5000
 
 /** One pass over the waiting steps. */
 interface Pass {
@@ -44,6 +40,7 @@
 	private order: StepWork[] = []
 	private readonly questions: StepQuestions
 	private readonly log: StepLog
+	private readonly preemption: Preemption
 	/** Repeats that are not due yet. */
 	private later: { readonly job: JobRecord; readonly repeat: number; readonly due: number }[] = []
 	private stale = true
@@ -63,6 +60,7 @@
 	) {
 		this.questions = new StepQuestions(context)
 		this.log = new StepLog(context)
+		this.preemption = new Preemption(context, runs, (work, option) => this.admits(work, option))
 	}
 
 	/** Sets the gauges of how many steps wait, by priority. */
@@ -296,8 +294,8 @@
 		if (full) this.reserve(work, left, eligible)
 		const room = this.reservations.expectedAt(work)
 		if (work.queue.advice) this.questions.ask(work, eligible, left, room?.next)
-		if (work.urgent && !work.step.gang && this.needsRoomNow(work, room?.last, now)) {
-			this.makeRoom(work, { eligible, options }, left, now)
+		if (work.urgent && !work.step.gang) {
+			this.preemption.makeRoom(work, { eligible, options, tasks: left, roomAt: room?.last }, now)
 		}
 	}
 
@@ -310,33 +308,6 @@
 		this.reservations.keep(work, tasks, allowed)
 	}
 
-	/**
-	 * Whether it pays to stop other work: not when the room that is kept comes soon and in time, nor when the step is
-	 * late anyway. A step that keeps no room is a small one, for which little has to stop.
-	 */
-	private needsRoomNow(work: StepWork, roomAt: number | undefined, now: number): boolean {
-		if (roomAt === undefined) return true
-		const inHand = work.urgency.latestStart - epochOf(this.context)
-		return inHand >= 0 && roomAt - now > Math.min(inHand, URGENT_START)
-	}
-
-	/** Stops runs of lower priority where an urgent step has waited for room, and asking finds none. */
-	private makeRoom(
-		work: StepWork,
-		{ eligible, options }: { readonly eligible: Option[]; readonly options: Option[] },
-		tasks: number,
-		now: number
-	): void {
-		const { advice } = work
-		if (work.queue.advice && advice.firstAnswerAt === undefined) return
-		if (work.waited(now) < PREEMPT_AFTER) return
-		const allowed = new Set(options)
-		const unknown = eligible.filter((one) => !allowed.has(one) && !advice.isUnfit(one.view.id))
-		if (unknown.some((option) => this.admits(work, option))) return
-		for (const run of runsToStop(work, options, tasks, epochOf(this.context)))
-			this.runs.preempt(run, work.name)
-	}
-
 	private placeEach(work: StepWork, waiting: readonly number[], options: Option[]): Placed[] {
 		const placed: Placed[] = []
 		for (const index of waiting) {
--- a/packages/jobs/src/lib/leader/WorkerRegistry.ts
+++ b/packages/jobs/src/lib/leader/WorkerRegistry.ts
@@ -1,23 +1,19 @@
 /** The workers of the cell as the leader sees them: heartbeats, leases, polls. */
 import { Measure } from '@rillrudder/telemetry'
 import type { Heartbeat, Worker } from '../records/Cell'
-import { AddressClaims, Occupant } from './AddressClaims'
 import { epochOf, type LeaderContext } from './LeaderContext'
 import { LeaderEvent } from './LeaderEvent'
 import { SuspectRuns } from './SuspectRuns'
 import { Lease } from './Lease'
+import { WorkerHeartbeats } from './WorkerHeartbeats'
 import { WorkerPolls } from './WorkerPolls'
 import { LostRuns } from './LostRuns'
 import { OutageWatch } from './OutageWatch'
 import { StallWatch } from '../placement/StallWatch'
 import type { HeardWorker } from './calls'
 import type { ListedEnd, PollResult } from './ports'
-import { sameWorker } from './sameWorker'
 import { WorkerView } from './WorkerView'
 
-/** What a heartbeat says of the moment. */
-type Beat = Pick<Heartbeat, 'sequence' | 'clock' | 'remaining'>
-
 /** Told of what polls bring. @internal */
 export interface PollListener {
 	/** @param sentAt - when the poll was sent, on the leader's clock. */
@@ -37,7 +33,7 @@
 	private readonly suspects: SuspectRuns
 	private readonly polls: WorkerPolls
 	private readonly lostRuns: LostRuns
-	private readonly claims: AddressClaims
+	private readonly heartbeats: WorkerHeartbeats
 
 	constructor(
 		private readonly context: LeaderContext,
@@ -51,7 +47,10 @@
 			polled: (view, result, sentAt) => this.polled(view, result, sentAt),
 		})
 		this.lostRuns = new LostRuns(context, this.suspects)
-		this.claims = new AddressClaims(context)
+		this.heartbeats = new WorkerHeartbeats(context, {
+			find: (id) => this.views.get(id),
+			over: (id, reason, done) => this.proposeGone(id, reason, done),
+		})
 		for (const { worker, draining } of context.state.workers.all()) {
 			this.add(worker)
 			if (draining) this.draining(worker.id)
@@ -136,49 +135,12 @@
 	 * @param done - called once what it says is lasting, or with false when that can't be said.
 	 */
 	heartbeat(heartbeat: Heartbeat, done: (noted: boolean) => void): void {
-		const { worker } = heartbeat
-		const { workers } = this.context.state
-		if (workers.isGone(worker.id)) {
-			done(true)
-			return
-		}
-		const known = this.views.get(workers.at(worker.address)?.worker.id ?? '')
-		if (known && known.id !== worker.id) this.claimed(known, heartbeat, done)
-		else this.take(heartbeat, done)
+		this.heartbeats.take(heartbeat, done)
 	}
 
 	/** Another instance has heard a worker. */
-	heard({ worker, sequence, clock, age }: HeardWorker): void {
-		const view = this.views.get(worker)
-		if (view) this.note(view, { sequence, clock }, age)
-	}
-
-	/** A worker reports from where another one is known. */
-	private claimed(known: WorkerView, heartbeat: Heartbeat, done: (noted: boolean) => void): void {
-		const { worker } = heartbeat
-		this.claims.settle(known, worker, (occupant) => {
-			switch (occupant) {
-				case Occupant.Other:
-					this.proposeGone(known.id, 'replaced at its address')
-					return this.take(heartbeat, done)
-				case Occupant.Known:
-					return this.proposeGone(worker.id, 'its heartbeat came late', () => done(true))
-				case Occupant.Unclear:
-					return done(false)
-			}
-		})
-	}
-
-	private take(heartbeat: Heartbeat, done: (noted: boolean) => void): void {
-		const noted = (): void => done(true)
-		const view = this.views.get(heartbeat.worker.id)
-		if (!view || !sameWorker(view.worker, heartbeat.worker)) {
-			this.proposeWorker(heartbeat, noted)
-			return
-		}
-		this.note(view, heartbeat)
-		if (heartbeat.draining && !view.draining) this.proposeDrain(view, heartbeat, noted)
-		else noted()
+	heard(heard: HeardWorker): void {
+		this.heartbeats.heard(heard)
 	}
 
 	/**
@@ -327,38 +289,6 @@
 		})
 	}
 
-	/** @param age - milliseconds since the heartbeat came to an instance. */
-	private note(view: WorkerView, beat: Beat, age = 0): void {
-		if (beat.sequence <= view.sequence) return
-		const now = this.context.clock.now()
-		view.sequence = beat.sequence
-		view.heartbeatAt = now - age
-		// A reading that came late would make its lease seem longer than it is; it is better than none.
-		const counts = age === 0 || !view.lease.known
-		if (beat.clock !== undefined && counts) view.lease.read(beat.clock, now)
-		if (beat.remaining !== undefined) view.leavesAt = now + beat.remaining
-	}
-
-	private proposeWorker(heartbeat: Heartbeat, done: () => void): void {
-		const { worker } = heartbeat
-		const { id, address, dataCentre } = worker
-		this.context.log.info(LeaderEvent.WorkerJoined, { worker: id, address, dataCentre })
-		this.context.proposals.propose({ kind: 'worker', worker }, () => {
-			const view = this.views.get(id)
-			if (view) this.note(view, heartbeat)
-			if (view && heartbeat.draining) this.proposeDrain(view, heartbeat, done)
-			else done()
-		})
-	}
-
-	private proposeDrain(view: WorkerView, heartbeat: Heartbeat, done: () => void): void {
-		const { log, proposals } = this.context
-		// Nothing new goes there from now on, whatever becomes of the command.
-		view.draining = true
-		log.info(LeaderEvent.WorkerDraining, { worker: view.id, remaining: heartbeat.remaining })
-		proposals.propose({ kind: 'drain', worker: view.id }, done)
-	}
-
 	/** Earlier leaders may have granted a whole lease just before they lost their place. */
 	private firstLease(): Lease {
 		const { timing, clock } = this.context
--- a/packages/member/src/lib/CoreInstance.ts
+++ b/packages/member/src/lib/CoreInstance.ts
@@ -21,16 +21,15 @@
 import { OrderCarrier } from './carriers/OrderCarrier'
 import { CellMachine } from './CellMachine'
 import type { Finality } from './LeaderCalls'
+import { CoreNews } from './CoreNews'
 import { GatheredHeartbeats } from './GatheredHeartbeats'
-import { LEADER_TELLS_EVERY, NEWS_PERIOD } from './LeaderView'
+import { NEWS_PERIOD } from './LeaderView'
 import { Leading } from './Leading'
 import { TICK_PERIOD } from './linkTiming'
 import { MemberEvent } from './MemberEvent'
 import { PeerLinks } from './PeerLinks'
 
 const GROUP = 'cell'
-/** Milliseconds since its last word for which a follower says that its leader is there. */
-const LEADER_FRESH = 500
 /** Milliseconds between two settings of the gauges. */
 const MEASURE_PERIOD = 1000
 /** Milliseconds that a planned stop waits for another instance to lead. */
@@ -86,6 +85,7 @@
 	private readonly advisers: AskingPeers
 	private readonly carrier: OrderCarrier
 	private readonly heartbeats: GatheredHeartbeats
+	private readonly news: CoreNews
 	/** When each peer last said something, on the instance's clock. */
 	private readonly heardAt = new Map<string, number>()
 	private group!: Group
@@ -93,7 +93,6 @@
 	private timers: Timer[] = []
 	private toldLeader = ''
 	private toldMembers = ''
-	private newsTold = 0
 
 	constructor(private readonly parts: CoreParts) {
 		const { clock, address: self, adviser } = parts
@@ -114,6 +113,13 @@
 			tell: (heard) => this.links.leaderCalls.call({ kind: 'heartbeats', heard }, HEARD_FINALITY),
 			mayTell: () => this.links.view.leader(clock.now()) !== undefined,
 		})
+		this.news = new CoreNews({
+			self,
+			clock,
+			links: this.links,
+			replica: () => this.group.replica,
+			linkedMembers: () => this.linkedMembers(),
+		})
 		this.carrier = new OrderCarrier(
 			parts.orders,
 			clock,
@@ -135,7 +141,7 @@
 		const { clock } = this.parts
 		this.timers = [
 			clock.every(TICK_PERIOD, () => this.tick()),
-			clock.every(NEWS_PERIOD, () => this.tellNewsAgain()),
+			clock.every(NEWS_PERIOD, () => this.news.tellAgain()),
 			clock.every(MEASURE_PERIOD, () => this.measure()),
 		]
 	}
@@ -226,7 +232,7 @@
 		if (leader !== this.toldLeader) {
 			this.toldLeader = leader
 			this.parts.log.info(MemberEvent.LeaderChanged, { leader, term })
-			this.tellNews()
+			this.news.tell()
 		}
 		const named = members.map((one) => `${one.id}${one.voter ? '' : '?'}`).join()
 		if (named === this.toldMembers) return
@@ -249,7 +255,7 @@
 			log,
 			meter,
 		})
-		this.tellNews()
+		this.news.tell()
 		this.leading.flushSoon()
 	}
 
@@ -323,26 +329,6 @@
 		})
 	}
 
-	/** Tells news that are due, the leader its entry instances more seldom. */
-	private tellNewsAgain(): void {
-		this.newsTold += 1
-		const all = !this.leading || this.newsTold % LEADER_TELLS_EVERY === 0
-		this.tellNews(all ? this.links.hub.connected : this.linkedMembers().map(({ id }) => id))
-	}
-
-	private tellNews(peers: readonly string[] = this.links.hub.connected): void {
-		const { replica } = this.group
-		const { leader, term, members } = replica.status
-		const now = this.parts.clock.now()
-		const fresh = replica.leads
-			? replica.holdsLease(now)
-			: now - replica.leaderHeardAt < LEADER_FRESH
-		const value = { leader, term, members: members.map((member) => member.id), fresh }
-		this.links.view.take(this.parts.address, value, now)
-		if (fresh) this.links.leaderCalls.led()
-		for (const peer of peers) this.links.hub.send(peer, { body: { $case: 'cellNews', value } })
-	}
-
 	/** Every instance of the core that this one has a reason to know. */
 	private peersToDial(): string[] {
 		const { address, seeds } = this.parts
