Polls wait a second where there are many workers

Polls that end without news are a third of all. Change: from 100 workers on a poll waits 1 s in place of 0.5. Price: an answer that is lost hides ends for half a second longer, and a silent worker without orders is noticed half a second later.

--- a/packages/jobs/src/lib/leader/LeaderTiming.ts
+++ b/packages/jobs/src/lib/leader/LeaderTiming.ts
@@ -10,6 +10,8 @@
 	readonly leaseMargin: number
 	/** How long a poll waits for the next end. */
 	readonly pollWait: number
+	/** The same in a cell of many workers. */
+	readonly longPollWait: number
 	/** The same at a worker where best-effort work runs beside work with a latency target. */
 	readonly tightPollWait: number
 	/** Pause before a worker that did not answer is tried again. */
@@ -34,6 +36,8 @@
 	leaseMargin: 100,
 	// A lost answer hides ends for this long and half a second more.
 	pollWait: 500,
+	// Still under a second and a half without news of a run, and three renewals of a lease.
+	longPollWait: 1000,
 	tightPollWait: 300,
 	retryPause: 200,
 	keepEnded: 150_000,
--- a/packages/jobs/src/lib/leader/WorkerPolls.ts
+++ b/packages/jobs/src/lib/leader/WorkerPolls.ts
@@ -3,6 +3,12 @@
 import type { PollResult } from './ports'
 import type { WorkerView } from './WorkerView'
 
+/**
+ * Workers from which polls wait longer. A third of all polls end without news, and with hundreds of workers they are most
+ * of what the cell's instances do.
+ */
+const MANY_WORKERS = 100
+
 /** What polls need of the registry of workers. @internal */
 export interface PollHost {
 	/** @returns whether something about a worker is not known that a short poll tells. */
@@ -87,7 +93,8 @@
 			if (step.bestEffort) bestEffort = true
 			if (step.latencyTarget > 0) serves = true
 		}
-		return serves && bestEffort ? timing.tightPollWait : timing.pollWait
+		if (serves && bestEffort) return timing.tightPollWait
+		return this.context.state.workers.size >= MANY_WORKERS ? timing.longPollWait : timing.pollWait
 	}
 }
 
--- a/packages/jobs/src/lib/placement/RunProgress.ts
+++ b/packages/jobs/src/lib/placement/RunProgress.ts
@@ -1,6 +1,6 @@
 /** How far a run has got, how fast it goes, and when it is expected to end. */
 
-/** Milliseconds of the shortest span from which a speed is told; workers are read at least twice a second. */
+/** Milliseconds of the shortest span from which a speed is told; workers are read at least once a second. */
 const LEAST_SPAN = 250
 /** Milliseconds after which older readings are left out, so that a change of speed shows. */
 const WINDOW = 700
--- a/packages/jobs/src/lib/placement/StallWatch.ts
+++ b/packages/jobs/src/lib/placement/StallWatch.ts
@@ -8,7 +8,7 @@
 import { RunPhase, type Run } from '../leader/Run'
 import type { WorkerView } from '../leader/WorkerView'
 
-/** Milliseconds without progress after which a run counts as standing, at least: more than a poll and a half. */
+/** Milliseconds without progress after which a run counts as standing, at least: more than half a poll where there are many workers, and one reading in which nothing moved. */
 const STANDS_AFTER = 750
 /** The same as a share of the declared time: progress is told in whole percents. */
 const STANDS_SHARE = 0.2
