--- a/packages/jobs/src/lib/placement/StallWatch.ts
+++ b/packages/jobs/src/lib/placement/StallWatch.ts
@@ -8,7 +8,10 @@
 import { RunPhase, type Run } from '../leader/Run'
 import type { WorkerView } from '../leader/WorkerView'
 
-/** Milliseconds without progress after which a run counts as standing, at least: more than half a poll where there are many workers, and one reading in which nothing moved. */
+/**
+ * Milliseconds without progress after which a run counts as standing, at least: a poll and a half, or one reading in
+ * which nothing has moved where polls wait longer.
+ */
 const STANDS_AFTER = 750
 /** The same as a share of the declared time: progress is told in whole percents. */
 const STANDS_SHARE = 0.2
