--- a/apps/ctl/src/lib/commands.ts
+++ b/apps/ctl/src/lib/commands.ts
@@ -12,7 +12,7 @@
 	type Common,
 } from './commandParts'
 import { homesThatMove } from './homesThatMove'
-import { jobs } from './jobCommands'
+import { accounts, jobs } from './jobCommands'
 import {
 	printAnswer,
 	printAudit,
@@ -181,6 +181,7 @@
 		explain,
 		audit,
 		jobs,
+		accounts,
 		'declare-down': declare('declare-down', 'say that a data centre is down, and fence it off'),
 		'declare-up': declare('declare-up', 'let a data centre that was declared down take part again'),
 	},
--- a/apps/ctl/src/lib/jobCommands.ts
+++ b/apps/ctl/src/lib/jobCommands.ts
@@ -2,7 +2,14 @@
 import { ExitCode } from '@rillrudder/program'
 import { command, number, option, optional, positional, string, subcommands } from 'cmd-ts'
 import { clientFor, common, encode, get, withFile } from './commandParts'
-import { printJob, printJobs, printJobSteps, printLateJobs, printMessage } from './jobPrinters'
+import {
+	printAccounts,
+	printJob,
+	printJobs,
+	printJobSteps,
+	printLateJobs,
+	printMessage,
+} from './jobPrinters'
 import { lateJobs } from './lateJobs'
 import { show, type Printer } from './output'
 
@@ -91,6 +98,14 @@
 	}
 }
 
+/** Client accounts of a cell with one group. @internal */
+export const accounts = command({
+	name: 'accounts',
+	description: 'share, use, quota, and waiting and refused work of each client account',
+	args: common,
+	handler: (flags) => get(flags, '/v1/accounts', {}, printAccounts),
+})
+
 /** Jobs of a cell with one group. @internal */
 export const jobs = subcommands({
 	name: 'jobs',
--- a/apps/ctl/src/lib/jobPrinters.ts
+++ b/apps/ctl/src/lib/jobPrinters.ts
@@ -1,9 +1,12 @@
 /** Prints jobs for people. */
-import type { JobExplanation, JobSummary } from '@rillrudder/jobs'
+import type { AccountSummary, JobExplanation, JobSummary } from '@rillrudder/jobs'
 import { Delay, type LateJob } from './lateJobs'
 import { table } from './output'
 
-const JOB_HEAD = ['job', 'queue', 'state', 'submitted', 'took', 'done']
+const JOB_HEAD = ['job', 'account', 'queue', 'state', 'submitted', 'took', 'done']
+
+/** Thousandths in one processor. */
+const MILLI = 1000
 
 /** Prints that something was done. @internal */
 export function printMessage(): void {
@@ -39,6 +42,43 @@
 	table(['step', 'done', 'placed', 'waiting', 'failed runs', 'workers', 'why it waits'], rows)
 }
 
+const ACCOUNT_HEAD = [
+	'account',
+	'weight',
+	'share',
+	'processors',
+	'memory',
+	'accelerators',
+	'jobs',
+	'beyond rate',
+	'steps waiting',
+	'refused',
+]
+
+/** Prints client accounts; amounts as used of quota. @internal */
+export function printAccounts(content: unknown): void {
+	const rows = (content as AccountSummary[]).map((account) => {
+		const { used, quota = {} } = account
+		return [
+			account.name,
+			account.weight,
+			account.share.toFixed(3),
+			usedOf(used.cpu / MILLI, quota.cpu && quota.cpu / MILLI),
+			usedOf(used.memory, quota.memory),
+			usedOf(used.accelerators, quota.accelerators),
+			account.jobs,
+			account.beyondRate,
+			account.waiting,
+			account.refused,
+		]
+	})
+	table(ACCOUNT_HEAD, rows)
+}
+
+function usedOf(used: number, quota: number | undefined): string {
+	return quota === undefined ? `${Math.round(used)}` : `${Math.round(used)}/${Math.round(quota)}`
+}
+
 /** Prints late jobs, and how many each cause delayed. @internal */
 export function printLateJobs(late: readonly LateJob[]): void {
 	table(
@@ -52,7 +92,7 @@
 	process.stdout.write(`${late.length} late: ${counts.join(', ')}\n`)
 }
 
-function rowOf({ id, queue, state, submitted, ended, tasks, done }: JobSummary) {
+function rowOf({ id, account, queue, state, submitted, ended, tasks, done }: JobSummary) {
 	const took = ended > 0 ? `${ended - submitted} ms` : ''
-	return [id, queue, state, new Date(submitted).toISOString(), took, `${done}/${tasks}`]
+	return [id, account, queue, state, new Date(submitted).toISOString(), took, `${done}/${tasks}`]
 }
--- a/packages/jobs/src/index.ts
+++ b/packages/jobs/src/index.ts
@@ -7,6 +7,7 @@
 	type CellCommand,
 	type End,
 } from './lib/commands/CellCommand'
+export { digestOf, type ClientAccount } from './lib/accounts/ClientAccount'
 export type * from './lib/leader/calls'
 export type { LeaderContext } from './lib/leader/LeaderContext'
 export { LeaderEvent } from './lib/leader/LeaderEvent'
--- /dev/null
+++ b/packages/jobs/src/lib/accounts/SendingRate.test.ts
@@ -0,0 +1,19 @@
+/** Which jobs count as beyond an account's rate. */
+import assert from 'node:assert/strict'
+import { test } from 'node:test'
+import { SendingRate } from './SendingRate'
+
+test('jobs beyond the rate of any second are told, each account for itself', () => {
+	const rate = new SendingRate()
+	assert.deepEqual(
+		[0, 100, 200].map((at) => rate.take('town', 2, at)),
+		[true, true, false]
+	)
+	assert.ok(rate.take('city', 2, 200))
+})
+
+test('the second slides, and what was beyond the rate takes nothing from it', () => {
+	const rate = new SendingRate()
+	const within = [0, 600, 700, 999, 1000, 1599, 1600].map((at) => rate.take('town', 2, at))
+	assert.deepEqual(within, [true, true, false, false, true, false, true])
+})
--- a/packages/jobs/src/lib/commands/CellCommand.ts
+++ b/packages/jobs/src/lib/commands/CellCommand.ts
@@ -1,4 +1,5 @@
 /** What a cell's log holds: decisions, in the order in which they take effect. */
+import type { QuotaTerms } from '@rillrudder/scheduler'
 import { VError } from 'verror'
 import type { CellConfiguration, Queue, Worker } from '../records/Cell'
 import type { JobRequest, RunEnd } from '../records/Job'
@@ -32,6 +33,10 @@
 			readonly id: string
 			readonly queue: Queue
 			readonly job: JobRequest
+			/** The account that it belongs to; absent for none. */
+			readonly account?: QuotaTerms
+			/** Whether its account sent it beyond its rate. */
+			readonly beyondRate?: boolean
 			/** Milliseconds since the epoch, by the leader's clock. */
 			readonly at: number
 	  }
--- /dev/null
+++ b/packages/jobs/src/lib/leader/ClientCalls.test.ts
@@ -0,0 +1,122 @@
+/** Keys and owners of jobs: who may hand in, see and cancel what. */
+import assert from 'node:assert/strict'
+import { test } from 'node:test'
+import { digestOf } from '../accounts/ClientAccount'
+import { LeaderSubject } from '../testing/LeaderSubject'
+import { accountNamed, jobOf, QUEUE } from '../testing/samples'
+import type { CellReply } from './calls'
+
+const ID = '00000000000000aa'
+const OPEN = { name: 'open', prefix: '/open/', open: true }
+
+/** A cell of two accounts, with a closed queue and an open one. */
+function subjectWithAccounts(): LeaderSubject {
+	const subject = new LeaderSubject()
+	subject.accounts = [accountNamed('town'), accountNamed('city')]
+	subject.configure({}, OPEN)
+	return subject
+}
+
+function show(subject: LeaderSubject, key?: string, queue = QUEUE.name): CellReply['kind'] {
+	const keyDigest = key === undefined ? undefined : digestOf(key)
+	return subject.call({ kind: 'show', to: { queue, id: ID, keyDigest } })!.kind
+}
+
+function cancel(subject: LeaderSubject, key?: string, queue = QUEUE.name): CellReply['kind'] {
+	const keyDigest = key === undefined ? undefined : digestOf(key)
+	return subject.call({ kind: 'cancel', to: { queue, id: ID, keyDigest } })!.kind
+}
+
+test('a cell without accounts asks for no key', () => {
+	const subject = new LeaderSubject()
+	assert.equal(subject.submit(ID, jobOf({}))?.kind, 'accepted')
+	assert.equal(show(subject, 'ANY'), 'state')
+})
+
+test('a call without a key that an account holds is not served, and its job never runs', () => {
+	const subject = subjectWithAccounts()
+	subject.heartbeat('w1')
+	for (const key of [undefined, '', 'town', 'STRANGER']) {
+		assert.equal(subject.submit(ID, jobOf({}), QUEUE.name, key)?.kind, 'unauthorized')
+	}
+	subject.run(500, 'w1')
+	assert.equal(subject.startCount, 0)
+	assert.equal(show(subject), 'unauthorized')
+	assert.equal(cancel(subject), 'unauthorized')
+})
+
+test('a queue that is not there is told before the key is looked at', () => {
+	const subject = subjectWithAccounts()
+	assert.equal(subject.submit(ID, jobOf({}), 'nowhere')?.kind, 'no-such-queue')
+})
+
+test('a job is shown to its account and cancelled by it, and by no other', () => {
+	const subject = subjectWithAccounts()
+	assert.equal(subject.submit(ID, jobOf({}), QUEUE.name, 'TOWN')?.kind, 'accepted')
+	assert.equal(show(subject, 'TOWN'), 'state')
+	assert.equal(show(subject, 'CITY'), 'no-such-job')
+	assert.equal(cancel(subject, 'CITY'), 'no-such-job')
+	assert.equal(subject.state.jobs.find(ID)?.state, 'queued')
+	assert.equal(cancel(subject, 'TOWN'), 'noted')
+})
+
+test('an open queue shows no job of a closed one', () => {
+	const subject = subjectWithAccounts()
+	subject.submit(ID, jobOf({}), QUEUE.name, 'TOWN')
+	assert.equal(show(subject, undefined, OPEN.name), 'no-such-job')
+	assert.equal(cancel(subject, undefined, OPEN.name), 'no-such-job')
+})
+
+test("an open queue's jobs belong to no account", () => {
+	const subject = subjectWithAccounts()
+	assert.equal(subject.submit(ID, jobOf({}), OPEN.name)?.kind, 'accepted')
+	assert.equal(subject.state.jobs.find(ID)?.account, undefined)
+	assert.equal(show(subject, undefined, OPEN.name), 'state')
+})
+
+test('an id is taken for all accounts but the one whose job it names', () => {
+	const subject = subjectWithAccounts()
+	subject.proposals.held = true
+	subject.submit(ID, jobOf({}), QUEUE.name, 'TOWN')
+	assert.equal(subject.submit(ID, jobOf({}), QUEUE.name, 'CITY')?.kind, 'id-taken')
+	subject.proposals.held = false
+	subject.proposals.commit()
+	assert.equal(subject.submit(ID, jobOf({}), QUEUE.name, 'CITY')?.kind, 'id-taken')
+	assert.equal(subject.submit(ID, jobOf({}), QUEUE.name, 'TOWN')?.kind, 'accepted')
+	assert.equal(subject.state.jobs.find(ID)?.account?.name, 'town')
+})
+
+test('keys come and go with the configuration; a job stays with its account, also under a new leader', () => {
+	const subject = subjectWithAccounts()
+	subject.submit(ID, jobOf({}), QUEUE.name, 'TOWN')
+	subject.accounts = [accountNamed('town', { keyDigests: [digestOf('FRESH')] })]
+	subject.configure({}, OPEN)
+	assert.equal(show(subject, 'TOWN'), 'unauthorized')
+	assert.equal(show(subject, 'CITY'), 'unauthorized')
+	assert.equal(show(subject, 'FRESH'), 'state')
+	subject.lead()
+	assert.equal(show(subject, 'TOWN'), 'unauthorized')
+	assert.equal(show(subject, 'FRESH'), 'state')
+})
+
+test('jobs that an account sends beyond its rate are marked for good', () => {
+	const subject = subjectWithAccounts()
+	subject.accounts = [accountNamed('town', { weight: 1 })]
+	subject.configure({})
+	subject.submit(ID, jobOf({}), QUEUE.name, 'TOWN')
+	subject.submit('00000000000000bb', jobOf({}), QUEUE.name, 'TOWN')
+	subject.run(1000)
+	subject.submit('00000000000000cc', jobOf({}), QUEUE.name, 'TOWN')
+	const marks = [...subject.state.jobs.all()].map((job) => job.beyondRate === true)
+	assert.deepEqual(marks, [false, true, false])
+})
+
+test('a gang that is beyond its quota whatever else runs is refused at once', () => {
+	const subject = new LeaderSubject()
+	subject.accounts = [accountNamed('town', { quota: { cpu: 2000 } })]
+	subject.configure({})
+	const gang = (count: number) => jobOf({ count, gang: true })
+	assert.equal(subject.submit(ID, gang(4), QUEUE.name, 'TOWN')?.kind, 'impossible')
+	assert.equal(subject.state.jobs.size, 0)
+	assert.equal(subject.submit(ID, gang(3), QUEUE.name, 'TOWN')?.kind, 'accepted')
+})
--- /dev/null
+++ b/packages/jobs/src/lib/leader/ClientCalls.ts
@@ -0,0 +1,209 @@
+/** What clients ask of the leader: to take a job, to show its state, to cancel it. */
+import { Access, mayUse, type Caller } from '../accounts/Access'
+import { whyBeyondQuota } from '../accounts/AccountUsage'
+import { termsOf } from '../accounts/ClientAccount'
+import { SendingRate } from '../accounts/SendingRate'
+import { objectiveOf } from '../placement/stepTimes'
+import { countTasks } from '../records/checkJob'
+import { JobState, type JobRequest } from '../records/Job'
+import type { CellConfiguration } from '../records/Cell'
+import { isActive, type JobRecord } from '../state/JobRecord'
+import type { CellReply, Destination } from './calls'
+import { shapeOf } from './explainJob'
+import { epochOf, type LeaderContext } from './LeaderContext'
+import { LeaderEvent } from './LeaderEvent'
+import { QueueTable, type Addressed } from './QueueTable'
+
+/** Jobs that may be kept at a time; bounds the leader's memory and its snapshots. */
+const MOST_JOBS = 20_000
+/** Tasks of all kept jobs together, for the same reason: at about 100 bytes each, a sixth of the heap. */
+const MOST_TASKS = 300_000
+/** Milliseconds after which a refused submission may come again. */
+const RETRY_AFTER = 1000
+
+type Reply = (reply: CellReply) => void
+
+/** A submission that waits to be committed. */
+interface Submitting {
+	/** Name of the account that it comes from; undefined for none. */
+	readonly account: string | undefined
+	readonly replies: Reply[]
+}
+
+/** A call whose queue and caller are known. */
+interface Admitted extends Addressed {
+	readonly caller: Caller
+}
+
+/**
+ * The calls of clients. The leader checks keys itself: it alone knows that no newer configuration is in force.
+ *
+ * @internal
+ */
+export class ClientCalls {
+	private queues: QueueTable
+	private access: Access
+	private readonly rate = new SendingRate()
+	private readonly submitting = new Map<string, Submitting>()
+	/** Jobs refused by account name. */
+	private readonly refusals = new Map<string, number>()
+
+	constructor(private readonly context: LeaderContext) {
+		this.queues = new QueueTable(context.state.configuration)
+		this.access = new Access(context.state.configuration)
+	}
+
+	/** A configuration is in force from now on. */
+	configured(configuration: CellConfiguration): void {
+		this.queues = new QueueTable(configuration)
+		this.access = new Access(configuration)
+	}
+
+	/** @returns how many jobs of an account were refused since this leadership began. */
+	refusedOf(account: string): number {
+		return this.refusals.get(account) ?? 0
+	}
+
+	/** Takes a job; the same id again from the same account remains one job. */
+	submit(to: Destination, job: JobRequest, reply: Reply): void {
+		if (!this.context.state.configuration) {
+			reply({ kind: 'not-run', reason: 'no configuration yet', retryAfter: RETRY_AFTER })
+			return
+		}
+		const admitted = this.admit(to)
+		if ('kind' in admitted) reply(admitted)
+		else if (admitted.id === '') reply({ kind: 'no-such-queue' })
+		else this.submitAdmitted(admitted, job, reply)
+	}
+
+	/** Shows a job's state, or how many jobs of a queue wait. */
+	show(to: Destination): CellReply {
+		const admitted = this.admit(to)
+		if ('kind' in admitted) return admitted
+		const { id, queue, caller } = admitted
+		if (id === '') return { kind: 'pending', count: this.pending(queue.name) }
+		const job = this.context.state.jobs.find(id)
+		if (!job || !mayUse(caller, queue, job)) return { kind: 'no-such-job' }
+		return { kind: 'state', state: job.state }
+	}
+
+	/** Cancels a job. */
+	cancel(to: Destination, reply: Reply): void {
+		const job = this.jobToCancel(to)
+		if ('kind' in job) {
+			reply(job)
+			return
+		}
+		if (!isActive(job)) {
+			reply({ kind: 'noted' })
+			return
+		}
+		const command = { kind: 'cancel', id: job.id, at: epochOf(this.context) } as const
+		this.context.proposals.propose(command, () => reply({ kind: 'noted' }))
+	}
+
+	private jobToCancel(to: Destination): JobRecord | CellReply {
+		const { jobs } = this.context.state
+		const byOperator = !('path' in to) && !('queue' in to)
+		if (byOperator) return jobs.find(to.id) ?? { kind: 'no-such-job' }
+		const admitted = this.admit(to)
+		if ('kind' in admitted) return admitted.kind === 'no-such-queue' ? NO_SUCH_JOB : admitted
+		const job = jobs.find(admitted.id)
+		return job && mayUse(admitted.caller, admitted.queue, job) ? job : NO_SUCH_JOB
+	}
+
+	/** Finds the queue of a call, and who calls. */
+	private admit(to: Destination): Admitted | CellReply {
+		const addressed = this.queues.find(to)
+		if (!addressed) return { kind: 'no-such-queue' }
+		const caller = this.access.callerOf(
+			addressed.queue,
+			'keyDigest' in to ? to.keyDigest : undefined
+		)
+		if (caller.kind !== 'unknown') return { ...addressed, caller }
+		const { queue, id } = addressed
+		const configuration = this.context.state.configuration?.version
+		this.context.log.info(LeaderEvent.CallerUnknown, { queue: queue.name, job: id, configuration })
+		return { kind: 'unauthorized' }
+	}
+
+	private submitAdmitted(admitted: Admitted, job: JobRequest, reply: Reply): void {
+		const { id, queue, caller } = admitted
+		const account = caller.kind === 'account' ? caller.account.name : undefined
+		const known = this.context.state.jobs.find(id)
+		if (known) {
+			reply({ kind: mayUse(caller, queue, known) ? 'accepted' : 'id-taken' })
+			return
+		}
+		const waiting = this.submitting.get(id)
+		if (waiting) {
+			if (waiting.account === account) waiting.replies.push(reply)
+			else reply({ kind: 'id-taken' })
+			return
+		}
+		const refusal = this.whyNot(caller, job)
+		if (refusal) this.refuse(id, account, refusal, reply)
+		else this.propose(admitted, job, { account, replies: [reply] })
+	}
+
+	private propose({ id, queue, caller }: Admitted, job: JobRequest, submitting: Submitting): void {
+		this.submitting.set(id, submitting)
+		const at = epochOf(this.context)
+		const account = caller.kind === 'account' ? termsOf(caller.account) : undefined
+		const within = !account || this.rate.take(account.name, account.weight, at)
+		const beyondRate = within ? undefined : true
+		const command = { kind: 'submit', id, queue, job, account, beyondRate, at } as const
+		this.context.proposals.propose(command, () => this.submitted(id))
+	}
+
+	private refuse(id: string, account: string | undefined, refusal: CellReply, reply: Reply): void {
+		if (account !== undefined) this.refusals.set(account, this.refusedOf(account) + 1)
+		const reason = 'reason' in refusal ? refusal.reason : refusal.kind
+		const jobs = this.context.state.jobs.size
+		this.context.log.warn(LeaderEvent.JobRefused, { job: id, account, reason, jobs })
+		reply(refusal)
+	}
+
+	/** @returns why a job is not taken; undefined when it is. */
+	private whyNot(caller: Caller, job: JobRequest): CellReply | undefined {
+		if (caller.kind === 'account') {
+			const reason = whyBeyondQuota(job, caller.account, this.context.timing.quotaTolerance)
+			if (reason) return { kind: 'impossible', reason }
+		}
+		const { jobs } = this.context.state
+		const full = (reason: string): CellReply => ({
+			kind: 'not-run',
+			reason,
+			retryAfter: RETRY_AFTER,
+		})
+		if (jobs.size >= MOST_JOBS) return full('too many jobs')
+		return jobs.taskCount + countTasks(job) > MOST_TASKS ? full('too many tasks') : undefined
+	}
+
+	private submitted(id: string): void {
+		const { state, log } = this.context
+		const job = state.jobs.find(id)
+		log.info(LeaderEvent.JobAccepted, {
+			job: id,
+			queue: job?.queue.name,
+			account: job?.account?.name,
+			beyondRate: job?.beyondRate,
+			configuration: state.configuration?.version,
+			...(job ? shapeOf(job.request) : {}),
+			objective: job ? Math.round(objectiveOf(job.request, job.queue)) : undefined,
+		})
+		const { replies = [] } = this.submitting.get(id) ?? {}
+		this.submitting.delete(id)
+		for (const reply of replies) reply({ kind: 'accepted' })
+	}
+
+	private pending(queue: string): number {
+		let count = 0
+		for (const job of this.context.state.jobs.all()) {
+			if (job.queue.name === queue && job.state === JobState.Queued) count += 1
+		}
+		return count
+	}
+}
+
+const NO_SUCH_JOB: CellReply = { kind: 'no-such-job' }
--- a/packages/jobs/src/lib/leader/JobController.ts
+++ b/packages/jobs/src/lib/leader/JobController.ts
@@ -2,26 +2,22 @@
 import { Measure } from '@rillrudder/telemetry'
 import { exhaustive } from '@rillrudder/utils'
 import type { CellConfiguration, Heartbeat } from '../records/Cell'
-import { countTasks } from '../records/checkJob'
-import { JobState, type JobRequest } from '../records/Job'
 import type { Change } from '../state/Change'
 import { Precedence } from '../placement/Precedence'
 import { objectiveOf } from '../placement/stepTimes'
 import { isActive, type JobRecord } from '../state/JobRecord'
-import type { CellCall, CellReply, Destination } from './calls'
+import { AccountUsage } from '../accounts/AccountUsage'
+import { listAccounts } from '../accounts/listAccounts'
+import type { AccountSummary, CellCall, CellReply } from './calls'
+import { ClientCalls } from './ClientCalls'
 import { epochOf, type LeaderContext } from './LeaderContext'
 import { LeaderEvent } from './LeaderEvent'
-import { explainJob, listJobs, shapeOf } from './explainJob'
-import { QueueTable } from './QueueTable'
+import { explainJob, listJobs } from './explainJob'
 import { RunController } from './RunController'
 import { StepScheduler } from './StepScheduler'
 import { WorkerRegistry } from './WorkerRegistry'
 
-/** Jobs that may be kept at a time; bounds the leader's memory and its snapshots. */
-const MOST_JOBS = 20_000
-/** Tasks of all kept jobs together, for the same reason: at about 100 bytes each, a sixth of the heap. */
-const MOST_TASKS = 300_000
-/** Milliseconds after which a refused submission may come again. */
+/** Milliseconds after which a configuration that is not there yet may be read again. */
 const RETRY_AFTER = 1000
 /** Milliseconds between two passes over steps for which nothing has come free. */
 const FULL_PASS = 100
@@ -46,9 +42,8 @@
 	private readonly precedence = new Precedence()
 	private readonly runs: RunController
 	private readonly steps: StepScheduler
-	private queues: QueueTable
-	/** Callers that wait for a submission to be committed, by the job's id. */
-	private readonly submitting = new Map<string, Reply[]>()
+	private readonly clients: ClientCalls
+	private readonly accounts: AccountUsage
 	private fullPassDue = 0
 	private forgetDue = 0
 	private placing = false
@@ -56,16 +51,20 @@
 	/** @param context - the state as of the beginning of this leadership, and the world around it. */
 	constructor(private readonly context: LeaderContext) {
 		const { state, log, term } = context
-		this.workers = new WorkerRegistry(context, {
+		this.accounts = new AccountUsage(
+			state.configuration?.accounts ?? [],
+			context.timing.quotaTolerance
+		)
+		this.workers = new WorkerRegistry(context, this.accounts, {
 			polled: (view, result, sentAt) => this.runs.polled(view, result, sentAt),
 		})
 		this.precedence.configured(state.configuration?.queues ?? [], context.clock.now())
-		this.runs = new RunController(context, this.workers, this.precedence, {
+		this.runs = new RunController(context, this.workers, this.precedence, this.accounts, {
 			ticketRefused: (task, worker) => this.steps.ticketRefused(task, worker),
 			moved: (task, worker) => this.steps.movedAway(task, worker),
 		})
-		this.steps = new StepScheduler(context, this.workers, this.runs, this.precedence)
-		this.queues = new QueueTable(state.configuration)
+		this.steps = new StepScheduler(context, this.workers, this.runs, this.precedence, this.accounts)
+		this.clients = new ClientCalls(context)
 		for (const job of state.jobs.all()) this.takeUp(job)
 		log.info(LeaderEvent.LeadershipGained, {
 			term,
@@ -88,15 +87,17 @@
 	call(call: CellCall, reply: Reply): void {
 		switch (call.kind) {
 			case 'submit':
-				return this.submit(call.to, call.job, reply)
+				return this.clients.submit(call.to, call.job, reply)
 			case 'show':
-				return reply(this.show(call.to))
+				return reply(this.clients.show(call.to))
 			case 'cancel':
-				return this.cancel(call.to, reply)
+				return this.clients.cancel(call.to, reply)
 			case 'list-jobs':
 				return reply({ kind: 'jobs', jobs: listJobs(this.context.state, call.filter) })
 			case 'explain-job':
 				return reply(this.explain(call.id))
+			case 'list-accounts':
+				return reply({ kind: 'accounts', accounts: this.listAccounts() })
 			case 'configure':
 				return this.configure(call.configuration, reply)
 			case 'read-configuration':
@@ -173,70 +174,6 @@
 		if (isActive(job)) this.steps.accept(job)
 	}
 
-	private submit(to: Destination, job: JobRequest, reply: Reply): void {
-		const { state, proposals, log } = this.context
-		const addressed = this.queues.find(to)
-		if (!state.configuration) {
-			reply({ kind: 'not-run', reason: 'no configuration yet', retryAfter: RETRY_AFTER })
-			return
-		}
-		if (!addressed || addressed.id === '') {
-			reply({ kind: 'no-such-queue' })
-			return
-		}
-		const { id, queue } = addressed
-		if (state.jobs.find(id)) {
-			reply({ kind: 'accepted' })
-			return
-		}
-		const waiting = this.submitting.get(id)
-		if (waiting) {
-			waiting.push(reply)
-			return
-		}
-		const full = this.whyFull(job)
-		if (full) {
-			log.warn(LeaderEvent.JobRefused, { job: id, reason: full, jobs: state.jobs.size })
-			reply({ kind: 'not-run', reason: full, retryAfter: RETRY_AFTER })
-			return
-		}
-		this.submitting.set(id, [reply])
-		const at = epochOf(this.context)
-		proposals.propose({ kind: 'submit', id, queue, job, at }, () => this.submitted(id, queue.name))
-	}
-
-	/** @returns why no further job of this size can be kept; undefined when it can. */
-	private whyFull(job: JobRequest): string | undefined {
-		const { jobs } = this.context.state
-		if (jobs.size >= MOST_JOBS) return 'too many jobs'
-		return jobs.taskCount + countTasks(job) > MOST_TASKS ? 'too many tasks' : undefined
-	}
-
-	private submitted(id: string, queue: string): void {
-		const configuration = this.context.state.configuration?.version
-		const job = this.context.state.jobs.find(id)
-		const shape = job ? shapeOf(job.request) : {}
-		const objective = job ? Math.round(objectiveOf(job.request, job.queue)) : undefined
-		this.context.log.info(LeaderEvent.JobAccepted, {
-			job: id,
-			queue,
-			configuration,
-			...shape,
-			objective,
-		})
-		const waiting = this.submitting.get(id) ?? []
-		this.submitting.delete(id)
-		for (const reply of waiting) reply({ kind: 'accepted' })
-	}
-
-	private show(to: Destination): CellReply {
-		const addressed = this.queues.find(to)
-		if (!addressed) return { kind: 'no-such-queue' }
-		if (addressed.id === '') return { kind: 'pending', count: this.pending(addressed.queue.name) }
-		const job = this.context.state.jobs.find(addressed.id)
-		return job ? { kind: 'state', state: job.state } : { kind: 'no-such-job' }
-	}
-
 	private explain(id: string): CellReply {
 		const { state, term } = this.context
 		const job = state.jobs.find(id)
@@ -244,28 +181,11 @@
 		return { kind: 'explanation', explanation: explainJob(state, this.steps, job, term) }
 	}
 
-	private pending(queue: string): number {
-		let count = 0
-		for (const job of this.context.state.jobs.all()) {
-			if (job.queue.name === queue && job.state === JobState.Queued) count += 1
-		}
-		return count
-	}
-
-	private cancel(to: Destination, reply: Reply): void {
-		const { state, proposals } = this.context
-		const id = 'id' in to ? to.id : this.queues.find(to)?.id
-		const job = id === undefined ? undefined : state.jobs.find(id)
-		if (!job) {
-			reply({ kind: 'no-such-job' })
-			return
-		}
-		if (!isActive(job)) {
-			reply({ kind: 'noted' })
-			return
-		}
-		const command = { kind: 'cancel', id: job.id, at: epochOf(this.context) } as const
-		proposals.propose(command, () => reply({ kind: 'noted' }))
+	private listAccounts(): AccountSummary[] {
+		const { state, ledger } = this.context
+		const work = { jobs: state.jobs.all(), waiting: this.steps.waitingByAccount() }
+		const refused = (name: string): number => this.clients.refusedOf(name)
+		return listAccounts(this.accounts, work, refused, ledger.total)
 	}
 
 	private configure(configuration: CellConfiguration, reply: Reply): void {
@@ -296,12 +216,14 @@
 	}
 
 	private configured(configuration: CellConfiguration): void {
-		this.queues = new QueueTable(configuration)
-		const { version, queues } = configuration
+		const { version, queues, accounts } = configuration
+		this.clients.configured(configuration)
+		this.accounts.configure(accounts ?? [])
 		this.precedence.configured(queues, this.context.clock.now())
 		this.context.log.info(LeaderEvent.ConfigurationApplied, {
 			configuration: version,
 			queues: queues.length,
+			accounts: accounts?.length,
 		})
 	}
 
--- a/packages/jobs/src/lib/leader/LeaderEvent.ts
+++ b/packages/jobs/src/lib/leader/LeaderEvent.ts
@@ -22,11 +22,13 @@
 	/** Runs were given up; `worker`, `runs`, `reason`: the lease is over, or copies are allowed. */
 	RunsLost: 'runs-lost',
 	/**
-	 * A job is accepted; `job`, `queue`, `configuration` in force, its shape (`steps`, `tasks`, most `cpu` and
+	 * A job is accepted; `job`, `queue`, its `account`, whether the account sent it `beyondRate`, `configuration` in force, its shape (`steps`, `tasks`, most `cpu` and
 	 * `accelerators` of a task, `gang`), and its `objective`: milliseconds that it may take by the times it declares.
 	 */
 	JobAccepted: 'job-accepted',
-	/** A job is not accepted; `job`, `reason`, how many `jobs` there are. */
+	/** A call showed no key that an account holds, and was not served; `queue`, `job`, `configuration` in force. */
+	CallerUnknown: 'caller-unknown',
+	/** A job is not accepted; `job`, its `account`, `reason`, how many `jobs` there are. */
 	JobRefused: 'job-refused',
 	/** A job has reached its last state; `job`, `state`, `took` milliseconds, its `objective` of as many. */
 	JobEnded: 'job-ended',
@@ -54,6 +56,8 @@
 	 * the highest priority.
 	 */
 	RunPreempted: 'run-preempted',
+	/** A run is not begun since its account's quota was cut meanwhile; `task`, `attempt`, `worker`, `account`. */
+	RunWithdrawn: 'run-withdrawn',
 	/** A run is moved since it stands still; `task`, `attempt`, `worker`, `percent` that it had done. */
 	RunMoved: 'run-moved',
 	/** Runs stand still on a worker that answers, so it gets nothing new for now; `worker`, `runs`. */
@@ -64,7 +68,7 @@
 	AdviceAsked: 'advice-asked',
 	/** Advice came, or with `outcome` and `reason` it did not; `step`, `good`, `asked`, `took` milliseconds. */
 	AdviceCame: 'advice-came',
-	/** A configuration is in force; `configuration`, `queues`. */
+	/** A configuration is in force; `configuration`, how many `queues` and `accounts` it has. */
 	ConfigurationApplied: 'configuration-applied',
 	/**
 	 * A best-effort run is slowed or let go on; `task`, `worker`, `percent` of its speed, `pressure`: the worst
--- a/packages/jobs/src/lib/leader/LostRuns.ts
+++ b/packages/jobs/src/lib/leader/LostRuns.ts
@@ -25,7 +25,7 @@
 
 	/** The lease of a silent worker is certainly over: nothing runs there any more. */
 	giveUp(view: WorkerView): void {
-		view.suspects.clear()
+		this.suspects.clear(view)
 		this.lose(view, [...view.runs.values()], 'lease over')
 	}
 
--- a/packages/jobs/src/lib/leader/Run.ts
+++ b/packages/jobs/src/lib/leader/Run.ts
@@ -1,5 +1,5 @@
 /** One run of a task, from its beginning to its end. */
-import type { Resources } from '@rillrudder/scheduler'
+import type { QuotaAccount, Resources } from '@rillrudder/scheduler'
 import type { RunProgress } from '../placement/RunProgress'
 import type { StepTimes } from '../placement/StepUrgency'
 import type { Step, TaskName } from '../records/Job'
@@ -29,6 +29,8 @@
 	readonly need: Resources
 	/** Whether it is of the highest priority. */
 	readonly urgent: boolean
+	/** The account of its job; undefined for none. */
+	readonly account: QuotaAccount | undefined
 	/** Whether it makes room for what is. */
 	readonly yields: boolean
 	/** When it had to begin for its job to be in time. */
--- a/packages/jobs/src/lib/leader/RunController.ts
+++ b/packages/jobs/src/lib/leader/RunController.ts
@@ -1,6 +1,7 @@
 /** The runs of the cell: orders to start and stop them, sent again until the worker has answered. */
 import { Measure } from '@rillrudder/telemetry'
 import { formatTaskName, RunEnd, type TaskName } from '../records/Job'
+import type { AccountUsage } from '../accounts/AccountUsage'
 import type { Precedence, Standing } from '../placement/Precedence'
 import { RunProgress } from '../placement/RunProgress'
 import { timesOf } from '../placement/stepTimes'
@@ -11,7 +12,7 @@
 import { LeaderEvent } from './LeaderEvent'
 import { Pacing } from './Pacing'
 import { Refusal, type PollResult, type OrderResult } from './ports'
-import { reservedFor } from './reservation'
+import { claimAgain, reservedFor, unclaim } from './reservation'
 import { RunPhase, type Run } from './Run'
 import type { WorkerRegistry } from './WorkerRegistry'
 import type { WorkerView } from './WorkerView'
@@ -48,6 +49,7 @@
 		private readonly context: LeaderContext,
 		private readonly workers: WorkerRegistry,
 		private readonly precedence: Precedence,
+		private readonly accounts: AccountUsage,
 		private readonly listener: RunListener
 	) {
 		this.pacing = new Pacing(context)
@@ -65,7 +67,7 @@
 			const place = this.context.state.jobs.locate(text)
 			if (!place) continue
 			const run = this.add(text, place.name, job, task.attempt, task.worker)
-			this.context.ledger.restore(task.worker, run.need, run.urgent)
+			claimAgain(this.context.ledger, task.worker, run)
 			run.checkpoint = task.checkpoint
 			run.restored = true
 			if (!isActive(job) || task.finished) this.beginStop(run)
@@ -91,8 +93,10 @@
 		const job = this.context.state.jobs.find(name.job)
 		const decision = this.takeDecision(formatTaskName(name))
 		if (!job) return
-		const need = reservedFor(job.request.steps[name.step])
-		this.context.ledger.release(worker, need, decision?.urgent)
+		const step = job.request.steps[name.step]
+		const urgent = decision?.urgent ?? false
+		const claimed = { step, need: reservedFor(step), urgent, account: this.accounts.of(job) }
+		unclaim(this.context.ledger, worker, claimed)
 	}
 
 	/** A run has ended: what it had is free. */
@@ -102,7 +106,7 @@
 		if (!run || run.attempt !== attempt) return
 		this.runs.delete(text)
 		this.workers.find(worker)?.runs.delete(text)
-		this.context.ledger.release(worker, run.need, run.urgent)
+		unclaim(this.context.ledger, worker, run)
 		const { health, log, clock, meter } = this.context
 		meter.count(Measure.RunsEnded, { how })
 		if (how === RunEnd.Done) health.succeeded(worker)
@@ -219,6 +223,7 @@
 			need: reservedFor(step),
 			urgent,
 			yields,
+			account: this.accounts.of(job),
 			times: timesOf(job, name.repeat, name.step, job.queue),
 			ticket: decision?.ticket ?? '',
 			ticketed: job.queue.advice !== undefined,
@@ -272,6 +277,7 @@
 	private orderStart(run: Run, view: WorkerView): void {
 		const { orders, term, clock, state } = this.context
 		const place = state.jobs.locate(run.text)
+		if (!this.accounts.mayGoOn(run.account, run.step)) return this.withdraw(run)
 		const leaseUntil = view.lease.renew(clock.now())
 		if (!place || leaseUntil === undefined) return
 		run.busy = true
@@ -290,6 +296,14 @@
 		)
 	}
 
+	/** A run that its worker has not confirmed is not begun any more; what an order on its way may begin is stopped. */
+	private withdraw(run: Run): void {
+		const { text: task, attempt, worker, account } = run
+		const { log } = this.context
+		log.info(LeaderEvent.RunWithdrawn, { task, attempt, worker, account: account?.terms.name })
+		this.beginStop(run)
+	}
+
 	private orderStop(run: Run, view: WorkerView): void {
 		const { orders, term, clock } = this.context
 		run.busy = true
--- a/packages/jobs/src/lib/leader/StepScheduler.ts
+++ b/packages/jobs/src/lib/leader/StepScheduler.ts
@@ -7,10 +7,12 @@
 import { Reservations } from '../placement/Reservations'
 import { timesOf } from '../placement/stepTimes'
 import { UrgentShare } from '../placement/UrgentShare'
+import type { AccountUsage } from '../accounts/AccountUsage'
 import { chooseForStep, hasRoom, type Option, type RoomCheck } from './chooseForStep'
 import { epochOf, type LeaderContext } from './LeaderContext'
 import { placeGang, type Placed } from './placeGang'
 import { Preemption } from './Preemption'
+import { claim } from './reservation'
 import type { RunController } from './RunController'
 import { StepLog } from './StepLog'
 import { StepQuestions } from './StepQuestions'
@@ -56,7 +58,8 @@
 		private readonly context: LeaderContext,
 		private readonly workers: WorkerRegistry,
 		private readonly runs: RunController,
-		private readonly precedence: Precedence
+		private readonly precedence: Precedence,
+		private readonly accounts: AccountUsage
 	) {
 		this.questions = new StepQuestions(context)
 		this.log = new StepLog(context)
@@ -76,6 +79,17 @@
 		}
 	}
 
+	/** @returns how many steps of each account have tasks that could begin and have no place. */
+	waitingByAccount(): ReadonlyMap<string, number> {
+		const counts = new Map<string, number>()
+		for (const work of this.steps.values()) {
+			const name = work.account?.terms.name
+			if (name === undefined || work.waiting().length === 0 || !this.isReady(work)) continue
+			counts.set(name, (counts.get(name) ?? 0) + 1)
+		}
+		return counts
+	}
+
 	/** @returns why tasks of a step wait, for people. */
 	whyWaiting(name: string): string {
 		const work = this.steps.get(name)
@@ -83,7 +97,8 @@
 		const eligible = this.eligible(work, this.openWorkers())
 		const room = eligible.filter((option) => this.admits(work, option))
 		const kept = this.reservations.expectedAt(work)
-		return waitReason(work, { eligible, room, kept, now: this.context.clock.now() })
+		const withinQuota = this.accounts.mayBegin(work.account, work.step)
+		return waitReason(work, { eligible, room, withinQuota, kept, now: this.context.clock.now() })
 	}
 
 	/** Takes up a job: all its repeats that are due. */
@@ -239,7 +254,8 @@
 		const times = timesOf(job, repeat, step, queue)
 		const now = this.context.clock.now()
 		const standing = this.precedence.standingOf(queue, job.request.steps[step], now)
-		const work = new StepWork(job, queue, repeat, step, times, standing)
+		const account = this.accounts.of(job)
+		const work = new StepWork(job, queue, repeat, step, times, standing, account)
 		this.steps.set(name, work)
 		this.stale = true
 		return work
@@ -280,6 +296,7 @@
 		const waiting = work.waiting()
 		work.allPlaced = waiting.length === 0
 		if (work.allPlaced) return
+		if (!this.accounts.mayBegin(work.account, work.step)) return this.reservations.drop(work)
 		const eligible = this.eligible(work, open)
 		if (!work.toldBarred && isBarred(work, eligible)) this.log.barred(work, eligible.length)
 		const options = this.optionsFor(work, eligible, now)
@@ -311,8 +328,9 @@
 	private placeEach(work: StepWork, waiting: readonly number[], options: Option[]): Placed[] {
 		const placed: Placed[] = []
 		for (const index of waiting) {
+			if (!this.accounts.mayBegin(work.account, work.step)) break
 			const option = chooseForStep(work, options, this.isFree)
-			if (!option || !this.context.ledger.reserve(option.view.id, work.need, work.urgent)) break
+			if (!option || !claim(this.context.ledger, option.view.id, work)) break
 			work.count(option.view.id, 1)
 			this.urgentShare.took(work, 1)
 			placed.push({ index, worker: option.view.id })
--- a/packages/jobs/src/lib/leader/StepWork.ts
+++ b/packages/jobs/src/lib/leader/StepWork.ts
@@ -1,5 +1,5 @@
 /** One step of a job at one of its repeats, while it still has tasks to begin. */
-import { fits, type Resources } from '@rillrudder/scheduler'
+import { fits, type QuotaAccount, type Resources } from '@rillrudder/scheduler'
 import type { Queue } from '../records/Cell'
 import type { Step } from '../records/Job'
 import { TaskStatus, type JobRecord, type StepRecord } from '../state/JobRecord'
@@ -51,6 +51,7 @@
 	/**
 	 * @param times - when it has to begin.
 	 * @param standing - what it is to the others at its service.
+	 * @param account - the account of its job; undefined for none.
 	 */
 	constructor(
 		readonly job: JobRecord,
@@ -58,7 +59,8 @@
 		readonly repeat: number,
 		readonly number: number,
 		times: StepTimes,
-		standing: Standing
+		standing: Standing,
+		readonly account: QuotaAccount | undefined
 	) {
 		this.name = stepName(job.id, repeat, number)
 		this.step = job.request.steps[number]
--- a/packages/jobs/src/lib/leader/SuspectRuns.ts
+++ b/packages/jobs/src/lib/leader/SuspectRuns.ts
@@ -5,7 +5,8 @@
  */
 import type { LeaderContext } from './LeaderContext'
 import type { ListedRun } from './ports'
-import type { WorkerView } from './WorkerView'
+import type { AccountUsage } from '../accounts/AccountUsage'
+import type { SuspectRun, WorkerView } from './WorkerView'
 
 /**
  * Settles what suspect workers still run.
@@ -15,10 +16,12 @@
 export class SuspectRuns {
 	/**
 	 * @param context - what the parts of the leader share.
+	 * @param accounts - where what they take counts until they are gone.
 	 * @param unanswered - told of a stop that got no answer.
 	 */
 	constructor(
 		private readonly context: LeaderContext,
+		private readonly accounts: AccountUsage,
 		private readonly unanswered: (view: WorkerView, message: string, sentAt: number) => void
 	) {}
 
@@ -26,7 +29,9 @@
 	raise(view: WorkerView, task: string, attempt: number): void {
 		const known = view.suspects.get(task)
 		if (known && known.attempt >= attempt) return
-		view.suspects.set(task, { attempt, busy: false })
+		if (known) uncount(known)
+		const counted = this.accounts.countGivenUp(this.context.state.jobs.locate(task))
+		view.suspects.set(task, { attempt, counted, busy: false })
 	}
 
 	/** Once a stop is acknowledged, neither the run nor a late order to start it can take room. */
@@ -48,9 +53,22 @@
 	drop(view: WorkerView, running: readonly ListedRun[], sentAt: number): void {
 		if (view.suspects.size === 0) return
 		const listed = new Set(running.map((run) => run.task))
-		for (const [task, { stoppedAt }] of view.suspects) {
+		for (const [task, suspect] of view.suspects) {
+			const { stoppedAt } = suspect
 			const stopped = stoppedAt !== undefined && stoppedAt <= sentAt
-			if (stopped && !listed.has(task)) view.suspects.delete(task)
+			if (!stopped || listed.has(task)) continue
+			uncount(suspect)
+			view.suspects.delete(task)
 		}
 	}
+
+	/** Its worker has ended, or its lease is certainly over: none of its runs goes on. */
+	clear(view: WorkerView): void {
+		for (const suspect of view.suspects.values()) uncount(suspect)
+		view.suspects.clear()
+	}
+}
+
+function uncount({ counted }: SuspectRun): void {
+	counted?.account.giveBack(counted.amount)
 }
--- a/packages/jobs/src/lib/leader/WorkerRegistry.ts
+++ b/packages/jobs/src/lib/leader/WorkerRegistry.ts
@@ -10,6 +10,7 @@
 import { LostRuns } from './LostRuns'
 import { OutageWatch } from './OutageWatch'
 import { StallWatch } from '../placement/StallWatch'
+import type { AccountUsage } from '../accounts/AccountUsage'
 import type { HeardWorker } from './calls'
 import type { ListedEnd, PollResult } from './ports'
 import { WorkerView } from './WorkerView'
@@ -37,9 +38,10 @@
 
 	constructor(
 		private readonly context: LeaderContext,
+		accounts: AccountUsage,
 		private readonly listener: PollListener
 	) {
-		this.suspects = new SuspectRuns(context, (view, message, sentAt) =>
+		this.suspects = new SuspectRuns(context, accounts, (view, message, sentAt) =>
 			this.unanswered(view, message, sentAt)
 		)
 		this.polls = new WorkerPolls(context, {
@@ -122,6 +124,8 @@
 
 	/** A worker has ended. */
 	gone(id: string): void {
+		const view = this.views.get(id)
+		if (view) this.suspects.clear(view)
 		this.views.delete(id)
 		this.context.ledger.leave(id)
 		this.context.health.forget(id)
--- a/packages/jobs/src/lib/leader/WorkerView.ts
+++ b/packages/jobs/src/lib/leader/WorkerView.ts
@@ -1,11 +1,14 @@
 /** A worker as the leader's controller sees it. */
 import type { Worker } from '../records/Cell'
+import type { CountedRun } from '../accounts/AccountUsage'
 import type { Lease } from './Lease'
 import type { Run } from './Run'
 
 /** A run that was given up early: what it takes is not known until the worker has stopped it. @internal */
 export interface SuspectRun {
 	readonly attempt: number
+	/** What it counts as against its account's quota; undefined for no account. */
+	readonly counted: CountedRun | undefined
 	/** Whether an order to stop it is under way. */
 	busy: boolean
 	/** When the worker said that it will not run any more, on the leader's clock. */
--- a/packages/jobs/src/lib/leader/calls.ts
+++ b/packages/jobs/src/lib/leader/calls.ts
@@ -1,15 +1,31 @@
 /** What can be asked of the leader of a cell, and what it answers. */
+import type { QuotaTerms, Resources } from '@rillrudder/scheduler'
 import type { CellConfiguration, Heartbeat } from '../records/Cell'
 import type { JobRequest, JobState } from '../records/Job'
 import type { AdviceQuestion } from './ports'
 
 /** Where a call is addressed: by host and path, as callers do, or by the queue's name. @public */
 export type Destination =
-	| { readonly host: string; readonly path: string }
-	| { readonly queue: string; readonly id: string }
-	/** Only for a job that is known. */
+	| { readonly host: string; readonly path: string; readonly keyDigest?: string }
+	| { readonly queue: string; readonly id: string; readonly keyDigest?: string }
+	/** Only for a job that is known, and from operators, who need no key. */
 	| { readonly id: string }
 
+/** What an account has and may have. @public */
+export interface AccountSummary extends QuotaTerms {
+	/** Largest share of any resource that it has reserved, against its weight. */
+	readonly share: number
+	readonly used: Resources
+	/** Its jobs that have not ended. */
+	readonly jobs: number
+	/** Of those, how many came beyond its rate. */
+	readonly beyondRate: number
+	/** Its steps with tasks that could begin and have no place. */
+	readonly waiting: number
+	/** Its jobs refused since this leadership began. */
+	readonly refused: number
+}
+
 /** Which jobs a list shows. @public */
 export interface JobFilter {
 	readonly queue?: string
@@ -22,6 +38,8 @@
 export interface JobSummary {
 	readonly id: string
 	readonly queue: string
+	/** Name of the account that it belongs to; empty for none. */
+	readonly account: string
 	readonly state: JobState
 	/** Milliseconds since the epoch. */
 	readonly submitted: number
@@ -74,6 +92,7 @@
 	| { readonly kind: 'cancel'; readonly to: Destination }
 	| { readonly kind: 'list-jobs'; readonly filter: JobFilter }
 	| { readonly kind: 'explain-job'; readonly id: string }
+	| { readonly kind: 'list-accounts' }
 	| { readonly kind: 'configure'; readonly configuration: CellConfiguration }
 	| { readonly kind: 'read-configuration' }
 	| { readonly kind: 'heartbeat'; readonly heartbeat: Heartbeat }
@@ -94,6 +113,13 @@
 	| { readonly kind: 'pending'; readonly count: number }
 	| { readonly kind: 'jobs'; readonly jobs: readonly JobSummary[] }
 	| { readonly kind: 'explanation'; readonly explanation: JobExplanation }
+	| { readonly kind: 'accounts'; readonly accounts: readonly AccountSummary[] }
+	/** The caller shows no key, or one that no account holds: nothing was done. */
+	| { readonly kind: 'unauthorized' }
+	/** Another account has a job of that id: nothing was done. */
+	| { readonly kind: 'id-taken' }
+	/** The job was not accepted and never could run, for people. */
+	| { readonly kind: 'impossible'; readonly reason: string }
 	| { readonly kind: 'no-such-queue' }
 	| { readonly kind: 'no-such-job' }
 	| { readonly kind: 'configuration'; readonly configuration: CellConfiguration }
--- a/packages/jobs/src/lib/leader/explainJob.ts
+++ b/packages/jobs/src/lib/leader/explainJob.ts
@@ -65,7 +65,8 @@
 	const steps = job.repeats.flat()
 	const tasks = steps.reduce((sum, step) => sum + step.tasks.length, 0)
 	const done = steps.reduce((sum, step) => sum + step.done, 0)
-	return { id, queue: queue.name, state, submitted, ended, tasks, done }
+	const account = job.account?.name ?? ''
+	return { id, queue: queue.name, account, state, submitted, ended, tasks, done }
 }
 
 function explainStep(
--- a/packages/jobs/src/lib/leader/placeGang.ts
+++ b/packages/jobs/src/lib/leader/placeGang.ts
@@ -1,6 +1,7 @@
 /** Places all tasks of a gang or none, in one rack where that matters. */
 import type { Ledger } from '@rillrudder/scheduler'
 import { chooseForStep, type Option, type RoomCheck } from './chooseForStep'
+import { claim, unclaim } from './reservation'
 import type { StepWork } from './StepWork'
 
 /** Milliseconds that a gang waits for one rack with room before it takes any workers. */
@@ -52,7 +53,7 @@
 	const placed: Placed[] = []
 	for (const index of waiting) {
 		const option = chooseForStep(work, options, isFree)
-		if (!option || !ledger.reserve(option.view.id, work.need, work.urgent)) {
+		if (!option || !claim(ledger, option.view.id, work)) {
 			undo(work, placed, ledger)
 			return []
 		}
@@ -64,7 +65,7 @@
 
 function undo(work: StepWork, placed: readonly Placed[], ledger: Ledger): void {
 	for (const { worker } of placed) {
-		ledger.release(worker, work.need, work.urgent)
+		unclaim(ledger, worker, work)
 		work.count(worker, -1)
 	}
 }
--- a/packages/jobs/src/lib/leader/waitReason.ts
+++ b/packages/jobs/src/lib/leader/waitReason.ts
@@ -9,6 +9,8 @@
 	readonly eligible: readonly Option[]
 	/** Those of them that have room for one of its tasks. */
 	readonly room: readonly Option[]
+	/** Whether its account's quota has room for what it begins at a time. */
+	readonly withinQuota: boolean
 	/** When room that is kept for it is expected; undefined when none is kept. */
 	readonly kept: RoomTimes | undefined
 	/** The moment, on the leader's clock. */
@@ -23,12 +25,15 @@
 
 /** @returns why tasks of a step wait. @internal */
 export function waitReason(work: StepWork, situation: StepSituation): string {
-	const { eligible, room, kept, now } = situation
+	const { eligible, room, withinQuota, kept, now } = situation
 	const open = eligible.length
 	if (open === 0) return 'no open worker of its service has the label that it asks for'
 	if (isBarred(work, eligible)) {
 		return `its queue's policy allows none of ${open} open workers; others are asked about as they join`
 	}
+	if (!withinQuota) {
+		return `its account ${work.account?.terms.name} has as much running as its quota allows`
+	}
 	if (room.length === 0) return `none of ${open} open workers has room for one task`
 	if (!work.queue.advice) return 'it is about to begin'
 	if (kept) {
--- a/packages/jobs/src/lib/records/Cell.ts
+++ b/packages/jobs/src/lib/records/Cell.ts
@@ -1,6 +1,7 @@
 /** The configuration of a cell's queues and services, and the workers that report to it. */
 import type { Resources } from '@rillrudder/scheduler'
 import type { Finding } from '@rillrudder/utils'
+import { checkAccounts, type ClientAccount } from '../accounts/ClientAccount'
 
 /** How the service that knows a queue's policy answers. @public */
 export interface AdviceTerms {
@@ -30,6 +31,8 @@
 	readonly stretch: number
 	/** Milliseconds that a caller's request may take. */
 	readonly timeout: number
+	/** Whether callers need no key, and jobs belong to no account. */
+	readonly open?: boolean
 	/** Set when only some workers may run a step, and which ones must be asked. */
 	readonly advice?: AdviceTerms
 }
@@ -46,6 +49,8 @@
 	readonly version: number
 	readonly queues: readonly Queue[]
 	readonly services: readonly Service[]
+	/** Absent in a cell without accounts, where callers need no keys. */
+	readonly accounts?: readonly ClientAccount[]
 	/** The document as the operator sent it, given back when it is read. */
 	readonly document: string
 }
@@ -71,6 +76,7 @@
 		if (!(queue.timeout > 0)) add(path, 'has a timeout that is not above 0')
 		places.add(place)
 	})
+	checkAccounts(configuration.accounts ?? [], add)
 	return findings
 }
 
--- a/packages/jobs/src/lib/state/CellState.ts
+++ b/packages/jobs/src/lib/state/CellState.ts
@@ -12,6 +12,8 @@
 /** Version of the snapshot that is written. */
 const SNAPSHOT_VERSION = 1
 
+type SubmitCommand = Extract<CellCommand, { readonly kind: 'submit' }>
+
 interface CellSnapshot {
 	readonly version: number
 	readonly configuration?: CellConfiguration
@@ -62,7 +64,7 @@
 			case 'configure':
 				return this.configure(command.configuration)
 			case 'submit':
-				return this.jobs.submit(command)
+				return this.submit(command)
 			case 'cancel':
 				return this.jobs.cancel(command.id, command.at)
 			case 'begin':
@@ -83,6 +85,10 @@
 		}
 	}
 
+	private submit({ id, queue, job, account, beyondRate, at }: SubmitCommand): void {
+		this.jobs.submit({ id, queue, request: job, account, beyondRate, submitted: at })
+	}
+
 	/** The highest version holds; a lower or equal one changes nothing. */
 	private configure(configuration: CellConfiguration): void {
 		if (configuration.version <= (this.configuration?.version ?? 0)) return
--- a/packages/jobs/src/lib/state/JobRecord.ts
+++ b/packages/jobs/src/lib/state/JobRecord.ts
@@ -1,4 +1,5 @@
 /** A job with the progress of its tasks. */
+import type { QuotaTerms } from '@rillrudder/scheduler'
 import type { Queue } from '../records/Cell'
 import { JobState, type JobRequest, type Step } from '../records/Job'
 
@@ -45,6 +46,10 @@
 	/** Its queue as it was configured when the job was accepted; a removed queue's jobs go on. */
 	readonly queue: Queue
 	readonly request: JobRequest
+	/** The account that it belongs to for life, with its terms as they were configured then; absent for none. */
+	readonly account?: QuotaTerms
+	/** Whether its account sent it beyond its rate. */
+	readonly beyondRate?: boolean
 	/** Milliseconds since the epoch. */
 	readonly submitted: number
 	state: JobState
@@ -59,16 +64,18 @@
 	return job.state === JobState.Queued || job.state === JobState.Running
 }
 
+/** A job that was accepted. @public */
+export type Submission = Pick<
+	JobRecord,
+	'id' | 'queue' | 'request' | 'account' | 'beyondRate' | 'submitted'
+>
+
 /** @returns a fresh record. @public */
-export function newJobRecord(
-	id: string,
-	queue: Queue,
-	request: JobRequest,
-	submitted: number
-): JobRecord {
+export function newJobRecord(submission: Submission): JobRecord {
+	const { request } = submission
 	const times = request.repeat && request.repeat.count > 0 ? request.repeat.count : 1
 	const repeats = Array.from({ length: times }, () => request.steps.map(newStepRecord))
-	return { id, queue, request, submitted, state: JobState.Queued, ended: 0, repeats }
+	return { ...submission, state: JobState.Queued, ended: 0, repeats }
 }
 
 function newStepRecord(step: Step): StepRecord {
--- a/packages/jobs/src/lib/state/JobTable.test.ts
+++ b/packages/jobs/src/lib/state/JobTable.test.ts
@@ -14,7 +14,7 @@
 	readonly table = new JobTable((change) => this.changes.push(change))
 
 	constructor(job: JobRequest) {
-		this.table.submit({ id: ID, queue: QUEUE, job, at: 0 })
+		this.table.submit({ id: ID, queue: QUEUE, request: job, submitted: 0 })
 	}
 
 	get job(): JobRecord {
@@ -40,7 +40,7 @@
 	const table = new JobTable((change) => {
 		if (change.kind === 'run-ended') ready = isStepReady(table.find(ID) as JobRecord, 0, 1)
 	})
-	table.submit({ id: ID, queue: QUEUE, job: subject.job.request, at: 0 })
+	table.submit({ id: ID, queue: QUEUE, request: subject.job.request, submitted: 0 })
 	table.begin({ task: `${ID}.0.0.0`, attempt: 1, worker: 'w1' })
 	table.end({ task: `${ID}.0.0.0`, attempt: 1, how: RunEnd.Done, checkpoint: '' }, 1)
 	assert.equal(ready, true)
@@ -59,7 +59,7 @@
 
 test('the same id again changes nothing', () => {
 	const subject = new Subject(jobOf({}))
-	subject.table.submit({ id: ID, queue: QUEUE, job: jobOf({ count: 9 }), at: 5 })
+	subject.table.submit({ id: ID, queue: QUEUE, request: jobOf({ count: 9 }), submitted: 5 })
 	assert.equal(subject.job.request.steps[0].count, 1)
 	assert.deepEqual(subject.kinds, ['job-accepted'])
 })
--- a/packages/jobs/src/lib/state/JobTable.ts
+++ b/packages/jobs/src/lib/state/JobTable.ts
@@ -1,15 +1,7 @@
 /** All jobs and the runs of their tasks. */
 import type { Begin, End } from '../commands/CellCommand'
-import type { Queue } from '../records/Cell'
 import { countTasks } from '../records/checkJob'
-import {
-	formatTaskName,
-	JobState,
-	parseTaskName,
-	RunEnd,
-	type JobRequest,
-	type TaskName,
-} from '../records/Job'
+import { formatTaskName, JobState, parseTaskName, RunEnd, type TaskName } from '../records/Job'
 import type { Change } from './Change'
 import {
 	isActive,
@@ -18,20 +10,13 @@
 	TaskStatus,
 	type JobRecord,
 	type StepRecord,
+	type Submission,
 	type TaskRecord,
 } from './JobRecord'
 
 /** Attempts of one task that are remembered as given up. */
 const MOST_LOST = 16
 
-/** A submission that was accepted. @public */
-export interface Submission {
-	readonly id: string
-	readonly queue: Queue
-	readonly job: JobRequest
-	readonly at: number
-}
-
 /** A task with what surrounds it. @public */
 export interface TaskPlace {
 	readonly name: TaskName
@@ -91,9 +76,9 @@
 	}
 
 	/** Accepts a job; the same id again changes nothing. */
-	submit({ id, queue, job, at }: Submission): void {
-		if (this.jobs.has(id)) return
-		const record = newJobRecord(id, queue, job, at)
+	submit(submission: Submission): void {
+		if (this.jobs.has(submission.id)) return
+		const record = newJobRecord(submission)
 		this.keep(record)
 		this.report({ kind: 'job-accepted', job: record })
 	}
--- a/packages/jobs/src/lib/testing/LeaderSubject.ts
+++ b/packages/jobs/src/lib/testing/LeaderSubject.ts
@@ -2,6 +2,7 @@
 import { Ledger, WorkerHealth } from '@rillrudder/scheduler'
 import { Log, Meter } from '@rillrudder/telemetry'
 import { ManualClock, Random } from '@rillrudder/utils'
+import { digestOf, type ClientAccount } from '../accounts/ClientAccount'
 import { encodeCommands, type CellCommand } from '../commands/CellCommand'
 import type { CellCall, CellReply } from '../leader/calls'
 import { DEFAULT_LEADER_TIMING } from '../leader/LeaderTiming'
@@ -198,6 +199,8 @@
 	readonly questions: { readonly via: string; readonly question: AdviceQuestion }[] = []
 	allowed: (worker: string) => boolean = () => true
 	deposed = false
+	/** Client accounts of the configurations that follow; undefined for a cell without. */
+	accounts: readonly ClientAccount[] | undefined
 	controller!: JobController
 	private readonly workers = new Map<string, FakeWorker>()
 	private term = 0
@@ -214,7 +217,9 @@
 		const version = (this.state.configuration?.version ?? 0) + 1
 		const queues = changes.map((queue) => ({ ...QUEUE, ...queue }))
 		const services = [{ name: QUEUE.service, enforcesCapacity: false }]
-		this.call({ kind: 'configure', configuration: { version, queues, services, document: '{}' } })
+		const { accounts } = this
+		const configuration = { version, queues, services, accounts, document: '{}' }
+		this.call({ kind: 'configure', configuration })
 	}
 
 	/** What all workers' clocks show. */
@@ -253,9 +258,10 @@
 		return reply
 	}
 
-	/** Hands a job in. */
-	submit(id: string, job: JobRequest, queue = QUEUE.name): CellReply | undefined {
-		return this.call({ kind: 'submit', to: { queue, id }, job })
+	/** Hands a job in, with a key where one is given. */
+	submit(id: string, job: JobRequest, queue = QUEUE.name, key?: string): CellReply | undefined {
+		const keyDigest = key === undefined ? undefined : digestOf(key)
+		return this.call({ kind: 'submit', to: { queue, id, keyDigest }, job })
 	}
 
 	/** A heartbeat of a worker comes. */
--- a/packages/jobs/src/lib/testing/samples.ts
+++ b/packages/jobs/src/lib/testing/samples.ts
@@ -1,4 +1,5 @@
 /** Jobs, queues and workers for tests. */
+import { digestOf, type ClientAccount } from '../accounts/ClientAccount'
 import type { Queue, Worker } from '../records/Cell'
 import { PLAIN_STEP, type JobRequest, type Step } from '../records/Job'
 
@@ -15,6 +16,11 @@
 	timeout: 3000,
 }
 
+/** @returns an account with one key, its name in capitals. */
+export function accountNamed(name: string, changes: Partial<ClientAccount> = {}): ClientAccount {
+	return { name, keyDigests: [digestOf(name.toUpperCase())], weight: 100, ...changes }
+}
+
 /** A plain step of one small task, which takes as long as a test may last. */
 export const STEP: Step = {
 	...PLAIN_STEP,
--- a/packages/member/src/lib/ProductServer.ts
+++ b/packages/member/src/lib/ProductServer.ts
@@ -1,9 +1,11 @@
 /** The product's own interface of an instance: jobs, measures, status. */
 import {
 	checkJob,
+	digestOf,
 	PLAIN_STEP,
 	type CellCall,
 	type CellReply,
+	type Destination,
 	type JobRequest,
 } from '@rillrudder/jobs'
 import type { Meter } from '@rillrudder/telemetry'
@@ -17,6 +19,8 @@
 const DEFAULT_LIST = 100
 const MOST_LIST = 1000
 const JOB = /^\/v1\/jobs\/([0-9a-f]{16})(\/cancel)?$/
+/** How the key of a client account is shown. */
+const BEARER = /^Bearer +(\S+)$/i
 const QUEUE_JOB = /^\/v1\/queues\/([^/]+)\/jobs\/([0-9a-f]{16})$/
 
 /** What the interface works with. @public */
@@ -65,9 +69,13 @@
 
 const TEXT = { 'content-type': 'text/plain; version=0.0.4' }
 
-function toCall({ method, path, query, body }: HttpCall): CellCall | HttpAnswer {
+function toCall({ method, path, query, headers, body }: HttpCall): CellCall | HttpAnswer {
 	const submitted = QUEUE_JOB.exec(path)
-	if (method === 'POST' && submitted) return toSubmission(submitted[1], submitted[2], body)
+	if (method === 'POST' && submitted) {
+		const to = { queue: submitted[1], id: submitted[2], keyDigest: bearerDigest(headers) }
+		return toSubmission(to, body)
+	}
+	if (method === 'GET' && path === '/v1/accounts') return { kind: 'list-accounts' }
 	if (method === 'GET' && path === '/v1/jobs') {
 		const most = Math.min(MOST_LIST, Number(query.get('most') ?? DEFAULT_LIST) || DEFAULT_LIST)
 		const queue = query.get('queue') ?? undefined
@@ -80,11 +88,17 @@
 	return { status: 404, body: { message: `there is no ${method} ${path}` } }
 }
 
-function toSubmission(queue: string, id: string, body: Buffer): CellCall | HttpAnswer {
+/** @returns the digest of the key that a call shows as a bearer token; undefined for none. */
+function bearerDigest({ authorization }: HttpCall['headers']): string | undefined {
+	const key = BEARER.exec(authorization ?? '')?.[1]
+	return key === undefined ? undefined : digestOf(key)
+}
+
+function toSubmission(to: Destination, body: Buffer): CellCall | HttpAnswer {
 	const job = parseJob(body)
 	if (!job) return { status: 400, body: { message: 'the body is no job' } }
 	const findings = checkJob(job)
-	if (findings.length === 0) return { kind: 'submit', to: { queue, id }, job }
+	if (findings.length === 0) return { kind: 'submit', to, job }
 	return { status: 422, body: { message: findings.map(formatFinding).join('; ') } }
 }
 
@@ -127,6 +141,18 @@
 		case 'no-such-queue':
 		case 'no-such-job':
 			return { status: 404, body: { message: reply.kind } }
+		case 'accounts':
+			return { status: 200, body: { content: reply.accounts } }
+		case 'unauthorized':
+			return {
+				status: 401,
+				body: { message: 'no key, or one that no account holds' },
+				headers: { 'www-authenticate': 'Bearer' },
+			}
+		case 'id-taken':
+			return { status: 409, body: { message: 'another account has a job of that id' } }
+		case 'impossible':
+			return { status: 422, body: { message: reply.reason } }
 		case 'not-run':
 			return { status: 503, body: { message: reply.reason } }
 		case 'unknown':
--- a/packages/runs/src/lib/jobs/JobInvariants.ts
+++ b/packages/runs/src/lib/jobs/JobInvariants.ts
@@ -59,6 +59,14 @@
 	readonly capacity: Resources
 }
 
+/** A further witness of what workers do. @internal */
+export interface JobWitness {
+	/** A worker has begun a run. */
+	began(worker: string, run: WitnessedRun, now: number): void
+	/** A run is over, however it ended. */
+	ended(worker: string, task: string): void
+}
+
 /**
  * Checks the rules of jobs.
  *
@@ -71,6 +79,9 @@
 	private readonly onWorker = new Map<string, Set<string>>()
 	starts = 0
 
+	/** @param further - told of what begins and ends too, if there is one. */
+	constructor(private readonly further?: JobWitness) {}
+
 	/** A client hands a job in; whether it was accepted may not be known yet. */
 	asked(id: string, request: JobRequest, queue: Queue): void {
 		const steps = new Map<string, WitnessedStep>()
@@ -112,6 +123,7 @@
 		this.runsOn(worker.id).add(text)
 		this.checkRoom(worker, where)
 		this.checkSpread(worker, text, step.step, where)
+		this.further?.began(worker.id, run, now)
 	}
 
 	/** A running task has made a checkpoint. */
@@ -125,11 +137,15 @@
 		task.live.delete(worker)
 		this.runsOn(worker).delete(text)
 		task.ends.push({ worker, attempt, how, noted: false, void: false })
+		this.further?.ended(worker, text)
 	}
 
 	/** A worker has ended with all that it ran. */
 	died(worker: string): void {
-		for (const text of this.runsOn(worker)) this.taskOf(text).live.delete(worker)
+		for (const text of this.runsOn(worker)) {
+			this.taskOf(text).live.delete(worker)
+			this.further?.ended(worker, text)
+		}
 		this.onWorker.delete(worker)
 	}
 
--- a/packages/runs/src/lib/jobs/JobRun.ts
+++ b/packages/runs/src/lib/jobs/JobRun.ts
@@ -7,6 +7,7 @@
 	DEFAULT_LEADER_TIMING,
 	JobController,
 	JobState,
+	type CellConfiguration,
 	type CellReply,
 	type JobRequest,
 	type Queue,
@@ -21,6 +22,7 @@
 import { JobFault, JobFaults } from './JobFaults'
 import { JobInvariants } from './JobInvariants'
 import { randomJob } from './randomJob'
+import { RunAccounts } from './RunAccounts'
 import { RunAdvisers } from './RunAdvisers'
 import { RunLog } from './RunLog'
 
@@ -42,6 +44,8 @@
 	readonly jobRate: number
 	/** What may go wrong; everything if absent. */
 	readonly faults?: readonly JobFault[]
+	/** Whether callers belong to accounts, whose keys and quotas change. */
+	readonly accounts?: boolean
 }
 
 /** What a run has done. @public */
@@ -60,6 +64,8 @@
 	readonly id: string
 	readonly request: JobRequest
 	accepted: boolean
+	/** Whether it was refused for good. */
+	refused: boolean
 	cancelAsked: boolean
 	cancelled: boolean
 }
@@ -100,7 +106,9 @@
 export class JobRun {
 	readonly clock = new ManualClock()
 	readonly random: Random
-	readonly witness = new JobInvariants()
+	readonly witness: JobInvariants
+	private readonly accounts: RunAccounts | undefined
+	private version = 0
 	readonly fleet: Fleet
 	private readonly faults: JobFaults
 	private readonly asked = new Map<string, Asked>()
@@ -119,6 +127,8 @@
 	/** @param options - seed and rates. */
 	constructor(private readonly options: JobRunOptions) {
 		this.random = new Random(options.seed)
+		this.accounts = options.accounts ? new RunAccounts(options.seed) : undefined
+		this.witness = new JobInvariants(this.accounts)
 		const { clock, random, witness } = this
 		this.advisers = new RunAdvisers(clock, random)
 		this.faults = new JobFaults(this, options.faultRate, options.faults ?? Object.values(JobFault))
@@ -135,9 +145,7 @@
 		this.direct = this.ordersFrom(() => false)
 		this.carriers = DATA_CENTRES.slice(1).map((dataCentre) => this.carrierIn(dataCentre))
 		this.lead()
-		const services = [{ name: SERVICE, enforcesCapacity: false }]
-		const configuration = { version: 1, queues: QUEUES, services, document: '{}' }
-		this.controller?.call({ kind: 'configure', configuration }, () => undefined)
+		this.configure()
 		this.advance(2000)
 	}
 
@@ -160,6 +168,7 @@
 		while (this.clock.now() < until) {
 			if (this.clock.now() >= this.nextJobAt) this.handIn()
 			this.faults.step()
+			if (this.accounts?.change(this.clock.now())) this.configure()
 			this.advance(STEP)
 		}
 	}
@@ -168,6 +177,8 @@
 	settle(): void {
 		this.faults.end()
 		if (!this.controller) this.lead()
+		this.accounts?.lift()
+		if (this.accounts) this.configure()
 		this.advance(SETTLE_FOR)
 		for (const job of this.asked.values()) this.checkOutcome(job)
 	}
@@ -223,6 +234,30 @@
 		state.observer = (change) => controller.changed(change)
 	}
 
+	/** An operator sends a configuration until it is confirmed. */
+	private configure(): void {
+		const services = [{ name: SERVICE, enforcesCapacity: false }]
+		const accounts = this.accounts?.send()
+		const version = ++this.version
+		this.sendConfiguration({ version, queues: QUEUES, services, accounts, document: '{}' })
+	}
+
+	private sendConfiguration(configuration: CellConfiguration): void {
+		let confirmed = false
+		this.controller?.call({ kind: 'configure', configuration }, ({ kind }) => {
+			confirmed = kind === 'noted'
+			if (confirmed && configuration.version === this.version) {
+				this.accounts?.confirmed(this.clock.now())
+			}
+		})
+		if (!this.accounts) return
+		this.clock.after(ASK_AGAIN, () => {
+			if (!confirmed && configuration.version === this.version) {
+				this.sendConfiguration(configuration)
+			}
+		})
+	}
+
 	private ordersFrom(cut: () => boolean): FleetOrders {
 		const { clock, random } = this
 		return new FleetOrders({
@@ -301,17 +336,26 @@
 		// A policy that bars every worker with the label would make the job one that can never run.
 		const plain = request.steps.every((step) => !step.lasting && step.requires === '')
 		const queue = plain ? random.pick(QUEUES) : QUEUES[0]
-		const job = { id, request, accepted: false, cancelAsked: false, cancelled: false }
+		const job = {
+			id,
+			request,
+			accepted: false,
+			refused: false,
+			cancelAsked: false,
+			cancelled: false,
+		}
 		this.asked.set(id, job)
 		witness.asked(id, request, queue)
 		this.submit(job, queue.name)
 	}
 
 	private submit(job: Asked, queue: string): void {
-		if (job.accepted) return
-		const call = { kind: 'submit', to: { queue, id: job.id }, job: job.request } as const
-		this.controller?.call(call, ({ kind }: CellReply) => {
+		if (job.accepted || job.refused) return
+		const keyDigest = this.accounts?.owned(job.id, job.request)
+		const to = { queue, id: job.id, keyDigest }
+		this.controller?.call({ kind: 'submit', to, job: job.request }, ({ kind }: CellReply) => {
 			if (kind === 'accepted') job.accepted = true
+			job.refused = kind === 'unauthorized' || kind === 'impossible'
 		})
 		this.clock.after(ASK_AGAIN, () => this.submit(job, queue))
 	}
@@ -340,8 +384,12 @@
 	}
 
 	/** What a client reads of its job in the end, against what the workers did. */
-	private checkOutcome({ id, request, accepted, cancelled }: Asked): void {
+	private checkOutcome({ id, request, accepted, refused, cancelled }: Asked): void {
 		const job = this.state.jobs.find(id)
+		if (refused) {
+			invariant(!job || accepted, 'a job that was refused is not kept', { id })
+			if (!accepted) return
+		}
 		invariant(accepted, 'every job is accepted in the end', { id })
 		invariant(job !== undefined, 'an accepted job is kept', { id })
 		if (cancelled) return
--- /dev/null
+++ b/packages/runs/src/lib/jobs/RunAccounts.ts
@@ -0,0 +1,128 @@
+/**
+ * The client accounts of a run: keys that come and go, quotas that are cut and raised, and a witness of what each account
+ * has running, which knows only what workers do. It draws from a stream of its own, so that runs without accounts keep
+ * their course.
+ */
+import { digestOf, parseTaskName, type ClientAccount, type JobRequest } from '@rillrudder/jobs'
+import { isWithin, minus, NOTHING, plus, type Quota, type Resources } from '@rillrudder/scheduler'
+import { invariant, Random } from '@rillrudder/utils'
+import type { JobWitness, WitnessedRun } from './JobInvariants'
+
+/** Milliseconds after its confirmation for which an older quota may still be obeyed. */
+const OBEYED_WITHIN = 2500
+/** Milliseconds between two configurations, on the mean. */
+const CHANGE_EVERY = 3000
+/** Share of jobs that come with a key that no account holds. */
+const STRANGERS = 0.1
+/** Thousandths of a processor; the fleet of a run has 48,000. */
+const QUOTAS = [3000, 6000, 12_000] as const
+const NAMES = ['town', 'city', 'village'] as const
+/** More than a run's fleet has. */
+const LIFTED = 1_000_000
+/** Set apart from the run's own stream. */
+const STREAM = 0x5eed
+
+interface Term {
+	readonly quota: Quota
+	/** When a later one was confirmed; infinite before. */
+	until: number
+}
+
+interface Owned {
+	/** Index of the account that handed it in; undefined for a caller without a valid key. */
+	readonly owner: number | undefined
+	readonly request: JobRequest
+	readonly key: string
+}
+
+/**
+ * The accounts of a run.
+ *
+ * @internal
+ */
+export class RunAccounts implements JobWitness {
+	private readonly random: Random
+	private readonly quotas: number[] = NAMES.map(() => QUOTAS[1])
+	private readonly generations: number[] = NAMES.map(() => 0)
+	/** Of each account every quota that was ever sent. */
+	private readonly terms: Term[][] = NAMES.map(() => [])
+	private readonly jobs = new Map<string, Owned>()
+	/** Of each account its tasks that run, by worker and name. */
+	private readonly live = new Map<string, { owner: number; amount: Resources }>()
+	private changeAt = CHANGE_EVERY
+
+	/** @param seed - of the run. */
+	constructor(seed: number) {
+		this.random = new Random(seed ^ STREAM)
+	}
+
+	/** The accounts of the next configuration, which may be in force from now on. */
+	send(): ClientAccount[] {
+		return NAMES.map((name, index) => {
+			const quota = { cpu: this.quotas[index] }
+			this.terms[index].push({ quota, until: Number.POSITIVE_INFINITY })
+			return { name, weight: 2, quota, keyDigests: [digestOf(this.keyOf(index))] }
+		})
+	}
+
+	/** The newest configuration was confirmed. */
+	confirmed(now: number): void {
+		for (const terms of this.terms) {
+			for (const term of terms.slice(0, -1)) term.until = Math.min(term.until, now)
+		}
+	}
+
+	/** @returns whether a change is due; it is made then. */
+	change(now: number): boolean {
+		if (now < this.changeAt) return false
+		this.changeAt = now + this.random.exponential(CHANGE_EVERY)
+		const index = this.random.integer(0, NAMES.length - 1)
+		if (this.random.chance(0.3)) this.generations[index] += 1
+		else this.quotas[index] = this.random.pick(QUOTAS)
+		return true
+	}
+
+	/** Lifts all quotas, so that nothing has to wait for one. */
+	lift(): void {
+		this.quotas.fill(LIFTED)
+	}
+
+	/** A client hands a job in. @returns the digest of the key that it shows. */
+	owned(id: string, request: JobRequest): string {
+		const known = this.jobs.get(id)
+		if (known) return digestOf(known.key)
+		const stranger = this.random.chance(STRANGERS)
+		const owner = this.random.integer(0, NAMES.length - 1)
+		const key = stranger ? 'nobody' : this.keyOf(owner)
+		this.jobs.set(id, { owner: stranger ? undefined : owner, request, key })
+		return digestOf(key)
+	}
+
+	began(worker: string, { task, late }: WitnessedRun, now: number): void {
+		const name = parseTaskName(task)
+		const job = name && this.jobs.get(name.job)
+		if (!name || !job) return
+		invariant(job.owner !== undefined, 'nothing runs for a caller without a key', { task })
+		const amount = job.request.steps[name.step].need
+		this.live.set(`${worker} ${task}`, { owner: job.owner, amount })
+		if (!late) this.check(job.owner, amount, now, task)
+	}
+
+	ended(worker: string, task: string): void {
+		this.live.delete(`${worker} ${task}`)
+	}
+
+	/** A start takes no account above the highest quota that may be in force and one task more. */
+	private check(owner: number, amount: Resources, now: number, task: string): void {
+		let used = NOTHING
+		for (const run of this.live.values()) if (run.owner === owner) used = plus(used, run.amount)
+		const inForce = this.terms[owner].filter(({ until }) => now - until <= OBEYED_WITHIN)
+		const within = inForce.some(({ quota }) => isWithin(minus(used, amount), quota))
+		const where = { account: NAMES[owner], task, used: used.cpu }
+		invariant(within, 'no account has more running than its quota', where)
+	}
+
+	private keyOf(index: number): string {
+		return `${NAMES[index]}-${this.generations[index]}`
+	}
+}
--- a/packages/runs/src/lib/jobs/jobRun.test.ts
+++ b/packages/runs/src/lib/jobs/jobRun.test.ts
@@ -177,7 +177,7 @@
 		without: 'committing a cancellation before it is acknowledged',
 		breaks: () => [
 			[
-				part('leader', 'JobController'),
+				part('leader', 'ClientCalls'),
 				'cancel',
 				() => (_, reply) => (reply as (reply: object) => void)({ kind: 'noted' }),
 			],
@@ -188,7 +188,7 @@
 		without: 'committing a job before it is accepted',
 		breaks: () => [
 			[
-				part('leader', 'JobController'),
+				part('leader', 'ClientCalls'),
 				'submit',
 				(original) =>
 					function (to, job, reply) {
--- a/packages/scheduler/src/index.ts
+++ b/packages/scheduler/src/index.ts
@@ -17,6 +17,12 @@
 	type Start,
 	type Task,
 } from './lib/placement/Task'
-export type { Team } from './lib/placement/TeamAccount'
+export {
+	isWithin,
+	QuotaAccount,
+	scaled,
+	type Quota,
+	type QuotaTerms,
+} from './lib/placement/QuotaAccount'
 export { RetryBudget } from './lib/requests/RetryBudget'
 export { SlotPool, type LentSlots, type TakenSlot } from './lib/requests/SlotPool'
--- a/packages/scheduler/src/lib/placement/Placement.ts
+++ b/packages/scheduler/src/lib/placement/Placement.ts
@@ -15,7 +15,8 @@
 import { Preemption } from './Preemption'
 import { Siblings } from './Siblings'
 import { Waiting, type Decision, type Running, type Start, type Task } from './Task'
-import { giveWay, latestStart, TeamAccount, type Pending, type Team } from './TeamAccount'
+import type { QuotaTerms } from './QuotaAccount'
+import { giveWay, latestStart, TeamAccount, type Pending } from './TeamAccount'
 
 /** Tasks of one team that are passed over in one round when they do not fit. */
 const PASSED_OVER = 8
@@ -66,8 +67,8 @@
 	}
 
 	/** @param teams - the teams of the configuration in force. */
-	setTeams(teams: readonly Team[]): void {
-		for (const team of teams) this.account(team.name).team = team
+	setTeams(teams: readonly QuotaTerms[]): void {
+		for (const team of teams) this.account(team.name).terms = team
 	}
 
 	/**
--- a/packages/scheduler/src/lib/placement/TeamAccount.ts
+++ b/packages/scheduler/src/lib/placement/TeamAccount.ts
@@ -1,6 +1,6 @@
 /** What a team uses and may use, and its tasks that wait. */
 import Heap from 'heap-js'
-import { fits, minus, NOTHING, plus, type Resources } from '../capacity/Resources'
+import { QuotaAccount } from './QuotaAccount'
 import { Waiting, type Task } from './Task'
 
 const DEFAULT_RUN_TIME = 600_000
@@ -9,14 +9,6 @@
 /** What has missed its deadline counts as due this long after that was seen. */
 const LATE_PATIENCE = 120_000
 
-/** A team's share and limit. @public */
-export interface Team {
-	readonly name: string
-	readonly weight: number
-	/** Absent for no limit. */
-	readonly quota?: Resources
-}
-
 /** A task that waits, or a whole gang of them. @internal */
 export interface Pending {
 	readonly tasks: readonly Task[]
@@ -40,36 +32,12 @@
 }
 
 /**
- * One team's account.
+ * One team's account, with its tasks that wait.
  *
  * @internal
  */
-export class TeamAccount {
+export class TeamAccount extends QuotaAccount {
 	readonly waiting = new Heap<Pending>(before)
-	used: Resources = NOTHING
-
-	constructor(public team: Team) {}
-
-	/** The largest share of any resource that the team uses, against its weight. */
-	share(total: Resources): number {
-		const cpu = this.used.cpu / Math.max(1, total.cpu)
-		const memory = this.used.memory / Math.max(1, total.memory)
-		const accelerators = this.used.accelerators / Math.max(1, total.accelerators)
-		return Math.max(cpu, memory, accelerators) / this.team.weight
-	}
-
-	/** Whether the quota has room for that much more. */
-	allows(need: Resources): boolean {
-		return this.team.quota === undefined || fits(plus(this.used, need), this.team.quota)
-	}
-
-	take(need: Resources): void {
-		this.used = plus(this.used, need)
-	}
-
-	giveBack(need: Resources): void {
-		this.used = minus(this.used, need)
-	}
 }
 
 /**
