--- a/packages/jobs/src/lib/leader/ClientCalls.test.ts
+++ b/packages/jobs/src/lib/leader/ClientCalls.test.ts
@@ -120,3 +120,23 @@
 	assert.equal(subject.state.jobs.size, 0)
 	assert.equal(subject.submit(ID, gang(3), QUEUE.name, 'TOWN')?.kind, 'accepted')
 })
+
+test('in a full cell what an account sends beyond its rate begins after what the others sent later', () => {
+	const subject = new LeaderSubject()
+	subject.accounts = [accountNamed('town', { weight: 1 }), accountNamed('city', { weight: 1 })]
+	subject.configure({})
+	subject.heartbeat('w1')
+	const whole = jobOf({ need: { cpu: 4000, memory: 512, accelerators: 0 } })
+	subject.submit(ID, whole, QUEUE.name, 'TOWN')
+	subject.submit('00000000000000bb', whole, QUEUE.name, 'TOWN')
+	subject.submit('00000000000000cc', whole, QUEUE.name, 'CITY')
+	subject.run(200, 'w1')
+	const begun: string[] = []
+	for (let round = 0; round < 3; round++) {
+		const [{ task }] = subject.worker('w1').running
+		begun.push(task.split('.')[0])
+		subject.worker('w1').end(task, 'done')
+		subject.run(1500, 'w1')
+	}
+	assert.deepEqual(begun, [ID, '00000000000000cc', '00000000000000bb'])
+})
--- a/packages/jobs/src/lib/leader/RunController.ts
+++ b/packages/jobs/src/lib/leader/RunController.ts
@@ -213,7 +213,8 @@
 		const step = job.request.steps[name.step]
 		const decision = this.takeDecision(text)
 		const now = this.context.clock.now()
-		const { urgent, yields } = decision ?? this.precedence.standingOf(job.queue, step, now)
+		const { urgent, yields } =
+			decision ?? this.precedence.standingOf(job.queue, step, now, job.beyondRate)
 		const run: Run = {
 			text,
 			name,
--- a/packages/jobs/src/lib/leader/StepQuestions.ts
+++ b/packages/jobs/src/lib/leader/StepQuestions.ts
@@ -1,5 +1,6 @@
 /** Asks for advice about steps: when, about which workers, and what the answers bring. */
 import { Measure } from '@rillrudder/telemetry'
+import { rankOf } from '../placement/StepUrgency'
 import { AdvicePlanner } from './AdvicePlanner'
 import { AllowedShare } from './AllowedShare'
 import type { Option } from './chooseForStep'
@@ -15,8 +16,6 @@
 const LONG_ANSWER = 150
 /** Workers a question may name at most; the service refuses longer ones. */
 const MOST_ASKED = 100
-/** Makes every priority rank before all deadlines, which are milliseconds since the epoch. */
-const PRIORITY_RANK = 1e15
 
 /**
  * The questions about steps.
@@ -59,7 +58,7 @@
 		advice.asking = true
 		advice.questions += 1
 		const cost = queue.advice.base + queue.advice.each * workers.length
-		const rank = work.urgency.priority * PRIORITY_RANK + work.urgency.latestStart
+		const rank = rankOf(work.urgency)
 		const done = (result: AdviceResult): void => this.advised(work, workers, now, result)
 		this.context.log.debug(LeaderEvent.AdviceAsked, { step: work.name, workers: workers.length })
 		this.planner.ask({ step: work.name, workers, cost, rank, done })
--- a/packages/jobs/src/lib/leader/StepScheduler.ts
+++ b/packages/jobs/src/lib/leader/StepScheduler.ts
@@ -253,7 +253,7 @@
 		const queue = this.queueOf(job)
 		const times = timesOf(job, repeat, step, queue)
 		const now = this.context.clock.now()
-		const standing = this.precedence.standingOf(queue, job.request.steps[step], now)
+		const standing = this.precedence.standingOf(queue, job.request.steps[step], now, job.beyondRate)
 		const account = this.accounts.of(job)
 		const work = new StepWork(job, queue, repeat, step, times, standing, account)
 		this.steps.set(name, work)
--- a/packages/jobs/src/lib/leader/StepWork.ts
+++ b/packages/jobs/src/lib/leader/StepWork.ts
@@ -68,7 +68,7 @@
 		this.need = reservedFor(this.step)
 		this.urgent = standing.urgent
 		this.yields = standing.yields
-		this.urgency = urgencyOf(queue.priority, times)
+		this.urgency = urgencyOf(queue.priority, times, job.beyondRate)
 		for (const task of this.record.tasks) if (task.worker !== '') this.count(task.worker, 1)
 	}
 
--- a/packages/jobs/src/lib/placement/Precedence.ts
+++ b/packages/jobs/src/lib/placement/Precedence.ts
@@ -40,11 +40,17 @@
 		priorities.set(priority, now)
 	}
 
-	/** @returns what tasks of a queue's step are to the others there. */
-	standingOf(queue: Queue, step: Step, now: number): Standing {
-		const highest = this.highest(queue, now)
-		const urgent = queue.priority <= highest && !step.bestEffort
-		const yields = queue.priority > highest && !step.lasting && !step.bestEffort
+	/**
+	 * @param queue - the queue of a job.
+	 * @param step - a step of it.
+	 * @param now - the moment, on the leader's clock.
+	 * @param beyondRate - whether its account sent it beyond its rate: then it is urgent nowhere.
+	 * @returns what tasks of the step are to the others at their service.
+	 */
+	standingOf(queue: Queue, step: Step, now: number, beyondRate = false): Standing {
+		const below = beyondRate || queue.priority > this.highest(queue, now)
+		const urgent = !below && !step.bestEffort
+		const yields = below && !step.lasting && !step.bestEffort
 		return { urgent, yields }
 	}
 
--- a/packages/jobs/src/lib/placement/StepUrgency.test.ts
+++ b/packages/jobs/src/lib/placement/StepUrgency.test.ts
@@ -1,6 +1,6 @@
 import assert from 'node:assert/strict'
 import { test } from 'node:test'
-import { compareUrgency, urgencyOf, type StepTimes } from './StepUrgency'
+import { compareUrgency, rankOf, urgencyOf, type StepTimes } from './StepUrgency'
 
 const HIGH = 1
 const LOW = 2
@@ -16,3 +16,11 @@
 	const early = { deadline: 1000, remaining: 4000 }
 	assert.ok(compareUrgency(urgencyOf(HIGH, TIMES), urgencyOf(LOW, early)) < 0)
 })
+
+test('what an account sent beyond its rate goes after all that was sent within, also of a lower priority', () => {
+	const beyond = urgencyOf(HIGH, TIMES, true)
+	const within = urgencyOf(LOW, TIMES)
+	assert.ok(compareUrgency(within, beyond) < 0)
+	assert.ok(rankOf(within) < rankOf(beyond))
+	assert.ok(rankOf(beyond) < rankOf(urgencyOf(LOW, TIMES, true)))
+})
--- a/packages/store/src/lib/Disk.ts
+++ b/packages/store/src/lib/Disk.ts
@@ -44,6 +44,10 @@
 	}
 }
 
+/** Configurations hold keys of client accounts: only the owner of the process reads what it keeps. */
+const OWNERS_FILE = 0o600
+const OWNERS_FOLDER = 0o700
+
 /** The operating system's files. @public */
 export class SystemDisk extends Disk {
 	override async read(path: string): Promise<Buffer | undefined> {
@@ -56,7 +60,7 @@
 	}
 
 	override async openAt(path: string, length: number): Promise<AppendFile> {
-		const handle = await open(path, 'a')
+		const handle = await open(path, 'a', OWNERS_FILE)
 		await handle.truncate(length)
 		await handle.sync()
 		return new SystemFile(handle)
@@ -71,7 +75,7 @@
 	}
 
 	override async makeFolder(path: string): Promise<void> {
-		await mkdir(path, { recursive: true })
+		await mkdir(path, { recursive: true, mode: OWNERS_FOLDER })
 	}
 
 	override async syncFolder(path: string): Promise<void> {
