Lasting tasks are due when their job was handed in, so an interrupted one goes first of its priority

Cause: its declared time, which ends nothing, put a lasting task behind batch work of the same priority that was due sooner; the rule asks for a run within 6 s however full the service is. Test fails without. Another test shows that a run of a cancelled job that shows up under a later leader is stopped; it passed before.

--- a/packages/jobs/src/lib/leader/JobController.test.ts
+++ b/packages/jobs/src/lib/leader/JobController.test.ts
@@ -590,3 +590,35 @@
 	assert.deepEqual(subject.questions.at(-1)?.question.workers, ['w3'])
 	assert.equal(subject.worker('w3').starts.length, 1)
 })
+
+test('a run of a cancelled job that shows up later is stopped by whoever leads then', () => {
+	const subject = new LeaderSubject()
+	subject.heartbeat('w1')
+	subject.submit(OTHER, jobOf({}))
+	subject.submit(ID, jobOf({}))
+	subject.run(100, 'w1')
+	subject.call({ kind: 'cancel', to: { id: ID } })
+	subject.run(1500, 'w1')
+	subject.lead()
+	subject.run(1000, 'w1')
+	const task = `${ID}.0.0.0`
+	subject.worker('w1').running.push({ task, attempt: 2, checkpoint: '', percent: 0, measure: 0 })
+	subject.run(1500, 'w1')
+	assert.ok(!subject.worker('w1').running.some((run) => run.task === task))
+	assert.equal(subject.worker('w1').running.length, 1)
+})
+
+test('a lasting task without a run begins again at once, however full the service is', () => {
+	const subject = new LeaderSubject()
+	const whole = { cpu: 4000, memory: 512, accelerators: 0 }
+	subject.heartbeat('w1')
+	subject.submit(ID, jobOf({ need: whole, lasting: true }))
+	subject.run(300, 'w1')
+	subject.heartbeat('w2')
+	subject.submit(OTHER, jobOf({ count: 9, need: whole, expectedTime: 3000 }))
+	subject.run(300, 'w1', 'w2')
+	subject.worker('w1').end(`${ID}.0.0.0`, RunEnd.Failed)
+	subject.run(6000, 'w1', 'w2')
+	const runs = [...subject.worker('w1').running, ...subject.worker('w2').running]
+	assert.ok(runs.some(({ task }) => task === `${ID}.0.0.0`))
+})
--- a/packages/jobs/src/lib/placement/stepTimes.ts
+++ b/packages/jobs/src/lib/placement/stepTimes.ts
@@ -22,6 +22,8 @@
 export function timesOf(job: JobRecord, repeat: number, step: number, queue: Queue): StepTimes {
 	const { steps, repeat: terms } = job.request
 	const since = terms ? terms.first + repeat * terms.interval : job.submitted
+	// A lasting task has no end to be in time for: it should be at work, and again at once when it was interrupted.
+	if (steps[step].lasting) return { deadline: since + queue.latencyTarget, remaining: 0 }
 	const chains = remainingChains(steps, queue)
 	return { deadline: since + stretched(chains, queue), remaining: chains[step] }
 }
