--- a/packages/jobs/src/lib/leader/ClientCalls.ts
+++ b/packages/jobs/src/lib/leader/ClientCalls.ts
@@ -43,12 +43,13 @@
 export class ClientCalls {
 	private queues: QueueTable
 	private access: Access
-	private readonly rate = new SendingRate()
+	private readonly rate: SendingRate
 	private readonly submitting = new Map<string, Submitting>()
 	/** Jobs refused by account name. */
 	private readonly refusals = new Map<string, number>()
 
 	constructor(private readonly context: LeaderContext) {
+		this.rate = new SendingRate(context.timing.rateWindow)
 		this.queues = new QueueTable(context.state.configuration)
 		this.access = new Access(context.state.configuration)
 	}
--- a/packages/jobs/src/lib/leader/LeaderTiming.ts
+++ b/packages/jobs/src/lib/leader/LeaderTiming.ts
@@ -26,6 +26,8 @@
 	readonly ticketMargin: number
 	/** How long a leaving worker is given before what runs there is moved, counted back from its end. */
 	readonly leaveMargin: number
+	/** Over how long the jobs that an account sends are held against its rate. */
+	readonly rateWindow: number
 	/** Share of its quota by which an account's gang that runs by itself may go beyond it; not a span. */
 	readonly quotaTolerance: number
 }
@@ -49,5 +51,6 @@
 	// A commit with a sync of 9 ms, and the order's way to the worker, with room for a slow disk.
 	ticketMargin: 300,
 	leaveMargin: 700,
+	rateWindow: 1000,
 	quotaTolerance: 0,
 }
