--- a/packages/jobs/src/lib/leader/RunController.ts
+++ b/packages/jobs/src/lib/leader/RunController.ts
@@ -114,17 +114,6 @@
 		if (how !== RunEnd.Done) log.info(LeaderEvent.RunEnded, { task: text, attempt, worker, how })
 	}
 
-	/** @returns when a step's last task is expected to be done, on the leader's clock; infinite while one has no run. */
-	lastEnd(job: JobRecord, repeat: number, step: number): number {
-		const now = this.context.clock.now()
-		const ends = job.repeats[repeat][step].tasks.map(({ status }, index) => {
-			if (status === TaskStatus.Done) return now
-			const run = this.runs.get(formatTaskName({ job: job.id, repeat, step, index }))
-			return run ? run.progress.expectedEnd(now) : Number.POSITIVE_INFINITY
-		})
-		return Math.max(now, ...ends)
-	}
-
 	/** Stops everything that a job runs. */
 	stopJob(job: JobRecord): void {
 		for (const { text } of tasksOf(job)) {
--- a/packages/jobs/src/lib/leader/StepQuestions.ts
+++ b/packages/jobs/src/lib/leader/StepQuestions.ts
@@ -14,8 +14,8 @@
 const ASK_AGAIN = 400
 /** Milliseconds from which an answer is asked for before there is room. */
 const LONG_ANSWER = 150
-/** Workers a question may name at most; the service refuses longer ones. @internal */
-export const MOST_ASKED = 100
+/** Workers a question may name at most; the service refuses longer ones. */
+const MOST_ASKED = 100
 
 /**
  * The questions about steps.
--- a/packages/jobs/src/lib/leader/StepScheduler.ts
+++ b/packages/jobs/src/lib/leader/StepScheduler.ts
@@ -15,9 +15,8 @@
 import { claim } from './reservation'
 import type { RunController } from './RunController'
 import { StepLog } from './StepLog'
-import { MOST_ASKED, StepQuestions } from './StepQuestions'
+import { StepQuestions } from './StepQuestions'
 import { byUrgency, stepName, StepWork } from './StepWork'
-import { UpcomingSteps, type Ends } from './UpcomingSteps'
 import { isBarred, waitReason } from './waitReason'
 import type { WorkerRegistry } from './WorkerRegistry'
 
@@ -43,7 +42,6 @@
 	private order: StepWork[] = []
 	private readonly questions: StepQuestions
 	private readonly log: StepLog
-	private readonly upcoming: UpcomingSteps
 	private readonly preemption: Preemption
 	/** Repeats that are not due yet. */
 	private later: { readonly job: JobRecord; readonly repeat: number; readonly due: number }[] = []
@@ -65,10 +63,6 @@
 	) {
 		this.questions = new StepQuestions(context)
 		this.log = new StepLog(context)
-		this.upcoming = new UpcomingSteps({
-			lastEnd: (job, repeat, step) => this.runs.lastEnd(job, repeat, step),
-			advice: (job) => this.adviceOf(job),
-		})
 		this.preemption = new Preemption(context, runs, (work, option) => this.admits(work, option))
 	}
 
@@ -122,7 +116,6 @@
 	drop(job: JobRecord): void {
 		for (const work of this.steps.values()) if (work.job === job) this.close(work)
 		this.later = this.later.filter((item) => item.job !== job)
-		this.upcoming.drop(job)
 		this.stale = true
 	}
 
@@ -157,12 +150,11 @@
 			const work = this.steps.get(nameOf(task))
 			if (work) this.close(work)
 			this.stale = true
-			this.upcoming.done(job, task.repeat, task.step)
 			this.openReady(job, task.repeat)
 		} else {
 			const again = record.tasks[task.index].status === TaskStatus.Waiting
 			if (again) this.reopen(job, task)
-			else if (record.done === 1) this.firstDone(job, task)
+			else if (record.done === 1) this.askAhead(job, task.repeat, task.step)
 		}
 	}
 
@@ -202,7 +194,6 @@
 	place(now: number, full: boolean): void {
 		if (this.stale) this.sort()
 		if (full) this.tellWaits()
-		if (full) this.askAhead(now)
 		const due = this.order.filter((work) => !work.allPlaced && this.isReady(work))
 		if (due.length === 0 || !(full || this.hasNews(due))) return
 		this.triedReleases = this.context.ledger.releases
@@ -276,25 +267,14 @@
 		return configuration?.queues.find((queue) => queue.name === job.queue.name) ?? job.queue
 	}
 
-	private firstDone(job: JobRecord, task: TaskName): void {
-		this.upcoming.firstDone(job, task.repeat, task.step)
-		this.askAhead(this.context.clock.now())
-	}
-
-	/** Asks about steps that will be ready soon. */
-	private askAhead(now: number): void {
-		const due = this.upcoming.due(now)
-		if (due.length === 0) return
-		const open = this.openWorkers()
-		for (const { job, repeat, step } of due) {
-			const work = this.open(job, repeat, step)
-			this.questions.ask(work, this.eligible(work, open), work.step.count)
-		}
-	}
-
-	private adviceOf(job: JobRecord): ReturnType<Ends['advice']> {
-		const { advice } = this.queueOf(job)
-		return advice && { terms: advice, workers: Math.min(MOST_ASKED, this.workers.size) }
+	/** The first task of a step is done, so the others soon will be: asks for the steps after it. */
+	private askAhead(job: JobRecord, repeat: number, step: number): void {
+		if (!this.queueOf(job).advice) return
+		job.request.steps.forEach((later, number) => {
+			if (!later.dependsOn.includes(step)) return
+			const work = this.open(job, repeat, number)
+			this.questions.ask(work, this.eligible(work, this.openWorkers()), work.step.count)
+		})
 	}
 
 	/** Whether a worker has room for one more task of a step, and that leaves room to urgent work. */
