--- a/packages/runs/src/lib/jobs/JobRun.ts
+++ b/packages/runs/src/lib/jobs/JobRun.ts
@@ -6,7 +6,6 @@
 	CellState,
 	DEFAULT_LEADER_TIMING,
 	JobController,
-	JobState,
 	type CellConfiguration,
 	type CellReply,
 	type JobRequest,
@@ -22,6 +21,7 @@
 import { JobFault, JobFaults } from './JobFaults'
 import { JobInvariants } from './JobInvariants'
 import { randomJob } from './randomJob'
+import { checkOutcome, type Asked } from './checkOutcome'
 import { RunAccounts } from './RunAccounts'
 import { RunAdvisers } from './RunAdvisers'
 import { RunLog } from './RunLog'
@@ -60,16 +60,6 @@
 	readonly faults: { readonly [fault: string]: number }
 }
 
-interface Asked {
-	readonly id: string
-	readonly request: JobRequest
-	accepted: boolean
-	/** Whether it was refused for good. */
-	refused: boolean
-	cancelAsked: boolean
-	cancelled: boolean
-}
-
 /** So many workers that a leader has its orders carried. */
 const AS_MANY_AS_CARRIED = 1000
 const SERVICE = 'controller'
@@ -180,7 +170,9 @@
 		this.accounts?.lift()
 		if (this.accounts) this.configure()
 		this.advance(SETTLE_FOR)
-		for (const job of this.asked.values()) this.checkOutcome(job)
+		for (const job of this.asked.values()) {
+			checkOutcome(job, this.state.jobs.find(job.id), this.witness)
+		}
 	}
 
 	/** The leader is lost; another leads after a while, in milliseconds. */
@@ -382,55 +374,4 @@
 		const advised = this.state.jobs.find(id)?.queue.advice !== undefined
 		return !advised || this.advisers.holds(ticket, task.slice(0, task.lastIndexOf('.')), worker)
 	}
-
-	/** What a client reads of its job in the end, against what the workers did. */
-	private checkOutcome({ id, request, accepted, refused, cancelled }: Asked): void {
-		const job = this.state.jobs.find(id)
-		if (refused) {
-			invariant(!job || accepted, 'a job that was refused is not kept', { id })
-			if (!accepted) return
-		}
-		invariant(accepted, 'every job is accepted in the end', { id })
-		invariant(job !== undefined, 'an accepted job is kept', { id })
-		if (cancelled) return
-		const tasks = this.tasksOf(id, request)
-		switch (job.state) {
-			case JobState.Completed:
-				for (const task of tasks) {
-					invariant(this.witness.isDone(task), 'a completed job has done all its tasks', { task })
-				}
-				return
-			case JobState.Failed: {
-				const cause = tasks.some((task) => this.witness.hasFailed(task))
-				invariant(cause || hasGang(request), 'a failed job has failed for a cause', { id })
-				return
-			}
-			case JobState.Running:
-			case JobState.Queued:
-				for (const task of tasks) this.checkLasting(request, task)
-				return
-			case JobState.Cancelled:
-				invariant(false, 'only cancelled jobs are shown so', { id })
-		}
-	}
-
-	private checkLasting(request: JobRequest, task: string): void {
-		const step = request.steps[Number(task.split('.')[2])]
-		invariant(step.lasting, 'an accepted job ends', { task })
-		invariant(this.witness.liveRuns(task) === 1, 'a lasting task is at work', { task })
-	}
-
-	private tasksOf(id: string, { steps, repeat }: JobRequest): string[] {
-		const names: string[] = []
-		for (let time = 0; time < (repeat?.count ?? 1); time++) {
-			steps.forEach(({ count }, step) => {
-				for (let index = 0; index < count; index++) names.push(`${id}.${time}.${step}.${index}`)
-			})
-		}
-		return names
-	}
-}
-
-function hasGang({ steps }: JobRequest): boolean {
-	return steps.some((step) => step.gang)
 }
--- a/packages/runs/src/lib/jobs/accountRun.test.ts
+++ b/packages/runs/src/lib/jobs/accountRun.test.ts
@@ -4,7 +4,7 @@
  */
 import assert from 'node:assert/strict'
 import { test } from 'node:test'
-import { innerClass, withBroken, type Breakage, type BreakableClass } from '../testing/brokenParts'
+import { innerClass, jobsClass, withBroken, type Breakage } from '../testing/brokenParts'
 import { JobRun } from './JobRun'
 
 const CALM = 0
@@ -12,10 +12,6 @@
 const WILD = 4
 const SPAN = 12_000
 
-function part(folder: string, name: string): BreakableClass {
-	return innerClass(`@rillrudder/jobs/dist/lib/${folder}/${name}`, name)
-}
-
 function runOnce(seed: number, faultRate: number): JobRun {
 	const run = new JobRun({ seed, faultRate, jobRate: 6, accounts: true })
 	run.run(SPAN)
@@ -63,7 +59,7 @@
 		without: 'checking keys',
 		breaks: () => [
 			[
-				part('accounts', 'Access'),
+				jobsClass('accounts', 'Access'),
 				'callerOf',
 				(original) =>
 					function (...given) {
--- /dev/null
+++ b/packages/runs/src/lib/jobs/checkOutcome.ts
@@ -0,0 +1,73 @@
+/** What clients of a run read of their jobs in the end, against what the workers did. */
+import { JobState, type JobRecord, type JobRequest } from '@rillrudder/jobs'
+import { invariant } from '@rillrudder/utils'
+import type { JobInvariants } from './JobInvariants'
+
+/** A job that a client of a run hands in. @internal */
+export interface Asked {
+	readonly id: string
+	readonly request: JobRequest
+	accepted: boolean
+	/** Whether it was refused for good. */
+	refused: boolean
+	cancelAsked: boolean
+	cancelled: boolean
+}
+
+/**
+ * @param asked - a job that a client handed in, with what it was answered.
+ * @param job - what is kept of it; undefined for nothing.
+ * @param witness - what the workers did.
+ * @throws InvariantBroken when they do not go together.
+ * @internal
+ */
+export function checkOutcome(
+	{ id, request, accepted, refused, cancelled }: Asked,
+	job: JobRecord | undefined,
+	witness: JobInvariants
+): void {
+	invariant(!refused || !job || accepted, 'a job that was refused is not kept', { id })
+	if (refused && !accepted) return
+	invariant(accepted, 'every job is accepted in the end', { id })
+	invariant(job !== undefined, 'an accepted job is kept', { id })
+	if (cancelled) return
+	const tasks = tasksOf(id, request)
+	switch (job.state) {
+		case JobState.Completed:
+			for (const task of tasks) {
+				invariant(witness.isDone(task), 'a completed job has done all its tasks', { task })
+			}
+			return
+		case JobState.Failed: {
+			const cause = tasks.some((task) => witness.hasFailed(task))
+			invariant(cause || hasGang(request), 'a failed job has failed for a cause', { id })
+			return
+		}
+		case JobState.Running:
+		case JobState.Queued:
+			for (const task of tasks) checkLasting(request, task, witness)
+			return
+		case JobState.Cancelled:
+			invariant(false, 'only cancelled jobs are shown so', { id })
+	}
+}
+
+function checkLasting(request: JobRequest, task: string, witness: JobInvariants): void {
+	const step = request.steps[Number(task.split('.')[2])]
+	invariant(step.lasting, 'an accepted job ends', { task })
+	invariant(witness.liveRuns(task) === 1, 'a lasting task is at work', { task })
+}
+
+function tasksOf(id: string, { steps, repeat }: JobRequest): string[] {
+	const names: string[] = []
+	for (let time = 0; time < (repeat?.count ?? 1); time++) {
+		steps.forEach(({ count }, step) => {
+			for (let index = 0; index < count; index++) names.push(`${id}.${time}.${step}.${index}`)
+		})
+	}
+	return names
+}
+
+function hasGang({ steps }: JobRequest): boolean {
+	return steps.some((step) => step.gang)
+}
--- a/packages/runs/src/lib/jobs/jobRun.test.ts
+++ b/packages/runs/src/lib/jobs/jobRun.test.ts
@@ -4,7 +4,7 @@
  */
 import assert from 'node:assert/strict'
 import { test } from 'node:test'
-import { innerClass, withBroken, type Breakage, type BreakableClass } from '../testing/brokenParts'
+import { innerClass, jobsClass, withBroken, type Breakage } from '../testing/brokenParts'
 import { CARRIER_FAULTS } from './JobFaults'
 import { JobRun } from './JobRun'
 
@@ -13,11 +13,6 @@
 const WILD = 4
 const SPAN = 12_000
 
-/** A class of the jobs package that only that package knows. */
-function part(folder: string, name: string): BreakableClass {
-	return innerClass(`@rillrudder/jobs/dist/lib/${folder}/${name}`, name)
-}
-
 function runOnce(seed: number, faultRate: number, span = SPAN): JobRun {
 	const run = new JobRun({ seed, faultRate, jobRate: 4 })
 	run.run(span)
@@ -123,19 +118,19 @@
 	{
 		rule: /no worker is given more than it has|a task runs once at a time/,
 		without: 'closing a worker while it has what it should not have',
-		breaks: () => [[part('leader', 'SuspectRuns'), 'raise', () => () => undefined]],
+		breaks: () => [[jobsClass('leader', 'SuspectRuns'), 'raise', () => () => undefined]],
 	},
 	{
 		rule: /a task runs once at a time/,
 		without: 'waiting for the end of a lease',
-		breaks: () => [[part('leader', 'Lease'), 'isOver', () => () => true]],
+		breaks: () => [[jobsClass('leader', 'Lease'), 'isOver', () => () => true]],
 	},
 	{
 		rule: /a task that is done does not begin again|an accepted job ends|a task begins no more often/,
 		without: 'committing ends before they are noted',
 		breaks: () => [
 			[
-				part('leader', 'WorkerRegistry'),
+				jobsClass('leader', 'WorkerRegistry'),
 				'takeEnds',
 				(original) =>
 					function (view, ended) {
@@ -151,7 +146,7 @@
 		without: 'counting failures',
 		breaks: () => [
 			[
-				part('state', 'JobTable'),
+				jobsClass('state', 'JobTable'),
 				'end',
 				(original) =>
 					function (run, at) {
@@ -165,19 +160,19 @@
 	{
 		rule: /a step's tasks are kept apart/,
 		without: 'an allowance for each worker',
-		breaks: () => [[part('leader', 'StepWork'), 'allowance', () => () => Number.MAX_VALUE]],
+		breaks: () => [[jobsClass('leader', 'StepWork'), 'allowance', () => () => Number.MAX_VALUE]],
 	},
 	{
 		rule: /a worker has the label that its task asks for/,
 		without: 'polling labels',
-		breaks: () => [[part('leader', 'StepScheduler'), 'eligible', () => (_, open) => open]],
+		breaks: () => [[jobsClass('leader', 'StepScheduler'), 'eligible', () => (_, open) => open]],
 	},
 	{
 		rule: /nothing of a cancelled job begins/,
 		without: 'committing a cancellation before it is acknowledged',
 		breaks: () => [
 			[
-				part('leader', 'ClientCalls'),
+				jobsClass('leader', 'ClientCalls'),
 				'cancel',
 				() => (_, reply) => (reply as (reply: object) => void)({ kind: 'noted' }),
 			],
@@ -188,7 +183,7 @@
 		without: 'committing a job before it is accepted',
 		breaks: () => [
 			[
-				part('leader', 'ClientCalls'),
+				jobsClass('leader', 'ClientCalls'),
 				'submit',
 				(original) =>
 					function (to, job, reply) {
--- a/packages/runs/src/lib/testing/brokenParts.ts
+++ b/packages/runs/src/lib/testing/brokenParts.ts
@@ -29,3 +29,8 @@
 		})
 	}
 }
+
+/** @returns a class of the jobs package that only that package knows. */
+export function jobsClass(folder: string, name: string): BreakableClass {
+	return innerClass(`@rillrudder/jobs/dist/lib/${folder}/${name}`, name)
+}
