--- a/packages/runs/src/lib/jobs/JobRun.ts
+++ b/packages/runs/src/lib/jobs/JobRun.ts
@@ -8,7 +8,6 @@
 	JobController,
 	type CellConfiguration,
 	type CellReply,
-	type JobRequest,
 	type Queue,
 } from '@rillrudder/jobs'
 import { CarriedOrders } from '@rillrudder/member'
