--- a/packages/scheduler/src/lib/placement/QuotaAccount.ts
+++ b/packages/scheduler/src/lib/placement/QuotaAccount.ts
@@ -1,6 +1,9 @@
 /** What one holder of a quota has reserved, against its quota and its weight. */
 import { minus, NOTHING, plus, type Resources } from '../capacity/Resources'
 
+/** Stands for a weight of nothing, so that a share against it is a number. */
+const LEAST_WEIGHT = 0.001
+
 /** The most that may be in use at a time; a resource that is left out is not limited. @public */
 export type Quota = Partial<Resources>
 
@@ -28,7 +31,7 @@
 		const cpu = this.used.cpu / Math.max(1, total.cpu)
 		const memory = this.used.memory / Math.max(1, total.memory)
 		const accelerators = this.used.accelerators / Math.max(1, total.accelerators)
-		return Math.max(cpu, memory, accelerators) / this.terms.weight
+		return Math.max(cpu, memory, accelerators) / Math.max(LEAST_WEIGHT, this.terms.weight)
 	}
 
 	/** Whether the quota has room for that much more. */
