--- a/scripts/compare.sh
+++ b/scripts/compare.sh
@@ -1,7 +1,8 @@
 #!/usr/bin/env bash
 # Plays two commits in pairs on the users' bench, on the same days and seeds, and prints the worth of each and the difference.
 # usage: scripts/compare.sh BENCH A B SITE DAYS SEEDS    (DAYS and SEEDS separated by commas; a seed - is the day's own)
-# A pair is played at the same time, so that both meet the same load of the machine. Journal entries are brought back.
+# A pair is played at the same time, so that both meet the same load of the machine, each on two processors: left to itself a
+# play takes all and the pair waits in turn. Journal entries are brought back.
 set -euo pipefail
 bench=$(realpath "$1") a=$2 b=$3 site=$(realpath "$4") days=${5//,/ } seeds=${6//,/ }
 here=$(git rev-parse --show-toplevel)
@@ -16,7 +17,7 @@
 	local commit=$1 day=$2 seed=$3 choice=()
 	[ "$seed" = - ] || choice=(--seed "$seed")
 	cd "$work/$commit"
-	"$bench" run "$site" "$day" "${choice[@]}" --why "trial: compare $a with $b" >"$work/$commit-$day-$seed.log" 2>&1 || true
+	"$bench" run "$site" "$day" "${choice[@]}" --jobs 2 --why "trial: compare $a with $b" >"$work/$commit-$day-$seed.log" 2>&1 || true
 }
 worth() { awk -v day="$1" '$1 == day { print $4; exit }' "$2"; }
 broken() { grep -o 'BROKEN: [A-Z0-9, ]*' "$1" | head -1 || true; }
