--- a/packages/jobs/src/lib/placement/UrgentRoom.ts
+++ b/packages/jobs/src/lib/placement/UrgentRoom.ts
@@ -5,8 +5,8 @@
  * leave over on each worker is where urgent work finds its room.
  *
  * Answers a cell that is full of large tasks all day. On such a day (96% of the processors wanted, tasks of 9 of 32) large
- * batch work earned 0.74 of its worth in place of 0.66 with 12% of each worker left and 0.57 with a quarter of each; urgent
- * work earned the same 0.81 both ways. One run each.
+ * batch work earned 0.74 of its worth in place of 0.66 with 12% of each worker left and 0.60 with a quarter of each; urgent
+ * work earned the same 0.81 all three ways. One run each.
  */
 import type { Option } from '../leader/chooseForStep'
 import type { StepWork } from '../leader/StepWork'
