Log: what ran on a worker that has ended, how long it had been silent, and how long a run had gone on

Cause: of sixteen runs that were lost with a crashed worker the log could not tell which had just begun, nor what had been on a worker that another incarnation replaced. Change: worker-gone names the runs, run-ended has the phase and its length. No decision changes. Checked: vocabulary test, build, lint.

--- a/packages/jobs/src/lib/leader/LeaderEvent.ts
+++ b/packages/jobs/src/lib/leader/LeaderEvent.ts
@@ -10,7 +10,10 @@
 	WorkerJoined: 'worker-joined',
 	/** A worker says that it is leaving; `worker`, `remaining` milliseconds. */
 	WorkerDraining: 'worker-draining',
-	/** An incarnation of a worker has ended; `worker`, `reason`. */
+	/**
+	 * An incarnation of a worker has ended; `worker`, `reason`, how many `runs` were on it and the first of their `tasks`,
+	 * for how many milliseconds it had been `silent`.
+	 */
 	WorkerGone: 'worker-gone',
 	/**
 	 * A worker stopped answering; `worker`, `address`, `dataCentre`, `reason`, `runs` on it,
@@ -49,7 +52,7 @@
 	 * are `waiting`, `waited` milliseconds, `reason`. Once for each step.
 	 */
 	StepOverdue: 'step-overdue',
-	/** A run ended; `task`, `attempt`, `worker`, `how`. */
+	/** A run ended, not as done; `task`, `attempt`, `worker`, `how`, the `phase` that it was in, for `ran` milliseconds. */
 	RunEnded: 'run-ended',
 	/**
 	 * A run is stopped to make room; `task`, `attempt`, `worker`, `percent` that it had done, `for` which step of
--- a/packages/jobs/src/lib/leader/RunController.ts
+++ b/packages/jobs/src/lib/leader/RunController.ts
@@ -111,7 +111,9 @@
 		meter.count(Measure.RunsEnded, { how })
 		if (how === RunEnd.Done) health.succeeded(worker)
 		if (how === RunEnd.Failed) health.failed(worker, name.job, clock.now())
-		if (how !== RunEnd.Done) log.info(LeaderEvent.RunEnded, { task: text, attempt, worker, how })
+		if (how === RunEnd.Done) return
+		const ran = Math.round(clock.now() - run.since)
+		log.info(LeaderEvent.RunEnded, { task: text, attempt, worker, how, phase: run.phase, ran })
 	}
 
 	/** Stops everything that a job runs. */
--- a/packages/jobs/src/lib/leader/WorkerRegistry.ts
+++ b/packages/jobs/src/lib/leader/WorkerRegistry.ts
@@ -15,6 +15,9 @@
 import type { ListedEnd, PollResult } from './ports'
 import { WorkerView } from './WorkerView'
 
+/** Names of tasks that one line tells, so that it stays short. */
+const MOST_NAMES = 20
+
 /** Told of what polls bring. @internal */
 export interface PollListener {
 	/** @param sentAt - when the poll was sent, on the leader's clock. */
@@ -223,10 +226,12 @@
 
 	/** Another incarnation answers at a worker's address. */
 	proposeGone(id: string, reason: string, done?: () => void): void {
-		const { proposals, log } = this.context
+		const { proposals, log, clock } = this.context
 		const view = this.views.get(id)
 		if (view) view.givenUp = true
-		log.info(LeaderEvent.WorkerGone, { worker: id, reason })
+		const silent = view && Math.round(clock.now() - view.answeredAt)
+		const tasks = view && namesOf(view.runs.keys())
+		log.info(LeaderEvent.WorkerGone, { worker: id, reason, runs: view?.runs.size, silent, tasks })
 		proposals.propose({ kind: 'gone', worker: id, at: epochOf(this.context) }, done)
 	}
 
@@ -300,3 +305,7 @@
 		return new Lease(timing, clock.now() + longest)
 	}
 }
+
+function namesOf(tasks: Iterable<string>): string {
+	return [...tasks].slice(0, MOST_NAMES).join(' ')
+}
