--- a/packages/jobs/src/lib/commands/CellCommand.ts
+++ b/packages/jobs/src/lib/commands/CellCommand.ts
@@ -3,6 +3,7 @@
 import { VError } from 'verror'
 import type { CellConfiguration, Queue, Worker } from '../records/Cell'
 import type { JobRequest, RunEnd } from '../records/Job'
+import type { CrashEvidence } from '../state/TaskCrashes'
 
 /** Version of the commands that is written; earlier ones, which say nothing of crashes, are read as they are. @public */
 export const COMMAND_VERSION = 2
@@ -23,17 +24,12 @@
 	readonly how: RunEnd
 	/** The newest checkpoint; empty for none. */
 	readonly checkpoint: string
-	/** Of a run that is given up on a silent worker: whether it had begun there just before. Absent for others. */
-	readonly justBegun?: boolean
+	/** Of a run that is given up on a silent worker: what that would say of its task if the worker has crashed. */
+	readonly evidence?: CrashEvidence
 }
 
-/** What the crash of a worker says of the tasks that ran there. @public */
-export interface WorkerCrash {
-	/** Names of tasks that had begun there just before. */
-	readonly justBegun: readonly string[]
-	/** Names of tasks that it says nothing of: their runs had not been ordered, or had ended. */
-	readonly apart: readonly string[]
-}
+/** What the crash of a worker says of the tasks that ran there, by their names; nothing of those that are not in it. @public */
+export type CrashFindings = { readonly [task: string]: CrashEvidence }
 
 /** One change of a cell's state. @public */
 export type CellCommand =
@@ -60,7 +56,7 @@
 			readonly worker: string
 			readonly at: number
 			/** Set when it ended without a word. */
-			readonly crash?: WorkerCrash
+			readonly crash?: CrashFindings
 	  }
 	/** A worker answers, on which runs had been given up while it was silent. */
 	| { readonly kind: 'answered'; readonly worker: string }
--- a/packages/jobs/src/lib/leader/JobController.ts
+++ b/packages/jobs/src/lib/leader/JobController.ts
@@ -245,18 +245,21 @@
 		this.runs.stopJob(job)
 	}
 
-	/** One line for each crash that makes a task suspect, and one when it is given up. */
-	private crashCounted({ task: name, worker, strong, workers }: CrashCounted): void {
-		const { log, meter, state } = this.context
+	/** One line for each crash under a task, and one when the task is given up. */
+	private crashCounted({ task: name, worker, crashed }: CrashCounted): void {
+		const { log, meter } = this.context
 		const task = formatTaskName(name)
-		meter.count(Measure.TaskCrashes, { evidence: strong ? 'strong' : 'weak' })
-		const record = state.jobs.locate(task)?.task
-		const suspicion = record ? suspicionOf(record) : Suspicion.None
-		const { length: crashes } = workers
-		log.info(LeaderEvent.TaskSuspected, { task, worker, strong, crashes, suspicion })
+		const evidence = crashed.find((lost) => lost.worker === worker)?.evidence ?? 'none'
+		const suspicion = suspicionOf({ crashed })
+		meter.count(Measure.TaskCrashes, { evidence })
+		const { length: crashes } = crashed
+		log.info(LeaderEvent.TaskSuspected, { task, worker, evidence, crashes, suspicion })
 		if (suspicion !== Suspicion.Proven) return
 		meter.count(Measure.TasksGivenUp)
-		log.warn(LeaderEvent.TaskGivenUp, { task, workers: workers.join(' ') })
+		log.warn(LeaderEvent.TaskGivenUp, {
+			task,
+			workers: crashed.map((lost) => lost.worker).join(' '),
+		})
 	}
 
 	private forgetOld(now: number): void {
--- a/packages/jobs/src/lib/leader/LeaderEvent.ts
+++ b/packages/jobs/src/lib/leader/LeaderEvent.ts
@@ -53,7 +53,7 @@
 	 */
 	StepOverdue: 'step-overdue',
 	/**
-	 * A worker crashed under a task; `task`, `worker`, whether the task had just begun there (`strong`), how many `crashes` that makes,
+	 * A worker crashed under a task; `task`, `worker`, what that says of the task (`evidence`), how many `crashes` that makes,
 	 * and its `suspicion` from now on.
 	 */
 	TaskSuspected: 'task-suspected',
--- a/packages/jobs/src/lib/leader/LostRuns.ts
+++ b/packages/jobs/src/lib/leader/LostRuns.ts
@@ -2,7 +2,7 @@
 import { RunEnd } from '../records/Job'
 import { epochOf, type LeaderContext } from './LeaderContext'
 import { LeaderEvent } from './LeaderEvent'
-import { crashEvidence, CrashEvidence } from './crashEvidence'
+import { crashEvidence } from './crashEvidence'
 import type { LossWaves } from './LossWaves'
 import type { SuspectRuns } from './SuspectRuns'
 import type { Run } from './Run'
@@ -48,7 +48,7 @@
 			attempt: run.attempt,
 			how: RunEnd.Lost,
 			checkpoint: run.checkpoint,
-			justBegun: justBegun(crashEvidence(run, view, inWave)),
+			evidence: crashEvidence(run, view, inWave),
 		}))
 		this.context.log.warn(LeaderEvent.RunsLost, { worker: view.id, runs: runs.length, reason })
 		for (const run of lost) {
@@ -59,8 +59,3 @@
 		this.context.proposals.propose({ kind: 'end', runs, at: epochOf(this.context) })
 	}
 }
-
-/** @returns whether a run had just begun; undefined where its worker's end would say nothing of it. */
-function justBegun(evidence: CrashEvidence): boolean | undefined {
-	return evidence === CrashEvidence.None ? undefined : evidence === CrashEvidence.Strong
-}
--- a/packages/jobs/src/lib/leader/Quarantine.ts
+++ b/packages/jobs/src/lib/leader/Quarantine.ts
@@ -1,7 +1,7 @@
 /**
  * Where tasks begin under which workers have crashed. Most of them are innocent: they shared a worker with the task that did
  * it. So none waits for an empty worker. A suspected task goes where the least work is lost if its worker crashes, and an
- * isolated one besides where no task of another job is under suspicion; nothing of other jobs begins beside it until it has
+ * isolated one besides where all tasks of other jobs have been at work for a while and none is under suspicion; nothing of other jobs begins beside it until it has
  * lived past the moment at which it would have crashed its worker.
  *
  * Answers a cell in which a few tasks crash each worker that starts them while the rest of the work goes on.
@@ -16,7 +16,7 @@
  * Milliseconds after its beginning for which an isolated task has its worker for itself: within them a task that crashes its
  * worker has done so, and its worker has been found silent.
  */
-const PROBATION = 800
+const PROBATION = 500
 /** Milliseconds of work that a lasting task counts as having done: its callers wait while it begins elsewhere. */
 const LASTING_WORK = 10_000
 
@@ -27,6 +27,12 @@
 	readonly until: number
 }
 
+/** Runs that are decided and not yet begun. @internal */
+export interface Decisions {
+	/** @returns the jobs that have such runs for a worker. */
+	decidedFor(worker: string): readonly string[]
+}
+
 /**
  * Suspected tasks and the workers that they are on.
  *
@@ -36,7 +42,10 @@
 	/** Isolated tasks that have begun of late, by worker. */
 	private readonly probations = new Map<string, Probation>()
 
-	constructor(private readonly state: CellState) {}
+	constructor(
+		private readonly state: CellState,
+		private readonly decisions: Decisions
+	) {}
 
 	/** @returns how a task of a step is to be treated. */
 	suspicionOf({ record }: StepWork, index: number): Suspicion {
@@ -73,7 +82,7 @@
 		for (const option of options) {
 			if (elsewhere !== undefined && elsewhere !== option.view.id) continue
 			if (!hasRoom(work, option) || !isFree(work, option)) continue
-			if (alone && this.hasSuspects(option.view, job)) continue
+			if (alone && !this.isSettled(option.view, job, now)) continue
 			const loss = lossOn(option.view, job)
 			if (loss >= least) continue
 			least = loss
@@ -107,13 +116,16 @@
 		return undefined
 	}
 
-	private hasSuspects(view: WorkerView, job: string): boolean {
-		for (const { text, name } of view.runs.values()) {
+	/** Whether nothing of other jobs on a worker may crash it too: all has been at work for a while, and none is suspected. */
+	private isSettled(view: WorkerView, job: string, now: number): boolean {
+		if (this.decisions.decidedFor(view.id).some((other) => other !== job)) return false
+		for (const { text, name, confirmedAt } of view.runs.values()) {
 			if (name.job === job) continue
+			if (confirmedAt === undefined || now - confirmedAt < PROBATION) return false
 			const task = this.state.jobs.locate(text)?.task
-			if (task && suspicionOf(task) !== Suspicion.None) return true
+			if (task && suspicionOf(task) !== Suspicion.None) return false
 		}
-		return false
+		return true
 	}
 }
 
--- a/packages/jobs/src/lib/leader/Run.ts
+++ b/packages/jobs/src/lib/leader/Run.ts
@@ -45,8 +45,12 @@
 	since: number
 	/** Orders of this phase that got no answer. */
 	unanswered: number
-	/** When it was first ordered, on the leader's clock; absent while this leader has not. */
-	orderedAt: number | undefined
+	/** Whether workers have crashed under its task. */
+	readonly suspected: boolean
+	/** Whether this leader has ordered it. */
+	ordered: boolean
+	/** When its worker first confirmed or listed it, on the leader's clock; absent before. */
+	confirmedAt: number | undefined
 	/** Whether an order is under way. */
 	busy: boolean
 	/** When an order without an answer is sent again. */
--- a/packages/jobs/src/lib/leader/RunController.ts
+++ b/packages/jobs/src/lib/leader/RunController.ts
@@ -8,6 +8,7 @@
 import type { JobRecord } from '../state/JobRecord'
 import { tasksOf } from '../state/JobTable'
 import { isActive, TaskStatus } from '../state/JobRecord'
+import { Suspicion, suspicionOf } from '../state/TaskCrashes'
 import { epochOf, type LeaderContext } from './LeaderContext'
 import { LeaderEvent } from './LeaderEvent'
 import { Pacing } from './Pacing'
@@ -22,13 +23,15 @@
 const ABSENT_POLLS = 2
 
 /**
- * Milliseconds at work after which workers that crashed under a task count no more. A task that lasts for months sees many
- * workers fail; one that crashes its worker does so as it begins.
+ * Milliseconds at work after which workers that crashed under a lasting task count no more. It sees many workers fail in
+ * months; one that crashes its worker does so as it begins. Other tasks end by themselves, and theirs count for good.
  */
-const HARMLESS_AFTER = 30_000
+const HARMLESS_AFTER = 10_000
 
 /** What was decided for a run before it begins. @internal */
 export interface Decision extends Standing {
+	/** Where it is to begin. */
+	readonly worker: string
 	/** Shows its worker that it may run it; empty where none is wanted. */
 	readonly ticket: string
 }
@@ -86,6 +89,12 @@
 		this.pending.set(task, decision)
 	}
 
+	/** @returns the jobs that have runs decided for a worker and not yet begun. */
+	decidedFor(worker: string): string[] {
+		const tasks = [...this.pending].filter(([, decision]) => decision.worker === worker)
+		return tasks.map(([task]) => task.slice(0, task.indexOf('.')))
+	}
+
 	/** A run has begun: its worker is told. */
 	begun(name: TaskName, attempt: number, worker: string): void {
 		const text = formatTaskName(name)
@@ -190,10 +199,11 @@
 		this.watchStalls(view)
 	}
 
-	/** Workers that crashed under a task which is at work for long were not its doing. */
+	/** Workers that crashed under a lasting task which is at work for long were not its doing. */
 	private clearIfHarmless(run: Run): void {
 		const { state, clock, proposals } = this.context
-		if (run.orderedAt === undefined || clock.now() - run.orderedAt < HARMLESS_AFTER) return
+		if (!run.step.lasting || run.confirmedAt === undefined) return
+		if (clock.now() - run.confirmedAt < HARMLESS_AFTER) return
 		if (!state.jobs.locate(run.text)?.task.crashed || run.clearing) return
 		run.clearing = true
 		proposals.propose({ kind: 'cleared', tasks: [run.text] })
@@ -251,7 +261,9 @@
 			phase: RunPhase.Starting,
 			since: now,
 			unanswered: 0,
-			orderedAt: undefined,
+			suspected: this.isSuspected(text),
+			ordered: false,
+			confirmedAt: undefined,
 			busy: false,
 			retryAt: 0,
 			checkpoint: '',
@@ -267,6 +279,11 @@
 		return run
 	}
 
+	private isSuspected(text: string): boolean {
+		const task = this.context.state.jobs.locate(text)?.task
+		return task !== undefined && suspicionOf(task) !== Suspicion.None
+	}
+
 	private takeDecision(task: string): Decision | undefined {
 		const decision = this.pending.get(task)
 		this.pending.delete(task)
@@ -276,6 +293,7 @@
 	private enter(run: Run, phase: RunPhase): void {
 		run.phase = phase
 		run.since = this.context.clock.now()
+		if (phase === RunPhase.Running) run.confirmedAt ??= run.since
 		run.unanswered = 0
 		run.retryAt = 0
 	}
@@ -313,7 +331,7 @@
 			ticket: run.ticket,
 		}
 		const sentAt = clock.now()
-		run.orderedAt ??= sentAt
+		run.ordered = true
 		orders.start(view.worker, order, (result) =>
 			this.answered(run, RunPhase.Starting, result, sentAt)
 		)
--- a/packages/jobs/src/lib/leader/StepScheduler.ts
+++ b/packages/jobs/src/lib/leader/StepScheduler.ts
@@ -69,7 +69,7 @@
 		private readonly precedence: Precedence,
 		private readonly accounts: AccountUsage
 	) {
-		this.quarantine = new Quarantine(context.state)
+		this.quarantine = new Quarantine(context.state, runs)
 		this.questions = new StepQuestions(context)
 		this.log = new StepLog(context)
 		this.preemption = new Preemption(context, runs, (work, option) => this.admits(work, option))
@@ -413,7 +413,7 @@
 			const isolated = this.quarantine.suspicionOf(work, index) === Suspicion.Isolated
 			if (isolated) this.quarantine.decided(task, job.id, worker)
 			const ticket = work.advice.ticket(worker, now) ?? ''
-			this.runs.decided(task, { ticket, urgent: work.urgent, yields: work.yields })
+			this.runs.decided(task, { worker, ticket, urgent: work.urgent, yields: work.yields })
 			return { task, attempt, worker }
 		})
 		this.log.placed(work, placed, now)
--- a/packages/jobs/src/lib/leader/WorkerEnd.ts
+++ b/packages/jobs/src/lib/leader/WorkerEnd.ts
@@ -1,6 +1,4 @@
 /** How the end of a worker's incarnation becomes known. */
-import type { WorkerView } from './WorkerView'
-
 /** The ways, as log lines tell them. @internal */
 export const WorkerEnd = {
 	/** It said that it ends. */
@@ -19,12 +17,10 @@
 
 /**
  * @param end - how the end became known.
- * @param view - the worker.
  * @returns whether it ended without a word. One that has been silent for long may live on behind a cut; it counts, so
- * that a task whose workers never come back is bounded too.
+ * that a task whose workers never come back is bounded too. So does one that had said that it is leaving, since it may still have crashed.
  * @internal
  */
-export function isCrash(end: WorkerEnd, { draining, left }: WorkerView): boolean {
-	if (end === WorkerEnd.Left || end === WorkerEnd.Late) return false
-	return !draining && !left
+export function isCrash(end: WorkerEnd): boolean {
+	return end !== WorkerEnd.Left && end !== WorkerEnd.Late
 }
--- a/packages/jobs/src/lib/leader/WorkerPolls.ts
+++ b/packages/jobs/src/lib/leader/WorkerPolls.ts
@@ -1,4 +1,5 @@
 /** Polls of workers: long polls that renew a lease and wait for the next end, and short ones that only ask. */
+import { hidesSurvival } from './crashEvidence'
 import type { LeaderContext } from './LeaderContext'
 import type { PollResult } from './ports'
 import { RunPhase } from './Run'
@@ -47,7 +48,7 @@
 		for (const view of views) {
 			if (this.host.isUnclear(view, now)) unclear.push(view)
 			else if (isDueForPoll(view, now)) this.poll(view, now)
-			else if (isDueForProbe(view, now) && hidesAnEnd(view, now)) this.probe(view, now)
+			else if (isDueForProbe(view, now) && this.hidesNews(view, now)) this.probe(view, now)
 		}
 		const due = unclear.filter((view) => isDueForPoll(view, now) || isDueForProbe(view, now))
 		const most = this.context.orders.firstPolls
@@ -59,6 +60,11 @@
 		}
 	}
 
+	/** Whether the poll that is out would be a late word of something that matters. */
+	private hidesNews(view: WorkerView, now: number): boolean {
+		return hidesAnEnd(view, now) || hidesSurvival(view, now)
+	}
+
 	/** Waits for the next end, and renews the lease. */
 	private poll(view: WorkerView, now: number): void {
 		const { timing } = this.context
--- a/packages/jobs/src/lib/leader/WorkerRegistry.ts
+++ b/packages/jobs/src/lib/leader/WorkerRegistry.ts
@@ -4,16 +4,17 @@
 import { epochOf, type LeaderContext } from './LeaderContext'
 import { LeaderEvent } from './LeaderEvent'
 import { SuspectRuns } from './SuspectRuns'
-import { crashEvidence, CrashEvidence } from './crashEvidence'
+import { crashEvidence } from './crashEvidence'
 import { LossWaves } from './LossWaves'
 import { Lease } from './Lease'
 import { WorkerHeartbeats } from './WorkerHeartbeats'
 import { WorkerPolls } from './WorkerPolls'
 import { LostRuns } from './LostRuns'
 import { OutageWatch } from './OutageWatch'
+import type { CrashEvidence } from '../state/TaskCrashes'
 import { StallWatch } from '../placement/StallWatch'
 import type { AccountUsage } from '../accounts/AccountUsage'
-import type { WorkerCrash } from '../commands/CellCommand'
+import type { CrashFindings } from '../commands/CellCommand'
 import type { HeardWorker } from './calls'
 import type { ListedEnd, PollResult } from './ports'
 import { isCrash, WorkerEnd } from './WorkerEnd'
@@ -238,21 +239,19 @@
 		const silent = view && Math.round(clock.now() - view.answeredAt)
 		const tasks = view && namesOf(view.runs.keys())
 		log.info(LeaderEvent.WorkerGone, { worker: id, reason, runs: view?.runs.size, silent, tasks })
-		const crash = view && isCrash(reason, view) ? this.crashOf(view) : undefined
+		const crash = view && isCrash(reason) ? this.crashOf(view) : undefined
 		proposals.propose({ kind: 'gone', worker: id, at: epochOf(this.context), crash }, done)
 	}
 
 	/** What the crash of a worker says of what ran there. */
-	private crashOf(view: WorkerView): WorkerCrash {
+	private crashOf(view: WorkerView): CrashFindings {
 		const inWave = this.waves.includes(view)
-		const justBegun: string[] = []
-		const apart: string[] = []
+		const findings: { [task: string]: CrashEvidence } = {}
 		for (const run of view.runs.values()) {
 			const evidence = crashEvidence(run, view, inWave)
-			if (evidence === CrashEvidence.Strong) justBegun.push(run.text)
-			if (evidence === CrashEvidence.None) apart.push(run.text)
+			if (evidence) findings[run.text] = evidence
 		}
-		return { justBegun, apart }
+		return findings
 	}
 
 	/** Runs were given up while it was silent; that it answers is kept, since it tells that they did it no harm. */
--- a/packages/jobs/src/lib/leader/crashEvidence.ts
+++ b/packages/jobs/src/lib/leader/crashEvidence.ts
@@ -1,48 +1,64 @@
 /**
- * What the end of a worker that said nothing before says of a run there. The one place that decides which ends count, and for
- * which of the tasks that shared the worker:
+ * What the end of a worker that did not say that it ends, says of a run there. The one place that decides which ends count, and
+ * for which of the tasks that shared the worker; the first line that fits holds:
  *
  * | the run, when its worker was last heard of                                    | evidence |
  * | ------------------------------------------------------------------------------ | -------- |
- * | its worker had said that it leaves                                             | none     |
- * | it had never been ordered, or its end was listed                               | none     |
- * | an earlier leader had ordered it, so it is not known how long it was at work   | weak     |
- * | other workers of the service fell silent at the same time                      | weak     |
+ * | it had never been ordered                                                      | none     |
+ * | it was never confirmed, so its worker may have been gone before                | doubtful |
+ * | it lasts, and had been at work for longer than `SETTLED`                       | none     |
  * | it had been at work for longer than `JUST_BEGUN`                               | weak     |
+ * | its worker had said it leaves                                                  | doubtful |
+ * | an earlier leader had ordered it, so it is not known how long it was at work   | doubtful |
+ * | other workers of the service fell silent at the same time                      | doubtful |
  * | it had just begun                                                              | strong   |
+ *
+ * How long it had been at work is counted from when its worker confirmed it to the worker's last answer, so it was at work
+ * for at least that long.
  */
-import { RunPhase, type Run } from './Run'
+import { CrashEvidence } from '../state/TaskCrashes'
+import type { Run } from './Run'
 import type { WorkerView } from './WorkerView'
 
 /**
- * Milliseconds after its order within which a run counts as just begun. A task that crashes its worker was seen to do so within
- * 10 ms; the rest is the longest poll, after which alone the worker is known to have lived on.
+ * Milliseconds after its confirmation up to which a run counts as just begun. A task that crashes its worker was seen to do so within
+ * 10 ms; the rest is the way of an answer, and a busy instance.
  */
-const JUST_BEGUN = 500
-
-/** What the end of its worker says of a run. @internal */
-export const CrashEvidence = {
-	None: 'none',
-	Weak: 'weak',
-	Strong: 'strong',
-} as const
-/** One of the answers. @internal */
-export type CrashEvidence = (typeof CrashEvidence)[keyof typeof CrashEvidence]
+const JUST_BEGUN = 200
+/** Milliseconds at work after which a lasting run has shown that it does not crash its worker; it may see many of them fail. */
+const SETTLED = 5000
 
 /**
  * @param run - a run.
  * @param view - its worker, which has ended or is silent.
  * @param inWave - whether other workers of its service fell silent at the same time.
- * @returns what that says of the run's task.
+ * @returns what that says of the run's task; undefined for nothing.
  * @internal
  */
 export function crashEvidence(
-	run: Pick<Run, 'phase' | 'orderedAt' | 'restored'>,
+	run: Pick<Run, 'ordered' | 'confirmedAt' | 'restored' | 'step'>,
 	view: Pick<WorkerView, 'draining' | 'left' | 'answeredAt'>,
 	inWave: boolean
-): CrashEvidence {
-	if (view.draining || view.left || run.phase === RunPhase.Stopped) return CrashEvidence.None
-	if (run.orderedAt === undefined) return run.restored ? CrashEvidence.Weak : CrashEvidence.None
-	const atWork = view.answeredAt - run.orderedAt
-	return inWave || run.restored || atWork > JUST_BEGUN ? CrashEvidence.Weak : CrashEvidence.Strong
+): CrashEvidence | undefined {
+	const { ordered, restored, confirmedAt } = run
+	if (!ordered && !restored) return undefined
+	if (confirmedAt === undefined) return CrashEvidence.Doubtful
+	const atWork = view.answeredAt - confirmedAt
+	if (run.step.lasting && atWork > SETTLED) return undefined
+	if (atWork > JUST_BEGUN) return CrashEvidence.Weak
+	const leaves = view.draining || view.left
+	return leaves || restored || inWave ? CrashEvidence.Doubtful : CrashEvidence.Strong
+}
+
+/**
+ * @returns whether a task under suspicion has begun on a worker of which no answer tells yet that it has lived on: the
+ * sooner it is asked, the fewer chance failures count against the task.
+ * @internal
+ */
+export function hidesSurvival(view: WorkerView, now: number): boolean {
+	for (const { suspected, confirmedAt } of view.runs.values()) {
+		if (!suspected || confirmedAt === undefined) continue
+		if (now - confirmedAt > JUST_BEGUN && view.answeredAt - confirmedAt <= JUST_BEGUN) return true
+	}
+	return false
 }
--- a/packages/jobs/src/lib/state/Change.ts
+++ b/packages/jobs/src/lib/state/Change.ts
@@ -2,6 +2,7 @@
 import type { CellConfiguration, Worker } from '../records/Cell'
 import type { RunEnd, TaskName } from '../records/Job'
 import type { JobRecord } from './JobRecord'
+import type { LostWorker } from './TaskCrashes'
 
 /** One change of the state. @public */
 export type Change =
@@ -24,13 +25,12 @@
 			readonly worker: string
 			readonly how: RunEnd
 	  }
-	/** A worker has crashed under a task; `workers` are all that have. */
+	/** A worker has crashed under a task; `crashed` are all that have. */
 	| {
 			readonly kind: 'crash-counted'
 			readonly task: TaskName
 			readonly worker: string
-			readonly strong: boolean
-			readonly workers: readonly string[]
+			readonly crashed: readonly LostWorker[]
 	  }
 	/** More is known of workers that a task has lost, so it may begin where it could not. */
 	| { readonly kind: 'task-cleared'; readonly task: TaskName }
--- a/packages/jobs/src/lib/state/JobTable.ts
+++ b/packages/jobs/src/lib/state/JobTable.ts
@@ -1,5 +1,5 @@
 /** All jobs and the runs of their tasks. */
-import type { Begin, End, WorkerCrash } from '../commands/CellCommand'
+import type { Begin, End, CrashFindings } from '../commands/CellCommand'
 import { countTasks } from '../records/checkJob'
 import { formatTaskName, JobState, parseTaskName, RunEnd, type TaskName } from '../records/Job'
 import type { Change } from './Change'
@@ -15,6 +15,7 @@
 } from './JobRecord'
 import { SilentWorkers } from './SilentWorkers'
 import {
+	CrashEvidence,
 	forgetCrashes,
 	forgetSilent,
 	noteCrash,
@@ -134,7 +135,7 @@
 		const { task } = place
 		const current = task.status === TaskStatus.Placed && task.attempt === run.attempt
 		if (!current) return this.endLost(place, run, at)
-		if (run.justBegun !== undefined) this.noteSilent(place, run.justBegun, run.task)
+		if (run.evidence) this.noteSilent(place, run.task, run.evidence)
 		this.endCurrent(place, run, at)
 	}
 
@@ -143,12 +144,14 @@
 	 *
 	 * @param crash - set when it ended without a word, which then counts for the tasks that ran there.
 	 */
-	endAllOn(worker: string, at: number, crash?: WorkerCrash): void {
-		for (const text of this.silent.take(worker)) this.settleSilent(text, worker, at, crash)
+	endAllOn(worker: string, at: number, crash?: CrashFindings): void {
+		for (const text of this.silent.take(worker))
+			this.settleSilent(text, worker, at, crash !== undefined)
 		for (const text of [...this.placedOn(worker)]) {
 			const place = this.locate(text)
 			if (!place) continue
-			if (crash && !crash.apart.includes(text)) this.countCrash(place, worker, crash)
+			const evidence = crash?.[text]
+			if (evidence) this.countCrash(place, worker, evidence)
 			const { attempt } = place.task
 			this.endCurrent(place, { task: text, attempt, how: RunEnd.Lost, checkpoint: '' }, at)
 		}
@@ -226,29 +229,22 @@
 	}
 
 	/** A run is given up on a silent worker, which may turn out to have crashed. */
-	private noteSilent({ task }: TaskPlace, strong: boolean, text: string): void {
-		noteSilent(task, { worker: task.worker, strong })
+	private noteSilent({ task }: TaskPlace, text: string, evidence: CrashEvidence): void {
+		noteSilent(task, { worker: task.worker, evidence })
 		this.silent.add(task.worker, text)
 	}
 
-	private countCrash({ name, task }: TaskPlace, worker: string, crash: WorkerCrash): void {
-		const text = formatTaskName(name)
-		noteCrash(task, { worker, strong: crash.justBegun.includes(text) })
-		const counted = task.crashed ?? []
-		this.report({
-			kind: 'crash-counted',
-			task: name,
-			worker,
-			strong: counted.some((lost) => lost.worker === worker && lost.strong),
-			workers: counted.map((lost) => lost.worker),
-		})
+	private countCrash({ name, task }: TaskPlace, worker: string, evidence: CrashEvidence): void {
+		noteCrash(task, worker, evidence)
+		this.report({ kind: 'crash-counted', task: name, worker, crashed: task.crashed ?? [] })
 	}
 
 	/** What became of a worker is known on which a run of a task was given up earlier. */
-	private settleSilent(text: string, worker: string, at: number, crash?: WorkerCrash): void {
+	private settleSilent(text: string, worker: string, at: number, crashed: boolean): void {
 		const place = this.locate(text)
 		if (!place) return
-		if (crash) this.countCrash(place, worker, crash)
+		// What was noted when the worker fell silent goes before.
+		if (crashed) this.countCrash(place, worker, CrashEvidence.Weak)
 		else forgetSilent(place.task, worker)
 		this.conclude(place, at)
 		this.report({ kind: 'task-cleared', task: place.name })
--- a/packages/jobs/src/lib/state/TaskCrashes.ts
+++ b/packages/jobs/src/lib/state/TaskCrashes.ts
@@ -3,17 +3,27 @@
  * known yet whether they crashed. A task that crashes each worker that starts it must not begin for ever, so what is
  * counted here is replicated with the task: it outlives leaders, restarts and snapshots.
  *
- * Evidence is strong where the worker may have crashed just after the task had begun there. One crash proves little, since
- * several tasks share a worker. Three strong ones prove it: in 300 seeded runs with crashes of single workers, racks and data
- * centres at the same time no other task was given up, and a task took three workers with it.
+ * One crash proves little, since several tasks share a worker, and workers fail by themselves. So each is kept with what it
+ * says of the task. See `docs/design/crashes.md` for how the numbers below were chosen.
  */
 
+/** What the crash of a worker says of a task that ran there. @public */
+export const CrashEvidence = {
+	/** The worker was there when the task began, and crashed just after. */
+	Strong: 'strong',
+	/** It may have been so, and may not. */
+	Doubtful: 'doubtful',
+	/** The task had been at work for a while. */
+	Weak: 'weak',
+} as const
+/** One of the answers. @public */
+export type CrashEvidence = (typeof CrashEvidence)[keyof typeof CrashEvidence]
+
 /** A worker that a task has lost. @public */
 export interface LostWorker {
 	/** Id of the incarnation. */
 	readonly worker: string
-	/** Whether the task had begun there just before. */
-	readonly strong: boolean
+	readonly evidence: CrashEvidence
 }
 
 /** The workers that a task has lost; absent lists are empty. @public */
@@ -28,7 +38,7 @@
 export const Suspicion = {
 	/** As any other. */
 	None: 'none',
-	/** Where the least work is lost if its worker crashes. */
+	/** It begins where the least work is lost if its worker crashes. */
 	Suspected: 'suspected',
 	/** The same, and nothing of other jobs begins on its worker meanwhile. */
 	Isolated: 'isolated',
@@ -41,25 +51,28 @@
 export type Suspicion = (typeof Suspicion)[keyof typeof Suspicion]
 
 /** Crashes with strong evidence that prove that a task does it. */
-const PROOF = 3
+const STRONG_PROOF = 3
 /**
- * Crashes of any evidence after which a task is given up. It has begun three times without strong evidence by then, for
- * example since each crash came together with a change of leader; a sixth start would be the third after the third crash.
+ * Crashes with strong or doubtful evidence after which a task is given up: a sixth start could be the third after the third
+ * crash. Chance failures at a task's beginning are rare enough that five of them were not seen.
  */
-const MOST_CRASHES = 5
+const DOUBTFUL_PROOF = 5
+/** Crashes of any evidence after which a task is given up, so that one that crashes its workers late is bounded too. */
+const WEAK_PROOF = 10
 /** Lost workers with strong evidence from which a task is isolated: the next crash is the proof, and should harm no others. */
 const ISOLATED_FROM = 2
-/** Lost workers of any evidence from which a task is isolated, and waits until the fate of each is known. */
-const DOUBTFUL_FROM = 3
+/** Lost workers with strong or doubtful evidence from which a task is isolated, and waits to hear what became of each. */
+const DOUBTED_FROM = 3
 
 /** @returns how a task is to be treated. @public */
-export function suspicionOf({ crashed = [], silent = [] }: TaskCrashes): Suspicion {
-	if (strongIn(crashed) >= PROOF || crashed.length >= MOST_CRASHES) return Suspicion.Proven
-	const strong = strongIn(crashed) + strongIn(silent)
-	const lost = crashed.length + silent.length
-	if (lost >= DOUBTFUL_FROM && silent.length > 0) return Suspicion.Held
-	if (lost >= DOUBTFUL_FROM || strong >= ISOLATED_FROM) return Suspicion.Isolated
-	return strong > 0 ? Suspicion.Suspected : Suspicion.None
+export function suspicionOf({ crashed, silent }: TaskCrashes): Suspicion {
+	if (!crashed && !silent) return Suspicion.None
+	if (crashed && isProof(crashed)) return Suspicion.Proven
+	const lost = [...(crashed ?? []), ...(silent ?? [])]
+	const early = lost.filter(isEarly).length
+	if (early >= DOUBTED_FROM && silent?.some(isEarly)) return Suspicion.Held
+	if (early >= DOUBTED_FROM || strongIn(lost) >= ISOLATED_FROM) return Suspicion.Isolated
+	return early > 0 ? Suspicion.Suspected : Suspicion.None
 }
 
 /** A run of the task was given up on a worker that is silent. @public */
@@ -67,12 +80,16 @@
 	task.silent = including(task.silent, lost)
 }
 
-/** A worker has crashed under the task; a second report of the same crash changes nothing. @public */
-export function noteCrash(task: TaskCrashes, lost: LostWorker): void {
-	const earlier = task.silent?.find(({ worker }) => worker === lost.worker)
-	const strong = lost.strong || (earlier?.strong ?? false)
-	forgetSilent(task, lost.worker)
-	task.crashed = including(task.crashed, { worker: lost.worker, strong })
+/**
+ * A worker has crashed under the task; a second report of the same crash changes nothing.
+ *
+ * @param evidence - what it says of the task; what was noted when the worker fell silent goes before.
+ * @public
+ */
+export function noteCrash(task: TaskCrashes, worker: string, evidence: CrashEvidence): void {
+	const earlier = task.silent?.find((lost) => lost.worker === worker)
+	forgetSilent(task, worker)
+	task.crashed = including(task.crashed, earlier ?? { worker, evidence })
 }
 
 /** A worker that was silent has not crashed. @public */
@@ -82,15 +99,24 @@
 	else delete task.silent
 }
 
-/** The task was at work for long without harm: what its earlier workers ended of was not its doing. @public */
+/** The task was at work for long without harm: that its earlier workers ended was not its doing. @public */
 export function forgetCrashes(task: TaskCrashes): void {
 	delete task.crashed
 }
 
+function isProof(crashed: readonly LostWorker[]): boolean {
+	if (strongIn(crashed) >= STRONG_PROOF) return true
+	return crashed.filter(isEarly).length >= DOUBTFUL_PROOF || crashed.length >= WEAK_PROOF
+}
+
 function including(list: readonly LostWorker[] = [], lost: LostWorker): readonly LostWorker[] {
 	return list.some(({ worker }) => worker === lost.worker) ? list : [...list, lost]
 }
 
+function isEarly({ evidence }: LostWorker): boolean {
+	return evidence !== CrashEvidence.Weak
+}
+
 function strongIn(list: readonly LostWorker[]): number {
-	return list.filter(({ strong }) => strong).length
+	return list.filter(({ evidence }) => evidence === CrashEvidence.Strong).length
 }
--- a/packages/runs/src/lib/jobs/FleetWorker.ts
+++ b/packages/runs/src/lib/jobs/FleetWorker.ts
@@ -61,6 +61,8 @@
 	readonly stepOf: (task: string) => Step
 	/** @returns whether a ticket lets the worker run the task's step now. */
 	readonly mayRun: (task: string, worker: string, ticket: string) => boolean
+	/** Told of each run that begins. */
+	readonly began: (machine: FleetWorker, task: string) => void
 }
 
 /**
@@ -103,6 +105,11 @@
 		this.offset = parts.random.integer(0, 1_000_000)
 	}
 
+	/** How many runs it has. */
+	get runCount(): number {
+		return this.runs.size
+	}
+
 	/** What its own clock shows, in whole milliseconds. */
 	get ownClock(): number {
 		return Math.floor(this.offset + this.parts.clock.now() * this.rate)
@@ -150,6 +157,7 @@
 		const seen = { worker: this.worker.id, task, attempt, checkpoint, late }
 		witness.began(this.worker, seen, spec, clock.now())
 		this.begin(task, attempt, checkpoint)
+		this.parts.began(this, task)
 		return this.done()
 	}
 
--- a/packages/runs/src/lib/jobs/JobFaults.ts
+++ b/packages/runs/src/lib/jobs/JobFaults.ts
@@ -22,10 +22,22 @@
 	/** The link goes silent without ending. */
 	CarrierSilent: 'carrier-silent',
 	CarrierCut: 'carrier-cut',
+	/** All workers of a rack end at the same moment. */
+	RackLost: 'rack-lost',
+	/** All workers of a data centre do. */
+	DataCentreLost: 'data-centre-lost',
 } as const
 /** One of the faults. @public */
 export type JobFault = (typeof JobFault)[keyof typeof JobFault]
 
+/** What goes wrong in a run unless it says otherwise. @public */
+export const COMMON_FAULTS: readonly JobFault[] = Object.values(JobFault).filter(
+	(fault) => fault !== 'rack-lost' && fault !== 'data-centre-lost'
+)
+
+/** Waves of crashes besides. @public */
+export const WAVES: readonly JobFault[] = [JobFault.RackLost, JobFault.DataCentreLost]
+
 /** What goes wrong between a leader and the instances that carry its orders, with what makes that matter. @public */
 export const CARRIER_FAULTS: readonly JobFault[] = [
 	JobFault.LeaderLost,
@@ -107,6 +119,10 @@
 				return this.run.loseLeader(random.integer(...LEADERLESS))
 			case JobFault.WorkerLost:
 				return fleet.crash(machine, span)
+			case JobFault.RackLost:
+				return this.crash(this.inRack(machine), span)
+			case JobFault.DataCentreLost:
+				return this.crash(this.besides(machine), span)
 			case JobFault.WorkerCut:
 				return this.cut([machine], span)
 			case JobFault.DataCentreCut:
@@ -149,6 +165,10 @@
 		}
 	}
 
+	private crash(machines: readonly FleetWorker[], span: number): void {
+		for (const machine of machines) this.run.fleet.crash(machine, span)
+	}
+
 	private cut(machines: readonly FleetWorker[], span: number): void {
 		for (const machine of machines) machine.cut = true
 		this.later(span, () => {
@@ -160,6 +180,10 @@
 		return this.run.fleet.machines.filter((one) => one.worker.dataCentre === worker.dataCentre)
 	}
 
+	private inRack({ worker }: FleetWorker): FleetWorker[] {
+		return this.run.fleet.machines.filter((one) => one.worker.rack === worker.rack)
+	}
+
 	private later(span: number, call: () => void): void {
 		this.run.clock.after(span, call)
 	}
--- a/packages/runs/src/lib/jobs/JobRun.ts
+++ b/packages/runs/src/lib/jobs/JobRun.ts
@@ -17,10 +17,12 @@
 import { DATA_CENTRES, Fleet } from './Fleet'
 import { FleetCarrier } from './FleetCarrier'
 import { FleetOrders } from './FleetOrders'
-import { JobFault, JobFaults } from './JobFaults'
+import type { FleetWorker } from './FleetWorker'
+import { COMMON_FAULTS, JobFaults, type JobFault } from './JobFaults'
 import { JobInvariants } from './JobInvariants'
 import { randomJob } from './randomJob'
 import { checkOutcome, type Asked } from './checkOutcome'
+import { CrashingTasks, type CrashTally } from './CrashingTasks'
 import { RunAccounts } from './RunAccounts'
 import { RunAdvisers } from './RunAdvisers'
 import { RunLog } from './RunLog'
@@ -45,6 +47,8 @@
 	readonly faults?: readonly JobFault[]
 	/** Whether callers belong to accounts, whose keys and quotas change. */
 	readonly accounts?: boolean
+	/** Whether some tasks crash the workers that start them. */
+	readonly crashingTasks?: boolean
 }
 
 /** What a run has done. @public */
@@ -56,6 +60,8 @@
 	readonly starts: number
 	/** Members of gangs that waited in vain for the others. */
 	readonly alone: number
+	/** What crashing tasks did; undefined in a run without them. */
+	readonly crashes: CrashTally | undefined
 	readonly faults: { readonly [fault: string]: number }
 }
 
@@ -97,6 +103,7 @@
 	readonly random: Random
 	readonly witness: JobInvariants
 	private readonly accounts: RunAccounts | undefined
+	private readonly crashing: CrashingTasks | undefined
 	private version = 0
 	readonly fleet: Fleet
 	private readonly faults: JobFaults
@@ -119,8 +126,9 @@
 		this.accounts = options.accounts ? new RunAccounts(options.seed) : undefined
 		this.witness = new JobInvariants(this.accounts)
 		const { clock, random, witness } = this
+		this.crashing = options.crashingTasks ? this.crashingTasks() : undefined
 		this.advisers = new RunAdvisers(clock, random)
-		this.faults = new JobFaults(this, options.faultRate, options.faults ?? Object.values(JobFault))
+		this.faults = new JobFaults(this, options.faultRate, options.faults ?? COMMON_FAULTS)
 		this.fleet = new Fleet({
 			clock,
 			random,
@@ -129,6 +137,7 @@
 			stepOf: (task) => this.stepOf(task),
 			mayRun: (task, worker, ticket) => this.mayRun(task, worker, ticket),
 			heldShare: () => this.faults.heldShare,
+			began: (machine, task) => this.crashing?.began(machine, task),
 			call: (call, reply) => this.controller?.call(call, reply),
 		})
 		this.direct = this.ordersFrom(() => false)
@@ -147,6 +156,7 @@
 			leaders: this.term,
 			starts: this.witness.starts,
 			alone: this.fleet.gangs.alone,
+			crashes: this.crashing?.tally,
 			faults: this.faults.counts,
 		}
 	}
@@ -170,7 +180,8 @@
 		if (this.accounts) this.configure()
 		this.advance(SETTLE_FOR)
 		for (const job of this.asked.values()) {
-			checkOutcome(job, this.state.jobs.find(job.id), this.witness)
+			const crashes = this.crashing?.isIn(job.id) ?? false
+			checkOutcome(job, this.state.jobs.find(job.id), this.witness, crashes)
 		}
 	}
 
@@ -249,6 +260,11 @@
 		})
 	}
 
+	private crashingTasks(): CrashingTasks {
+		const crash = (machine: FleetWorker, away: number): void => this.fleet.crash(machine, away)
+		return new CrashingTasks({ seed: this.options.seed, clock: this.clock, crash })
+	}
+
 	private ordersFrom(cut: () => boolean): FleetOrders {
 		const { clock, random } = this
 		return new FleetOrders({
@@ -339,6 +355,7 @@
 		}
 		this.asked.set(id, job)
 		witness.asked(id, request, queue)
+		this.crashing?.asked(id, request)
 		this.submit(job, queue.name)
 	}
 
--- a/packages/runs/src/lib/jobs/checkOutcome.ts
+++ b/packages/runs/src/lib/jobs/checkOutcome.ts
@@ -22,13 +22,15 @@
  * @param asked - a job that a client handed in, with what it was answered.
  * @param job - what is kept of it; undefined for nothing.
  * @param witness - what the workers did.
+ * @param crashes - whether one of its tasks crashes the workers that start it.
  * @throws InvariantBroken when they do not go together.
  * @internal
  */
 export function checkOutcome(
 	{ id, request, accepted, refused, uncertain, cancelled }: Asked,
 	job: JobRecord | undefined,
-	witness: JobInvariants
+	witness: JobInvariants,
+	crashes = false
 ): void {
 	invariant(!refused || !job || accepted, 'a job that was refused is not kept', { id })
 	if ((refused || uncertain) && !accepted) return
@@ -44,11 +46,12 @@
 			return
 		case JobState.Failed: {
 			const cause = tasks.some((task) => witness.hasFailed(task))
-			invariant(cause || hasGang(request), 'a failed job has failed for a cause', { id })
+			invariant(cause || crashes || hasGang(request), 'a failed job has failed for a cause', { id })
 			return
 		}
 		case JobState.Running:
 		case JobState.Queued:
+			invariant(!crashes, 'a job with a task that crashes its workers ends', { id })
 			for (const task of tasks) checkLasting(request, task, witness)
 			return
 		case JobState.Cancelled:
--- a/packages/runs/src/lib/jobs/jobRun.test.ts
+++ b/packages/runs/src/lib/jobs/jobRun.test.ts
@@ -5,7 +5,7 @@
 import assert from 'node:assert/strict'
 import { test } from 'node:test'
 import { innerClass, jobsClass, withBroken, type Breakage } from '../testing/brokenParts'
-import { CARRIER_FAULTS } from './JobFaults'
+import { CARRIER_FAULTS, COMMON_FAULTS, WAVES } from './JobFaults'
 import { JobRun } from './JobRun'
 
 const CALM = 0
@@ -73,6 +73,50 @@
 	}
 })
 
+/** Some tasks crash the workers that start them, and racks and data centres crash beside all other faults. */
+function runWithCrashes(seed: number, faultRate: number): JobRun {
+	const faults = [...COMMON_FAULTS, ...WAVES]
+	const run = new JobRun({ seed, faultRate, jobRate: 4, crashingTasks: true, faults })
+	run.run(SPAN)
+	run.settle()
+	return run
+}
+
+test('tasks that crash their workers are bounded, and no other task is given up for it', () => {
+	let crashing = 0
+	for (let seed = 1; seed <= 8; seed++) {
+		crashing += runWithCrashes(seed, ROUGH).tally.crashes!.tasks
+		crashing += runWithCrashes(seed + 100, WILD).tally.crashes!.tasks
+	}
+	assert.ok(crashing > 20)
+})
+
+interface CrashRegression {
+	readonly seed: number
+	/** Why it once failed, and with it the bound. */
+	readonly cause: string
+}
+
+const CRASH_REGRESSIONS: readonly CrashRegression[] = [
+	{ seed: 2260, cause: 'a crash counted for nothing while the run was being stopped' },
+	{ seed: 1124, cause: 'a crash counted for nothing on a worker that was leaving' },
+	{
+		seed: 1105,
+		cause: 'a task was given up for crashes of one that began on its worker at the same time',
+	},
+	{ seed: 1000, cause: 'a lasting task was given up for crashes long after its beginning' },
+]
+
+for (const { seed, cause } of CRASH_REGRESSIONS) {
+	test(`the run of crashing tasks with seed ${seed}, which once failed: ${cause}`, () => {
+		const faultRate = [0.5, 1.5, WILD][seed % 3]
+		const faults = [...COMMON_FAULTS, ...WAVES]
+		const run = new JobRun({ seed, faultRate, jobRate: 4, crashingTasks: true, faults })
+		run.run(20_000)
+		run.settle()
+	})
+}
+
 test('without fences at the workers, orders that carriers let go late break a rule', () => {
 	const unfenced: Breakage = [
 		innerClass('../jobs/FleetWorker', 'FleetWorker'),
@@ -114,7 +158,41 @@
 	})
 }
 
-const BREAKS: readonly { rule: RegExp; without: string; breaks: () => Breakage[] }[] = [
+interface Break {
+	readonly rule: RegExp
+	readonly without: string
+	readonly breaks: () => Breakage[]
+}
+
+const CRASH_BREAKS: readonly Break[] = [
+	{
+		rule: /a task that crashes its workers begins no more/,
+		without: 'counting crashes where the state is replicated',
+		breaks: () => [[jobsClass('state', 'JobTable'), 'countCrash', () => () => undefined]],
+	},
+	{
+		rule: /a task that crashes its workers begins no more/,
+		without: 'waiting to hear of the workers that fell silent',
+		breaks: () => [[jobsClass('state', 'JobTable'), 'noteSilent', () => () => undefined]],
+	},
+	{
+		rule: /a failed job has failed for a cause/,
+		without: 'isolating a task before it is given up',
+		breaks: () => [[jobsClass('leader', 'Quarantine'), 'isSettled', () => () => true]],
+	},
+]
+
+for (const { rule, without, breaks } of CRASH_BREAKS) {
+	test(`without ${without} runs of crashing tasks fail`, () => {
+		const play = (seed: number): unknown => runWithCrashes(seed, WILD)
+		assert.match(
+			withBroken(breaks(), () => firstFailure(play)),
+			rule
+		)
+	})
+}
+
+const BREAKS: readonly Break[] = [
 	{
 		rule: /no worker is given more than it has|a task runs once at a time/,
 		without: 'closing a worker while it has what it should not have',
