Room that shrinks: looked at again when a run is ordered, and never grown by a late heartbeat

Found by tests that failed first: a leader that took over a worker with more on it than its shrunken room ended with a broken invariant, and so would each one after it; starts without an answer were sent again into room that was gone; gangs began in part; a heartbeat that was held back gave room back. Change: the ledger takes up what is there; a run whose worker is over its room is withdrawn with its gang before its order; a description has its heartbeat's number and older ones are passed over; heartbeats that stay away for 2.5 s are replicated, so the next leader gives such a worker nothing before it is heard, and a heartbeat's age is told by the worker's clock. New work goes to a worker heard in the last 4 s (5 before). Reservations and questions use the most that a worker offered.

--- a/packages/jobs/src/lib/commands/CellCommand.ts
+++ b/packages/jobs/src/lib/commands/CellCommand.ts
@@ -49,8 +49,11 @@
 	| { readonly kind: 'cancel'; readonly id: string; readonly at: number }
 	| { readonly kind: 'begin'; readonly runs: readonly Begin[] }
 	| { readonly kind: 'end'; readonly runs: readonly End[]; readonly at: number }
-	| { readonly kind: 'worker'; readonly worker: Worker }
+	/** `sequence` is the number of the heartbeat that told it; a lower one is older. */
+	| { readonly kind: 'worker'; readonly worker: Worker; readonly sequence?: number }
 	| { readonly kind: 'drain'; readonly worker: string }
+	/** Whether a worker's heartbeats stay away, so that what it offers may have changed. */
+	| { readonly kind: 'silent'; readonly worker: string; readonly silent: boolean }
 	| {
 			readonly kind: 'gone'
 			readonly worker: string
--- a/packages/jobs/src/lib/leader/LeaderEvent.ts
+++ b/packages/jobs/src/lib/leader/LeaderEvent.ts
@@ -66,7 +66,10 @@
 	 * the highest priority.
 	 */
 	RunPreempted: 'run-preempted',
-	/** A run is not begun since its account's quota was cut meanwhile; `task`, `attempt`, `worker`, `account`. */
+	/**
+	 * A run is not begun since its account's quota was cut or its worker's room has shrunk meanwhile; `task`, `attempt`, `worker`,
+	 * `reason`, `account`.
+	 */
 	RunWithdrawn: 'run-withdrawn',
 	/** A run is moved since it stands still; `task`, `attempt`, `worker`, `percent` that it had done. */
 	RunMoved: 'run-moved',
--- a/packages/jobs/src/lib/leader/LeaderTiming.ts
+++ b/packages/jobs/src/lib/leader/LeaderTiming.ts
@@ -18,6 +18,8 @@
 	readonly retryPause: number
 	/** How long the state of an ended job is kept. */
 	readonly keepEnded: number
+	/** A worker that has not been heard of for this long is noted as such for the next leader. */
+	readonly workerQuiet: number
 	/** A worker that has not been heard of for this long gets no new work. */
 	readonly workerSilent: number
 	/** A worker that has not been heard of for this long, and runs nothing, is forgotten. */
@@ -45,8 +47,11 @@
 	tightPollWait: 300,
 	retryPause: 200,
 	keepEnded: 150_000,
-	// Three missed heartbeats of 1.5 s.
-	workerSilent: 5000,
+	// A missed heartbeat of 1.5 s, and one that is late.
+	workerQuiet: 2500,
+	// Two missed heartbeats of 1.5 s: half a second before room that has shrunk since the last one must count (3 s and one
+	// heartbeat).
+	workerSilent: 4000,
 	workerForgotten: 60_000,
 	// A commit with a sync of 9 ms, and the order's way to the worker, with room for a slow disk.
 	ticketMargin: 300,
--- a/packages/jobs/src/lib/leader/RunController.ts
+++ b/packages/jobs/src/lib/leader/RunController.ts
@@ -317,7 +317,9 @@
 	private orderStart(run: Run, view: WorkerView): void {
 		const { orders, term, clock, state } = this.context
 		const place = state.jobs.locate(run.text)
-		if (!this.accounts.mayGoOn(run.account, run.step)) return this.withdraw(run)
+		if (!this.accounts.mayGoOn(run.account, run.step)) return this.withdraw(run, 'quota')
+		// What was free when this was decided may be gone: a worker's room can shrink while its run is on its way.
+		if (this.context.ledger.find(run.worker)?.isOver) return this.withdraw(run, 'room')
 		const leaseUntil = view.lease.renew(clock.now())
 		if (!place || leaseUntil === undefined) return
 		run.busy = true
@@ -338,11 +340,22 @@
 	}
 
 	/** A run that its worker has not confirmed is not begun any more; what an order on its way may begin is stopped. */
-	private withdraw(run: Run): void {
+	private withdraw(run: Run, reason: 'quota' | 'room'): void {
 		const { text: task, attempt, worker, account } = run
 		const { log } = this.context
-		log.info(LeaderEvent.RunWithdrawn, { task, attempt, worker, account: account?.terms.name })
-		this.beginStop(run)
+		const name = account?.terms.name
+		log.info(LeaderEvent.RunWithdrawn, { task, attempt, worker, reason, account: name })
+		for (const member of this.withGang(run)) this.beginStop(member)
+	}
+
+	/** A run, or all runs of its gang: those that are left would wait for it in vain. */
+	private withGang(run: Run): Run[] {
+		if (!run.step.gang) return [run]
+		const { job, repeat, step } = run.name
+		return [...this.runs.values()].filter(
+			({ name, attempt }) =>
+				name.job === job && name.repeat === repeat && name.step === step && attempt === run.attempt
+		)
 	}
 
 	private orderStop(run: Run, view: WorkerView): void {
--- a/packages/jobs/src/lib/leader/WorkerHeartbeats.ts
+++ b/packages/jobs/src/lib/leader/WorkerHeartbeats.ts
@@ -77,6 +77,8 @@
 	private accept(heartbeat: Heartbeat, done: (noted: boolean) => void): void {
 		const noted = (): void => done(true)
 		const view = this.host.find(heartbeat.worker.id)
+		// It was held back on its way: what it says of the worker's room may be true no more.
+		if (view && heartbeat.sequence <= view.sequence) return noted()
 		if (!view || !sameWorker(view.worker, heartbeat.worker)) {
 			this.proposeWorker(heartbeat, noted)
 			return
@@ -92,6 +94,7 @@
 		const now = this.context.clock.now()
 		view.sequence = beat.sequence
 		view.heartbeatAt = now - age
+		view.heartbeatClock = beat.clock
 		// A reading that came late would make its lease seem longer than it is; it is better than none.
 		const counts = age === 0 || !view.lease.known
 		if (beat.clock !== undefined && counts) view.lease.read(beat.clock, now)
@@ -99,10 +102,10 @@
 	}
 
 	private proposeWorker(heartbeat: Heartbeat, done: () => void): void {
-		const { worker } = heartbeat
+		const { worker, sequence } = heartbeat
 		const { id, address, dataCentre } = worker
 		this.context.log.info(LeaderEvent.WorkerJoined, { worker: id, address, dataCentre })
-		this.context.proposals.propose({ kind: 'worker', worker }, () => {
+		this.context.proposals.propose({ kind: 'worker', worker, sequence }, () => {
 			const view = this.host.find(id)
 			if (view) this.note(view, heartbeat)
 			if (view && heartbeat.draining) this.proposeDrain(view, heartbeat, done)
--- a/packages/jobs/src/lib/leader/WorkerRegistry.ts
+++ b/packages/jobs/src/lib/leader/WorkerRegistry.ts
@@ -62,8 +62,10 @@
 			find: (id) => this.views.get(id),
 			over: (id, reason, done) => this.proposeGone(id, reason, done),
 		})
-		for (const { worker, draining } of context.state.workers.all()) {
-			this.add(worker)
+		for (const { worker, draining, silent, sequence = 0 } of context.state.workers.all()) {
+			const view = this.add(worker)
+			view.sequence = sequence
+			if (silent) view.heartbeatAt -= context.timing.workerSilent
 			if (draining) this.draining(worker.id)
 		}
 	}
@@ -114,7 +116,7 @@
 		const now = clock.now()
 		if (view.draining || view.suspects.size > 0 || view.unreachable || !view.listed) return false
 		if (this.isSuspect(view, now) || this.stalls.isStalled(view.id, now)) return false
-		return now - view.heartbeatAt < timing.workerSilent && health.isOpen(view.id, now)
+		return view.silence(now) < timing.workerSilent && health.isOpen(view.id, now)
 	}
 
 	/** A worker has joined, or describes itself anew. */
@@ -180,6 +182,7 @@
 				view.left = false
 			}
 			if (view.unreachable && view.lease.isOver(now)) this.lostRuns.giveUp(view)
+			this.noteSilence(view, now)
 			const silence = now - view.heartbeatAt
 			if (silence > this.context.timing.workerForgotten && view.runs.size === 0) {
 				this.proposeGone(view.id, WorkerEnd.Forgotten)
@@ -187,6 +190,21 @@
 		}
 	}
 
+	/**
+	 * A worker that is cut off may offer less when it is back, and only its heartbeat tells. So the next leader, which has
+	 * heard no worker yet, must know whose heartbeats stay away.
+	 */
+	private noteSilence(view: WorkerView, now: number): void {
+		const { state, timing, proposals } = this.context
+		const silent = view.silence(now) > timing.workerQuiet
+		const known = state.workers.find(view.id)
+		if (!known || view.notingSilence || silent === (known.silent ?? false)) return
+		view.notingSilence = true
+		proposals.propose({ kind: 'silent', worker: view.id, silent }, () => {
+			view.notingSilence = false
+		})
+	}
+
 	/** A worker has answered a call; `clock` is its own clock, where it told it. */
 	answered(view: WorkerView, clock: number | undefined): void {
 		const now = this.context.clock.now()
@@ -194,7 +212,9 @@
 		view.unreachable = false
 		view.answeredAt = now
 		this.outages.answered(view.worker.dataCentre, view.id)
-		if (clock !== undefined) view.lease.read(clock, now)
+		if (clock === undefined) return
+		view.lease.read(clock, now)
+		view.clockRead = { value: clock, at: now }
 	}
 
 	/** A call that was sent at this moment got no answer. */
--- a/packages/jobs/src/lib/leader/WorkerView.ts
+++ b/packages/jobs/src/lib/leader/WorkerView.ts
@@ -15,11 +15,18 @@
 	stoppedAt?: number
 }
 
+/** Milliseconds for which a reading of a worker's clock tells the age of a heartbeat: at 2% of drift it errs by 0.2 s then. */
+const READING_HOLDS = 10_000
+
 /** A worker as the controller sees it. @internal */
 export class WorkerView {
 	draining = false
 	/** When its latest heartbeat came, on the leader's clock. */
 	heartbeatAt: number
+	/** What its own clock showed in its latest answer, and when that came; absent before. */
+	clockRead: { readonly value: number; readonly at: number } | undefined
+	/** What its own clock showed when it sent that; absent when it did not tell. */
+	heartbeatClock: number | undefined
 	/** Number of its latest heartbeat. */
 	sequence = 0
 	/** Whether the latest order or poll got no answer. */
@@ -50,6 +57,8 @@
 	pollDue = 0
 	/** Whether it is being noted that it answers again. */
 	noting = false
+	/** Whether it is being noted that its heartbeats stay away, or come again. */
+	notingSilence = false
 	/** Whether it said that it has ended; what it ran counts as ended once its lease is over. */
 	left = false
 	/** Whether it counts as ended and only the commit of that is awaited: nothing is ordered there. */
@@ -70,6 +79,15 @@
 		this.heartbeatAt = now
 	}
 
+	/** @returns milliseconds since it sent its latest heartbeat, which a cut may have held back, as far as its clock is known. */
+	silence(now: number): number {
+		const since = now - this.heartbeatAt
+		const { clockRead, heartbeatClock } = this
+		if (!clockRead || heartbeatClock === undefined || now - clockRead.at > READING_HOLDS)
+			return since
+		return Math.max(since, clockRead.value + (now - clockRead.at) - heartbeatClock)
+	}
+
 	/** The worker's id. */
 	get id(): string {
 		return this.worker.id
--- a/packages/jobs/src/lib/leader/workersToAsk.ts
+++ b/packages/jobs/src/lib/leader/workersToAsk.ts
@@ -110,5 +110,5 @@
 }
 
 function capacityOf({ account }: Option): Resources {
-	return account.capacity
+	return account.most
 }
--- a/packages/jobs/src/lib/state/CellState.ts
+++ b/packages/jobs/src/lib/state/CellState.ts
@@ -73,10 +73,12 @@
 			case 'end':
 				return command.runs.forEach((run) => this.jobs.end(run, command.at))
 			case 'worker':
-				return this.join(command.worker)
+				return this.join(command.worker, command.sequence ?? 0)
 			case 'drain':
 				this.workers.drain(command.worker)
 				return this.changed({ kind: 'worker-draining', worker: command.worker })
+			case 'silent':
+				return this.workers.silent(command.worker, command.silent)
 			case 'gone':
 				return this.gone(command)
 			case 'answered':
@@ -101,9 +103,9 @@
 		this.changed({ kind: 'configured', configuration })
 	}
 
-	private join(worker: Worker): void {
+	private join(worker: Worker, sequence: number): void {
 		if (this.workers.isGone(worker.id)) return
-		this.workers.join(worker)
+		this.workers.join(worker, sequence)
 		this.changed({ kind: 'worker-joined', worker })
 	}
 
--- a/packages/jobs/src/lib/state/KnownWorkers.ts
+++ b/packages/jobs/src/lib/state/KnownWorkers.ts
@@ -8,6 +8,10 @@
 export interface KnownWorker {
 	readonly worker: Worker
 	draining: boolean
+	/** Number of the heartbeat that described it; absent in records of before that was kept. */
+	readonly sequence?: number
+	/** Whether its heartbeats stay away. */
+	silent?: boolean
 }
 
 /** The part of a snapshot that holds the workers. @public */
@@ -52,9 +56,9 @@
 	}
 
 	/** Takes a worker in, or its new description. */
-	join(worker: Worker): void {
+	join(worker: Worker, sequence = 0): void {
 		const draining = this.workers.get(worker.id)?.draining ?? false
-		this.workers.set(worker.id, { worker, draining })
+		this.workers.set(worker.id, { worker, draining, sequence })
 		this.byAddress.set(worker.address, worker.id)
 	}
 
@@ -64,6 +68,12 @@
 		if (known) known.draining = true
 	}
 
+	/** Notes that a worker's heartbeats stay away, or come again. */
+	silent(id: string, silent: boolean): void {
+		const known = this.workers.get(id)
+		if (known) known.silent = silent
+	}
+
 	/** Forgets a worker for good. */
 	leave(id: string): void {
 		const known = this.workers.get(id)
@@ -85,8 +95,9 @@
 		this.workers.clear()
 		this.byAddress.clear()
 		this.gone.clear()
-		for (const { worker, draining } of kept.workers) {
-			this.join(worker)
+		for (const { worker, draining, sequence, silent } of kept.workers) {
+			this.join(worker, sequence)
+			if (silent) this.silent(worker.id, true)
 			if (draining) this.drain(worker.id)
 		}
 		for (const id of kept.gone) this.gone.add(id)
--- a/packages/jobs/src/lib/testing/LeaderSubject.ts
+++ b/packages/jobs/src/lib/testing/LeaderSubject.ts
@@ -23,7 +23,7 @@
 	type StartOrder,
 	type StopOrder,
 } from '../leader/ports'
-import type { Queue, Worker } from '../records/Cell'
+import type { Heartbeat, Queue, Worker } from '../records/Cell'
 import type { JobRequest } from '../records/Job'
 import { CellState } from '../state/CellState'
 import { QUEUE, workerNamed } from './samples'
@@ -268,12 +268,20 @@
 
 	/** A heartbeat of a worker comes. */
 	heartbeat(id: string, changes: Partial<Worker> = {}, draining = false, remaining?: number): void {
+		const heartbeat = this.nextHeartbeat(id, changes, draining, remaining)
+		this.call({ kind: 'heartbeat', heartbeat })
+	}
+
+	/** @returns a worker's next heartbeat, which is on its way. */
+	nextHeartbeat(
+		id: string,
+		changes: Partial<Worker> = {},
+		draining = false,
+		remaining?: number
+	): Heartbeat {
 		const known = this.state.workers.find(id)?.worker
 		const worker = { ...(known ?? workerNamed(id)), ...changes }
-		const sequence = ++this.sequence
-		const clock = this.workerClock
-		const heartbeat = { worker, sequence, draining, remaining, clock }
-		this.call({ kind: 'heartbeat', heartbeat })
+		return { worker, sequence: ++this.sequence, draining, remaining, clock: this.workerClock }
 	}
 
 	/** @returns the worker behind an id. */
--- a/packages/runs/src/lib/jobs/JobFaults.ts
+++ b/packages/runs/src/lib/jobs/JobFaults.ts
@@ -26,13 +26,15 @@
 	RackLost: 'rack-lost',
 	/** All workers of a data centre do. */
 	DataCentreLost: 'data-centre-lost',
+	/** What a worker offers shrinks while it runs, and grows again. */
+	RoomShrinks: 'room-shrinks',
 } as const
 /** One of the faults. @public */
 export type JobFault = (typeof JobFault)[keyof typeof JobFault]
 
 /** What goes wrong in a run unless it says otherwise. @public */
 export const COMMON_FAULTS: readonly JobFault[] = Object.values(JobFault).filter(
-	(fault) => fault !== 'rack-lost' && fault !== 'data-centre-lost'
+	(fault) => !['rack-lost', 'data-centre-lost', 'room-shrinks'].includes(fault)
 )
 
 /** Waves of crashes besides. @public */
@@ -96,6 +98,7 @@
 		this.heldShare = 0
 		for (const machine of this.run.fleet.machines) {
 			machine.cut = false
+			machine.resize(1)
 			machine.failing = false
 			machine.stalled = false
 		}
@@ -123,6 +126,9 @@
 				return this.crash(this.inRack(machine), span)
 			case JobFault.DataCentreLost:
 				return this.crash(this.besides(machine), span)
+			case JobFault.RoomShrinks:
+				machine.resize(random.fraction())
+				return this.later(span, () => machine.resize(1))
 			case JobFault.WorkerCut:
 				return this.cut([machine], span)
 			case JobFault.DataCentreCut:
--- a/packages/runs/src/lib/jobs/jobRun.test.ts
+++ b/packages/runs/src/lib/jobs/jobRun.test.ts
@@ -5,13 +5,15 @@
 import assert from 'node:assert/strict'
 import { test } from 'node:test'
 import { innerClass, jobsClass, withBroken, type Breakage } from '../testing/brokenParts'
-import { CARRIER_FAULTS, COMMON_FAULTS, WAVES } from './JobFaults'
+import { CARRIER_FAULTS, COMMON_FAULTS, JobFault, WAVES } from './JobFaults'
 import { JobRun } from './JobRun'
 
 const CALM = 0
 const ROUGH = 1
 const WILD = 4
 const SPAN = 12_000
+/** Long enough for several crashes of one task and what follows. */
+const LONG_SPAN = 20_000
 
 function runOnce(seed: number, faultRate: number, span = SPAN): JobRun {
 	const run = new JobRun({ seed, faultRate, jobRate: 4 })
@@ -74,10 +76,10 @@
 })
 
 /** Some tasks crash the workers that start them, and racks and data centres crash beside all other faults. */
-function runWithCrashes(seed: number, faultRate: number): JobRun {
+function runWithCrashes(seed: number, faultRate: number, span = SPAN): JobRun {
 	const faults = [...COMMON_FAULTS, ...WAVES]
 	const run = new JobRun({ seed, faultRate, jobRate: 4, crashingTasks: true, faults })
-	run.run(SPAN)
+	run.run(span)
 	run.settle()
 	return run
 }
@@ -109,14 +111,58 @@
 
 for (const { seed, cause } of CRASH_REGRESSIONS) {
 	test(`the run of crashing tasks with seed ${seed}, which once failed: ${cause}`, () => {
-		const faultRate = [0.5, 1.5, WILD][seed % 3]
-		const faults = [...COMMON_FAULTS, ...WAVES]
-		const run = new JobRun({ seed, faultRate, jobRate: 4, crashingTasks: true, faults })
-		run.run(20_000)
-		run.settle()
+		runWithCrashes(seed, [0.5, 1.5, WILD][seed % 3], LONG_SPAN)
+	})
+}
+
+/** What workers offer shrinks and grows beside all other faults, and tasks crash them. */
+function runWithShrinkingRoom(seed: number, faultRate: number, span = SPAN): JobRun {
+	const shrinks = Array<JobFault>(3).fill(JobFault.RoomShrinks)
+	const faults = [...COMMON_FAULTS, ...WAVES, ...shrinks]
+	const run = new JobRun({ seed, faultRate, jobRate: 4, crashingTasks: true, faults })
+	run.run(span)
+	run.settle()
+	return run
+}
+
+test('nothing is started into room that has shrunk', () => {
+	for (let seed = 1; seed <= 8; seed++) {
+		runWithShrinkingRoom(seed, ROUGH)
+		runWithShrinkingRoom(seed + 100, WILD)
+	}
+})
+
+test('seed 5129: five leaders in six seconds, none of which has heard a worker whose room shrank', () => {
+	runWithShrinkingRoom(5129, WILD, LONG_SPAN)
+})
+
+for (const [seed, cause] of [
+	[5021, 'a new leader gave work to a worker that it had not heard since a cut'],
+	[6127, 'a heartbeat that a cut had held back was taken for a fresh one'],
+] as const) {
+	test(`the run of shrinking room with seed ${seed}, which once failed: ${cause}`, () => {
+		runWithShrinkingRoom(seed, [0.5, 1.5, WILD][seed % 3], LONG_SPAN)
 	})
 }
 
+test('without taking up what a worker offers anew, starts go into room that has shrunk', () => {
+	const unchecked: Breakage = [
+		innerClass('@rillrudder/scheduler/dist/lib/capacity/Ledger', 'Ledger'),
+		'join',
+		(original) =>
+			function (offer) {
+				const self = this as { find(id: string): unknown }
+				const { id } = offer as { id: string }
+				return self.find(id) === undefined ? original.call(this, offer) : undefined
+			},
+	]
+	const play = (seed: number): unknown => runWithShrinkingRoom(seed, ROUGH)
+	assert.match(
+		withBroken([unchecked], () => firstFailure(play)),
+		/no worker is given more than it has/
+	)
+})
+
 test('without fences at the workers, orders that carriers let go late break a rule', () => {
 	const unfenced: Breakage = [
 		innerClass('../jobs/FleetWorker', 'FleetWorker'),
@@ -187,7 +233,7 @@
 
 for (const { rule, without, breaks } of CRASH_BREAKS) {
 	test(`without ${without} runs of crashing tasks fail`, () => {
-		const play = (seed: number): unknown => runWithCrashes(seed, WILD)
+		const play = (seed: number): unknown => runWithCrashes(seed, WILD, LONG_SPAN)
 		assert.match(
 			withBroken(breaks(), () => firstFailure(play)),
 			rule
--- a/packages/scheduler/src/lib/capacity/Ledger.ts
+++ b/packages/scheduler/src/lib/capacity/Ledger.ts
@@ -65,7 +65,7 @@
 		} else {
 			this.capacityTotal = plus(minus(this.capacityTotal, known.capacity), offer.capacity)
 			known.free = plus(known.free, minus(offer.capacity, known.capacity))
-			known.capacity = offer.capacity
+			known.offer(offer.capacity)
 			known.slots = offer.slots
 			known.releases += 1
 			if (known.open) this.index.refresh(known)
@@ -102,10 +102,14 @@
 		const worker = this.workers.get(id)
 		if (!worker || !worker.open || !fits(need, worker.free)) return false
 		this.take(worker, need, urgent)
+		invariant(!worker.isOver, 'no worker is given more than it has', { id, need })
 		return true
 	}
 
-	/** Takes up an amount that was given away earlier, by a leader before this one. */
+	/**
+	 * Takes up an amount that was given away earlier, by a leader before this one. The worker's room may have shrunk since, so
+	 * it may have more than it offers.
+	 */
 	restore(id: string, need: Resources, urgent = false): void {
 		const worker = this.workers.get(id)
 		if (worker) this.take(worker, need, urgent)
@@ -135,12 +139,6 @@
 	private take(worker: LedgerWorker, need: Resources, urgent: boolean): void {
 		if (urgent) worker.urgent += need.cpu
 		worker.free = minus(worker.free, need)
-		const within = worker.free.cpu >= 0 && worker.free.memory >= 0 && worker.free.accelerators >= 0
-		invariant(within, 'no worker is given more than it has', {
-			id: worker.id,
-			need,
-			free: worker.free,
-		})
 		if (worker.open) this.index.refresh(worker)
 	}
 }
--- a/packages/scheduler/src/lib/capacity/LedgerWorker.ts
+++ b/packages/scheduler/src/lib/capacity/LedgerWorker.ts
@@ -20,6 +20,9 @@
 	readonly id: string
 	readonly rack: string
 	capacity: Resources
+	/** The most of each that it has offered; what has shrunk may grow again. */
+	most: Resources
+	/** Below 0 where its room has shrunk under what is reserved. */
 	free: Resources
 	slots: number
 	/** Thousandths of processors that work of the highest priority has of what is reserved. */
@@ -37,10 +40,27 @@
 		this.id = offer.id
 		this.rack = offer.rack
 		this.capacity = offer.capacity
+		this.most = offer.capacity
 		this.free = offer.capacity
 		this.slots = offer.slots
 	}
 
+	/** Takes up what it offers from now on. */
+	offer(capacity: Resources): void {
+		this.capacity = capacity
+		this.most = {
+			cpu: Math.max(this.most.cpu, capacity.cpu),
+			memory: Math.max(this.most.memory, capacity.memory),
+			accelerators: Math.max(this.most.accelerators, capacity.accelerators),
+		}
+	}
+
+	/** Whether more is reserved there than it has room for. */
+	get isOver(): boolean {
+		const { cpu, memory, accelerators } = this.free
+		return cpu < 0 || memory < 0 || accelerators < 0
+	}
+
 	/** What is reserved there. */
 	get reserved(): Resources {
 		return minus(this.capacity, this.free)
