A leader asks the others again when the calendar has run ahead of its steady clock

Cause: while a machine is suspended Node's steady clock stands still, so a leader that comes back believes in a lease that has long ended: in group runs two leaders acted at a time. Change: the calendar against the steady clock is looked at before each use of the lease; if it ran ahead by 10 ms or more, only answers to heartbeats sent from then on count. A calendar that was set costs one round of heartbeats. Waiting for others' leases stays on the steady clock.

--- a/packages/consensus/src/lib/Leadership.ts
+++ b/packages/consensus/src/lib/Leadership.ts
@@ -8,8 +8,9 @@
 	type Probe,
 	type SnapshotReply,
 } from '@rillrudder/protocol'
-import { LeaderLease } from './LeaderLease'
+import { HeartbeatRounds } from './HeartbeatRounds'
 import { majorityValue } from './MembershipHistory'
+import { leaseSpan } from './Timing'
 import { byPreference, preference } from './preference'
 import { Mode, Progress } from './Progress'
 import { nextSeatChange, type Seat } from './roster'
@@ -28,7 +29,7 @@
  * @internal
  */
 export class Leadership {
-	private readonly lease: LeaderLease
+	private readonly rounds = new HeartbeatRounds()
 	private readonly peers = new Map<string, Progress>()
 	private stored = 0
 	private since = 0
@@ -37,10 +38,10 @@
 	private handingTo = ''
 	private handingSince = 0
 	private leaseGivenUp = false
+	/** Answers to what was sent before this moment do not count for the lease. */
+	private doubtedAt = Number.NEGATIVE_INFINITY
 
-	constructor(private readonly state: ReplicaState) {
-		this.lease = new LeaderLease(state.timing)
-	}
+	constructor(private readonly state: ReplicaState) {}
 
 	/** Whether leadership is being handed over, so that nothing new is taken. */
 	get handing(): boolean {
@@ -104,20 +105,28 @@
 	/** Whether no other leader can have been elected yet. */
 	holdsLease(now: number): boolean {
 		if (this.leaseGivenUp) return false
-		return now < this.leaseEnd(now)
+		return this.confirmedAt(now) >= this.doubtedAt && now < this.leaseEnd(now)
+	}
+
+	/** Time may have passed that the clock did not count: the lease holds again once a majority has answered anew. */
+	doubtLease(now: number): void {
+		this.doubtedAt = now
+		this.heartbeat(now)
 	}
 
 	/** When the lease ends unless it is renewed. */
 	leaseEnd(now: number): number {
-		const voters = this.state.memberships.voters
+		return this.confirmedAt(now) + leaseSpan(this.state.timing)
+	}
+
+	/** When the latest heartbeat was sent that a majority has answered. */
+	private confirmedAt(now: number): number {
+		const { voters } = this.state.memberships
 		const self = this.state.options.id
-		return this.lease.end(
-			voters.map((voter) =>
-				voter.id === self
-					? now
-					: (this.peers.get(voter.id)?.answeredSince ?? Number.NEGATIVE_INFINITY)
-			)
+		const answered = voters.map(({ id }) =>
+			id === self ? now : (this.peers.get(id)?.answeredSince ?? Number.NEGATIVE_INFINITY)
 		)
+		return answered.length === 0 ? Number.NEGATIVE_INFINITY : majorityValue(answered)
 	}
 
 	/** Whether an entry of this term is committed, so that the state is the group's latest. */
@@ -196,7 +205,7 @@
 	}
 
 	private replicate(now: number, always = false): void {
-		const round = this.lease.begin(now)
+		const round = this.rounds.begin(now)
 		for (const member of this.state.memberships.current.members) {
 			if (member.id === this.state.options.id) continue
 			const peer = this.progress(member.id)
@@ -206,7 +215,7 @@
 	}
 
 	private replicateTo(id: string, now: number): void {
-		this.send(id, this.progress(id), this.lease.begin(now), now)
+		this.send(id, this.progress(id), this.rounds.begin(now), now)
 	}
 
 	private send(id: string, peer: Progress, round: number, now: number): void {
@@ -243,13 +252,13 @@
 		const last = offset + data.length === snapshot.data.length
 		peer.snapshotSentAt = now
 		const { index, term, membership } = snapshot
-		const round = this.lease.begin(now)
+		const round = this.rounds.begin(now)
 		const value = { index, term, membership, offset, data: Buffer.from(data), last, round }
 		this.state.sendEarly(id, { $case: 'snapshotPiece', value })
 	}
 
 	private answered(peer: Progress, round: number): void {
-		const sent = this.lease.sendTime(round)
+		const sent = this.rounds.sendTime(round)
 		if (sent !== undefined) peer.answeredSince = Math.max(peer.answeredSince, sent)
 	}
 
--- a/packages/consensus/src/lib/Replica.ts
+++ b/packages/consensus/src/lib/Replica.ts
@@ -108,6 +108,15 @@
 		return this.leads && this.leadership.current && this.leadership.holdsLease(now)
 	}
 
+	/**
+	 * More time may have passed than the clock shows: a leader asks the others again before it acts.
+	 *
+	 * @param now - the moment.
+	 */
+	doubtLease(now: number): void {
+		if (this.leads) this.leadership.doubtLease(now)
+	}
+
 	/**
 	 * @param now - the moment.
 	 * @returns when the lease ends unless renewed; only of use while `holdsLease`.
--- a/packages/group/src/lib/Group.ts
+++ b/packages/group/src/lib/Group.ts
@@ -5,7 +5,7 @@
 import type { Output, Replica } from '@rillrudder/consensus'
 import { EntryKind, type Entry, type GroupMessage } from '@rillrudder/protocol'
 import type { Batch, GroupStore } from '@rillrudder/store'
-import { Mailbox, type Clock } from '@rillrudder/utils'
+import { Mailbox, SkippedTime, type Clock } from '@rillrudder/utils'
 import type { StateMachine } from './StateMachine'
 
 /** Entries after which a snapshot is made in any case; bounds the log in memory. */
@@ -57,10 +57,12 @@
 	/** Bytes of the commands applied since the snapshot. */
 	private logBytes = 0
 	private stopped = false
+	private readonly skipped: SkippedTime
 
 	/** @param parts - what to drive, and with what. */
 	constructor(private readonly parts: GroupParts) {
 		const { replica } = parts
+		this.skipped = new SkippedTime(parts.clock)
 		this.appliedIndex = replica.snapshot?.index ?? 0
 		this.snapshotIndex = this.appliedIndex
 		if (replica.snapshot) parts.machine.restore(replica.snapshot.data)
@@ -85,6 +87,7 @@
 	/** Whether this replica may act for its group at this very moment. */
 	get mayAct(): boolean {
 		const { replica, clock } = this.parts
+		this.noteSkips()
 		return replica.holdsLease(clock.now()) && this.appliedIndex === replica.status.commit
 	}
 
@@ -127,12 +130,18 @@
 		await this.parts.store?.close()
 	}
 
+	/** The lease may have ended while the machine was suspended, which its steady clock does not tell. */
+	private noteSkips(): void {
+		if (this.skipped.noticed()) this.parts.replica.doubtLease(this.parts.clock.now())
+	}
+
 	private post(event: GroupEvent): void {
 		this.mailbox.post(event)
 	}
 
 	private handle(batch: GroupEvent[]): void {
 		if (this.stopped) return
+		this.noteSkips()
 		for (const event of batch) event()
 		this.flush()
 		this.compact()
--- a/packages/runs/src/lib/GroupRun.ts
+++ b/packages/runs/src/lib/GroupRun.ts
@@ -139,6 +139,13 @@
 		for (let left = count; left > 0; left--) this.proposeOne(this.node(id))
 	}
 
+	/** Suspends the machine of a replica: it stands still, and so does its steady clock. */
+	suspend(id: string, span: number): void {
+		const node = this.node(id)
+		node.pausedUntil = this.clock.now() + span
+		node.suspended += span
+	}
+
 	/** Takes a replica down for a while; without a disk it forgets. */
 	takeDown(id: string, span: number): void {
 		this.down(this.node(id), span)
@@ -375,6 +382,7 @@
 			},
 			disk: durable ? node.disk : undefined,
 			now: () => node.localTime(this.clock.now()),
+			ahead: () => node.suspended,
 			saveTime: () => this.random.integer(0, SYNC_MOST),
 			after: (span, call) => this.afterIn(node, running, span, call),
 			send: (to, message) => this.network.send(node.founder.id, { to, message }),
--- a/packages/runs/src/lib/RunNode.ts
+++ b/packages/runs/src/lib/RunNode.ts
@@ -11,6 +11,8 @@
 	state = 0
 	downUntil = 0
 	pausedUntil = 0
+	/** For how many milliseconds its machine has been suspended in all. */
+	suspended = 0
 	/** Whether its disk has been emptied. */
 	wiped = false
 	/** What came while it was paused. */
@@ -26,8 +28,9 @@
 		return this.running.replica
 	}
 
+	/** What its steady clock shows, which stands still while the machine is suspended. */
 	localTime(trueTime: number): number {
-		return this.offset + trueTime * this.rate
+		return this.offset + (trueTime - this.suspended) * this.rate
 	}
 }
 
--- a/packages/runs/src/lib/RunReplica.ts
+++ b/packages/runs/src/lib/RunReplica.ts
@@ -7,7 +7,7 @@
 	type Snapshot,
 } from '@rillrudder/consensus'
 import type { Entry, GroupMessage } from '@rillrudder/protocol'
-import { invariant } from '@rillrudder/utils'
+import { invariant, SkippedTime } from '@rillrudder/utils'
 
 /** What a simulated disk holds of one replica. @public */
 export interface ReplicaDisk {
@@ -29,6 +29,8 @@
 	readonly disk?: ReplicaDisk
 	/** The replica's own clock. */
 	readonly now: () => number
+	/** By how much its calendar is ahead of that. */
+	readonly ahead: () => number
 	/** How long the save that begins now takes, in milliseconds of the run. */
 	readonly saveTime: () => number
 	/** Makes a call after a span of the run; the caller drops it when the process has died. */
@@ -47,12 +49,14 @@
 	readonly replica: Replica
 	/** Index of the last entry that was applied. */
 	applied = 0
+	private readonly skipped: SkippedTime
 	private waiting: Save[] = []
 	private saving = false
 
 	/** @param parts - options and surroundings. */
 	constructor(private readonly parts: RunReplicaParts) {
 		const { options, disk, now } = parts
+		this.skipped = new SkippedTime(parts)
 		const kept = disk !== undefined && disk.incarnation === options.incarnation
 		if (disk && !kept) Object.assign(disk, emptyDisk(), { incarnation: options.incarnation })
 		const restored = kept ? { ...disk, entries: [...disk.entries] } : undefined
@@ -63,6 +67,7 @@
 	/** Whether it may act for its group at this very moment. */
 	get mayAct(): boolean {
 		const { replica } = this
+		this.noteSkips()
 		return replica.holdsLease(this.parts.now()) && this.applied === replica.status.commit
 	}
 
@@ -74,6 +79,7 @@
 
 	/** Lets time pass. */
 	tick(): void {
+		this.noteSkips()
 		this.replica.tick(this.parts.now())
 		this.flush()
 	}
@@ -99,6 +105,10 @@
 		if (this.parts.disk) this.save({ snapshot, entries }, [])
 	}
 
+	private noteSkips(): void {
+		if (this.skipped.noticed()) this.replica.doubtLease(this.parts.now())
+	}
+
 	private flush(): void {
 		const output = this.replica.takeOutput()
 		for (const { to, message } of output.early) this.parts.send(to, message)
--- a/packages/runs/src/lib/cell/RunControl.ts
+++ b/packages/runs/src/lib/cell/RunControl.ts
@@ -277,6 +277,7 @@
 			},
 			disk: kept,
 			now: () => this.clock.now(),
+			ahead: () => this.clock.ahead(),
 			saveTime: () => this.saveTime(),
 			after: (span, call) => {
 				this.clock.after(span, () => {
--- a/packages/runs/src/lib/groupFailures.test.ts
+++ b/packages/runs/src/lib/groupFailures.test.ts
@@ -240,3 +240,31 @@
 	assert.ok(run.statusOf('b').term > term || run.statusOf('c').term > term)
 	run.settle()
 })
+
+/** While its machine was suspended another leads; it hears nothing of that, and its steady clock says that no time has passed. */
+function suspendLeader(seed: number): void {
+	const run = group(seed)
+	run.suspend('a', 4000)
+	for (const other of ['b', 'c']) {
+		run.cut('a', other, 6000)
+		run.cut(other, 'a', 6000)
+	}
+	run.steps(420)
+	const others = ['b', 'c'].map((id) => run.statusOf(id).role)
+	assert.ok(others.includes('leader'))
+	assert.equal(run.mayAct('a'), false)
+	run.settle()
+}
+
+test('a leader whose machine was suspended asks the others before it acts', () => {
+	for (let seed = 1; seed <= 8; seed++) suspendLeader(seed)
+})
+
+test('without noticing that time was skipped, two leaders act at a time', () => {
+	const ignored = (): void => undefined
+	withBroken('Replica', 'Replica', 'doubtLease', ignored, () => {
+		for (let seed = 1; seed <= 8; seed++) {
+			assert.throws(() => suspendLeader(seed), /one lease at a time/)
+		}
+	})
+})
--- a/packages/utils/src/lib/time/Clock.ts
+++ b/packages/utils/src/lib/time/Clock.ts
@@ -21,6 +21,11 @@
 	/** @returns the calendar time, for records that people read; never for leases. */
 	abstract date(): Date
 
+	/** @returns by how many milliseconds the calendar is ahead of the steady clock; only differences mean something. */
+	ahead(): number {
+		return this.date().getTime() - this.now()
+	}
+
 	/**
 	 * Calls back once.
 	 *
--- a/packages/utils/src/lib/time/ManualClock.ts
+++ b/packages/utils/src/lib/time/ManualClock.ts
@@ -33,6 +33,7 @@
  */
 export class ManualClock extends Clock {
 	private elapsed = 0
+	private skipped = 0
 	private made = 0
 	private readonly pending = new Heap<ManualTimer>((a, b) => a.due - b.due || a.order - b.order)
 
@@ -46,7 +47,7 @@
 	}
 
 	override date(): Date {
-		return new Date(this.start.getTime() + this.elapsed)
+		return new Date(this.start.getTime() + this.elapsed + this.skipped)
 	}
 
 	override after(delay: number, call: () => void): Timer {
@@ -55,6 +56,11 @@
 		return timer
 	}
 
+	/** Moves only the calendar, as when the machine was suspended or its time was set. */
+	skip(span: number): void {
+		this.skipped += span
+	}
+
 	/**
 	 * Moves time forward and makes every call that falls due, in order.
 	 *
--- a/packages/utils/src/lib/time/SystemClock.ts
+++ b/packages/utils/src/lib/time/SystemClock.ts
@@ -26,6 +26,10 @@
 		return new Date()
 	}
 
+	override ahead(): number {
+		return Date.now() - performance.now()
+	}
+
 	override after(delay: number, call: () => void): Timer {
 		return new NodeTimer(setTimeout(call, delay))
 	}
