--- a/apps/bench/src/soak.ts
+++ b/apps/bench/src/soak.ts
@@ -1,6 +1,6 @@
 /** `npm run soak`: long seeded runs of groups and of whole cells; every failure prints its seed. */
 import { ExitCode, runCommand } from '@rillrudder/program'
-import { CellRun, GroupRun, JobRun } from '@rillrudder/runs'
+import { ALL_FAULTS, CellRun, GroupRun, JobRun } from '@rillrudder/runs'
 import { command, flag, number, option } from 'cmd-ts'
 
 const STEPS_A_GROUP_RUN = 6000
@@ -38,7 +38,8 @@
 		const faultRate = GROUP_FAULT_RATES[(at >> 2) % GROUP_FAULT_RATES.length]
 		// Every other run of a layout that has only disks lets instances join and leave.
 		const open = founders.every((one) => one.durable) && (at >> 4) % 2 === 1
-		const run = new GroupRun({ seed: at, founders, faultRate, open })
+		const suspensions = (at >> 5) % 2 === 1
+		const run = new GroupRun({ seed: at, founders, faultRate, open, suspensions })
 		soaked.runs += 1
 		try {
 			run.steps(STEPS_A_GROUP_RUN)
@@ -93,7 +94,15 @@
 
 function soakJobs(first: number, count: number): Soaked {
 	const make = (seed: number, faultRate: number): JobRun =>
-		new JobRun({ seed, faultRate, jobRate: JOB_RATE, accounts: seed % 2 === 0 })
+		new JobRun({
+			seed,
+			faultRate,
+			jobRate: JOB_RATE,
+			accounts: seed % 2 === 0,
+			// Runs of all mixes: accounts, tasks that crash their workers, waves of crashes and room that shrinks.
+			crashingTasks: seed % 4 >= 2,
+			faults: seed % 8 >= 4 ? ALL_FAULTS : undefined,
+		})
 	return soakRuns('job', { first, count }, make, (run) => run.tally.starts)
 }
 
--- a/packages/runs/src/lib/GroupRun.ts
+++ b/packages/runs/src/lib/GroupRun.ts
@@ -30,6 +30,8 @@
 	HandOver: 'hand-over',
 	/** Only where the membership is open: one is gone for good, and an empty one comes under a new name. */
 	Replace: 'replace',
+	/** Only where machines are suspended: one stands still, and so does its steady clock. */
+	Suspend: 'suspend',
 } as const
 /** One of the faults. @public */
 export type Fault = (typeof Fault)[keyof typeof Fault]
@@ -51,6 +53,8 @@
 	readonly faultRate: number
 	/** Whether instances join and leave; the founders only begin. */
 	readonly open?: boolean
+	/** Whether machines are suspended. */
+	readonly suspensions?: boolean
 }
 
 /**
@@ -78,6 +82,7 @@
 			'lost-disk': 0,
 			'hand-over': 0,
 			replace: 0,
+			suspend: 0,
 		},
 	}
 	private readonly random: Random
@@ -141,9 +146,13 @@
 
 	/** Suspends the machine of a replica: it stands still, and so does its steady clock. */
 	suspend(id: string, span: number): void {
-		const node = this.node(id)
+		this.suspendNode(this.node(id), span)
+	}
+
+	private suspendNode(node: RunNode, span: number): boolean {
 		node.pausedUntil = this.clock.now() + span
 		node.suspended += span
+		return true
 	}
 
 	/** Takes a replica down for a while; without a disk it forgets. */
@@ -300,7 +309,10 @@
 	}
 
 	private disturb(): void {
-		const kinds = Object.values(Fault).filter((kind) => this.options.open || kind !== Fault.Replace)
+		const { open, suspensions } = this.options
+		const kinds = Object.values(Fault).filter(
+			(kind) => (open || kind !== Fault.Replace) && (suspensions || kind !== Fault.Suspend)
+		)
 		const fault = this.random.pick(kinds)
 		const node = this.random.pick([...this.nodes.values()])
 		if (!this.inflict(fault, node)) return
@@ -315,6 +327,8 @@
 			case Fault.Pause:
 				node.pausedUntil = Math.max(node.pausedUntil, this.clock.now() + span)
 				return true
+			case Fault.Suspend:
+				return this.awake(node) && this.suspendNode(node, span)
 			case Fault.CutOff:
 				this.network.block(span, (from, to) => from === node.founder.id || to === node.founder.id)
 				return true
--- a/packages/runs/src/lib/groupFailures.test.ts
+++ b/packages/runs/src/lib/groupFailures.test.ts
@@ -260,6 +260,17 @@
 	for (let seed = 1; seed <= 8; seed++) suspendLeader(seed)
 })
 
+test('runs with suspended machines beside all other faults hold every rule', () => {
+	let suspensions = 0
+	for (let seed = 1; seed <= 12; seed++) {
+		const run = new GroupRun({ seed, founders: FOUNDERS, faultRate: 0.02, suspensions: true })
+		run.steps(3000)
+		run.settle()
+		suspensions += run.tally.faults.suspend
+	}
+	assert.ok(suspensions > 20)
+})
+
 test('without noticing that time was skipped, two leaders act at a time', () => {
 	const ignored = (): void => undefined
 	withBroken('Replica', 'Replica', 'doubtLease', ignored, () => {
--- a/packages/runs/src/lib/jobs/JobFaults.ts
+++ b/packages/runs/src/lib/jobs/JobFaults.ts
@@ -32,8 +32,11 @@
 /** One of the faults. @public */
 export type JobFault = (typeof JobFault)[keyof typeof JobFault]
 
+/** Everything that can go wrong. @public */
+export const ALL_FAULTS: readonly JobFault[] = Object.values(JobFault)
+
 /** What goes wrong in a run unless it says otherwise. @public */
-export const COMMON_FAULTS: readonly JobFault[] = Object.values(JobFault).filter(
+export const COMMON_FAULTS: readonly JobFault[] = ALL_FAULTS.filter(
 	(fault) => !['rack-lost', 'data-centre-lost', 'room-shrinks'].includes(fault)
 )
 
