Tasks of intents whose workers are lost again and again begin ever more seldom

Cause: the same as that of tasks of jobs that crash their workers: a task whose worker is lost waited again without a bound.

--- a/packages/cell/src/lib/commands/DataCentreCommand.ts
+++ b/packages/cell/src/lib/commands/DataCentreCommand.ts
@@ -128,6 +128,8 @@
 	worker: z.string(),
 	/** Whether it is done, or waits to be placed again. */
 	done: z.boolean(),
+	/** Whether its worker was lost, or began anew without it; absent for no. */
+	lost: z.boolean().optional(),
 	reason: z.string(),
 	at: moment,
 })
--- a/packages/cell/src/lib/leader/TaskController.ts
+++ b/packages/cell/src/lib/leader/TaskController.ts
@@ -15,6 +15,7 @@
 import type { DataCentreState } from '../state/DataCentreState'
 import { hasEnded, TaskPhase, type TaskRecord } from '../state/TaskTable'
 import type { Effects, Moment } from './Effects'
+import { mayRestartAt } from './restartDelay'
 import { WorkerLeases } from './WorkerLeases'
 import type { ExchangeReply } from './workerProtocol'
 
@@ -33,6 +34,8 @@
 	private readonly busy = new Set<string>()
 	/** Tasks that are being moved out of the way, or stopped, and why. */
 	private readonly leaving = new Map<string, string>()
+	/** Tasks that wait before they begin again, and until when, milliseconds since the epoch. */
+	private readonly delayed = new Map<string, number>()
 	private again = true
 
 	constructor(
@@ -64,7 +67,8 @@
 				if (record.cancelled) this.stop(record, 'cancelled')
 			}
 		}
-		this.submit([...this.state.tasks.all()].filter((one) => one.phase === TaskPhase.Waiting))
+		const waiting = [...this.state.tasks.all()].filter((one) => one.phase === TaskPhase.Waiting)
+		this.submitWhenDue(waiting, moment.at)
 		this.leases.takeOver(moment.now)
 	}
 
@@ -72,6 +76,7 @@
 	clear(): void {
 		this.busy.clear()
 		this.leaving.clear()
+		this.delayed.clear()
 		this.leases.clear()
 	}
 
@@ -134,7 +139,7 @@
 		this.leaving.delete(command.task)
 		this.placement.ended(command.task)
 		const record = this.state.tasks.find(command.task)
-		if (record?.phase === TaskPhase.Waiting) this.submit([record])
+		if (record?.phase === TaskPhase.Waiting) this.submitWhenDue([record], command.at)
 		this.again = true
 	}
 
@@ -153,7 +158,7 @@
 		for (const one of reply.ended) this.endedThere(worker, one, moment)
 		for (const one of reply.running) this.usage(one)
 		for (const record of this.leases.missing(worker, reply)) {
-			this.unplace(record, false, 'the worker no longer runs it', moment)
+			this.lost(record, 'the worker no longer runs it', moment)
 		}
 	}
 
@@ -165,8 +170,9 @@
 	/** Decides, renews leases, and gives up on workers whose leases are certainly over. */
 	tick(moment: Moment): void {
 		for (const record of this.leases.expired(moment.now)) {
-			this.unplace(record, false, 'the worker is silent and its lease is over', moment)
+			this.lost(record, 'the worker is silent and its lease is over', moment)
 		}
+		this.submitDue(moment.at)
 		if (this.again || this.placement.waitingCount > 0) this.decide(moment)
 		this.leases.tick(moment)
 	}
@@ -261,13 +267,42 @@
 		this.effects.commands.push({ kind: 'throttle', task: one.task, cpu: slowed, at: 0 })
 	}
 
-	private unplace(record: TaskRecord, done: boolean, reason: string, moment: Moment): void {
+	private lost(record: TaskRecord, reason: string, moment: Moment): void {
+		this.unplace(record, false, reason, moment, true)
+	}
+
+	private unplace(
+		record: TaskRecord,
+		done: boolean,
+		reason: string,
+		{ at }: Moment,
+		lost?: boolean
+	): void {
 		const { id } = record.task
 		if (this.busy.has(id) || record.phase !== TaskPhase.Placed) return
 		this.busy.add(id)
 		const { worker } = record
-		const at = moment.at
-		this.effects.commands.push({ kind: 'unplace', task: id, worker, done, reason, at })
+		this.effects.commands.push({ kind: 'unplace', task: id, worker, done, lost, reason, at })
+	}
+
+	/** Those whose workers were lost again and again come later. */
+	private submitWhenDue(records: readonly TaskRecord[], at: number): void {
+		const due: TaskRecord[] = []
+		for (const record of records) {
+			const restart = mayRestartAt(record)
+			if (restart <= at) due.push(record)
+			else this.delayed.set(record.task.id, restart)
+		}
+		if (due.length > 0) this.submit(due)
+	}
+
+	private submitDue(at: number): void {
+		for (const [task, restart] of this.delayed) {
+			if (restart > at) continue
+			this.delayed.delete(task)
+			const record = this.state.tasks.find(task)
+			if (record?.phase === TaskPhase.Waiting) this.submit([record])
+		}
 	}
 
 	/** Tasks of a gang go to the placement together. */
--- a/packages/cell/src/lib/state/TaskTable.ts
+++ b/packages/cell/src/lib/state/TaskTable.ts
@@ -54,6 +54,10 @@
 	fence: number
 	/** When it was placed, milliseconds since the epoch. */
 	placedAt: number
+	/** How often in a row its worker was lost under it; absent in records of before that was counted. */
+	losses?: number
+	/** When that was last, milliseconds since the epoch. */
+	lostAt?: number
 	/** Whether it is to end where it runs: cancelled while it ran. */
 	cancelled: boolean
 	/** What happened to it, newest last, for people. */
@@ -61,6 +65,8 @@
 }
 
 const MOST_HISTORY = 12
+/** Milliseconds on one worker after which earlier losses count no more; many times the lease that ends a lost run. */
+const SOUND_AFTER = 600_000
 const MOST_ENDED = 20_000
 
 /**
@@ -135,6 +141,7 @@
 			: over
 				? TaskPhase.Done
 				: TaskPhase.Waiting
+		if (command.lost) noteLoss(record, command.at)
 		record.worker = ''
 		record.reserved = undefined
 		this.note(record, `left ${command.worker}: ${command.reason}`)
@@ -221,6 +228,13 @@
 	}
 }
 
+/** A task that ran for long before its worker was lost did no harm by beginning. */
+function noteLoss(record: TaskRecord, at: number): void {
+	const inARow = at - record.placedAt < SOUND_AFTER
+	record.losses = (inARow ? (record.losses ?? 0) : 0) + 1
+	record.lostAt = at
+}
+
 /**
  * @param record - a task.
  * @returns whether it will not run any more.
