--- a/packages/runs/src/lib/jobs/FleetWorker.ts
+++ b/packages/runs/src/lib/jobs/FleetWorker.ts
@@ -15,10 +15,10 @@
 	type StopOrder,
 	type Worker,
 } from '@rillrudder/jobs'
-import type { Resources } from '@rillrudder/scheduler'
 import type { Clock, Random } from '@rillrudder/utils'
 import type { GangRegistry } from './GangRegistry'
 import type { JobInvariants } from './JobInvariants'
+import { OfferedRoom } from './OfferedRoom'
 import { HOPELESS } from './randomJob'
 
 /** The longest lease that a worker keeps, in milliseconds. */
@@ -47,14 +47,6 @@
 	savesAt: number
 }
 
-/** Milliseconds for which room that has shrunk still counts: what is told of it takes a while, and a heartbeat more. */
-const SHRUNK_COUNTS = 4500
-
-interface FormerRoom {
-	readonly until: number
-	readonly capacity: Resources
-}
-
 interface Waiter {
 	readonly until: number
 	readonly answer: () => void
@@ -92,7 +84,7 @@
 	stalled = false
 	private tickedAt = 0
 	sequence = 0
-	private readonly whole: Resources
+	private readonly room: OfferedRoom
 	private readonly rate: number
 	private readonly offset: number
 	private fence = 0
@@ -105,15 +97,12 @@
 	/** For each task the highest attempt that has ended or was stopped here. */
 	private readonly closed = new Map<string, number>()
 	private waiters: Waiter[] = []
-	/** Room that has shrunk of late, which counts for a while. */
-	private formerRoom: FormerRoom[] = []
-
 	constructor(
 		private readonly parts: FleetWorkerParts,
 		worker: Worker
 	) {
 		this.worker = worker
-		this.whole = worker.capacity
+		this.room = new OfferedRoom(parts.clock, worker.capacity)
 		this.rate = 0.98 + parts.random.fraction() * 0.02
 		this.offset = parts.random.integer(0, 1_000_000)
 	}
@@ -140,26 +129,14 @@
 
 	/** What it offers changes, as its next heartbeat tells. */
 	resize(share: number): void {
-		const { capacity } = this.worker
-		const until = this.parts.clock.now() + SHRUNK_COUNTS
-		this.formerRoom.push({ until, capacity })
-		this.worker = { ...this.worker, capacity: scale(this.whole, share) }
-	}
-
-	/** The most room that a start may count on. */
-	private get countedRoom(): Resources {
-		const now = this.parts.clock.now()
-		this.formerRoom = this.formerRoom.filter(({ until }) => until > now)
-		return this.formerRoom.reduce(
-			(most, { capacity }) => larger(most, capacity),
-			this.worker.capacity
-		)
+		this.room.resize(share)
+		this.worker = { ...this.worker, capacity: this.room.current }
 	}
 
 	/** Begins a new life under another id. */
 	rise(id: string): void {
-		this.worker = { ...this.worker, id, capacity: this.whole }
-		this.formerRoom = []
+		this.room.restore()
+		this.worker = { ...this.worker, id, capacity: this.room.current }
 		this.up = true
 		this.draining = false
 		this.failing = false
@@ -188,7 +165,7 @@
 		const { checkpoint } = order
 		const seen = { worker: this.worker.id, task, attempt, checkpoint, late }
 		// An order that is carried out late was right when it was sent.
-		const capacity = late ? this.whole : this.countedRoom
+		const capacity = late ? this.room.whole : this.room.counted
 		witness.began({ ...this.worker, capacity }, seen, spec, clock.now())
 		this.begin(task, attempt, checkpoint)
 		this.parts.began(this, task)
@@ -333,19 +310,3 @@
 		return { kind: 'refused', reason, clock: this.ownClock }
 	}
 }
-
-function scale({ cpu, memory, accelerators }: Resources, share: number): Resources {
-	return {
-		cpu: Math.floor(cpu * share),
-		memory: Math.floor(memory * share),
-		accelerators: Math.floor(accelerators * share),
-	}
-}
-
-function larger(left: Resources, right: Resources): Resources {
-	return {
-		cpu: Math.max(left.cpu, right.cpu),
-		memory: Math.max(left.memory, right.memory),
-		accelerators: Math.max(left.accelerators, right.accelerators),
-	}
-}
