--- a/packages/jobs/src/lib/leader/LeaderEvent.ts
+++ b/packages/jobs/src/lib/leader/LeaderEvent.ts
@@ -22,6 +22,13 @@
 	WorkerLost: 'worker-lost',
 	/** A worker answers again; `worker`. */
 	WorkerRegained: 'worker-regained',
+	/**
+	 * A worker lists ends whose numbers are not above those that were `taken` from it before, while their runs are still counted as going on there;
+	 * `worker`, the `first` and `last` of those numbers. Once for each last number.
+	 */
+	EndsPassedOver: 'ends-passed-over',
+	/** A worker's heartbeat is older than one that was taken; `worker`, its `number`, the number `taken`. Debug level. */
+	HeartbeatPassedOver: 'heartbeat-passed-over',
 	/** Runs were given up; `worker`, `runs`, `reason`: the lease is over, or copies are allowed. */
 	RunsLost: 'runs-lost',
 	/**
--- a/packages/jobs/src/lib/leader/WorkerHeartbeats.ts
+++ b/packages/jobs/src/lib/leader/WorkerHeartbeats.ts
@@ -78,7 +78,12 @@
 		const noted = (): void => done(true)
 		const view = this.host.find(heartbeat.worker.id)
 		// It was held back on its way: what it says of the worker's room may be true no more.
-		if (view && heartbeat.sequence <= view.sequence) return noted()
+		if (view && heartbeat.sequence <= view.sequence) {
+			const { sequence: number } = heartbeat
+			const { id: worker, sequence: taken } = view
+			this.context.log.debug(LeaderEvent.HeartbeatPassedOver, { worker, number, taken })
+			return noted()
+		}
 		if (!view || !sameWorker(view.worker, heartbeat.worker)) {
 			this.proposeWorker(heartbeat, noted)
 			return
--- a/packages/jobs/src/lib/leader/WorkerRegistry.ts
+++ b/packages/jobs/src/lib/leader/WorkerRegistry.ts
@@ -335,6 +335,7 @@
 	/** Ends are committed before the worker is told that they were seen. */
 	private takeEnds(view: WorkerView, ended: readonly ListedEnd[]): void {
 		const fresh = ended.filter((end) => end.number > view.endsProposed)
+		this.tellPassedOver(view, ended)
 		if (fresh.length === 0) return
 		const last = Math.max(...fresh.map((end) => end.number))
 		view.endsProposed = last
@@ -349,6 +350,22 @@
 		})
 	}
 
+	/** Ends that were taken before, of runs that still count as going on, are of another worker than is believed. */
+	private tellPassedOver(view: WorkerView, ended: readonly ListedEnd[]): void {
+		const numbers = ended
+			.filter(({ number, task, attempt }) => {
+				const isTaken = number <= view.endsCommitted
+				return isTaken && view.runs.get(task)?.attempt === attempt
+			})
+			.map(({ number }) => number)
+		const last = Math.max(0, ...numbers)
+		if (last <= view.endsPassedOver) return
+		view.endsPassedOver = last
+		const { id: worker, endsCommitted: taken } = view
+		const first = Math.min(...numbers)
+		this.context.log.warn(LeaderEvent.EndsPassedOver, { worker, first, last, taken })
+	}
+
 	/** Earlier leaders may have granted a whole lease just before they lost their place. */
 	private firstLease(): Lease {
 		const { timing, clock } = this.context
--- a/packages/jobs/src/lib/leader/WorkerView.ts
+++ b/packages/jobs/src/lib/leader/WorkerView.ts
@@ -47,6 +47,8 @@
 	endsCommitted = 0
 	/** Ends up to this number are committed or on their way there. */
 	endsProposed = 0
+	/** The highest number of an end that was listed again while its run was still counted as going on. */
+	endsPassedOver = 0
 	/** Whether this leader knows what it lists; until then it may have runs that nobody counts. */
 	listed = false
 	/** When it was last polled or probed while its state was unknown, on the leader's clock. */
