Failing tests: a worker that starts again under its id runs tasks twice, and never ends others

Cause that they show: ends are numbered from 1 in each life, and the number taken is kept by the worker's id.

--- a/packages/jobs/src/lib/leader/ports.ts
+++ b/packages/jobs/src/lib/leader/ports.ts
@@ -109,6 +109,8 @@
 	| {
 			readonly kind: 'done'
 			readonly clock: number
+			/** When the worker that answers started, milliseconds since the epoch; absent where workers do not say. */
+			readonly born?: number
 			readonly running: readonly ListedRun[]
 			readonly ended: readonly ListedEnd[]
 	  }
--- a/packages/jobs/src/lib/records/Cell.ts
+++ b/packages/jobs/src/lib/records/Cell.ts
@@ -84,6 +84,8 @@
 export interface Worker {
 	/** New at every start of the worker. */
 	readonly id: string
+	/** When it started, milliseconds since the epoch; absent where workers do not say. */
+	readonly born?: number
 	readonly service: string
 	/** Host and port for orders. */
 	readonly address: string
--- a/packages/jobs/src/lib/testing/LeaderSubject.ts
+++ b/packages/jobs/src/lib/testing/LeaderSubject.ts
@@ -56,8 +56,32 @@
 	notCarried = 0
 	/** What the next starts are answered with, in place of being carried out. */
 	startResult: OrderResult | undefined
+	/** When it started, milliseconds since the epoch; undefined where workers do not say. */
+	born: number | undefined
+	/** What its clock shows beyond that of the others. */
+	clockAhead = 0
+	/** Number of its latest heartbeat. */
+	sequence = 0
+	/** Set to make it keep ends that it is told were seen before it has had so many. */
+	keepsUnseen = false
 	private endCount = 0
 
+	/** It starts anew, and knows nothing of before. */
+	restart(born: number): void {
+		this.born = born
+		this.running = []
+		this.ended = []
+		this.endCount = 0
+		this.sequence = 0
+		this.clockAhead = -20_000
+	}
+
+	/** It is told that ends up to a number were seen. */
+	forget(seen: number): void {
+		if (this.keepsUnseen && seen > this.endCount) return
+		this.ended = this.ended.filter((end) => end.number > seen)
+	}
+
 	/** What it runs gets on a little. */
 	work(): void {
 		const { pace } = this
@@ -95,7 +119,7 @@
 		if (!fake.running.some((one) => one.task === task)) {
 			fake.running.push({ task, attempt, checkpoint, percent: 0, measure: 0 })
 		}
-		done({ kind: 'done', clock: this.subject.workerClock })
+		done({ kind: 'done', clock: this.subject.clockOf(fake) })
 	}
 
 	override stop(worker: OrderTarget, order: StopOrder, done: (result: OrderResult) => void): void {
@@ -103,12 +127,13 @@
 		fake.stops.push(order)
 		if (fake.silent) return this.lose(done)
 		if (fake.running.some((one) => one.task === order.task)) this.end(fake, order.task)
-		done({ kind: 'done', clock: this.subject.workerClock })
+		done({ kind: 'done', clock: this.subject.clockOf(fake) })
 	}
 
 	override pace(worker: OrderTarget, order: PaceOrder, done: (result: OrderResult) => void): void {
-		this.subject.worker(worker.id).paces.push(order)
-		done({ kind: 'done', clock: this.subject.workerClock })
+		const fake = this.subject.worker(worker.id)
+		fake.paces.push(order)
+		done({ kind: 'done', clock: this.subject.clockOf(fake) })
 	}
 
 	override poll(worker: OrderTarget, order: PollOrder, done: (result: PollResult) => void): void {
@@ -125,13 +150,14 @@
 			this.subject.clock.after(order.wait, () => this.lose(done))
 			return
 		}
-		fake.ended = fake.ended.filter((end) => end.number > order.endsSeen)
+		fake.forget(order.endsSeen)
 		const answer = (): void => {
 			// A worker that has crashed meanwhile answers nothing that it was asked before.
 			if (fake.silent) return this.lose(done)
 			fake.work()
-			const { running, ended } = fake
-			done({ kind: 'done', clock: this.subject.workerClock, running, ended: [...ended] })
+			const { running, ended, born } = fake
+			const clock = this.subject.clockOf(fake)
+			done({ kind: 'done', clock, born, running, ended: [...ended] })
 		}
 		this.subject.clock.after(order.wait > 0 && fake.ended.length === 0 ? order.wait : 1, answer)
 	}
@@ -206,7 +232,6 @@
 	controller!: JobController
 	private readonly workers = new Map<string, FakeWorker>()
 	private term = 0
-	private sequence = 0
 
 	/** @param queue - changes of the one queue. */
 	constructor(queue: Partial<Queue> = {}) {
@@ -229,6 +254,17 @@
 		return Math.floor(this.clock.now() + CLOCK_OFFSET)
 	}
 
+	/** What a worker's own clock shows. */
+	clockOf({ clockAhead }: FakeWorker): number {
+		return this.workerClock + clockAhead
+	}
+
+	/** A worker ends without a word and starts again under its id, at once; its first heartbeat comes. */
+	restart(id: string): void {
+		this.worker(id).restart(this.clock.date().getTime())
+		this.heartbeat(id)
+	}
+
 	/** Begins a leadership, after another one where there was one. */
 	lead(): void {
 		this.state.observer = undefined
@@ -280,8 +316,11 @@
 		remaining?: number
 	): Heartbeat {
 		const known = this.state.workers.find(id)?.worker
-		const worker = { ...(known ?? workerNamed(id)), ...changes }
-		return { worker, sequence: ++this.sequence, draining, remaining, clock: this.workerClock }
+		const fake = this.worker(id)
+		const { born } = fake
+		const worker = { ...(known ?? workerNamed(id)), born, ...changes }
+		const sequence = ++fake.sequence
+		return { worker, sequence, draining, remaining, clock: this.clockOf(fake) }
 	}
 
 	/** @returns the worker behind an id. */
--- a/packages/runs/src/lib/jobs/Fleet.ts
+++ b/packages/runs/src/lib/jobs/Fleet.ts
@@ -61,6 +61,13 @@
 		this.parts.clock.after(away, () => machine.rise(this.nextId()))
 	}
 
+	/** A worker ends without a word, and starts again under the id that it had. */
+	restart(machine: FleetWorker, away: number): void {
+		if (!machine.up) return
+		machine.crash()
+		this.parts.clock.after(away, () => machine.rise(machine.worker.id))
+	}
+
 	/** A worker leaves as planned; another life of its machine comes later. */
 	drain(machine: FleetWorker): void {
 		if (!machine.up || machine.draining) return
--- a/packages/runs/src/lib/jobs/FleetWorker.ts
+++ b/packages/runs/src/lib/jobs/FleetWorker.ts
@@ -86,7 +86,7 @@
 	sequence = 0
 	private readonly room: OfferedRoom
 	private readonly rate: number
-	private readonly offset: number
+	private offset: number
 	private fence = 0
 	private leaseUntil = 0
 	/** Whether there is a lease that has not lapsed. */
@@ -97,11 +97,13 @@
 	/** For each task the highest attempt that has ended or was stopped here. */
 	private readonly closed = new Map<string, number>()
 	private waiters: Waiter[] = []
+	private formerId: string
 	constructor(
 		private readonly parts: FleetWorkerParts,
 		worker: Worker
 	) {
 		this.worker = worker
+		this.formerId = worker.id
 		this.room = new OfferedRoom(parts.clock, worker.capacity)
 		this.rate = 0.98 + parts.random.fraction() * 0.02
 		this.offset = parts.random.integer(0, 1_000_000)
@@ -133,10 +135,14 @@
 		this.worker = { ...this.worker, capacity: this.room.current }
 	}
 
-	/** Begins a new life under another id. */
+	/** Begins a new life, with a clock of its own. @param id - its id, which may be the one that it had. */
 	rise(id: string): void {
+		const { clock, random } = this.parts
 		this.room.restore()
-		this.worker = { ...this.worker, id, capacity: this.room.current }
+		const born = clock.date().getTime()
+		this.worker = { ...this.worker, id, born, capacity: this.room.current }
+		if (id === this.formerId) this.offset = random.integer(0, 1_000_000)
+		this.formerId = id
 		this.up = true
 		this.draining = false
 		this.failing = false
--- a/packages/runs/src/lib/jobs/JobFaults.ts
+++ b/packages/runs/src/lib/jobs/JobFaults.ts
@@ -28,6 +28,10 @@
 	DataCentreLost: 'data-centre-lost',
 	/** What a worker offers shrinks while it runs, and grows again. */
 	RoomShrinks: 'room-shrinks',
+	/** A worker ends without a word and starts again under the id that it had. */
+	WorkerRestarted: 'worker-restarted',
+	/** Most workers of a rack do so at the same moment. */
+	RackRestarted: 'rack-restarted',
 } as const
 /** One of the faults. @public */
 export type JobFault = (typeof JobFault)[keyof typeof JobFault]
@@ -35,14 +39,26 @@
 /** Everything that can go wrong. @public */
 export const ALL_FAULTS: readonly JobFault[] = Object.values(JobFault)
 
+/** What only runs that ask for it have. */
+const RARE_FAULTS: readonly JobFault[] = [
+	'rack-lost',
+	'data-centre-lost',
+	'room-shrinks',
+	'worker-restarted',
+	'rack-restarted',
+]
+
 /** What goes wrong in a run unless it says otherwise. @public */
 export const COMMON_FAULTS: readonly JobFault[] = ALL_FAULTS.filter(
-	(fault) => !['rack-lost', 'data-centre-lost', 'room-shrinks'].includes(fault)
+	(fault) => !RARE_FAULTS.includes(fault)
 )
 
 /** Waves of crashes besides. @public */
 export const WAVES: readonly JobFault[] = [JobFault.RackLost, JobFault.DataCentreLost]
 
+/** Workers that start again under the id that they had. @public */
+export const RESTARTS: readonly JobFault[] = [JobFault.WorkerRestarted, JobFault.RackRestarted]
+
 /** What goes wrong between a leader and the instances that carry its orders, with what makes that matter. @public */
 export const CARRIER_FAULTS: readonly JobFault[] = [
 	JobFault.LeaderLost,
@@ -129,6 +145,11 @@
 				return this.crash(this.inRack(machine), span)
 			case JobFault.DataCentreLost:
 				return this.crash(this.besides(machine), span)
+			case JobFault.WorkerRestarted:
+				return fleet.restart(machine, span)
+			case JobFault.RackRestarted:
+				for (const one of this.inRack(machine)) fleet.restart(one, span)
+				return
 			case JobFault.RoomShrinks:
 				machine.resize(random.fraction())
 				return this.later(span, () => machine.resize(1))
