A worker's life is its name and the moment of its start; an earlier life is over once the present one holds none of its runs

Cause: all that is kept by worker was kept by its id, which a restarted worker has again: its first ends counted as taken (tasks ran twice, or were waited for for ever) and its first heartbeats as late ones. Class: ABA, identity that comes again. Change: one type, Incarnation; the id of a worker names name and birth, so that each table by worker is by life. Which life is present is asked, not read from heartbeats; a new life is told a fencing token above all before, its list is read, strays are stopped, and only then is the earlier life over. Ends are told as seen only just after a list of the same life.

--- a/packages/jobs/src/lib/commands/CellCommand.ts
+++ b/packages/jobs/src/lib/commands/CellCommand.ts
@@ -5,8 +5,12 @@
 import type { JobRequest, RunEnd } from '../records/Job'
 import type { CrashEvidence } from '../state/TaskCrashes'
 
-/** Version of the commands that is written; earlier ones, which say nothing of crashes, are read as they are. @public */
-export const COMMAND_VERSION = 2
+/**
+ * Version of the commands that is written. Version 1 says nothing of crashes, version 2 nothing of when workers started; both are
+ * read as they are.
+ * @public
+ */
+export const COMMAND_VERSION = 3
 
 /** A run that begins. @public */
 export interface Begin {
--- a/packages/jobs/src/lib/leader/LeaderEvent.ts
+++ b/packages/jobs/src/lib/leader/LeaderEvent.ts
@@ -20,6 +20,8 @@
 	 * `heartbeatAge` and `leaseLeft` in milliseconds.
 	 */
 	WorkerLost: 'worker-lost',
+	/** Another life of a worker answers in its place; `worker`, the earlier one, and how many `runs` were on it. */
+	WorkerRestarted: 'worker-restarted',
 	/** A worker answers again; `worker`. */
 	WorkerRegained: 'worker-regained',
 	/**
@@ -29,6 +31,11 @@
 	EndsPassedOver: 'ends-passed-over',
 	/** A worker's heartbeat is older than one that was taken; `worker`, its `number`, the number `taken`. Debug level. */
 	HeartbeatPassedOver: 'heartbeat-passed-over',
+	/**
+	 * An entry under the name of a known worker says something else of its service or place, or not which life it is of, and is not
+	 * taken in; `worker`, `service`, `address`. Debug level.
+	 */
+	EntryPassedOver: 'entry-passed-over',
 	/** Runs were given up; `worker`, `runs`, `reason`: the lease is over, or copies are allowed. */
 	RunsLost: 'runs-lost',
 	/**
--- a/packages/jobs/src/lib/leader/Pacing.ts
+++ b/packages/jobs/src/lib/leader/Pacing.ts
@@ -41,12 +41,12 @@
 	}
 
 	private order(view: WorkerView, run: Run, percent: number, pressure: number): void {
-		const { orders, term, log } = this.context
+		const { orders, log } = this.context
 		const { text: task, attempt } = run
 		const before = run.pace
 		run.pace = percent
 		log.info(LeaderEvent.RunPaced, { task, worker: view.id, percent, pressure })
-		orders.pace(view.worker, { task, attempt, percent, fence: term }, (result) => {
+		orders.pace(view.worker, { task, attempt, percent, fence: view.fence }, (result) => {
 			// What was not heard of is decided anew after the next poll.
 			if (result.kind !== 'done') run.pace = before
 		})
--- a/packages/jobs/src/lib/leader/RunController.ts
+++ b/packages/jobs/src/lib/leader/RunController.ts
@@ -315,7 +315,7 @@
 	}
 
 	private orderStart(run: Run, view: WorkerView): void {
-		const { orders, term, clock, state, timing } = this.context
+		const { orders, clock, state, timing } = this.context
 		const place = state.jobs.locate(run.text)
 		if (!this.accounts.mayGoOn(run.account, run.step)) return this.withdraw(run, 'quota')
 		// What was free when this was decided may be gone: a worker's room can shrink while its run is on its way.
@@ -330,7 +330,7 @@
 			attempt: run.attempt,
 			spec: place.job.request.spec,
 			leaseUntil,
-			fence: term,
+			fence: view.fence,
 			checkpoint: place.task.checkpoint,
 			ticket: run.ticket,
 		}
@@ -368,9 +368,9 @@
 	}
 
 	private orderStop(run: Run, view: WorkerView): void {
-		const { orders, term, clock } = this.context
+		const { orders, clock } = this.context
 		run.busy = true
-		const order = { task: run.text, attempt: run.attempt, fence: term }
+		const order = { task: run.text, attempt: run.attempt, fence: view.fence }
 		const sentAt = clock.now()
 		orders.stop(view.worker, order, (result) =>
 			this.answered(run, RunPhase.Stopping, result, sentAt)
@@ -390,7 +390,7 @@
 				return this.obeyed(run, asked)
 			case 'refused':
 				this.workers.answered(view, result.clock)
-				return this.refused(run, asked, result.reason)
+				return this.refused(run, view, asked, result.reason)
 			case 'other-incarnation':
 				return this.workers.proposeGone(run.worker, WorkerEnd.OtherIncarnation)
 			case 'not-carried':
@@ -418,12 +418,12 @@
 		}
 	}
 
-	private refused(run: Run, asked: RunPhase, reason: Refusal): void {
+	private refused(run: Run, view: WorkerView, asked: RunPhase, reason: Refusal): void {
 		const { log, health, clock, timing } = this.context
 		const { text, attempt, worker } = run
 		log.info(LeaderEvent.OrderRefused, { task: text, attempt, worker, reason, order: asked })
 		if (reason === Refusal.Fence) {
-			this.context.deposed()
+			this.workers.fenced(view)
 			return
 		}
 		run.retryAt = clock.now() + timing.retryPause
--- a/packages/jobs/src/lib/leader/SuspectRuns.ts
+++ b/packages/jobs/src/lib/leader/SuspectRuns.ts
@@ -36,12 +36,14 @@
 
 	/** Once a stop is acknowledged, neither the run nor a late order to start it can take room. */
 	settle(view: WorkerView): void {
-		const { orders, term, clock } = this.context
+		const { orders, clock } = this.context
+		const { fence } = view
+		if (view.givenUp) return
 		for (const [task, suspect] of view.suspects) {
 			if (suspect.busy || suspect.stoppedAt !== undefined) continue
 			suspect.busy = true
 			const sentAt = clock.now()
-			orders.stop(view.worker, { task, attempt: suspect.attempt, fence: term }, (result) => {
+			orders.stop(view.worker, { task, attempt: suspect.attempt, fence }, (result) => {
 				suspect.busy = false
 				if (result.kind === 'unknown') this.unanswered(view, result.message, sentAt)
 				else if (result.kind !== 'not-carried') suspect.stoppedAt = clock.now()
--- a/packages/jobs/src/lib/leader/WorkerHeartbeats.ts
+++ b/packages/jobs/src/lib/leader/WorkerHeartbeats.ts
@@ -1,9 +1,10 @@
 /** What workers say of themselves: that they are there, where, with what, and that they are leaving. */
-import type { Heartbeat } from '../records/Cell'
-import { AddressClaims, Occupant } from './AddressClaims'
+import type { Heartbeat, Worker } from '../records/Cell'
+import { workerNameOf } from '../records/Incarnation'
 import type { HeardWorker } from './calls'
 import type { LeaderContext } from './LeaderContext'
 import { LeaderEvent } from './LeaderEvent'
+import { Occupant, type LifeChanges } from './LifeChanges'
 import { sameWorker } from './sameWorker'
 import { WorkerEnd } from './WorkerEnd'
 import type { WorkerView } from './WorkerView'
@@ -25,14 +26,11 @@
  * @internal
  */
 export class WorkerHeartbeats {
-	private readonly claims: AddressClaims
-
 	constructor(
 		private readonly context: LeaderContext,
+		private readonly lives: LifeChanges,
 		private readonly host: HeartbeatHost
-	) {
-		this.claims = new AddressClaims(context)
-	}
+	) {}
 
 	/**
 	 * Takes a heartbeat.
@@ -41,15 +39,26 @@
 	 * @param done - called once what it says is lasting, or with false when that can't be said.
 	 */
 	take(heartbeat: Heartbeat, done: (noted: boolean) => void): void {
-		const { worker } = heartbeat
 		const { workers } = this.context.state
-		if (workers.isGone(worker.id)) {
-			done(true)
-			return
-		}
-		const known = this.host.find(workers.at(worker.address)?.worker.id ?? '')
-		if (known && known.id !== worker.id) this.claimed(known, heartbeat, done)
-		else this.accept(heartbeat, done)
+		const named = workers.named(workerNameOf(heartbeat.worker.id))?.worker
+		const worker = identified(heartbeat.worker, named)
+		if (workers.isGone(worker.id)) return done(true)
+		// It does not say which life it is of, so it says nothing of the one that is known.
+		if (worker.born === undefined && named?.born !== undefined) return this.passOver(worker, done)
+		// A life keeps its service and its place; another writer's entry under its name must not take it from them.
+		const same = this.host.find(worker.id)
+		if (same && !isPlacedAlike(same.worker, worker)) return this.passOver(worker, done)
+		const told = { ...heartbeat, worker }
+		const others = [workers.at(worker.address)?.worker, named]
+		const earlier = others.find((other) => other !== undefined && other.id !== worker.id)
+		const known = this.host.find(earlier?.id ?? '')
+		if (known) this.claimed(known, told, done)
+		else this.accept(told, done)
+	}
+
+	private passOver({ id: worker, service, address }: Worker, done: (noted: boolean) => void): void {
+		this.context.log.debug(LeaderEvent.EntryPassedOver, { worker, service, address })
+		done(false)
 	}
 
 	/** Another instance has heard a worker. */
@@ -58,13 +67,12 @@
 		if (view) this.note(view, { sequence, clock }, age)
 	}
 
-	/** A worker reports from where another one is known. */
+	/** A worker reports from where another one is known, or under the name of another life. */
 	private claimed(known: WorkerView, heartbeat: Heartbeat, done: (noted: boolean) => void): void {
 		const { worker } = heartbeat
-		this.claims.settle(known, worker, (occupant) => {
+		this.lives.settle(known, worker, (occupant) => {
 			switch (occupant) {
 				case Occupant.Other:
-					this.host.over(known.id, WorkerEnd.Replaced)
 					return this.accept(heartbeat, done)
 				case Occupant.Known:
 					return this.host.over(worker.id, WorkerEnd.Late, () => done(true))
@@ -127,3 +135,20 @@
 		proposals.propose({ kind: 'drain', worker: view.id }, done)
 	}
 }
+
+function isPlacedAlike(left: Worker, right: Worker): boolean {
+	const { service, address, dataCentre, rack } = left
+	return (
+		service === right.service &&
+		address === right.address &&
+		dataCentre === right.dataCentre &&
+		rack === right.rack
+	)
+}
+
+/** Which life a heartbeat is of: a record of before workers said when they started is of the life that says so first. */
+function identified(worker: Worker, named: Worker | undefined): Worker {
+	if (!named) return worker
+	const same = named.born === undefined || named.born === worker.born
+	return same ? { ...worker, id: named.id } : worker
+}
--- a/packages/jobs/src/lib/leader/WorkerPolls.ts
+++ b/packages/jobs/src/lib/leader/WorkerPolls.ts
@@ -27,6 +27,12 @@
 	polled(view: WorkerView, result: PollResult, sentAt: number): void
 }
 
+/**
+ * Milliseconds after a list has come for which the worker can't have started again and ended a run besides: tasks take longer than that, and
+ * committing what the list told takes 10 to 40.
+ */
+const PROOF_HOLDS = 100
+
 /**
  * The polls of workers.
  *
@@ -46,6 +52,7 @@
 	begin(views: Iterable<WorkerView>, now: number): void {
 		const unclear: WorkerView[] = []
 		for (const view of views) {
+			if (view.givenUp) continue
 			if (this.host.isUnclear(view, now)) unclear.push(view)
 			else if (isDueForPoll(view, now)) this.poll(view, now)
 			else if (isDueForProbe(view, now) && this.hidesNews(view, now)) this.probe(view, now)
@@ -93,8 +100,8 @@
 		sentAt: number,
 		answered: () => void
 	): void {
-		const { term, orders } = this.context
-		const order = { fence: term, endsSeen: view.endsCommitted, leaseUntil, wait }
+		const { orders } = this.context
+		const order = { fence: view.fence, endsSeen: endsSeen(view, sentAt), leaseUntil, wait }
 		orders.poll(view.worker, order, (result) => {
 			answered()
 			this.host.polled(view, result, sentAt)
@@ -127,6 +134,15 @@
 	return false
 }
 
+/**
+ * Which ends a worker may forget. Its next life would forget its own first ends, which nobody has heard of, so ends are told as
+ * seen only just after a list of the life that is meant: the next one can't have ended anything by then.
+ */
+function endsSeen(view: WorkerView, now: number): number {
+	const { born } = view.worker
+	return born === undefined || now - view.provenAt <= PROOF_HOLDS ? view.endsCommitted : 0
+}
+
 function isDueForPoll(view: WorkerView, now: number): boolean {
 	return view.runs.size > 0 && !view.polling && now >= view.pollDue
 }
--- a/packages/jobs/src/lib/leader/WorkerRegistry.ts
+++ b/packages/jobs/src/lib/leader/WorkerRegistry.ts
@@ -10,6 +10,9 @@
 import { WorkerHeartbeats } from './WorkerHeartbeats'
 import { WorkerPolls } from './WorkerPolls'
 import { LostRuns } from './LostRuns'
+import { FenceTokens } from './FenceTokens'
+import { LifeChanges } from './LifeChanges'
+import { isOtherLife, parseIncarnation } from '../records/Incarnation'
 import { OutageWatch } from './OutageWatch'
 import type { JobRecord } from '../state/JobRecord'
 import { tasksOf } from '../state/JobTable'
@@ -26,6 +29,9 @@
 /** Names of tasks that one line tells, so that it stays short. */
 const MOST_NAMES = 20
 
+/** Milliseconds by which answers that overtake each other may make a worker's clock seem to go back. */
+const CLOCK_STEP = 1000
+
 /** Told of what polls bring. @internal */
 export interface PollListener {
 	/** @param sentAt - when the poll was sent, on the leader's clock. */
@@ -47,6 +53,8 @@
 	private readonly polls: WorkerPolls
 	private readonly lostRuns: LostRuns
 	private readonly heartbeats: WorkerHeartbeats
+	private readonly fences: FenceTokens
+	private readonly lives: LifeChanges
 	private readonly silence: SilenceNotes
 
 	constructor(
@@ -63,7 +71,13 @@
 		})
 		this.lostRuns = new LostRuns(context, this.suspects, this.waves)
 		this.silence = new SilenceNotes(context)
-		this.heartbeats = new WorkerHeartbeats(context, {
+		this.fences = new FenceTokens(context.term)
+		this.lives = new LifeChanges(context, this.fences, {
+			changed: (view) => this.lifeChanged(view),
+			unanswered: (view, message, sentAt) => this.unanswered(view, message, sentAt),
+			over: (id, reason) => this.proposeGone(id, reason),
+		})
+		this.heartbeats = new WorkerHeartbeats(context, this.lives, {
 			find: (id) => this.views.get(id),
 			over: (id, reason, done) => this.proposeGone(id, reason, done),
 		})
@@ -101,7 +115,8 @@
 
 	private add(worker: Worker): WorkerView {
 		const { ledger, clock } = this.context
-		const view = this.views.get(worker.id) ?? new WorkerView(worker, this.firstLease(), clock.now())
+		const known = this.views.get(worker.id)
+		const view = known ?? new WorkerView(worker, this.firstLease(), this.fences.next(), clock.now())
 		view.worker = worker
 		this.views.set(worker.id, view)
 		const { id, rack, capacity, slots } = worker
@@ -119,7 +134,8 @@
 	isOpen(view: WorkerView): boolean {
 		const { clock, timing, health } = this.context
 		const now = clock.now()
-		if (view.draining || view.suspects.size > 0 || view.unreachable || !view.listed) return false
+		if (view.draining || view.givenUp || view.unreachable || !view.listed) return false
+		if (view.suspects.size > 0) return false
 		if (this.isSuspect(view, now) || this.stalls.isStalled(view.id, now)) return false
 		return view.silence(now) < timing.workerSilent && health.isOpen(view.id, now)
 	}
@@ -128,8 +144,8 @@
 	joined(worker: Worker): void {
 		const known = this.views.has(worker.id)
 		const view = this.add(worker)
-		// No earlier leader knew it, so none has ordered anything there.
-		if (!known) view.listed = true
+		// No earlier leader knew it, so none has ordered anything there; where its name may have been known, its list is read first.
+		if (!known && worker.born === undefined) view.listed = true
 	}
 
 	/** A worker is leaving. */
@@ -142,6 +158,7 @@
 	gone(id: string): void {
 		const view = this.views.get(id)
 		if (view) this.suspects.clear(view)
+		this.lives.gone(id)
 		this.views.delete(id)
 		this.context.ledger.leave(id)
 		this.context.health.forget(id)
@@ -168,7 +185,7 @@
 	 * counts as ended only once its lease is over.
 	 */
 	leave(id: string, done: () => void): void {
-		const view = this.views.get(id)
+		const view = this.leaving(id)
 		if (view) {
 			view.left = true
 			view.draining = true
@@ -176,9 +193,19 @@
 		done()
 	}
 
+	/** Which life a worker's word that it ends is of. Where it does not say, it is of one that had said that it leaves. */
+	private leaving(id: string): WorkerView | undefined {
+		const { name, born } = parseIncarnation(id)
+		const view = this.views.get(this.context.state.workers.named(name)?.worker.id ?? '')
+		if (!view || isOtherLife(view.worker.born, born)) return undefined
+		const unclear = view.worker.born !== undefined && born === undefined
+		return unclear && !view.draining ? undefined : view
+	}
+
 	/** Polls of workers that are due, and gives up what a silent one can no longer run. */
 	tick(now: number): void {
 		this.silence.tick(this.views.values(), now)
+		this.lives.tick(now)
 		this.polls.begin(this.views.values(), now)
 		for (const view of this.views.values()) {
 			if (view.unreachable) this.lostRuns.giveUpCopies(view, now)
@@ -203,6 +230,8 @@
 		view.answeredAt = now
 		this.outages.answered(view.worker.dataCentre, view.id)
 		if (clock === undefined) return
+		// A clock that went back is another life's; its list tells.
+		if (view.clockRead && clock < view.clockRead.value - CLOCK_STEP) view.pollDue = 0
 		view.lease.read(clock, now)
 		view.clockRead = { value: clock, at: now }
 	}
@@ -224,11 +253,16 @@
 			leaseLeft: Math.round(view.lease.endsBy - now),
 		})
 		view.unreachable = true
-		view.lostAt = now
-		this.waves.lost(view)
+		this.noteLoss(view)
 		view.probeDue = 0
 	}
 
+	/** Workers that are lost together, or have started again so, were not ended by a task. */
+	private noteLoss(view: WorkerView): void {
+		view.lostAt = this.context.clock.now()
+		this.waves.lost(view)
+	}
+
 	/**
 	 * Takes up the runs that an earlier leader gave up on workers that were silent, and may be still: they take room and
 	 * quota until the worker has stopped them, or its lease is certainly over.
@@ -254,6 +288,18 @@
 		return count
 	}
 
+	/** Another life answers in a worker's place: what it holds of this one's runs has to end before they may begin elsewhere. */
+	private lifeChanged(view: WorkerView): void {
+		view.givenUp = true
+		if (!view.unreachable) this.noteLoss(view)
+		this.context.log.info(LeaderEvent.WorkerRestarted, { worker: view.id, runs: view.runs.size })
+	}
+
+	/** A worker has refused an order since it has seen a higher fence: of a later leader, unless another life has seen one of this leader. */
+	fenced(view: WorkerView): void {
+		if (this.views.get(view.id) === view && !view.givenUp) this.context.deposed()
+	}
+
 	/** An incarnation of a worker has ended. */
 	proposeGone(id: string, reason: WorkerEnd, done?: () => void): void {
 		const { proposals, log, clock } = this.context
@@ -302,8 +348,10 @@
 		if (this.views.get(view.id) !== view) return
 		switch (result.kind) {
 			case 'done':
+				if (isOtherLife(view.worker.born, result.born)) return this.lives.follow(view)
 				this.answered(view, result.clock)
 				view.listed = true
+				view.provenAt = this.context.clock.now()
 				view.pollDue = 0
 				this.noteAnswer(view)
 				this.takeEnds(view, result.ended)
@@ -312,7 +360,7 @@
 				return
 			case 'refused':
 				this.answered(view, result.clock)
-				if (result.reason === 'fence') this.context.deposed()
+				if (result.reason === 'fence') this.fenced(view)
 				return
 			case 'other-incarnation':
 				this.proposeGone(view.id, WorkerEnd.OtherIncarnation)
--- a/packages/jobs/src/lib/leader/WorkerView.ts
+++ b/packages/jobs/src/lib/leader/WorkerView.ts
@@ -33,6 +33,8 @@
 	unreachable = false
 	/** When it was found unreachable, on the leader's clock. */
 	lostAt = Number.NEGATIVE_INFINITY
+	/** When a list last came that its own life had sent, on the leader's clock. */
+	provenAt = Number.NEGATIVE_INFINITY
 	/** When it last answered, on the leader's clock. */
 	answeredAt = Number.NEGATIVE_INFINITY
 	/** Runs that were given up although they may still be there, or may yet begin, by task name. */
@@ -63,7 +65,7 @@
 	heard = false
 	/** Whether it said that it has ended; what it ran counts as ended once its lease is over. */
 	left = false
-	/** Whether it counts as ended and only the commit of that is awaited: nothing is ordered there. */
+	/** Whether it counts as ended and only what must come before that, or its commit, is awaited: nothing is ordered there. */
 	givenUp = false
 	/** When it will have left, where it said so; on the leader's clock. */
 	leavesAt = Number.POSITIVE_INFINITY
@@ -71,11 +73,13 @@
 	/**
 	 * @param worker - its description.
 	 * @param lease - its lease.
+	 * @param fence - token of all orders to it, above those of any life of a worker that was learned of before.
 	 * @param now - counted as heard of now, since earlier leaders' heartbeats are not known.
 	 */
 	constructor(
 		public worker: Worker,
 		readonly lease: Lease,
+		readonly fence: number,
 		now: number
 	) {
 		this.heartbeatAt = now
--- a/packages/jobs/src/lib/leader/sameWorker.ts
+++ b/packages/jobs/src/lib/leader/sameWorker.ts
@@ -2,9 +2,10 @@
 import type { Resources } from '@rillrudder/scheduler'
 import type { Worker } from '../records/Cell'
 
-/** @returns whether two descriptions of one incarnation say the same. @public */
+/** @returns whether two descriptions are of one incarnation and say the same. @public */
 export function sameWorker(left: Worker, right: Worker): boolean {
 	return (
+		left.born === right.born &&
 		left.address === right.address &&
 		left.service === right.service &&
 		left.rack === right.rack &&
--- a/packages/jobs/src/lib/records/Cell.ts
+++ b/packages/jobs/src/lib/records/Cell.ts
@@ -82,9 +82,9 @@
 
 /** What is known of one incarnation of a worker. @public */
 export interface Worker {
-	/** New at every start of the worker. */
+	/** Of the incarnation, so new at every start of the worker; see `Incarnation`. */
 	readonly id: string
-	/** When it started, milliseconds since the epoch; absent where workers do not say. */
+	/** When it started, milliseconds since the epoch; absent where workers do not say, and in records of before they did. */
 	readonly born?: number
 	readonly service: string
 	/** Host and port for orders. */
--- a/packages/jobs/src/lib/state/CellState.ts
+++ b/packages/jobs/src/lib/state/CellState.ts
@@ -4,13 +4,17 @@
 import { VError } from 'verror'
 import { decodeCommands, type Begin, type CellCommand } from '../commands/CellCommand'
 import type { CellConfiguration, Worker } from '../records/Cell'
+import { workerNameOf } from '../records/Incarnation'
 import type { Change } from './Change'
 import { JobTable } from './JobTable'
 import type { JobRecord } from './JobRecord'
 import { KnownWorkers, type KnownWorkersSnapshot } from './KnownWorkers'
 
-/** Version of the snapshot that is written; version 1 has no crashes of workers, which are absent then. */
-const SNAPSHOT_VERSION = 2
+/**
+ * Version of the snapshot that is written. Version 1 has no crashes of workers, version 2 does not say when workers started; both are
+ * absent then.
+ */
+const SNAPSHOT_VERSION = 3
 
 type GoneCommand = Extract<CellCommand, { readonly kind: 'gone' }>
 type SubmitCommand = Extract<CellCommand, { readonly kind: 'submit' }>
@@ -105,6 +109,9 @@
 
 	private join(worker: Worker, sequence: number): void {
 		if (this.workers.isGone(worker.id)) return
+		// Two lives may have been decided on at the same time; which one is over is asked when the other one reports again.
+		const named = this.workers.named(workerNameOf(worker.id))
+		if (named && named.worker.id !== worker.id) return
 		this.workers.join(worker, sequence)
 		this.changed({ kind: 'worker-joined', worker })
 	}
--- a/packages/jobs/src/lib/state/KnownWorkers.ts
+++ b/packages/jobs/src/lib/state/KnownWorkers.ts
@@ -1,5 +1,6 @@
 /** The workers that have reported, as every replica knows them. */
 import type { Worker } from '../records/Cell'
+import { workerNameOf } from '../records/Incarnation'
 
 /** Ids of gone workers that are remembered, so that a late heartbeat does not bring one back. */
 const MOST_GONE = 4000
@@ -28,6 +29,7 @@
 export class KnownWorkers {
 	private readonly workers = new Map<string, KnownWorker>()
 	private readonly byAddress = new Map<string, string>()
+	private readonly byName = new Map<string, string>()
 	private readonly gone = new Set<string>()
 
 	/** All workers that are not gone. */
@@ -55,11 +57,17 @@
 		return this.workers.get(this.byAddress.get(address) ?? '')
 	}
 
+	/** @returns the life of a worker that is known under its name. */
+	named(name: string): KnownWorker | undefined {
+		return this.workers.get(this.byName.get(name) ?? '')
+	}
+
 	/** Takes a worker in, or its new description. */
 	join(worker: Worker, sequence = 0): void {
 		const draining = this.workers.get(worker.id)?.draining ?? false
 		this.workers.set(worker.id, { worker, draining, sequence })
 		this.byAddress.set(worker.address, worker.id)
+		this.byName.set(workerNameOf(worker.id), worker.id)
 	}
 
 	/** Notes that a worker is leaving. */
@@ -81,6 +89,7 @@
 		if (known && this.byAddress.get(known.worker.address) === id) {
 			this.byAddress.delete(known.worker.address)
 		}
+		if (this.byName.get(workerNameOf(id)) === id) this.byName.delete(workerNameOf(id))
 		this.gone.add(id)
 		if (this.gone.size > MOST_GONE) this.gone.delete([...this.gone][0])
 	}
@@ -94,6 +103,7 @@
 	restore(kept: KnownWorkersSnapshot): void {
 		this.workers.clear()
 		this.byAddress.clear()
+		this.byName.clear()
 		this.gone.clear()
 		for (const { worker, draining, sequence, silent } of kept.workers) {
 			this.join(worker, sequence)
--- a/packages/jobs/src/lib/testing/LeaderSubject.ts
+++ b/packages/jobs/src/lib/testing/LeaderSubject.ts
@@ -24,6 +24,7 @@
 	type StopOrder,
 } from '../leader/ports'
 import type { Heartbeat, Queue, Worker } from '../records/Cell'
+import { formatIncarnation, workerNameOf } from '../records/Incarnation'
 import type { JobRequest } from '../records/Job'
 import { CellState } from '../state/CellState'
 import { QUEUE, workerNamed } from './samples'
@@ -315,20 +316,22 @@
 		draining = false,
 		remaining?: number
 	): Heartbeat {
-		const known = this.state.workers.find(id)?.worker
+		const known = this.state.workers.named(id)?.worker
 		const fake = this.worker(id)
 		const { born } = fake
-		const worker = { ...(known ?? workerNamed(id)), born, ...changes }
+		const life = { id: formatIncarnation({ name: id, born }), born }
+		const worker = { ...(known ?? workerNamed(id)), ...life, ...changes }
 		const sequence = ++fake.sequence
 		return { worker, sequence, draining, remaining, clock: this.clockOf(fake) }
 	}
 
-	/** @returns the worker behind an id. */
+	/** @returns the worker behind an id, whichever life of it. */
 	worker(id: string): FakeWorker {
-		let worker = this.workers.get(id)
+		const name = workerNameOf(id)
+		let worker = this.workers.get(name)
 		if (!worker) {
 			worker = new FakeWorker()
-			this.workers.set(id, worker)
+			this.workers.set(name, worker)
 		}
 		return worker
 	}
--- a/packages/runs/src/lib/jobs/Fleet.ts
+++ b/packages/runs/src/lib/jobs/Fleet.ts
@@ -1,5 +1,5 @@
 /** The workers of a run: their heartbeats, and how they leave and come back. */
-import type { CellCall, CellReply, Worker } from '@rillrudder/jobs'
+import { formatIncarnation, type CellCall, type CellReply, type Worker } from '@rillrudder/jobs'
 import { FleetWorker, type FleetWorkerParts } from './FleetWorker'
 import { GangRegistry } from './GangRegistry'
 import { KINDS } from './randomJob'
@@ -20,6 +20,8 @@
 /** What the fleet needs of its run. @internal */
 export interface FleetParts extends Omit<FleetWorkerParts, 'gangs'> {
 	readonly service: string
+	/** Whether workers say when they started. */
+	readonly tellBorn: boolean
 	/** Share of heartbeats that are held back on their way. */
 	readonly heldShare: () => number
 	/** Brings a call to the leader, if there is one. */
@@ -61,11 +63,11 @@
 		this.parts.clock.after(away, () => machine.rise(this.nextId()))
 	}
 
-	/** A worker ends without a word, and starts again under the id that it had. */
+	/** A worker ends without a word, and starts again under the name that it had. */
 	restart(machine: FleetWorker, away: number): void {
 		if (!machine.up) return
 		machine.crash()
-		this.parts.clock.after(away, () => machine.rise(machine.worker.id))
+		this.parts.clock.after(away, () => machine.riseAgain())
 	}
 
 	/** A worker leaves as planned; another life of its machine comes later. */
@@ -88,8 +90,10 @@
 		const number = this.machines.length
 		const rack = `r${Math.floor(number / RACK_SIZE)}`
 		const kind = KINDS[number % KINDS.length]
+		const born = this.parts.tellBorn ? this.parts.clock.date().getTime() : undefined
 		const worker: Worker = {
-			id: this.nextId(),
+			id: formatIncarnation({ name: this.nextId(), born }),
+			born,
 			service: this.parts.service,
 			address: `10.0.0.${number}:80`,
 			dataCentre,
--- a/packages/runs/src/lib/jobs/FleetOrders.ts
+++ b/packages/runs/src/lib/jobs/FleetOrders.ts
@@ -1,5 +1,6 @@
 /** The way between a controller and the workers of a run: calls take time, get lost, or are carried out late. */
 import {
+	workerNameOf,
 	WorkerOrders,
 	type PollOrder,
 	type PollResult,
@@ -62,7 +63,7 @@
 		this.after(() => {
 			const machine = this.reach(worker)
 			if (!machine) return
-			if (machine.worker.id !== worker.id) return this.answer(machine, answer, OTHER)
+			if (!isMeant(machine, worker)) return this.answer(machine, answer, OTHER)
 			machine.poll(order, (result) => this.answer(machine, answer, result))
 		})
 	}
@@ -79,7 +80,7 @@
 		const reached = (): void => {
 			const machine = this.reach(worker)
 			if (!machine) return
-			const result = machine.worker.id === worker.id ? act(machine, late) : OTHER
+			const result = isMeant(machine, worker) ? act(machine, late) : OTHER
 			if (!lost) this.answer(machine, answer, result)
 		}
 		if (late) clock.after(random.integer(...LATE), reached)
@@ -116,4 +117,9 @@
 	}
 }
 
+/** A worker knows itself by its name only, and takes what was meant for an earlier life. */
+function isMeant({ name }: FleetWorker, { id }: OrderTarget): boolean {
+	return workerNameOf(id) === name
+}
+
 const OTHER = { kind: 'other-incarnation' } as const
--- a/packages/runs/src/lib/jobs/FleetWorker.ts
+++ b/packages/runs/src/lib/jobs/FleetWorker.ts
@@ -3,8 +3,11 @@
  * clock, and lists what runs and what has ended until that is noted.
  */
 import {
+	formatIncarnation,
 	Refusal,
 	RunEnd,
+	workerNameOf,
+	type Incarnation,
 	type ListedEnd,
 	type ListedRun,
 	type PollOrder,
@@ -25,6 +28,8 @@
 const LONGEST_LEASE = 10_000
 /** Milliseconds of work between two checkpoints. */
 const SAVE_EVERY = 500
+/** Milliseconds by which a worker's calendar may be wrong when it starts. */
+const CALENDAR_ERROR = 5000
 /** Milliseconds that a stop takes. */
 const STOP_TAKES = 200
 
@@ -72,7 +77,7 @@
  * @internal
  */
 export class FleetWorker {
-	/** What it says of itself; its id changes with each life. */
+	/** What it says of itself; its id changes with each life, also where its name does not. */
 	worker: Worker
 	up = true
 	/** Whether nobody hears it, nor it anybody. */
@@ -97,13 +102,11 @@
 	/** For each task the highest attempt that has ended or was stopped here. */
 	private readonly closed = new Map<string, number>()
 	private waiters: Waiter[] = []
-	private formerId: string
 	constructor(
 		private readonly parts: FleetWorkerParts,
 		worker: Worker
 	) {
 		this.worker = worker
-		this.formerId = worker.id
 		this.room = new OfferedRoom(parts.clock, worker.capacity)
 		this.rate = 0.98 + parts.random.fraction() * 0.02
 		this.offset = parts.random.integer(0, 1_000_000)
@@ -135,14 +138,32 @@
 		this.worker = { ...this.worker, capacity: this.room.current }
 	}
 
-	/** Begins a new life, with a clock of its own. @param id - its id, which may be the one that it had. */
-	rise(id: string): void {
+	/** What it calls itself. */
+	get name(): string {
+		return workerNameOf(this.worker.id)
+	}
+
+	/** Begins a new life under another name. */
+	rise(name: string): void {
+		this.begin({ name, born: this.worker.born === undefined ? undefined : this.bornNow() })
+	}
+
+	/** Begins a new life under the name that it had, with a clock of its own. */
+	riseAgain(): void {
+		this.offset = this.parts.random.integer(0, 1_000_000)
+		this.begin({ name: this.name, born: this.bornNow() })
+	}
+
+	/** Calendars are set: a later life may seem to have started before an earlier one. */
+	private bornNow(): number {
 		const { clock, random } = this.parts
+		return clock.date().getTime() + random.integer(-CALENDAR_ERROR, CALENDAR_ERROR)
+	}
+
+	private begin({ name, born }: Incarnation): void {
 		this.room.restore()
-		const born = clock.date().getTime()
+		const id = formatIncarnation({ name, born })
 		this.worker = { ...this.worker, id, born, capacity: this.room.current }
-		if (id === this.formerId) this.offset = random.integer(0, 1_000_000)
-		this.formerId = id
 		this.up = true
 		this.draining = false
 		this.failing = false
@@ -173,7 +194,7 @@
 		// An order that is carried out late was right when it was sent.
 		const capacity = late ? this.room.whole : this.room.counted
 		witness.began({ ...this.worker, capacity }, seen, spec, clock.now())
-		this.begin(task, attempt, checkpoint)
+		this.startRun(task, attempt, checkpoint)
 		this.parts.began(this, task)
 		return this.done()
 	}
@@ -232,7 +253,7 @@
 		this.parts.gangs.left(run)
 	}
 
-	private begin(task: string, attempt: number, checkpoint: string): void {
+	private startRun(task: string, attempt: number, checkpoint: string): void {
 		const { clock, random, stepOf, gangs } = this.parts
 		const step = stepOf(task)
 		const works = step.expectedTime * (0.5 + random.fraction())
@@ -297,7 +318,8 @@
 			percent: this.percentOf(run),
 			measure: 100,
 		}))
-		return { kind: 'done', clock: this.ownClock, running, ended: [...this.ended] }
+		const { born } = this.worker
+		return { kind: 'done', clock: this.ownClock, born, running, ended: [...this.ended] }
 	}
 
 	/** How far a run has got; nothing while a gang is not complete. */
--- a/packages/runs/src/lib/jobs/JobFaults.ts
+++ b/packages/runs/src/lib/jobs/JobFaults.ts
@@ -101,6 +101,11 @@
 		private readonly kinds: readonly JobFault[]
 	) {}
 
+	/** @returns whether something may go wrong. */
+	has(fault: JobFault): boolean {
+		return this.kinds.includes(fault)
+	}
+
 	/** Lets something go wrong, where that is due. */
 	step(): void {
 		const { clock, random } = this.run
--- a/packages/runs/src/lib/jobs/JobRun.ts
+++ b/packages/runs/src/lib/jobs/JobRun.ts
@@ -18,7 +18,7 @@
 import { FleetCarrier } from './FleetCarrier'
 import { FleetOrders } from './FleetOrders'
 import type { FleetWorker } from './FleetWorker'
-import { COMMON_FAULTS, JobFaults, type JobFault } from './JobFaults'
+import { COMMON_FAULTS, JobFaults, RESTARTS, type JobFault } from './JobFaults'
 import { JobInvariants } from './JobInvariants'
 import { randomJob } from './randomJob'
 import { checkOutcome, type Asked } from './checkOutcome'
@@ -47,6 +47,8 @@
 	readonly faults?: readonly JobFault[]
 	/** Whether callers belong to accounts, whose keys and quotas change. */
 	readonly accounts?: boolean
+	/** Whether workers say when they started; they do where they start again under their names. */
+	readonly tellBorn?: boolean
 	/** Whether some tasks crash the workers that start them. */
 	readonly crashingTasks?: boolean
 }
@@ -134,6 +136,7 @@
 			random,
 			witness,
 			service: SERVICE,
+			tellBorn: options.tellBorn ?? RESTARTS.some((fault) => this.faults.has(fault)),
 			stepOf: (task) => this.stepOf(task),
 			mayRun: (task, worker, ticket) => this.mayRun(task, worker, ticket),
 			heldShare: () => this.faults.heldShare,
--- a/packages/runs/src/lib/jobs/RunAdvisers.ts
+++ b/packages/runs/src/lib/jobs/RunAdvisers.ts
@@ -1,5 +1,5 @@
 /** The service that knows which workers may run a step, and the instances that ask it. */
-import { Advisers, type AdviceQuestion, type AdviceResult } from '@rillrudder/jobs'
+import { Advisers, workerNameOf, type AdviceQuestion, type AdviceResult } from '@rillrudder/jobs'
 import type { Clock, Random } from '@rillrudder/utils'
 
 /** Milliseconds that a ticket holds. */
@@ -48,8 +48,9 @@
 	}
 }
 
+/** A worker's lives are treated alike. */
 function mayRun(step: string, worker: string): boolean {
 	let hash = 7
-	for (const char of step + worker) hash = (hash * 31 + char.charCodeAt(0)) % 100_003
+	for (const char of step + workerNameOf(worker)) hash = (hash * 31 + char.charCodeAt(0)) % 100_003
 	return hash % ONE_BARRED_OF !== 0
 }
