--- a/packages/jobs/src/lib/leader/JobController.ts
+++ b/packages/jobs/src/lib/leader/JobController.ts
@@ -15,6 +15,7 @@
 import { epochOf, type LeaderContext } from './LeaderContext'
 import { LeaderEvent } from './LeaderEvent'
 import { explainJob, listJobs } from './explainJob'
+import { Reconciliation } from './Reconciliation'
 import { RunController } from './RunController'
 import { StepScheduler } from './StepScheduler'
 import { WorkerRegistry } from './WorkerRegistry'
@@ -47,6 +48,7 @@
 	private readonly steps: StepScheduler
 	private readonly clients: ClientCalls
 	private readonly accounts: AccountUsage
+	private readonly reconciliation: Reconciliation
 	private fullPassDue = 0
 	private forgetDue = 0
 	private placing = false
@@ -68,6 +70,7 @@
 		})
 		this.steps = new StepScheduler(context, this.workers, this.runs, this.precedence, this.accounts)
 		this.clients = new ClientCalls(context)
+		this.reconciliation = new Reconciliation(context, [this.steps, this.runs])
 		for (const job of state.jobs.all()) this.takeUp(job)
 		log.info(LeaderEvent.LeadershipGained, {
 			term,
@@ -161,6 +164,7 @@
 		this.workers.tick(now)
 		this.runs.tick(now)
 		this.steps.tick(now)
+		this.reconciliation.tick(now)
 		if (now >= this.forgetDue) this.forgetOld(now)
 		this.place()
 	}
--- a/packages/jobs/src/lib/leader/LeaderEvent.ts
+++ b/packages/jobs/src/lib/leader/LeaderEvent.ts
@@ -63,9 +63,16 @@
 	StepBarred: 'step-barred',
 	/**
 	 * A step still waits although it had to begin by now for its job to be in time; `step`, `priority`, tasks that
-	 * are `waiting`, `waited` milliseconds, `reason`. Once for each step.
+	 * are `waiting`, `waited` milliseconds, `reason`, what ends the wait (`until`). Once for each step.
 	 */
 	StepOverdue: 'step-overdue',
+	/**
+	 * A step has waited for more than 5 s though there is room for it and neither a quota nor its queue's policy keeps it; the fields of
+	 * `step-overdue`. Once for each step.
+	 */
+	StepWaitsLong: 'step-waits-long',
+	/** A look at what is replicated found a step or run of a job that a change should have told; `job`, what was `missed`. It is taken up. */
+	WorkMissed: 'work-missed',
 	/**
 	 * A worker crashed under a task; `task`, `worker`, what that says of the task (`evidence`), how many `crashes` that makes,
 	 * and its `suspicion` from now on.
--- /dev/null
+++ b/packages/jobs/src/lib/leader/Reconciliation.ts
@@ -0,0 +1,64 @@
+/**
+ * Compares what the controller has at hand with what is replicated, again and again, so that no work waits for a change that was missed.
+ * Each change makes a step be tried or a run be ordered at once; this finds what such a wake-up should have found and did not. It looks
+ * at a bounded number of jobs at a time, so a cell of many jobs costs no more per look, and is only looked through more slowly.
+ */
+import { Measure } from '@rillrudder/telemetry'
+import type { JobRecord } from '../state/JobRecord'
+import type { LeaderContext } from './LeaderContext'
+import { LeaderEvent } from './LeaderEvent'
+
+/** Milliseconds between two looks. */
+const LOOK_EVERY = 500
+/**
+ * Jobs that one look compares; 1 to 3 ms of an instance for jobs of ten tasks. With the 670,000 jobs a day of the size to design for some 9,000 are
+ * kept at a time, so each is looked at every 9 s.
+ */
+const JOBS_A_LOOK = 500
+
+/** A part of the controller that can find what it has missed of a job. @internal */
+export interface Reconciled {
+	/** @returns what it had missed of a job and has taken up, by name; none as a rule. */
+	lookAgain(job: JobRecord): readonly string[]
+}
+
+/**
+ * Looks again at jobs.
+ *
+ * @internal
+ */
+export class Reconciliation {
+	private dueAt = 0
+	private rest: Iterator<JobRecord>
+
+	constructor(
+		private readonly context: LeaderContext,
+		private readonly parts: readonly Reconciled[]
+	) {
+		this.rest = context.state.jobs.all()
+	}
+
+	/** Looks at the next jobs, where that is due. */
+	tick(now: number): void {
+		if (now < this.dueAt) return
+		this.dueAt = now + LOOK_EVERY
+		for (let count = 0; count < JOBS_A_LOOK; count++) {
+			const next = this.rest.next()
+			if (next.done) {
+				this.rest = this.context.state.jobs.all()
+				return
+			}
+			this.look(next.value)
+		}
+	}
+
+	private look(job: JobRecord): void {
+		const { log, meter } = this.context
+		for (const part of this.parts) {
+			for (const missed of part.lookAgain(job)) {
+				meter.count(Measure.MissedWork)
+				log.warn(LeaderEvent.WorkMissed, { job: job.id, missed })
+			}
+		}
+	}
+}
--- a/packages/jobs/src/lib/leader/RunController.ts
+++ b/packages/jobs/src/lib/leader/RunController.ts
@@ -5,7 +5,7 @@
 import type { Precedence, Standing } from '../placement/Precedence'
 import { RunProgress } from '../placement/RunProgress'
 import { timesOf } from '../placement/stepTimes'
-import type { JobRecord } from '../state/JobRecord'
+import type { JobRecord, TaskRecord } from '../state/JobRecord'
 import { tasksOf } from '../state/JobTable'
 import { isActive, TaskStatus } from '../state/JobRecord'
 import { Suspicion, suspicionOf } from '../state/TaskCrashes'
@@ -72,16 +72,32 @@
 
 	/** Takes up the runs that an earlier leader began. */
 	restore(job: JobRecord): void {
+		for (const { text, task } of tasksOf(job)) {
+			if (task.status === TaskStatus.Placed) this.takeUp(job, text, task)
+		}
+	}
+
+	private takeUp(job: JobRecord, text: string, task: TaskRecord): void {
+		const place = this.context.state.jobs.locate(text)
+		if (!place) return
+		const run = this.add(text, place.name, job, task.attempt, task.worker)
+		claimAgain(this.context.ledger, task.worker, run)
+		run.checkpoint = task.checkpoint
+		run.restored = true
+		if (!isActive(job) || task.finished) this.beginStop(run)
+	}
+
+	/** Takes up runs of a job that are placed and that no change has told of. */
+	lookAgain(job: JobRecord): readonly string[] {
+		const missed: string[] = []
 		for (const { text, task } of tasksOf(job)) {
 			if (task.status !== TaskStatus.Placed) continue
-			const place = this.context.state.jobs.locate(text)
-			if (!place) continue
-			const run = this.add(text, place.name, job, task.attempt, task.worker)
-			claimAgain(this.context.ledger, task.worker, run)
-			run.checkpoint = task.checkpoint
-			run.restored = true
-			if (!isActive(job) || task.finished) this.beginStop(run)
+			const run = this.runs.get(text)
+			if (run?.attempt === task.attempt && run.worker === task.worker) continue
+			this.takeUp(job, text, task)
+			missed.push(text)
 		}
+		return missed
 	}
 
 	/** Remembers a run that has been decided, until it begins or will not. */
--- a/packages/jobs/src/lib/leader/StepLog.ts
+++ b/packages/jobs/src/lib/leader/StepLog.ts
@@ -1,4 +1,4 @@
-/** Log lines and measures of steps: that they begin, and why they do not. */
+/** Log lines and measures of steps: that they begin, and that they never may. */
 import { Measure } from '@rillrudder/telemetry'
 import type { LeaderContext } from './LeaderContext'
 import { LeaderEvent } from './LeaderEvent'
@@ -39,18 +39,6 @@
 		this.context.meter.count(Measure.StepsBarred, { priority: String(queue.priority) })
 		this.context.log.info(LeaderEvent.StepBarred, { step, priority: queue.priority, workers })
 	}
-
-	/** A step still waits although it had to begin by now; to be told once for each step. */
-	overdue(work: StepWork, reason: string): void {
-		work.toldOverdue = true
-		this.context.log.info(LeaderEvent.StepOverdue, {
-			step: work.name,
-			priority: work.queue.priority,
-			waiting: work.waiting().length,
-			waited: Math.round(work.waited(this.context.clock.now())),
-			reason,
-		})
-	}
 }
 
 /** The workers of placed tasks with their counts, as one text for the log. */
--- a/packages/jobs/src/lib/leader/StepScheduler.ts
+++ b/packages/jobs/src/lib/leader/StepScheduler.ts
@@ -19,7 +19,8 @@
 import { StepLog } from './StepLog'
 import { StepQuestions } from './StepQuestions'
 import { byUrgency, stepName, StepWork } from './StepWork'
-import { isBarred, waitReason } from './waitReason'
+import { StepWaits } from './StepWaits'
+import { isBarred, waitOf, type Wait } from './waitReason'
 import type { WorkerRegistry } from './WorkerRegistry'
 
 /** What each open worker adds to its service's stamp: more than anything that comes free in a leadership. */
@@ -44,6 +45,7 @@
 	private order: StepWork[] = []
 	private readonly questions: StepQuestions
 	private readonly log: StepLog
+	private readonly waits: StepWaits
 	private readonly preemption: Preemption
 	/** Repeats that are not due yet. */
 	private later: { readonly job: JobRecord; readonly repeat: number; readonly due: number }[] = []
@@ -72,6 +74,7 @@
 		this.quarantine = new Quarantine(context.state, runs)
 		this.questions = new StepQuestions(context)
 		this.log = new StepLog(context)
+		this.waits = new StepWaits(context, (work) => this.waitOf(work))
 		this.preemption = new Preemption(context, runs, (work, option) => this.admits(work, option))
 	}
 
@@ -86,6 +89,14 @@
 		for (const [priority, count] of counts) {
 			this.context.meter.gauge(Measure.StepsWaiting, count, { priority: String(priority) })
 		}
+		this.waits.measure(this.waiting())
+	}
+
+	/** The steps that could begin and have tasks without a place. */
+	private waiting(): StepWork[] {
+		return [...this.steps.values()].filter(
+			(work) => work.readyAt !== undefined && this.isReady(work) && work.waiting().length > 0
+		)
 	}
 
 	/** @returns how many steps of each account have tasks that could begin and have no place. */
@@ -99,25 +110,30 @@
 		return counts
 	}
 
-	/** @returns why tasks of a step wait, for people. */
+	/** @returns why tasks of a step wait, since when and until what, for people. */
 	whyWaiting(name: string): string {
 		const work = this.steps.get(name)
 		if (!work) return 'it is not due yet'
+		const { text, until } = this.waitOf(work)
+		const waited = Math.round(work.waited(this.context.clock.now()))
+		return `${text}; for ${waited} ms, until ${until}`
+	}
+
+	private waitOf(work: StepWork): Wait {
 		const eligible = this.eligible(work, this.openWorkers())
 		const room = eligible.filter((option) => this.admits(work, option))
 		const kept = this.reservations.expectedAt(work)
 		const withinQuota = this.accounts.mayBegin(work.account, work.step)
 		const held = this.mayBegin(work).length === 0
 		const now = this.context.clock.now()
-		return waitReason(work, { eligible, room, held, withinQuota, kept, now })
+		return waitOf(work, { eligible, room, held, withinQuota, kept, now })
 	}
 
 	/** Takes up a job: all its repeats that are due. */
 	accept(job: JobRecord): void {
 		this.precedence.note(job.queue, this.context.clock.now())
-		const { repeat } = job.request
 		job.repeats.forEach((_, number) => {
-			const due = repeat ? repeat.first + number * repeat.interval : 0
+			const due = dueOf(job, number)
 			if (due > epochOf(this.context)) this.later.push({ job, repeat: number, due })
 			else this.openReady(job, number)
 		})
@@ -172,6 +188,29 @@
 		}
 	}
 
+	/** Opens steps of a job, and tries those again, that have tasks to begin and that no change has told of. */
+	lookAgain(job: JobRecord): readonly string[] {
+		if (!isActive(job)) return []
+		const missed: string[] = []
+		job.repeats.forEach((steps, repeat) => {
+			if (dueOf(job, repeat) > epochOf(this.context)) return
+			steps.forEach(({ tasks }, step) => {
+				const waits = tasks.some(({ status }) => status === TaskStatus.Waiting)
+				if (!waits || !isStepReady(job, repeat, step)) return
+				if (this.isMissed(job, repeat, step)) missed.push(stepName(job.id, repeat, step))
+			})
+		})
+		return missed
+	}
+
+	private isMissed(job: JobRecord, repeat: number, step: number): boolean {
+		const known = this.steps.get(stepName(job.id, repeat, step))
+		const work = known ?? this.open(job, repeat, step)
+		const passedOver = work.allPlaced && work.waiting().length > 0
+		if (passedOver) work.allPlaced = false
+		return !known || passedOver
+	}
+
 	/** A task that could not begin may do so now. */
 	reconsider(task: TaskName): void {
 		const work = this.steps.get(nameOf(task))
@@ -215,7 +254,7 @@
 	 */
 	place(now: number, full: boolean): void {
 		if (this.stale) this.sort()
-		if (full) this.tellWaits()
+		if (full) this.waits.tell(this.waiting())
 		const due = this.order.filter((work) => !work.allPlaced && this.isReady(work))
 		if (due.length === 0 || !(full || this.hasNews(due))) return
 		this.triedReleases = this.context.ledger.releases
@@ -247,15 +286,6 @@
 		this.stale = false
 	}
 
-	private tellWaits(): void {
-		const epoch = epochOf(this.context)
-		for (const work of this.order) {
-			if (work.toldOverdue || !work.isOverdue(epoch)) continue
-			const waits = work.readyAt !== undefined && work.waiting().length > 0
-			if (waits) this.log.overdue(work, this.whyWaiting(work.name))
-		}
-	}
-
 	private close(work: StepWork): void {
 		this.steps.delete(work.name)
 		this.reservations.drop(work)
@@ -423,6 +453,11 @@
 	}
 }
 
+/** When a repeat of a job is due, milliseconds since the epoch; 0 for a job that does not repeat. */
+function dueOf({ request: { repeat } }: JobRecord, number: number): number {
+	return repeat ? repeat.first + number * repeat.interval : 0
+}
+
 /** For each service a number that changes when something came free at its open workers, or their number changed. */
 function stampsOf(open: readonly Option[]): Map<string, number> {
 	const stamps = new Map<string, number>()
--- /dev/null
+++ b/packages/jobs/src/lib/leader/StepWaits.ts
@@ -0,0 +1,84 @@
+/** Tells how long steps wait and why: a gauge of the oldest wait by reason, a line for each that lasts too long. */
+import { Measure } from '@rillrudder/telemetry'
+import { epochOf, type LeaderContext } from './LeaderContext'
+import { LeaderEvent } from './LeaderEvent'
+import type { StepWork } from './StepWork'
+import { WaitReason, type Wait } from './waitReason'
+
+/** Steps whose reasons one measure looks up, those that have waited longest: each costs a look at all workers. */
+const MOST_MEASURED = 20
+/** Milliseconds after which a step that nothing but this controller keeps from beginning waits too long; a question to a policy takes up to 2 s. */
+const TOO_LONG = 5000
+/** What only workers, callers or operators can end. */
+const OUTSIDE: readonly WaitReason[] = [
+	WaitReason.Held,
+	WaitReason.Worker,
+	WaitReason.Barred,
+	WaitReason.Quota,
+	WaitReason.Room,
+]
+
+/**
+ * The waits of steps.
+ *
+ * @internal
+ */
+export class StepWaits {
+	/**
+	 * @param context - what the parts of the leader share.
+	 * @param waitOf - why a step waits.
+	 */
+	constructor(
+		private readonly context: LeaderContext,
+		private readonly waitOf: (work: StepWork) => Wait
+	) {}
+
+	/** @param waiting - steps that could begin and have tasks without a place. */
+	measure(waiting: readonly StepWork[]): void {
+		const now = this.context.clock.now()
+		const oldest = new Map<WaitReason, number>()
+		for (const work of longestOf(waiting, now)) {
+			const { reason } = this.waitOf(work)
+			oldest.set(reason, Math.max(oldest.get(reason) ?? 0, work.waited(now)))
+		}
+		for (const reason of Object.values(WaitReason)) {
+			this.context.meter.gauge(Measure.OldestWait, oldest.get(reason) ?? 0, { reason })
+		}
+	}
+
+	/** Tells once of each step that had to begin by now for its job to be in time, and once of each that waits too long. */
+	tell(waiting: readonly StepWork[]): void {
+		const epoch = epochOf(this.context)
+		const now = this.context.clock.now()
+		for (const work of waiting) {
+			if (!work.toldOverdue && work.isOverdue(epoch)) {
+				work.toldOverdue = true
+				this.line(LeaderEvent.StepOverdue, work, this.waitOf(work))
+			}
+			if (!work.toldTooLong && work.waited(now) > TOO_LONG) this.tellTooLong(work)
+		}
+	}
+
+	private tellTooLong(work: StepWork): void {
+		const wait = this.waitOf(work)
+		if (OUTSIDE.includes(wait.reason)) return
+		work.toldTooLong = true
+		this.line(LeaderEvent.StepWaitsLong, work, wait)
+	}
+
+	private line(event: LeaderEvent, work: StepWork, { text: reason, until }: Wait): void {
+		this.context.log.info(event, {
+			step: work.name,
+			priority: work.queue.priority,
+			waiting: work.waiting().length,
+			waited: Math.round(work.waited(this.context.clock.now())),
+			reason,
+			until,
+		})
+	}
+}
+
+function longestOf(waiting: readonly StepWork[], now: number): StepWork[] {
+	const sorted = [...waiting].sort((left, right) => right.waited(now) - left.waited(now))
+	return sorted.slice(0, MOST_MEASURED)
+}
--- a/packages/jobs/src/lib/leader/StepWork.ts
+++ b/packages/jobs/src/lib/leader/StepWork.ts
@@ -38,6 +38,8 @@
 	readyAt: number | undefined
 	/** Whether a line has told that it waits although it had to begin. */
 	toldOverdue = false
+	/** Whether a line has told that it waits too long. */
+	toldTooLong = false
 	/** Whether a line has told that its queue's policy allows none of the workers. */
 	toldBarred = false
 	/** Whether all its tasks have been given a worker; looked at again once one has to begin again. */
--- a/packages/jobs/src/lib/leader/waitReason.ts
+++ b/packages/jobs/src/lib/leader/waitReason.ts
@@ -1,8 +1,42 @@
-/** Tells people why tasks of a step wait. */
+/** Why tasks of a step wait, and what ends that: for people, and for the measures of waits. */
 import type { RoomTimes } from '../placement/Reservations'
 import type { Option } from './chooseForStep'
 import type { StepWork } from './StepWork'
 
+/** Why tasks of a step wait. @public */
+export const WaitReason = {
+	/** It is not known of workers that fell silent under them whether they crashed. */
+	Held: 'held',
+	/** No open worker may run them at all. */
+	Worker: 'worker',
+	/** The queue's policy allows none of the open workers. */
+	Barred: 'barred',
+	/** The account has as much running as it may. */
+	Quota: 'quota',
+	/** No open worker has room for one. */
+	Room: 'room',
+	/** Room is kept until there is enough. */
+	Reservation: 'reservation',
+	/** Not all of a gang has room. */
+	Gang: 'gang',
+	/** The policy's answer is awaited. */
+	Advice: 'advice',
+	/** The policy allows none of the workers with room. */
+	Policy: 'policy',
+	/** Nothing keeps them. */
+	None: 'none',
+} as const
+/** One of the reasons. @public */
+export type WaitReason = (typeof WaitReason)[keyof typeof WaitReason]
+
+/** Why tasks of a step wait, in words. @internal */
+export interface Wait {
+	readonly reason: WaitReason
+	readonly text: string
+	/** What ends it. */
+	readonly until: string
+}
+
 /** What is known of a waiting step at a moment. @internal */
 export interface StepSituation {
 	/** Open workers of its service that have its label. */
@@ -26,32 +60,83 @@
 }
 
 /** @returns why tasks of a step wait. @internal */
-export function waitReason(work: StepWork, situation: StepSituation): string {
-	const { eligible, room, withinQuota, kept, now } = situation
-	if (situation.held)
-		return 'workers fell silent under its tasks, and whether they crashed is awaited'
+export function waitOf(work: StepWork, situation: StepSituation): Wait {
+	const { eligible, room, withinQuota, kept, now, held } = situation
+	if (held) {
+		return {
+			reason: WaitReason.Held,
+			text: 'workers fell silent under its tasks, and whether they crashed is awaited',
+			until: 'each of them answers, or is known to have crashed (60 s of silence)',
+		}
+	}
 	const open = eligible.length
-	if (open === 0) return 'no open worker of its service has the label that it asks for'
+	if (open === 0) {
+		return {
+			reason: WaitReason.Worker,
+			text: 'no open worker of its service has the label that it asks for',
+			until: 'one joins, or is heard and found well again',
+		}
+	}
 	if (isBarred(work, eligible)) {
-		return `its queue's policy allows none of ${open} open workers; others are asked about as they join`
+		return {
+			reason: WaitReason.Barred,
+			text: `its queue's policy allows none of ${open} open workers`,
+			until: 'another one joins',
+		}
 	}
 	if (!withinQuota) {
-		return `its account ${work.account?.terms.name} has as much running as its quota allows`
+		return {
+			reason: WaitReason.Quota,
+			text: `its account ${work.account?.terms.name} has as much running as its quota allows`,
+			until: 'runs of the account end, or its quota grows',
+		}
+	}
+	if (room.length === 0) {
+		return {
+			reason: WaitReason.Room,
+			text: `none of ${open} open workers has room for one task`,
+			until: 'runs end, or urgent work makes room',
+		}
 	}
-	if (room.length === 0) return `none of ${open} open workers has room for one task`
-	if (!work.queue.advice) return 'it is about to begin'
 	if (kept) {
 		const wait = Math.round(Math.max(0, kept.last - now))
-		return `room for all of it is expected in ${wait} ms and kept until then`
+		return {
+			reason: WaitReason.Reservation,
+			text: `room for all of it is expected in ${wait} ms and kept`,
+			until: 'the runs there end',
+		}
 	}
-	return adviceReason(work, room, now)
+	return work.queue.advice ? waitForAdvice(work, room, now) : placedNext(work)
 }
 
-function adviceReason(work: StepWork, room: readonly Option[], now: number): string {
-	const { advice, step } = work
-	const allowed = room.some(({ view }) => advice.ticket(view.id, now) !== undefined)
-	if (allowed && step.gang) return 'not all of its gang has room'
-	if (allowed) return 'it is about to begin'
-	if (advice.asking) return `advice about ${room.length} workers with room is awaited`
-	return `none of ${room.length} workers with room is allowed by its queue's policy`
+function waitForAdvice(work: StepWork, room: readonly Option[], now: number): Wait {
+	const { advice } = work
+	if (room.some(({ view }) => advice.ticket(view.id, now) !== undefined)) return placedNext(work)
+	if (advice.asking) {
+		return {
+			reason: WaitReason.Advice,
+			text: `advice about ${room.length} workers with room is awaited`,
+			until: 'it comes, or is given up and asked for again',
+		}
+	}
+	return {
+		reason: WaitReason.Policy,
+		text: `none of ${room.length} workers with room is allowed by its queue's policy`,
+		until: 'others have room, or join',
+	}
+}
+
+function placedNext({ step }: StepWork): Wait {
+	if (step.gang) {
+		return {
+			reason: WaitReason.Gang,
+			text: 'not all of its gang has room',
+			until: 'enough runs end at workers that may run it',
+		}
+	}
+	return {
+		reason: WaitReason.None,
+		text: 'it is about to begin',
+		until: 'the next pass, within 0.1 s',
+	}
 }
--- a/packages/telemetry/src/lib/Meter.ts
+++ b/packages/telemetry/src/lib/Meter.ts
@@ -21,6 +21,7 @@
 	TasksGivenUp: 'tasks_given_up_total',
 	/** Counter by `priority`: steps whose queue's policy allowed none of the open workers. */
 	StepsBarred: 'steps_barred_total',
+	MissedWork: 'missed_work_total',
 	/** Counter: runs stopped to make room for work of the highest priority at a service. */
 	Preemptions: 'preemptions_total',
 	/** Counter: runs moved away from a worker on which they stood still. */
@@ -49,6 +50,8 @@
 	Runs: 'runs',
 	/** Gauge by `priority`: steps with tasks that wait to begin. */
 	StepsWaiting: 'steps_waiting',
+	/** Milliseconds that the step has waited which waits longest for a reason. */
+	OldestWait: 'oldest_wait_ms',
 	/** Gauge: voters of the group. */
 	Voters: 'voters',
 	/** Gauge: version of the configuration in force. */
