--- a/packages/jobs/src/lib/leader/JobController.ts
+++ b/packages/jobs/src/lib/leader/JobController.ts
@@ -70,7 +70,7 @@
 		})
 		this.steps = new StepScheduler(context, this.workers, this.runs, this.precedence, this.accounts)
 		this.clients = new ClientCalls(context)
-		this.reconciliation = new Reconciliation(context, [this.steps, this.runs])
+		this.reconciliation = new Reconciliation(context, this.steps)
 		for (const job of state.jobs.all()) this.takeUp(job)
 		log.info(LeaderEvent.LeadershipGained, {
 			term,
--- a/packages/jobs/src/lib/leader/LeaderEvent.ts
+++ b/packages/jobs/src/lib/leader/LeaderEvent.ts
@@ -71,7 +71,7 @@
 	 * `step-overdue`. Once for each step.
 	 */
 	StepWaitsLong: 'step-waits-long',
-	/** A look at what is replicated found a step or run of a job that a change should have told; `job`, what was `missed`. It is taken up. */
+	/** A look at what is replicated found a `step` with tasks to begin that no change had told of. It is tried. */
 	WorkMissed: 'work-missed',
 	/**
 	 * A worker crashed under a task; `task`, `worker`, what that says of the task (`evidence`), how many `crashes` that makes,
--- a/packages/jobs/src/lib/leader/Reconciliation.ts
+++ b/packages/jobs/src/lib/leader/Reconciliation.ts
@@ -1,6 +1,6 @@
 /**
- * Compares what the controller has at hand with what is replicated, again and again, so that no work waits for a change that was missed.
- * Each change makes a step be tried or a run be ordered at once; this finds what such a wake-up should have found and did not. It looks
+ * Compares the steps that the controller knows to wait with what is replicated, again and again, so that none waits for a change that was
+ * missed. Each change makes a step be tried at once; this finds what such a wake-up should have found and did not. It looks
  * at a bounded number of jobs at a time, so a cell of many jobs costs no more per look, and is only looked through more slowly.
  */
 import { Measure } from '@rillrudder/telemetry'
@@ -16,9 +16,9 @@
  */
 const JOBS_A_LOOK = 500
 
-/** A part of the controller that can find what it has missed of a job. @internal */
-export interface Reconciled {
-	/** @returns what it had missed of a job and has taken up, by name; none as a rule. */
+/** The part of the controller that knows what waits. @internal */
+export interface WaitingWork {
+	/** @returns the steps of a job that it had missed and has taken up, by name; none as a rule. */
 	lookAgain(job: JobRecord): readonly string[]
 }
 
@@ -33,7 +33,7 @@
 
 	constructor(
 		private readonly context: LeaderContext,
-		private readonly parts: readonly Reconciled[]
+		private readonly waiting: WaitingWork
 	) {
 		this.rest = context.state.jobs.all()
 	}
@@ -54,11 +54,9 @@
 
 	private look(job: JobRecord): void {
 		const { log, meter } = this.context
-		for (const part of this.parts) {
-			for (const missed of part.lookAgain(job)) {
-				meter.count(Measure.MissedWork)
-				log.warn(LeaderEvent.WorkMissed, { job: job.id, missed })
-			}
+		for (const step of this.waiting.lookAgain(job)) {
+			meter.count(Measure.MissedWork)
+			log.warn(LeaderEvent.WorkMissed, { step })
 		}
 	}
 }
--- a/packages/jobs/src/lib/leader/RunController.ts
+++ b/packages/jobs/src/lib/leader/RunController.ts
@@ -87,19 +87,6 @@
 		if (!isActive(job) || task.finished) this.beginStop(run)
 	}
 
-	/** Takes up runs of a job that are placed and that no change has told of. */
-	lookAgain(job: JobRecord): readonly string[] {
-		const missed: string[] = []
-		for (const { text, task } of tasksOf(job)) {
-			if (task.status !== TaskStatus.Placed) continue
-			const run = this.runs.get(text)
-			if (run?.attempt === task.attempt && run.worker === task.worker) continue
-			this.takeUp(job, text, task)
-			missed.push(text)
-		}
-		return missed
-	}
-
 	/** Remembers a run that has been decided, until it begins or will not. */
 	decided(task: string, decision: Decision): void {
 		this.pending.set(task, decision)
