--- a/packages/jobs/src/lib/leader/WorkerPolls.ts
+++ b/packages/jobs/src/lib/leader/WorkerPolls.ts
@@ -27,12 +27,6 @@
 	polled(view: WorkerView, result: PollResult, sentAt: number): void
 }
 
-/**
- * Milliseconds after a list has come for which the worker can't have started again and ended a run besides: tasks take longer than that, and
- * committing what the list told takes 10 to 40.
- */
-const PROOF_HOLDS = 100
-
 /**
  * The polls of workers.
  *
@@ -101,7 +95,7 @@
 		answered: () => void
 	): void {
 		const { orders } = this.context
-		const order = { fence: view.fence, endsSeen: endsSeen(view, sentAt), leaseUntil, wait }
+		const order = { fence: view.fence, endsSeen: view.endsSeen(sentAt), leaseUntil, wait }
 		orders.poll(view.worker, order, (result) => {
 			answered()
 			this.host.polled(view, result, sentAt)
@@ -134,15 +128,6 @@
 	return false
 }
 
-/**
- * Which ends a worker may forget. Its next life would forget its own first ends, which nobody has heard of, so ends are told as
- * seen only just after a list of the life that is meant: the next one can't have ended anything by then.
- */
-function endsSeen(view: WorkerView, now: number): number {
-	const { born } = view.worker
-	return born === undefined || now - view.provenAt <= PROOF_HOLDS ? view.endsCommitted : 0
-}
-
 function isDueForPoll(view: WorkerView, now: number): boolean {
 	return view.runs.size > 0 && !view.polling && now >= view.pollDue
 }
--- a/packages/jobs/src/lib/leader/WorkerView.ts
+++ b/packages/jobs/src/lib/leader/WorkerView.ts
@@ -18,6 +18,12 @@
 /** Milliseconds for which a reading of a worker's clock tells the age of a heartbeat: at 2% of drift it errs by 0.2 s then. */
 const READING_HOLDS = 10_000
 
+/**
+ * Milliseconds after a list has come for which the worker can't have started again and ended a run besides: tasks take longer than that, and
+ * committing what the list told takes 10 to 40.
+ */
+const PROOF_HOLDS = 100
+
 /** A worker as the controller sees it. @internal */
 export class WorkerView {
 	draining = false
@@ -94,6 +100,15 @@
 		return Math.max(since, clockRead.value + (now - clockRead.at) - heartbeatClock)
 	}
 
+	/**
+	 * Ends up to which number the worker may forget. Its next life would forget its own first ends, which nobody has heard of, so ends are named only
+	 * just after a list of the life that is meant: the next one can't have ended anything by then.
+	 */
+	endsSeen(now: number): number {
+		const proven = this.worker.born === undefined || now - this.provenAt <= PROOF_HOLDS
+		return proven ? this.endsCommitted : 0
+	}
+
 	/** The worker's id. */
 	get id(): string {
 		return this.worker.id
--- a/packages/jobs/src/lib/state/CellState.test.ts
+++ b/packages/jobs/src/lib/state/CellState.test.ts
@@ -98,3 +98,27 @@
 		older.apply(Buffer.from(JSON.stringify({ version: COMMAND_VERSION + 1, commands: [] })))
 	)
 })
+
+test('of two lives under one name that were decided on at the same time only the first is known', () => {
+	const first = workerNamed('w1@5', { address: 'h:1', born: 5 })
+	const second = workerNamed('w1@9', { address: 'h:1', born: 9 })
+	const { state } = stateWith({ kind: 'worker', worker: first }, { kind: 'worker', worker: second })
+	assert.deepEqual(
+		[...state.workers.all()].map(({ worker }) => worker.id),
+		['w1@5']
+	)
+	state.apply(encodeCommands([{ kind: 'gone', worker: 'w1@5', at: 2 }]))
+	state.apply(encodeCommands([{ kind: 'worker', worker: second }]))
+	assert.equal(state.workers.named('w1')?.worker.id, 'w1@9')
+	assert.equal(state.workers.at('h:1')?.worker.id, 'w1@9')
+})
+
+test('a snapshot of before workers said when they started is read, and its workers have no birth', () => {
+	const { state } = stateWith(JOIN)
+	const snapshot = JSON.parse(Buffer.from(state.snapshot()).toString()) as object
+	const older = new CellState()
+	older.restore(Buffer.from(JSON.stringify({ ...snapshot, version: 2 })))
+	assert.equal(older.workers.named('w1')?.worker.born, undefined)
+	assert.equal(older.workers.named('w1')?.worker.id, 'w1')
+	assert.throws(() => older.restore(Buffer.from(JSON.stringify({ ...snapshot, version: 4 }))))
+})
--- a/packages/runs/src/lib/jobs/FleetOrders.ts
+++ b/packages/runs/src/lib/jobs/FleetOrders.ts
@@ -77,9 +77,12 @@
 		const answer = this.limited(done, ANSWER_LIMIT)
 		const late = random.chance(lateShare())
 		const lost = late || random.chance(lostShare())
+		const { id: life } = this.parts.at(worker.address).worker
 		const reached = (): void => {
 			const machine = this.reach(worker)
 			if (!machine) return
+			// What a worker has taken and not yet carried out is lost with its life.
+			if (late && machine.worker.id !== life) return
 			const result = isMeant(machine, worker) ? act(machine, late) : OTHER
 			if (!lost) this.answer(machine, answer, result)
 		}
--- a/packages/runs/src/lib/jobs/JobFaults.ts
+++ b/packages/runs/src/lib/jobs/JobFaults.ts
@@ -30,6 +30,8 @@
 	RoomShrinks: 'room-shrinks',
 	/** A worker ends without a word and starts again under the id that it had. */
 	WorkerRestarted: 'worker-restarted',
+	/** The same, and it is back before a poll that was out has shown that it was away. */
+	WorkerRestartedAtOnce: 'worker-restarted-at-once',
 	/** Most workers of a rack do so at the same moment. */
 	RackRestarted: 'rack-restarted',
 } as const
@@ -45,6 +47,7 @@
 	'data-centre-lost',
 	'room-shrinks',
 	'worker-restarted',
+	'worker-restarted-at-once',
 	'rack-restarted',
 ]
 
@@ -57,7 +60,11 @@
 export const WAVES: readonly JobFault[] = [JobFault.RackLost, JobFault.DataCentreLost]
 
 /** Workers that start again under the id that they had. @public */
-export const RESTARTS: readonly JobFault[] = [JobFault.WorkerRestarted, JobFault.RackRestarted]
+export const RESTARTS: readonly JobFault[] = [
+	JobFault.WorkerRestarted,
+	JobFault.WorkerRestartedAtOnce,
+	JobFault.RackRestarted,
+]
 
 /** What goes wrong between a leader and the instances that carry its orders, with what makes that matter. @public */
 export const CARRIER_FAULTS: readonly JobFault[] = [
@@ -75,6 +82,8 @@
 const SECOND_SHARE = 0.3
 /** How long a fault lasts, the least and the most, in milliseconds. */
 const LASTS = [300, 7000] as const
+/** How long a worker is away that is back at once, the least and the most, in milliseconds. */
+const AT_ONCE = [10, 200] as const
 /** How long there is no leader, the least and the most, in milliseconds. */
 const LEADERLESS = [50, 1500] as const
 const LATE_SHARE = 0.06
@@ -152,6 +161,8 @@
 				return this.crash(this.besides(machine), span)
 			case JobFault.WorkerRestarted:
 				return fleet.restart(machine, span)
+			case JobFault.WorkerRestartedAtOnce:
+				return fleet.restart(machine, random.integer(...AT_ONCE))
 			case JobFault.RackRestarted:
 				for (const one of this.inRack(machine)) fleet.restart(one, span)
 				return
--- a/packages/runs/src/lib/jobs/JobRun.ts
+++ b/packages/runs/src/lib/jobs/JobRun.ts
@@ -182,6 +182,10 @@
 		this.accounts?.lift()
 		if (this.accounts) this.configure()
 		this.advance(SETTLE_FOR)
+		for (const { worker } of this.fleet.machines) {
+			const known = this.state.workers.find(worker.id) !== undefined
+			invariant(known, 'a worker that reports is known by its present life', { worker: worker.id })
+		}
 		for (const job of this.asked.values()) {
 			const crashes = this.crashing?.isIn(job.id) ?? false
 			checkOutcome(job, this.state.jobs.find(job.id), this.witness, crashes)
