Messages between instances: what can't be read is passed over, and a call whose handling fails ends nothing

Before: bytes that are no JSON, or a call of an unknown kind, threw out of the handler of links. Now: property tests show that no bytes throw, a batch loses only its bad rows, and a call that throws is answered as unknown, logged, counted and not handled again. Faults outside calls still end the process.

--- a/packages/member/src/lib/CoreInstance.ts
+++ b/packages/member/src/lib/CoreInstance.ts
@@ -19,9 +19,11 @@
 import { CarriedOrders } from './carriers/CarriedOrders'
 import type { Carrier } from './carriers/CarrierChoice'
 import { OrderCarrier } from './carriers/OrderCarrier'
+import { CallFaults } from './CallFaults'
 import { CellMachine } from './CellMachine'
 import type { Finality } from './LeaderCalls'
 import { CoreNews } from './CoreNews'
+import { decodeCall } from './linkBodies'
 import { GatheredHeartbeats } from './GatheredHeartbeats'
 import { NEWS_PERIOD } from './LeaderView'
 import { Leading } from './Leading'
@@ -86,6 +88,7 @@
 	private readonly carrier: OrderCarrier
 	private readonly heartbeats: GatheredHeartbeats
 	private readonly news: CoreNews
+	private readonly faults: CallFaults
 	/** When each peer last said something, on the instance's clock. */
 	private readonly heardAt = new Map<string, number>()
 	private group!: Group
@@ -96,6 +99,7 @@
 
 	constructor(private readonly parts: CoreParts) {
 		const { clock, address: self, adviser } = parts
+		this.faults = new CallFaults(clock, parts.log, parts.meter)
 		this.links = new PeerLinks({
 			self,
 			clock,
@@ -285,7 +289,8 @@
 
 	private callHere(call: CellCall, done: (reply: CellReply) => void): boolean {
 		if (!this.leading || !this.group.mayAct) return false
-		this.leading.call(call, done)
+		const { leading } = this
+		this.faults.handle(call, done, () => leading.call(call, done))
 		return true
 	}
 
@@ -306,7 +311,8 @@
 
 	private peerCalled(from: string, { id, body, hops, term }: PeerCall): void {
 		const reply = (value: CellReply): void => this.links.calls.reply(from, id, value)
-		const call = JSON.parse(body.toString()) as CellCall
+		const call = decodeCall(body)
+		if (!call) return this.faults.unreadable(from)
 		if (call.kind === 'advise') {
 			void answerQuestion(this.parts.adviser, call.question).then(reply)
 			return
--- a/packages/member/src/lib/EntryInstance.ts
+++ b/packages/member/src/lib/EntryInstance.ts
@@ -6,6 +6,7 @@
 import type { Adviser } from './Adviser'
 import { answerQuestion } from './AskingPeers'
 import type { Finality } from './LeaderCalls'
+import { decodeCall } from './linkBodies'
 import { MemberEvent } from './MemberEvent'
 import { PeerLinks } from './PeerLinks'
 import { peersForEntry } from './peersForEntry'
@@ -83,8 +84,8 @@
 	}
 
 	private peerCalled(from: string, { id, body }: PeerCall): void {
-		const call = JSON.parse(body.toString()) as CellCall
-		if (call.kind !== 'advise') {
+		const call = decodeCall(body)
+		if (call?.kind !== 'advise') {
 			this.links.calls.reply(from, id, { kind: 'not-leader' })
 			return
 		}
--- a/packages/member/src/lib/MemberEvent.ts
+++ b/packages/member/src/lib/MemberEvent.ts
@@ -24,6 +24,10 @@
 	CallAnswered: 'call-answered',
 	/** A call asks for nothing that can be done; `path`, `status`, `reason`. */
 	CallRefused: 'call-refused',
+	/** Messages of a peer could not be read, and were passed over; `peer`, how many `messages` since the last such line. */
+	MessagesUnreadable: 'messages-unreadable',
+	/** Handling a call failed by a fault of this program; `call`, `reason`. The same call is not handled again here. */
+	CallFaulty: 'call-faulty',
 	/** The process can't go on; `reason`. */
 	Failed: 'failed',
 } as const
--- a/packages/member/src/lib/PeerCalls.ts
+++ b/packages/member/src/lib/PeerCalls.ts
@@ -2,6 +2,7 @@
 import type { CellCall, CellReply } from '@rillrudder/jobs'
 import type { Event, PeerCall, PeerReply } from '@rillrudder/protocol'
 import type { Clock, Timer } from '@rillrudder/utils'
+import { decodeReply } from './linkBodies'
 
 /** What came of a call to a peer. @internal */
 export type PeerOutcome =
@@ -90,8 +91,8 @@
 
 	/** Takes a peer's reply. */
 	replied({ id, body }: PeerReply): void {
-		const reply = JSON.parse(body.toString()) as CellReply
-		this.settle(id, { kind: 'replied', reply })
+		const reply = decodeReply(body)
+		this.settle(id, reply ? { kind: 'replied', reply } : { kind: 'no-reply' })
 	}
 
 	/** A link is lost: what was sent over it gets no reply any more. */
--- a/packages/member/src/lib/carriers/CarriedOrder.ts
+++ b/packages/member/src/lib/carriers/CarriedOrder.ts
@@ -8,6 +8,7 @@
 	StartOrder,
 	StopOrder,
 } from '@rillrudder/jobs'
+import { decodeBatch, isFields } from '../linkBodies'
 
 /** What a worker is told. @internal */
 export type CarriedBody =
@@ -36,12 +37,27 @@
 	return Buffer.from(JSON.stringify(batch))
 }
 
-/** @returns the orders of a batch. @internal */
+/** @returns the orders of a batch that can be read; the others bring no result, and count as not carried. @internal */
 export function decodeOrders(body: Uint8Array): CarriedOrder[] {
-	return JSON.parse(Buffer.from(body).toString()) as CarriedOrder[]
+	return decodeBatch(body).filter(isOrder)
 }
 
-/** @returns the results of a batch. @internal */
+/** @returns the results of a batch that can be read. @internal */
 export function decodeResults(body: Uint8Array): CarriedResult[] {
-	return JSON.parse(Buffer.from(body).toString()) as CarriedResult[]
+	return decodeBatch(body).filter(isResult)
+}
+
+const ORDERS: readonly unknown[] = ['start', 'stop', 'pace', 'poll']
+
+function isOrder(row: unknown): row is CarriedOrder {
+	if (!isFields(row) || typeof row.id !== 'number') return false
+	const { worker, body } = row
+	if (!isFields(worker) || typeof worker.id !== 'string') return false
+	if (typeof worker.address !== 'string') return false
+	return isFields(body) && ORDERS.includes(body.kind) && isFields(body.order)
+}
+
+function isResult(row: unknown): row is CarriedResult {
+	if (!isFields(row) || typeof row.id !== 'number') return false
+	return isFields(row.result) && typeof row.result.kind === 'string'
 }
--- /dev/null
+++ b/packages/member/src/lib/linkBodies.test.ts
@@ -0,0 +1,66 @@
+/** Messages between instances: bytes that hold none never throw, and a call that can't be handled ends nothing. */
+import assert from 'node:assert/strict'
+import { test } from 'node:test'
+import type { CellCall, CellReply } from '@rillrudder/jobs'
+import { Log, Meter } from '@rillrudder/telemetry'
+import { ManualClock } from '@rillrudder/utils'
+import fc from 'fast-check'
+import { CallFaults } from './CallFaults'
+import { decodeOrders, decodeResults } from './carriers/CarriedOrder'
+import { decodeCall, decodeReply } from './linkBodies'
+
+/** Tries of each property; the seed makes them the same each time. */
+const TRIES = { numRuns: 300, seed: 33 }
+const ORDER = {
+	id: 1,
+	worker: { id: 'w1', address: 'h:1', dataCentre: 'vake' },
+	body: { kind: 'poll', order: { fence: 1, endsSeen: 0, wait: 0 } },
+}
+
+const bytes = (value: unknown): Buffer => Buffer.from(JSON.stringify(value) ?? '')
+
+test('no bytes make a decoder of links throw', () => {
+	const bodies = fc.oneof(
+		fc.uint8Array({ maxLength: 100 }).map((some) => Buffer.from(some)),
+		fc.json().map((text) => Buffer.from(text)),
+		fc.array(fc.anything()).map((rows) => bytes(rows.map((row) => [ORDER, row])))
+	)
+	const neverThrows = fc.property(bodies, (body) => {
+		for (const decode of [decodeCall, decodeReply, decodeOrders, decodeResults]) decode(body)
+	})
+	fc.assert(neverThrows, TRIES)
+})
+
+test('what is no call or reply is none, and a bad row of a batch leaves its neighbours', () => {
+	assert.equal(decodeCall(bytes({ kind: 'melt' })), undefined)
+	assert.equal(decodeCall(bytes(null)), undefined)
+	assert.equal(decodeCall(bytes({ kind: 'read-configuration' }))?.kind, 'read-configuration')
+	assert.equal(decodeReply(bytes(7)), undefined)
+	const strange = [null, 7, {}, { ...ORDER, worker: null }, { ...ORDER, body: { kind: 'melt' } }]
+	assert.deepEqual(decodeOrders(bytes([...strange, ORDER])), [ORDER])
+	const result = { id: 3, result: { kind: 'not-carried' } }
+	assert.deepEqual(decodeResults(bytes([null, { id: 4 }, result])), [result])
+})
+
+test('a call whose handling fails is answered, and is not handled again when it is repeated', () => {
+	const silent = (): void => undefined
+	const clock = new ManualClock()
+	const faults = new CallFaults(clock, new Log('test', clock, 'silent', silent), new Meter())
+	const call: CellCall = { kind: 'cancel', to: { id: 'x' } }
+	const replies: CellReply['kind'][] = []
+	let handled = 0
+	const again = (asked: CellCall, fails: boolean): void =>
+		faults.handle(
+			asked,
+			({ kind }) => replies.push(kind),
+			() => {
+				handled += 1
+				if (fails) throw new Error('a fault')
+			}
+		)
+	again(call, true)
+	again({ kind: 'cancel', to: { id: 'x' } }, true)
+	again({ kind: 'cancel', to: { id: 'y' } }, false)
+	assert.deepEqual(replies, ['unknown', 'unknown'])
+	assert.equal(handled, 2)
+})
--- a/packages/telemetry/src/lib/Meter.ts
+++ b/packages/telemetry/src/lib/Meter.ts
@@ -21,7 +21,12 @@
 	TasksGivenUp: 'tasks_given_up_total',
 	/** Counter by `priority`: steps whose queue's policy allowed none of the open workers. */
 	StepsBarred: 'steps_barred_total',
+	/** Counter: steps with tasks to begin that no change had told of, found by looking again. */
 	MissedWork: 'missed_work_total',
+	/** Counter: messages of other instances that could not be read. */
+	MessagesUnreadable: 'messages_unreadable_total',
+	/** Counter by `call`: calls that failed by a fault of this program. */
+	CallsFaulty: 'calls_faulty_total',
 	/** Counter: runs stopped to make room for work of the highest priority at a service. */
 	Preemptions: 'preemptions_total',
 	/** Counter: runs moved away from a worker on which they stood still. */
@@ -50,7 +55,7 @@
 	Runs: 'runs',
 	/** Gauge by `priority`: steps with tasks that wait to begin. */
 	StepsWaiting: 'steps_waiting',
-	/** Milliseconds that the step has waited which waits longest for a reason. */
+	/** Gauge by `reason`, milliseconds: for how long the step waits that waits longest for it. */
 	OldestWait: 'oldest_wait_ms',
 	/** Gauge: voters of the group. */
 	Voters: 'voters',
