--- /dev/null
+++ b/packages/jobs/src/lib/leader/StepWaits.test.ts
@@ -0,0 +1,53 @@
+/** How long steps wait and why is told by a measure, a line and the explanation of a job. */
+import assert from 'node:assert/strict'
+import { test } from 'node:test'
+import { LeaderSubject } from '../testing/LeaderSubject'
+import { jobOf } from '../testing/samples'
+import { LeaderEvent } from './LeaderEvent'
+
+const JOB = '00000000000000aa'
+const WIDE = { need: { cpu: 4000, memory: 512, accelerators: 0 } }
+
+function reasonOf(subject: LeaderSubject): string {
+	const reply = subject.call({ kind: 'explain-job', id: JOB })
+	assert.equal(reply?.kind, 'explanation')
+	return reply.explanation.steps[0].reason
+}
+
+async function oldest(subject: LeaderSubject, reason: string): Promise<number> {
+	subject.controller.measure()
+	const line = (await subject.meter.text())
+		.split('\n')
+		.find((text) => text.includes(`oldest_wait_ms{reason="${reason}"}`))
+	return Number(line?.split(' ').at(-1))
+}
+
+function told(subject: LeaderSubject): string[] {
+	return subject.lines.filter((line) => line.includes(`"${LeaderEvent.StepWaitsLong}"`))
+}
+
+test('a step without room is told by its reason, since when and until what, and by no line of waits that nobody keeps', async () => {
+	const subject = new LeaderSubject()
+	subject.heartbeat('w1')
+	subject.submit(JOB, jobOf({ count: 2, ...WIDE }))
+	subject.run(8000, 'w1')
+	assert.match(reasonOf(subject), /^none of 1 open workers has room .* for 8000 ms, until runs end/)
+	assert.equal(await oldest(subject, 'room'), 8000)
+	assert.equal(await oldest(subject, 'advice'), 0)
+	assert.deepEqual(told(subject), [])
+})
+
+test('a step that waits too long with room there is told once', async () => {
+	const subject = new LeaderSubject({ advice: { base: 30, each: 0, valid: 2000 } })
+	subject.allowed = (worker) => worker === 'w9'
+	for (const worker of ['w1', 'w9']) subject.heartbeat(worker)
+	subject.submit(JOB, jobOf({ count: 2, ...WIDE }))
+	subject.run(9000, 'w1', 'w9')
+	const [line, ...more] = told(subject)
+	assert.deepEqual(more, [])
+	assert.match(
+		line,
+		/"step":"00000000000000aa\.0\.0".*"waiting":1,.*"reason":"none of 1 workers with room is allowed/
+	)
+	assert.ok((await oldest(subject, 'policy')) > 5000)
+})
--- a/packages/jobs/src/lib/leader/StepWaits.ts
+++ b/packages/jobs/src/lib/leader/StepWaits.ts
@@ -16,6 +16,7 @@
 	WaitReason.Barred,
 	WaitReason.Quota,
 	WaitReason.Room,
+	WaitReason.Policy,
 ]
 
 /**
--- a/packages/jobs/src/lib/testing/LeaderSubject.ts
+++ b/packages/jobs/src/lib/testing/LeaderSubject.ts
@@ -228,6 +228,9 @@
 	readonly questions: { readonly via: string; readonly question: AdviceQuestion }[] = []
 	allowed: (worker: string) => boolean = () => true
 	deposed = false
+	/** Log lines of all leaderships. */
+	readonly lines: string[] = []
+	readonly meter = new Meter()
 	/** Client accounts of the configurations that follow; undefined for a cell without. */
 	accounts: readonly ClientAccount[] | undefined
 	controller!: JobController
@@ -270,7 +273,6 @@
 	lead(): void {
 		this.state.observer = undefined
 		const random = new Random(7)
-		const silent = (): void => undefined
 		this.controller = new JobController({
 			state: this.state,
 			ledger: new Ledger(random),
@@ -282,8 +284,8 @@
 			orders: new FakeOrders(this),
 			advisers: new FakeAdvisers(this),
 			proposals: this.proposals,
-			log: new Log('test', this.clock, 'silent', silent),
-			meter: new Meter(),
+			log: new Log('test', this.clock, 'info', (line) => this.lines.push(line)),
+			meter: this.meter,
 			deposed: () => (this.deposed = true),
 		})
 		this.state.observer = (change) => this.controller.changed(change)
