--- a/packages/jobs/src/lib/leader/LostRuns.ts
+++ b/packages/jobs/src/lib/leader/LostRuns.ts
@@ -2,10 +2,9 @@
 import { RunEnd } from '../records/Job'
 import { epochOf, type LeaderContext } from './LeaderContext'
 import { LeaderEvent } from './LeaderEvent'
-import { crashEvidence } from './crashEvidence'
-import type { LossWaves } from './LossWaves'
 import type { SuspectRuns } from './SuspectRuns'
 import type { Run } from './Run'
+import type { WorkerLosses } from './WorkerLosses'
 import type { WorkerView } from './WorkerView'
 
 /**
@@ -23,7 +22,7 @@
 	constructor(
 		private readonly context: LeaderContext,
 		private readonly suspects: SuspectRuns,
-		private readonly waves: LossWaves
+		private readonly losses: WorkerLosses
 	) {}
 
 	/** The lease of a silent worker is certainly over: nothing runs there any more. */
@@ -42,13 +41,12 @@
 
 	private lose(view: WorkerView, lost: readonly Run[], reason: string): void {
 		if (lost.length === 0) return
-		const inWave = this.waves.includes(view, this.context.state.workers.size)
 		const runs = lost.map((run) => ({
 			task: run.text,
 			attempt: run.attempt,
 			how: RunEnd.Lost,
 			checkpoint: run.checkpoint,
-			evidence: crashEvidence(run, view, inWave),
+			evidence: this.losses.evidenceOf(run, view),
 		}))
 		this.context.log.warn(LeaderEvent.RunsLost, { worker: view.id, runs: runs.length, reason })
 		for (const run of lost) {
--- a/packages/jobs/src/lib/leader/StepScheduler.ts
+++ b/packages/jobs/src/lib/leader/StepScheduler.ts
@@ -10,6 +10,7 @@
 import { UrgentRoom } from '../placement/UrgentRoom'
 import type { AccountUsage } from '../accounts/AccountUsage'
 import { chooseForStep, hasRoom, type Option, type RoomCheck } from './chooseForStep'
+import { DueRepeats, dueOf } from './DueRepeats'
 import { epochOf, type LeaderContext } from './LeaderContext'
 import { placeGang, type Placed, type TaskChooser } from './placeGang'
 import { Preemption } from './Preemption'
@@ -47,8 +48,7 @@
 	private readonly log: StepLog
 	private readonly waits: StepWaits
 	private readonly preemption: Preemption
-	/** Repeats that are not due yet. */
-	private later: { readonly job: JobRecord; readonly repeat: number; readonly due: number }[] = []
+	private readonly later = new DueRepeats()
 	private stale = true
 	/** What the ledger had released when steps were last tried. */
 	private triedReleases = -1
@@ -133,8 +133,7 @@
 	accept(job: JobRecord): void {
 		this.precedence.note(job.queue, this.context.clock.now())
 		job.repeats.forEach((_, number) => {
-			const due = dueOf(job, number)
-			if (due > epochOf(this.context)) this.later.push({ job, repeat: number, due })
+			if (dueOf(job, number) > epochOf(this.context)) this.later.add(job, number)
 			else this.openReady(job, number)
 		})
 	}
@@ -142,7 +141,7 @@
 	/** Drops a job that has ended. */
 	drop(job: JobRecord): void {
 		for (const work of this.steps.values()) if (work.job === job) this.close(work)
-		this.later = this.later.filter((item) => item.job !== job)
+		this.later.drop(job)
 		this.stale = true
 	}
 
@@ -239,11 +238,8 @@
 	/** Opens repeats that have become due. */
 	tick(now: number): void {
 		this.questions.tick(now)
-		const epoch = epochOf(this.context)
-		const due = this.later.filter((item) => item.due <= epoch)
-		if (due.length === 0) return
-		this.later = this.later.filter((item) => item.due > epoch)
-		for (const { job, repeat } of due) this.openReady(job, repeat)
+		for (const { job, repeat } of this.later.take(epochOf(this.context)))
+			this.openReady(job, repeat)
 	}
 
 	/**
@@ -453,11 +449,6 @@
 	}
 }
 
-/** When a repeat of a job is due, milliseconds since the epoch; 0 for a job that does not repeat. */
-function dueOf({ request: { repeat } }: JobRecord, number: number): number {
-	return repeat ? repeat.first + number * repeat.interval : 0
-}
-
 /** For each service a number that changes when something came free at its open workers, or their number changed. */
 function stampsOf(open: readonly Option[]): Map<string, number> {
 	const stamps = new Map<string, number>()
--- /dev/null
+++ b/packages/jobs/src/lib/leader/WorkerLosses.ts
@@ -0,0 +1,70 @@
+/**
+ * What workers that fall silent tell: of their data centre, which may be out of reach as a whole, and of the tasks that ran there, which may have
+ * crashed them.
+ */
+import type { CrashFindings } from '../commands/CellCommand'
+import type { CrashEvidence } from '../state/TaskCrashes'
+import { crashEvidence } from './crashEvidence'
+import type { LeaderContext } from './LeaderContext'
+import { LossWaves } from './LossWaves'
+import { OutageWatch } from './OutageWatch'
+import type { Run } from './Run'
+import type { WorkerView } from './WorkerView'
+
+/**
+ * The losses of workers.
+ *
+ * @internal
+ */
+export class WorkerLosses {
+	private readonly outages = new OutageWatch()
+	private readonly waves = new LossWaves()
+
+	/**
+	 * @param context - what the parts of the leader share.
+	 * @param views - all workers.
+	 */
+	constructor(
+		private readonly context: LeaderContext,
+		private readonly views: ReadonlyMap<string, WorkerView>
+	) {}
+
+	/** A worker was found silent, or another life of it answers. */
+	lost(view: WorkerView): void {
+		view.lostAt = this.context.clock.now()
+		this.waves.lost(view)
+	}
+
+	/** A call to a worker did not come back; its data centre may be out of reach. */
+	missed({ id, worker: { dataCentre } }: WorkerView): void {
+		let workers = 0
+		for (const { worker } of this.views.values()) if (worker.dataCentre === dataCentre) workers += 1
+		this.outages.missed(dataCentre, id, workers, this.context.clock.now())
+	}
+
+	/** A worker has answered. */
+	answered({ id, worker }: WorkerView): void {
+		this.outages.answered(worker.dataCentre, id)
+	}
+
+	/** @returns whether a worker's data centre seems out of reach and it has not answered since. */
+	isSuspect({ worker, answeredAt }: WorkerView, now: number): boolean {
+		const since = this.outages.suspectSince(worker.dataCentre, now)
+		return since !== undefined && answeredAt < since
+	}
+
+	/** @returns what the end of a worker without a word says of what ran there. */
+	findingsOf(view: WorkerView): CrashFindings {
+		const findings: { [task: string]: CrashEvidence } = {}
+		for (const run of view.runs.values()) {
+			const evidence = this.evidenceOf(run, view)
+			if (evidence) findings[run.text] = evidence
+		}
+		return findings
+	}
+
+	/** @returns what the loss of a run's worker says of its task. */
+	evidenceOf(run: Run, view: WorkerView): CrashEvidence | undefined {
+		return crashEvidence(run, view, this.waves.includes(view, this.views.size))
+	}
+}
--- a/packages/jobs/src/lib/leader/WorkerRegistry.ts
+++ b/packages/jobs/src/lib/leader/WorkerRegistry.ts
@@ -4,8 +4,6 @@
 import { epochOf, type LeaderContext } from './LeaderContext'
 import { LeaderEvent } from './LeaderEvent'
 import { SuspectRuns } from './SuspectRuns'
-import { crashEvidence } from './crashEvidence'
-import { LossWaves } from './LossWaves'
 import { Lease } from './Lease'
 import { WorkerHeartbeats } from './WorkerHeartbeats'
 import { WorkerPolls } from './WorkerPolls'
@@ -13,17 +11,15 @@
 import { FenceTokens } from './FenceTokens'
 import { LifeChanges } from './LifeChanges'
 import { isOtherLife, parseIncarnation } from '../records/Incarnation'
-import { OutageWatch } from './OutageWatch'
 import type { JobRecord } from '../state/JobRecord'
 import { tasksOf } from '../state/JobTable'
-import type { CrashEvidence } from '../state/TaskCrashes'
 import { StallWatch } from '../placement/StallWatch'
 import type { AccountUsage } from '../accounts/AccountUsage'
-import type { CrashFindings } from '../commands/CellCommand'
 import type { HeardWorker } from './calls'
 import type { ListedEnd, PollResult } from './ports'
 import { SilenceNotes } from './SilenceNotes'
 import { isCrash, WorkerEnd } from './WorkerEnd'
+import { WorkerLosses } from './WorkerLosses'
 import { WorkerView } from './WorkerView'
 
 /** Names of tasks that one line tells, so that it stays short. */
@@ -47,8 +43,7 @@
 	private readonly views = new Map<string, WorkerView>()
 	/** Tells on which workers runs stand still. */
 	readonly stalls = new StallWatch()
-	private readonly outages = new OutageWatch()
-	private readonly waves = new LossWaves()
+	private readonly losses: WorkerLosses
 	private readonly suspects: SuspectRuns
 	private readonly polls: WorkerPolls
 	private readonly lostRuns: LostRuns
@@ -69,7 +64,8 @@
 			isUnclear: (view, now) => this.isUnclear(view, now),
 			polled: (view, result, sentAt) => this.polled(view, result, sentAt),
 		})
-		this.lostRuns = new LostRuns(context, this.suspects, this.waves)
+		this.losses = new WorkerLosses(context, this.views)
+		this.lostRuns = new LostRuns(context, this.suspects, this.losses)
 		this.silence = new SilenceNotes(context)
 		this.fences = new FenceTokens(context.term)
 		this.lives = new LifeChanges(context, this.fences, {
@@ -136,7 +132,7 @@
 		const now = clock.now()
 		if (view.draining || view.givenUp || view.unreachable || !view.listed) return false
 		if (view.suspects.size > 0) return false
-		if (this.isSuspect(view, now) || this.stalls.isStalled(view.id, now)) return false
+		if (this.losses.isSuspect(view, now) || this.stalls.isStalled(view.id, now)) return false
 		return view.silence(now) < timing.workerSilent && health.isOpen(view.id, now)
 	}
 
@@ -228,7 +224,7 @@
 		if (view.unreachable) this.context.log.info(LeaderEvent.WorkerRegained, { worker: view.id })
 		view.unreachable = false
 		view.answeredAt = now
-		this.outages.answered(view.worker.dataCentre, view.id)
+		this.losses.answered(view)
 		if (clock === undefined) return
 		// A clock that went back is another life's; its list tells.
 		if (view.clockRead && clock < view.clockRead.value - CLOCK_STEP) view.pollDue = 0
@@ -242,7 +238,7 @@
 		const { id, address, dataCentre } = view.worker
 		if (view.unreachable) return
 		const now = this.context.clock.now()
-		this.outages.missed(dataCentre, id, this.countIn(dataCentre), now)
+		this.losses.missed(view)
 		this.context.log.warn(LeaderEvent.WorkerLost, {
 			worker: id,
 			address,
@@ -253,16 +249,10 @@
 			leaseLeft: Math.round(view.lease.endsBy - now),
 		})
 		view.unreachable = true
-		this.noteLoss(view)
+		this.losses.lost(view)
 		view.probeDue = 0
 	}
 
-	/** Workers that are lost together, or have started again so, were not ended by a task. */
-	private noteLoss(view: WorkerView): void {
-		view.lostAt = this.context.clock.now()
-		this.waves.lost(view)
-	}
-
 	/**
 	 * Takes up the runs that an earlier leader gave up on workers that were silent, and may be still: they take room and
 	 * quota until the worker has stopped them, or its lease is certainly over.
@@ -282,16 +272,11 @@
 		this.suspects.settle(view)
 	}
 
-	private countIn(dataCentre: string): number {
-		let count = 0
-		for (const { worker } of this.views.values()) if (worker.dataCentre === dataCentre) count += 1
-		return count
-	}
-
 	/** Another life answers in a worker's place: what it holds of this one's runs has to end before they may begin elsewhere. */
 	private lifeChanged(view: WorkerView): void {
 		view.givenUp = true
-		if (!view.unreachable) this.noteLoss(view)
+		// Workers that have started again together were not ended by a task.
+		if (!view.unreachable) this.losses.lost(view)
 		this.context.log.info(LeaderEvent.WorkerRestarted, { worker: view.id, runs: view.runs.size })
 	}
 
@@ -308,21 +293,10 @@
 		const silent = view && Math.round(clock.now() - view.answeredAt)
 		const tasks = view && namesOf(view.runs.keys())
 		log.info(LeaderEvent.WorkerGone, { worker: id, reason, runs: view?.runs.size, silent, tasks })
-		const crash = view && isCrash(reason) ? this.crashOf(view) : undefined
+		const crash = view && isCrash(reason) ? this.losses.findingsOf(view) : undefined
 		proposals.propose({ kind: 'gone', worker: id, at: epochOf(this.context), crash }, done)
 	}
 
-	/** What the crash of a worker says of what ran there. */
-	private crashOf(view: WorkerView): CrashFindings {
-		const inWave = this.waves.includes(view, this.size)
-		const findings: { [task: string]: CrashEvidence } = {}
-		for (const run of view.runs.values()) {
-			const evidence = crashEvidence(run, view, inWave)
-			if (evidence) findings[run.text] = evidence
-		}
-		return findings
-	}
-
 	/** Runs were given up while it was silent; that it answers is kept, since it tells that they did it no harm. */
 	private noteAnswer(view: WorkerView): void {
 		const { state, proposals } = this.context
@@ -335,13 +309,7 @@
 	private isUnclear(view: WorkerView, now: number): boolean {
 		const { unreachable, suspects, lease, listed } = view
 		const unknown = !lease.known || !listed
-		return unreachable || suspects.size > 0 || unknown || this.isSuspect(view, now)
-	}
-
-	/** Whether its data centre seems out of reach and it has not answered since. */
-	private isSuspect(view: WorkerView, now: number): boolean {
-		const since = this.outages.suspectSince(view.worker.dataCentre, now)
-		return since !== undefined && view.answeredAt < since
+		return unreachable || suspects.size > 0 || unknown || this.losses.isSuspect(view, now)
 	}
 
 	private polled(view: WorkerView, result: PollResult, sentAt: number): void {
@@ -374,8 +342,7 @@
 
 	/** Asks again at once. Its data centre may be out of reach with the instance that was to carry the poll. */
 	private notCarried(view: WorkerView): void {
-		const { id, dataCentre } = view.worker
-		this.outages.missed(dataCentre, id, this.countIn(dataCentre), this.context.clock.now())
+		this.losses.missed(view)
 		view.pollDue = 0
 		view.probeDue = 0
 	}
