A worker that starts again at another address is asked there, not where its earlier life was

Found by reading: the second question went to the earlier life's address, where nobody answers, so the new life was not taken in before the earlier one was forgotten (60 s).

--- a/packages/jobs/src/lib/leader/LifeChanges.test.ts
+++ b/packages/jobs/src/lib/leader/LifeChanges.test.ts
@@ -110,6 +110,18 @@
 	assert.ok(subject.state.workers.isGone(formatIncarnation({ name: WORKER, born: FIRST })))
 })
 
+test('a worker that starts again at another address is asked there', () => {
+	const { subject, worker, other } = cellWithRun()
+	worker.restart(FIRST + 5000)
+	worker.address = 'elsewhere:80'
+	subject.heartbeat(WORKER, { address: worker.address })
+	subject.run(2000, OTHER)
+	const life = subject.state.workers.named(WORKER)?.worker
+	assert.equal(life?.born, FIRST + 5000)
+	assert.equal(life.address, worker.address)
+	assert.equal(other.running.length + worker.running.length, 1)
+})
+
 test('while a worker of which another life was heard does not answer, its runs wait for the lease and then begin elsewhere', () => {
 	const { subject, worker, other } = cellWithRun()
 	worker.restart(FIRST + 5000)
--- a/packages/jobs/src/lib/leader/LifeChanges.ts
+++ b/packages/jobs/src/lib/leader/LifeChanges.ts
@@ -12,7 +12,7 @@
 import { isOtherLife } from '../records/Incarnation'
 import type { FenceTokens } from './FenceTokens'
 import { epochOf, type LeaderContext } from './LeaderContext'
-import type { PollResult } from './ports'
+import type { OrderTarget, PollResult } from './ports'
 import { WorkerEnd } from './WorkerEnd'
 import type { WorkerView } from './WorkerView'
 
@@ -37,6 +37,8 @@
 interface LifeChange {
 	/** The worker as it was known. */
 	readonly known: WorkerView
+	/** Where its present life is asked. */
+	readonly target: OrderTarget
 	/** Told once it is over. */
 	readonly listeners: (() => void)[]
 	/** When it is asked again, on the leader's clock; infinite while an answer is awaited. */
@@ -86,10 +88,11 @@
 		}
 		if (this.asking.has(address)) return done(Occupant.Unclear)
 		this.asking.add(address)
+		const target = { id: known.id, address, dataCentre }
 		const order = { fence: known.fence, endsSeen: 0, wait: 0 }
-		this.context.orders.poll({ id: known.id, address, dataCentre }, order, (result) => {
+		this.context.orders.poll(target, order, (result) => {
 			this.asking.delete(address)
-			this.told(known, result, done)
+			this.told(known, target, result, done)
 		})
 	}
 
@@ -97,15 +100,16 @@
 	 * Another life has answered in a worker's place.
 	 *
 	 * @param known - the worker, as it was known.
-	 * @param done - told once it is over and no run of it is left there.
+	 * @param target - where the other life is.
+	 * @param done - told once the known one is over and no run of it is left there.
 	 */
-	follow(known: WorkerView, done: () => void = () => undefined): void {
+	follow(known: WorkerView, target: OrderTarget, done: () => void = () => undefined): void {
 		const change = this.changes.get(known.id)
 		if (change) {
 			change.listeners.push(done)
 			return
 		}
-		const begun = { known, listeners: [done], askAt: 0 }
+		const begun = { known, target, listeners: [done], askAt: 0 }
 		this.changes.set(known.id, begun)
 		this.host.changed(known)
 		this.ask(begun)
@@ -123,14 +127,19 @@
 		for (const change of this.changes.values()) if (now >= change.askAt) this.ask(change)
 	}
 
-	private told(known: WorkerView, result: PollResult, done: (occupant: Occupant) => void): void {
+	private told(
+		known: WorkerView,
+		target: OrderTarget,
+		result: PollResult,
+		done: (occupant: Occupant) => void
+	): void {
 		switch (result.kind) {
 			case 'other-incarnation':
 				this.host.over(known.id, WorkerEnd.Replaced)
 				return done(Occupant.Other)
 			case 'done':
 				if (!isOtherLife(known.worker.born, result.born)) return done(Occupant.Known)
-				return this.follow(known, () => done(Occupant.Other))
+				return this.follow(known, target, () => done(Occupant.Other))
 			case 'refused':
 				return done(known.worker.born === undefined ? Occupant.Known : Occupant.Unclear)
 			default:
@@ -140,11 +149,11 @@
 
 	private ask(change: LifeChange): void {
 		const { orders, clock, timing } = this.context
-		const { known } = change
+		const { known, target } = change
 		const fence = this.fences.next()
 		const sentAt = clock.now()
 		change.askAt = Number.POSITIVE_INFINITY
-		orders.poll(known.worker, { fence, endsSeen: 0, wait: 0 }, (result) => {
+		orders.poll(target, { fence, endsSeen: 0, wait: 0 }, (result) => {
 			if (this.changes.get(known.id) !== change) return
 			if (result.kind === 'other-incarnation') return this.end(change)
 			if (result.kind === 'done') return this.listed(change, fence, result)
@@ -181,7 +190,7 @@
 		change.askAt = clock.now() + ASK_AGAIN
 		for (const { task, attempt } of running) {
 			// Whatever comes of it, the next answer tells whether the run is still there.
-			orders.stop(change.known.worker, { task, attempt, fence }, () => undefined)
+			orders.stop(change.target, { task, attempt, fence }, () => undefined)
 		}
 	}
 }
--- a/packages/jobs/src/lib/leader/WorkerRegistry.ts
+++ b/packages/jobs/src/lib/leader/WorkerRegistry.ts
@@ -316,7 +316,7 @@
 		if (this.views.get(view.id) !== view) return
 		switch (result.kind) {
 			case 'done':
-				if (isOtherLife(view.worker.born, result.born)) return this.lives.follow(view)
+				if (isOtherLife(view.worker.born, result.born)) return this.lives.follow(view, view.worker)
 				this.answered(view, result.clock)
 				view.listed = true
 				view.provenAt = this.context.clock.now()
--- a/packages/jobs/src/lib/testing/LeaderSubject.ts
+++ b/packages/jobs/src/lib/testing/LeaderSubject.ts
@@ -59,6 +59,8 @@
 	startResult: OrderResult | undefined
 	/** When it started, milliseconds since the epoch; undefined where workers do not say. */
 	born: number | undefined
+	/** Where it is, if orders to elsewhere are to reach nobody. */
+	address: string | undefined
 	/** What its clock shows beyond that of the others. */
 	clockAhead = 0
 	/** Number of its latest heartbeat. */
@@ -140,7 +142,8 @@
 	override poll(worker: OrderTarget, order: PollOrder, done: (result: PollResult) => void): void {
 		const fake = this.subject.worker(worker.id)
 		fake.polls.push(order)
-		if (fake.silent) return this.lose(done)
+		const isThere = fake.address === undefined || fake.address === worker.address
+		if (fake.silent || !isThere) return this.lose(done)
 		if (fake.replaced) return done({ kind: 'other-incarnation' })
 		if (fake.notCarried > 0) {
 			fake.notCarried -= 1
