A worker that has just started again may hold a lease by its earlier life's clock: it counts as held for as long as a worker keeps anything

When a worker was taken in is replicated, so the next leader counts the same. Way not taken: the longer lease for all, always; it would hold each lost worker's runs back 6 s longer. Directed test fails without the mend.

--- a/packages/jobs/src/lib/commands/CellCommand.ts
+++ b/packages/jobs/src/lib/commands/CellCommand.ts
@@ -53,8 +53,14 @@
 	| { readonly kind: 'cancel'; readonly id: string; readonly at: number }
 	| { readonly kind: 'begin'; readonly runs: readonly Begin[] }
 	| { readonly kind: 'end'; readonly runs: readonly End[]; readonly at: number }
-	/** `sequence` is the number of the heartbeat that told it; a lower one is older. */
-	| { readonly kind: 'worker'; readonly worker: Worker; readonly sequence?: number }
+	| {
+			readonly kind: 'worker'
+			readonly worker: Worker
+			/** Number of the heartbeat that told it; a lower one is older. */
+			readonly sequence?: number
+			/** When that was, milliseconds since the epoch by the leader's clock; absent in commands of before. */
+			readonly at?: number
+	  }
 	| { readonly kind: 'drain'; readonly worker: string }
 	/** Whether this leader has not heard of workers, or no more, so that what they offer may have changed. */
 	| { readonly kind: 'silent'; readonly workers: readonly string[]; readonly silent: boolean }
--- a/packages/jobs/src/lib/leader/LeaderTiming.ts
+++ b/packages/jobs/src/lib/leader/LeaderTiming.ts
@@ -4,6 +4,8 @@
 export interface LeaderTiming {
 	/** Length of a worker's lease from the moment it is renewed. */
 	readonly lease: number
+	/** The longest time for which a worker keeps what it runs, whatever lease it is told. */
+	readonly longestLease: number
 	/** How slow a worker's clock may be, as a share. */
 	readonly clockDrift: number
 	/** Added to the end of a lease before it counts as over. */
@@ -41,6 +43,7 @@
 export const DEFAULT_LEADER_TIMING: LeaderTiming = {
 	// Longer than a change of leader (up to 1.2 s) and the poll after it.
 	lease: 4000,
+	longestLease: 10_000,
 	clockDrift: 0.02,
 	leaseMargin: 100,
 	// A lost answer hides ends for this long and half a second more.
--- a/packages/jobs/src/lib/leader/LifeChanges.test.ts
+++ b/packages/jobs/src/lib/leader/LifeChanges.test.ts
@@ -124,6 +124,8 @@
 
 test('while a worker of which another life was heard does not answer, its runs wait for the lease and then begin elsewhere', () => {
 	const { subject, worker, other } = cellWithRun()
+	// Longer than a worker could still keep what its earlier life was granted.
+	subject.run(16_000, WORKER, OTHER)
 	worker.restart(FIRST + 5000)
 	subject.run(20)
 	worker.silent = true
@@ -133,6 +135,19 @@
 	assert.equal(other.running.length, 1)
 })
 
+test('a life that may have been granted the lease of the earlier one by its clock is waited for as long as a worker keeps anything', () => {
+	const { subject, worker, other } = cellWithRun()
+	subject.run(16_000, WORKER)
+	subject.restart(WORKER)
+	subject.run(2000, WORKER)
+	assert.equal(worker.running.length, 1)
+	worker.silent = true
+	subject.run(7000, OTHER)
+	assert.equal(other.running.length, 0)
+	subject.run(3000, OTHER)
+	assert.equal(other.running.length, 1)
+})
+
 test('an entry of another writer under the name of a known worker takes nothing from it', () => {
 	const { subject } = cellWithRun()
 	const lives = knownLives(subject)
--- a/packages/jobs/src/lib/leader/WorkerHeartbeats.ts
+++ b/packages/jobs/src/lib/leader/WorkerHeartbeats.ts
@@ -2,7 +2,7 @@
 import type { Heartbeat, Worker } from '../records/Cell'
 import { workerNameOf } from '../records/Incarnation'
 import type { HeardWorker } from './calls'
-import type { LeaderContext } from './LeaderContext'
+import { epochOf, type LeaderContext } from './LeaderContext'
 import { LeaderEvent } from './LeaderEvent'
 import { Occupant, type LifeChanges } from './LifeChanges'
 import { sameWorker } from './sameWorker'
@@ -119,7 +119,8 @@
 		const { worker, sequence } = heartbeat
 		const { id, address, dataCentre } = worker
 		this.context.log.info(LeaderEvent.WorkerJoined, { worker: id, address, dataCentre })
-		this.context.proposals.propose({ kind: 'worker', worker, sequence }, () => {
+		const at = epochOf(this.context)
+		this.context.proposals.propose({ kind: 'worker', worker, sequence, at }, () => {
 			const view = this.host.find(id)
 			if (view) this.note(view, heartbeat)
 			if (view && heartbeat.draining) this.proposeDrain(view, heartbeat, done)
--- a/packages/jobs/src/lib/leader/WorkerRegistry.ts
+++ b/packages/jobs/src/lib/leader/WorkerRegistry.ts
@@ -25,6 +25,8 @@
 /** Names of tasks that one line tells, so that it stays short. */
 const MOST_NAMES = 20
 
+/** Milliseconds by which the calendars of two leaders may differ; the platform bounds it by as much. */
+const CALENDAR_ERROR = 5000
 /** Milliseconds by which answers that overtake each other may make a worker's clock seem to go back. */
 const CLOCK_STEP = 1000
 
@@ -112,7 +114,8 @@
 	private add(worker: Worker): WorkerView {
 		const { ledger, clock } = this.context
 		const known = this.views.get(worker.id)
-		const view = known ?? new WorkerView(worker, this.firstLease(), this.fences.next(), clock.now())
+		const view =
+			known ?? new WorkerView(worker, this.firstLease(worker), this.fences.next(), clock.now())
 		view.worker = worker
 		this.views.set(worker.id, view)
 		const { id, rack, capacity, slots } = worker
@@ -381,10 +384,18 @@
 		this.context.log.warn(LeaderEvent.EndsPassedOver, { worker, first, last, taken })
 	}
 
-	/** Earlier leaders may have granted a whole lease just before they lost their place. */
-	private firstLease(): Lease {
-		const { timing, clock } = this.context
-		const longest = timing.lease / (1 - timing.clockDrift) + timing.leaseMargin
+	/**
+	 * Earlier leaders may have granted a whole lease just before they lost their place. And a worker that has just started again may have been
+	 * granted one by its earlier life's clock, which it keeps for as long as it keeps anything: in 2 of 200 seeded runs one that was cut off
+	 * within 8 s of its start still ran what had begun elsewhere.
+	 */
+	private firstLease({ id, born }: Worker): Lease {
+		const { timing, clock, state } = this.context
+		const since = state.workers.find(id)?.joinedAt
+		const isNew =
+			since !== undefined && epochOf(this.context) - since < timing.longestLease + CALENDAR_ERROR
+		const granted = born !== undefined && isNew ? timing.longestLease : timing.lease
+		const longest = granted / (1 - timing.clockDrift) + timing.leaseMargin
 		return new Lease(timing, clock.now() + longest)
 	}
 }
--- a/packages/jobs/src/lib/state/CellState.ts
+++ b/packages/jobs/src/lib/state/CellState.ts
@@ -77,7 +77,7 @@
 			case 'end':
 				return command.runs.forEach((run) => this.jobs.end(run, command.at))
 			case 'worker':
-				return this.join(command.worker, command.sequence ?? 0)
+				return this.join(command.worker, command.sequence ?? 0, command.at)
 			case 'drain':
 				this.workers.drain(command.worker)
 				return this.changed({ kind: 'worker-draining', worker: command.worker })
@@ -107,12 +107,12 @@
 		this.changed({ kind: 'configured', configuration })
 	}
 
-	private join(worker: Worker, sequence: number): void {
+	private join(worker: Worker, sequence: number, at?: number): void {
 		if (this.workers.isGone(worker.id)) return
 		// Two lives may have been decided on at the same time; which one is over is asked when the other one reports again.
 		const named = this.workers.named(workerNameOf(worker.id))
 		if (named && named.worker.id !== worker.id) return
-		this.workers.join(worker, sequence)
+		this.workers.join(worker, sequence, at)
 		this.changed({ kind: 'worker-joined', worker })
 	}
 
--- a/packages/jobs/src/lib/state/KnownWorkers.ts
+++ b/packages/jobs/src/lib/state/KnownWorkers.ts
@@ -11,6 +11,8 @@
 	draining: boolean
 	/** Number of the heartbeat that described it; absent in records of before that was kept. */
 	readonly sequence?: number
+	/** When it was first known, milliseconds since the epoch; absent in records of before that was kept. */
+	readonly joinedAt?: number
 	/** Whether the latest leader has not heard of it, or no more. */
 	silent?: boolean
 }
@@ -63,9 +65,11 @@
 	}
 
 	/** Takes a worker in, or its new description. */
-	join(worker: Worker, sequence = 0): void {
-		const draining = this.workers.get(worker.id)?.draining ?? false
-		this.workers.set(worker.id, { worker, draining, sequence })
+	join(worker: Worker, sequence = 0, at?: number): void {
+		const known = this.workers.get(worker.id)
+		const draining = known?.draining ?? false
+		const joinedAt = known ? known.joinedAt : at
+		this.workers.set(worker.id, { worker, draining, sequence, joinedAt })
 		this.byAddress.set(worker.address, worker.id)
 		this.byName.set(workerNameOf(worker.id), worker.id)
 	}
@@ -105,8 +109,8 @@
 		this.byAddress.clear()
 		this.byName.clear()
 		this.gone.clear()
-		for (const { worker, draining, sequence, silent } of kept.workers) {
-			this.join(worker, sequence)
+		for (const { worker, draining, sequence, joinedAt, silent } of kept.workers) {
+			this.join(worker, sequence, joinedAt)
 			if (silent) this.silent(worker.id, true)
 			if (draining) this.drain(worker.id)
 		}
--- a/packages/runs/src/lib/jobs/restartedRun.test.ts
+++ b/packages/runs/src/lib/jobs/restartedRun.test.ts
@@ -66,6 +66,12 @@
 	runWithRestarts(109, MANY, RESTARTS, 15_000)
 })
 
+for (const seed of [2021, 2062]) {
+	test(`the run with seed ${seed}, which once failed: a new life kept what it ran by the lease and clock of the earlier one`, () => {
+		runWithRestarts(seed, MANY, EVERYTHING)
+	})
+}
+
 interface Break {
 	readonly rule: RegExp
 	readonly without: string
