--- a/packages/jobs/src/lib/leader/LifeChanges.ts
+++ b/packages/jobs/src/lib/leader/LifeChanges.ts
@@ -10,6 +10,7 @@
  */
 import type { Worker } from '../records/Cell'
 import { isOtherLife } from '../records/Incarnation'
+import { endsOf } from './endsOf'
 import type { FenceTokens } from './FenceTokens'
 import { epochOf, type LeaderContext } from './LeaderContext'
 import type { OrderTarget, PollResult } from './ports'
@@ -176,12 +177,7 @@
 	/** They come before whatever follows from the change in the log, so a run that has ended there is not lost. */
 	private commitEnds({ ended }: Listed): void {
 		if (ended.length === 0) return
-		const runs = ended.map(({ task, attempt, how, checkpoint }) => ({
-			task,
-			attempt,
-			how,
-			checkpoint,
-		}))
+		const runs = endsOf(ended)
 		this.context.proposals.propose({ kind: 'end', runs, at: epochOf(this.context) })
 	}
 
--- a/packages/jobs/src/lib/leader/WorkerRegistry.ts
+++ b/packages/jobs/src/lib/leader/WorkerRegistry.ts
@@ -8,6 +8,7 @@
 import { WorkerHeartbeats } from './WorkerHeartbeats'
 import { WorkerPolls } from './WorkerPolls'
 import { LostRuns } from './LostRuns'
+import { endsOf } from './endsOf'
 import { FenceTokens } from './FenceTokens'
 import { LifeChanges } from './LifeChanges'
 import { isOtherLife, parseIncarnation } from '../records/Incarnation'
@@ -357,12 +358,7 @@
 		if (fresh.length === 0) return
 		const last = Math.max(...fresh.map((end) => end.number))
 		view.endsProposed = last
-		const runs = fresh.map(({ task, attempt, how, checkpoint }) => ({
-			task,
-			attempt,
-			how,
-			checkpoint,
-		}))
+		const runs = endsOf(fresh)
 		this.context.proposals.propose({ kind: 'end', runs, at: epochOf(this.context) }, () => {
 			view.endsCommitted = Math.max(view.endsCommitted, last)
 		})
--- a/packages/runs/src/lib/jobs/jobRun.test.ts
+++ b/packages/runs/src/lib/jobs/jobRun.test.ts
@@ -5,6 +5,7 @@
 import assert from 'node:assert/strict'
 import { test } from 'node:test'
 import { innerClass, jobsClass, withBroken, type Breakage } from '../testing/brokenParts'
+import { firstFailure } from '../testing/firstFailure'
 import { CARRIER_FAULTS, COMMON_FAULTS, JobFault, WAVES } from './JobFaults'
 import { JobRun } from './JobRun'
 
@@ -41,16 +42,8 @@
 /** Seeds among which a protection that is taken out must show. */
 const MOST_SEEDS = 80
 
-/** @returns what the first seed that fails says, or an empty text when none does. */
-function firstFailure(play = (seed: number): unknown => runOnce(seed, WILD)): string {
-	for (let seed = 1; seed <= MOST_SEEDS; seed++) {
-		try {
-			play(seed)
-		} catch (fault) {
-			return (fault as Error).message
-		}
-	}
-	return ''
+function failureOf(play = (seed: number): unknown => runOnce(seed, WILD)): string {
+	return firstFailure(play, MOST_SEEDS)
 }
 
 test('a calm run does all its jobs, and no member of a gang waits in vain', () => {
@@ -159,7 +152,7 @@
 	]
 	const play = (seed: number): unknown => runWithShrinkingRoom(seed, ROUGH)
 	assert.match(
-		withBroken([unchecked], () => firstFailure(play)),
+		withBroken([unchecked], () => failureOf(play)),
 		/no worker is given more than it has/
 	)
 })
@@ -174,7 +167,7 @@
 				return original.apply(this, given)
 			},
 	]
-	const failure = withBroken([unfenced], () => firstFailure(runWithLateCarriers))
+	const failure = withBroken([unfenced], () => failureOf(runWithLateCarriers))
 	assert.match(failure, /a task runs once at a time|begin again|more than it has/)
 })
 
@@ -236,7 +229,7 @@
 	test(`without ${without} runs of crashing tasks fail`, () => {
 		const play = (seed: number): unknown => runWithCrashes(seed, WILD, LONG_SPAN)
 		assert.match(
-			withBroken(breaks(), () => firstFailure(play)),
+			withBroken(breaks(), () => failureOf(play)),
 			rule
 		)
 	})
@@ -326,7 +319,7 @@
 for (const { rule, without, breaks } of BREAKS) {
 	test(`without ${without} the runs fail`, () => {
 		assert.match(
-			withBroken(breaks(), () => firstFailure()),
+			withBroken(breaks(), () => failureOf()),
 			rule
 		)
 	})
--- a/packages/runs/src/lib/jobs/missedWork.test.ts
+++ b/packages/runs/src/lib/jobs/missedWork.test.ts
@@ -5,6 +5,7 @@
 import assert from 'node:assert/strict'
 import { test } from 'node:test'
 import { jobsClass, withBroken, type Breakage } from '../testing/brokenParts'
+import { firstFailure } from '../testing/firstFailure'
 import { JobRun } from './JobRun'
 
 const SEEDS = 6
@@ -35,29 +36,26 @@
 	return [SCHEDULER, method, () => () => undefined]
 }
 
-/** @returns what the first seed that fails says, or an empty text when none does. */
-function firstFailure(): string {
-	for (let seed = 1; seed <= SEEDS; seed++) {
-		try {
-			const run = new JobRun({ seed, faultRate: FAULT_RATE, jobRate: 4, crashingTasks: true })
-			run.run(12_000)
-			run.settle()
-		} catch (fault) {
-			return (fault as Error).message
-		}
-	}
-	return ''
+function play(seed: number): void {
+	const run = new JobRun({ seed, faultRate: FAULT_RATE, jobRate: 4, crashingTasks: true })
+	run.run(12_000)
+	run.settle()
+}
+
+/** @returns what the first seed says that fails with some parts broken, or an empty text when none does. */
+function failureWithout(...broken: Breakage[]): string {
+	return withBroken(broken, () => firstFailure(play, SEEDS))
 }
 
 for (const wakeUp of WAKE_UPS) {
 	test(`without being told of ${wakeUp.of}, runs end all the same`, () => {
-		assert.equal(withBroken([silenced(wakeUp)], firstFailure), '')
+		assert.equal(failureWithout(silenced(wakeUp)), '')
 	})
 }
 
 /** Tasks under suspicion are tried by each full pass besides, so they alone go on without either. */
 test('without being told, and without looking again, accepted jobs do not end', () => {
-	const failures = WAKE_UPS.map((wakeUp) => withBroken([silenced(wakeUp), BLIND], firstFailure))
+	const failures = WAKE_UPS.map((wakeUp) => failureWithout(silenced(wakeUp), BLIND))
 	const ends = /an accepted job ends|a lasting task is at work|crashes its workers ends/
 	const found = failures.filter((failure) => ends.test(failure))
 	assert.ok(found.length >= WAKE_UPS.length - 1, failures.join('\n'))
@@ -65,5 +63,5 @@
 
 test('a run that nobody is told has begun is not found by looking again: the runs fail', () => {
 	const untold: Breakage = [jobsClass('leader', 'RunController'), 'begun', () => () => undefined]
-	assert.match(withBroken([untold], firstFailure), /an accepted job ends|a lasting task is at work/)
+	assert.match(failureWithout(untold), /an accepted job ends|a lasting task is at work/)
 })
--- a/packages/runs/src/lib/jobs/restartedRun.test.ts
+++ b/packages/runs/src/lib/jobs/restartedRun.test.ts
@@ -5,12 +5,15 @@
 import assert from 'node:assert/strict'
 import { test } from 'node:test'
 import { jobsClass, withBroken, type Breakage } from '../testing/brokenParts'
+import { firstFailure } from '../testing/firstFailure'
 import { COMMON_FAULTS, RESTARTS, WAVES, type JobFault } from './JobFaults'
 import { JobRun } from './JobRun'
 
 const SOME = 0.3
 const MANY = 1
 const SPAN = 12_000
+/** Seeds among which a protection that is taken out must show. */
+const MOST_SEEDS = 30
 const EVERYTHING = [...COMMON_FAULTS, ...WAVES, ...RESTARTS, ...RESTARTS, ...RESTARTS]
 
 function runWithRestarts(
@@ -40,18 +43,6 @@
 	run.settle()
 }
 
-/** @returns what the first seed that fails says, or an empty text when none does. */
-function firstFailure(play: (seed: number) => unknown): string {
-	for (let seed = 1; seed <= 30; seed++) {
-		try {
-			play(seed)
-		} catch (fault) {
-			return (fault as Error).message
-		}
-	}
-	return ''
-}
-
 test('workers that start again under their id break no rule', () => {
 	for (let seed = 1; seed <= 12; seed++) runWithRestarts(seed, SOME, RESTARTS)
 	for (let seed = 1; seed <= 12; seed++) runWithRestarts(seed, MANY, RESTARTS)
@@ -160,7 +151,7 @@
 for (const { rule, without, breaks, play } of BREAKS) {
 	test(`without ${without} runs with restarts fail`, () => {
 		assert.match(
-			withBroken(breaks(), () => firstFailure(play)),
+			withBroken(breaks(), () => firstFailure(play, MOST_SEEDS)),
 			rule
 		)
 	})
