--- a/packages/jobs/src/lib/leader/StepWaits.ts
+++ b/packages/jobs/src/lib/leader/StepWaits.ts
@@ -35,8 +35,8 @@
 	) {}
 
 	/**
-	 * Measures the oldest waits, and tells once of each of them that lasts too long. To look up the reasons of all waiting steps in each pass took a
-	 * cell of 245 workers in overload beyond its processor time.
+	 * Measures the oldest waits, and tells once of each of them that lasts too long. Only these are looked up, once a measure: each costs a look at
+	 * all workers, and in overload hundreds of steps wait.
 	 *
 	 * @param waiting - steps that could begin and have tasks without a place.
 	 */
