Read again: whether workers were lost together is looked up once a worker, and service and place are compared in one function

Cause: the split of WorkerLosses looked through the losses of the last 20 s anew for each run of a lost worker (once a worker before it), and WorkerHeartbeats had a copy of most of sameWorker. Not measured: the time saved.

--- a/packages/jobs/src/lib/leader/LostRuns.ts
+++ b/packages/jobs/src/lib/leader/LostRuns.ts
@@ -41,12 +41,13 @@
 
 	private lose(view: WorkerView, lost: readonly Run[], reason: string): void {
 		if (lost.length === 0) return
+		const evidenceOf = this.losses.evidenceOn(view)
 		const runs = lost.map((run) => ({
 			task: run.text,
 			attempt: run.attempt,
 			how: RunEnd.Lost,
 			checkpoint: run.checkpoint,
-			evidence: this.losses.evidenceOf(run, view),
+			evidence: evidenceOf(run),
 		}))
 		this.context.log.warn(LeaderEvent.RunsLost, { worker: view.id, runs: runs.length, reason })
 		for (const run of lost) {
--- a/packages/jobs/src/lib/leader/WorkerHeartbeats.ts
+++ b/packages/jobs/src/lib/leader/WorkerHeartbeats.ts
@@ -5,7 +5,7 @@
 import { epochOf, type LeaderContext } from './LeaderContext'
 import { LeaderEvent } from './LeaderEvent'
 import { Occupant, type LifeChanges } from './LifeChanges'
-import { sameWorker } from './sameWorker'
+import { samePlace, sameWorker } from './sameWorker'
 import { WorkerEnd } from './WorkerEnd'
 import type { WorkerView } from './WorkerView'
 
@@ -47,7 +47,7 @@
 		if (worker.born === undefined && named?.born !== undefined) return this.passOver(worker, done)
 		// A life keeps its service and its place; another writer's entry under its name must not take it from them.
 		const same = this.host.find(worker.id)
-		if (same && !isPlacedAlike(same.worker, worker)) return this.passOver(worker, done)
+		if (same && !samePlace(same.worker, worker)) return this.passOver(worker, done)
 		const told = { ...heartbeat, worker }
 		const others = [workers.at(worker.address)?.worker, named]
 		const earlier = others.find((other) => other !== undefined && other.id !== worker.id)
@@ -137,16 +137,6 @@
 	}
 }
 
-function isPlacedAlike(left: Worker, right: Worker): boolean {
-	const { service, address, dataCentre, rack } = left
-	return (
-		service === right.service &&
-		address === right.address &&
-		dataCentre === right.dataCentre &&
-		rack === right.rack
-	)
-}
-
 /** Which life a heartbeat is of: a record of before workers said when they started is of the life that says so first. */
 function identified(worker: Worker, named: Worker | undefined): Worker {
 	if (!named) return worker
--- a/packages/jobs/src/lib/leader/WorkerLosses.ts
+++ b/packages/jobs/src/lib/leader/WorkerLosses.ts
@@ -56,15 +56,17 @@
 	/** @returns what the end of a worker without a word says of what ran there. */
 	findingsOf(view: WorkerView): CrashFindings {
 		const findings: { [task: string]: CrashEvidence } = {}
+		const evidenceOf = this.evidenceOn(view)
 		for (const run of view.runs.values()) {
-			const evidence = this.evidenceOf(run, view)
+			const evidence = evidenceOf(run)
 			if (evidence) findings[run.text] = evidence
 		}
 		return findings
 	}
 
-	/** @returns what the loss of a run's worker says of its task. */
-	evidenceOf(run: Run, view: WorkerView): CrashEvidence | undefined {
-		return crashEvidence(run, view, this.waves.includes(view, this.views.size))
+	/** @returns what the loss of a worker says of the task of each run there; whether others were lost with it is looked up once. */
+	evidenceOn(view: WorkerView): (run: Run) => CrashEvidence | undefined {
+		const inWave = this.waves.includes(view, this.views.size)
+		return (run) => crashEvidence(run, view, inWave)
 	}
 }
--- a/packages/jobs/src/lib/leader/sameWorker.ts
+++ b/packages/jobs/src/lib/leader/sameWorker.ts
@@ -6,12 +6,19 @@
 export function sameWorker(left: Worker, right: Worker): boolean {
 	return (
 		left.born === right.born &&
+		samePlace(left, right) &&
+		left.labels.join() === right.labels.join() &&
+		sameAmount(left.capacity, right.capacity)
+	)
+}
+
+/** @returns whether two descriptions name the same service and place, which a worker keeps for its life. @internal */
+export function samePlace(left: Worker, right: Worker): boolean {
+	return (
 		left.address === right.address &&
 		left.service === right.service &&
 		left.rack === right.rack &&
-		left.dataCentre === right.dataCentre &&
-		left.labels.join() === right.labels.join() &&
-		sameAmount(left.capacity, right.capacity)
+		left.dataCentre === right.dataCentre
 	)
 }
 
