--- a/packages/jobs/src/lib/accounts/listAccounts.ts
+++ b/packages/jobs/src/lib/accounts/listAccounts.ts
@@ -1,6 +1,6 @@
 /** Tells operators what each client account has and may have. */
 import type { Resources } from '@rillrudder/scheduler'
-import type { AccountSummary } from '../leader/calls'
+import type { AccountSummary } from '../leader/callers/calls'
 import { isActive, type JobRecord } from '../state/JobRecord'
 import type { AccountUsage } from './AccountUsage'
 
--- a/packages/jobs/src/lib/leader/AdvicePlanner.test.ts
+++ b/packages/jobs/src/lib/leader/advice/AdvicePlanner.test.ts
@@ -2,8 +2,8 @@
 import { test } from 'node:test'
 import { ManualClock } from '@rillrudder/utils'
 import { AdvicePlanner, type PlannedQuestion } from './AdvicePlanner'
-import type { LeaderContext } from './LeaderContext'
-import { Advisers, type AdviceQuestion, type AdviceResult } from './ports'
+import type { LeaderContext } from '../LeaderContext'
+import { Advisers, type AdviceQuestion, type AdviceResult } from '../ports'
 
 const ANSWERED: AdviceResult = { kind: 'answered', tickets: new Map() }
 const INSTANCES = Array.from({ length: 10 }, (_, number) => `instance-${number}`)
--- a/packages/jobs/src/lib/leader/AdvicePlanner.ts
+++ b/packages/jobs/src/lib/leader/advice/AdvicePlanner.ts
@@ -3,8 +3,8 @@
  * each instance, and some queues' answers take twenty times as long as others': those may not take every
  * instance at once.
  */
-import type { LeaderContext } from './LeaderContext'
-import type { AdviceQuestion, AdviceResult } from './ports'
+import type { LeaderContext } from '../LeaderContext'
+import type { AdviceQuestion, AdviceResult } from '../ports'
 
 /** Milliseconds from which an answer counts as a long one. */
 const LONG = 150
--- a/packages/jobs/src/lib/leader/StepQuestions.ts
+++ b/packages/jobs/src/lib/leader/advice/StepQuestions.ts
@@ -1,13 +1,13 @@
 /** Asks for advice about steps: when, about which workers, and what the answers bring. */
 import { Measure } from '@rillrudder/telemetry'
-import { rankOf } from '../placement/StepUrgency'
+import { rankOf } from '../../placement/StepUrgency'
 import { AdvicePlanner } from './AdvicePlanner'
 import { AllowedShare } from './AllowedShare'
-import type { Option } from './chooseForStep'
-import type { LeaderContext } from './LeaderContext'
-import { LeaderEvent } from './LeaderEvent'
-import type { AdviceResult } from './ports'
-import type { StepWork } from './StepWork'
+import type { Option } from '../steps/chooseForStep'
+import type { LeaderContext } from '../LeaderContext'
+import { LeaderEvent } from '../LeaderEvent'
+import type { AdviceResult } from '../ports'
+import type { StepWork } from '../steps/StepWork'
 import { workersToAsk } from './workersToAsk'
 
 /** Milliseconds that a step's ticket must still hold for its next task to be decided with it. */
--- a/packages/jobs/src/lib/leader/workersToAsk.test.ts
+++ b/packages/jobs/src/lib/leader/advice/workersToAsk.test.ts
@@ -1,9 +1,9 @@
 /** How many workers a question names: those that are wanted, or all where they cost little. */
 import assert from 'node:assert/strict'
 import { test } from 'node:test'
-import type { AdviceTerms } from '../records/Cell'
-import { LeaderSubject } from '../testing/LeaderSubject'
-import { jobOf } from '../testing/samples'
+import type { AdviceTerms } from '../../records/Cell'
+import { LeaderSubject } from '../../testing/LeaderSubject'
+import { jobOf } from '../../testing/samples'
 
 const ID = '00000000000000aa'
 
--- a/packages/jobs/src/lib/leader/workersToAsk.ts
+++ b/packages/jobs/src/lib/leader/advice/workersToAsk.ts
@@ -1,8 +1,8 @@
 /** Chooses the workers to ask about: few, since each one makes the answer later. */
 import type { Resources } from '@rillrudder/scheduler'
-import type { AdviceTerms } from '../records/Cell'
-import type { Option } from './chooseForStep'
-import type { StepWork } from './StepWork'
+import type { AdviceTerms } from '../../records/Cell'
+import type { Option } from '../steps/chooseForStep'
+import type { StepWork } from '../steps/StepWork'
 
 /**
  * Share of its least time that an answer may take longer so that it covers all workers: a second question costs the
--- a/packages/jobs/src/lib/leader/ClientCalls.test.ts
+++ b/packages/jobs/src/lib/leader/callers/ClientCalls.test.ts
@@ -1,9 +1,9 @@
 /** Keys and owners of jobs: who may hand in, see and cancel what. */
 import assert from 'node:assert/strict'
 import { test } from 'node:test'
-import { digestOf } from '../accounts/ClientAccount'
-import { LeaderSubject } from '../testing/LeaderSubject'
-import { accountNamed, jobOf, QUEUE } from '../testing/samples'
+import { digestOf } from '../../accounts/ClientAccount'
+import { LeaderSubject } from '../../testing/LeaderSubject'
+import { accountNamed, jobOf, QUEUE } from '../../testing/samples'
 import type { CellReply } from './calls'
 
 const ID = '00000000000000aa'
--- a/packages/jobs/src/lib/leader/QueueTable.ts
+++ b/packages/jobs/src/lib/leader/callers/QueueTable.ts
@@ -1,5 +1,5 @@
 /** Finds the queue of a request by its host and path. */
-import type { CellConfiguration, Queue } from '../records/Cell'
+import type { CellConfiguration, Queue } from '../../records/Cell'
 import type { Destination } from './calls'
 
 /** A queue and the rest of the path behind its prefix. @public */
--- a/packages/jobs/src/lib/leader/calls.ts
+++ b/packages/jobs/src/lib/leader/callers/calls.ts
@@ -1,9 +1,9 @@
 /** What can be asked of the leader of a cell, and what it answers. */
 import type { QuotaTerms, Resources } from '@rillrudder/scheduler'
-import type { CellConfiguration, Heartbeat } from '../records/Cell'
-import type { JobRequest, JobState } from '../records/Job'
-import type { Suspicion } from '../state/TaskCrashes'
-import type { AdviceQuestion } from './ports'
+import type { CellConfiguration, Heartbeat } from '../../records/Cell'
+import type { JobRequest, JobState } from '../../records/Job'
+import type { Suspicion } from '../../state/TaskCrashes'
+import type { AdviceQuestion } from '../ports'
 
 /** Where a call is addressed: by host and path, as callers do, or by the queue's name. @public */
 export type Destination =
--- a/packages/jobs/src/lib/leader/explainJob.ts
+++ b/packages/jobs/src/lib/leader/explainJob.ts
@@ -10,9 +10,15 @@
 } from '../state/JobRecord'
 import { suspicionOf, type LostWorker } from '../state/TaskCrashes'
 import type { CellState } from '../state/CellState'
-import type { JobExplanation, JobFilter, JobSummary, LossSummary, StepExplanation } from './calls'
-import type { StepScheduler } from './StepScheduler'
-import { stepName } from './StepWork'
+import type {
+	JobExplanation,
+	JobFilter,
+	JobSummary,
+	LossSummary,
+	StepExplanation,
+} from './callers/calls'
+import type { StepScheduler } from './steps/StepScheduler'
+import { stepName } from './steps/StepWork'
 
 /** A job's shape, as its log line tells it. */
 interface JobShape {
--- a/packages/jobs/src/lib/leader/LostRuns.ts
+++ b/packages/jobs/src/lib/leader/runs/LostRuns.ts
@@ -1,11 +1,11 @@
 /** Gives up the runs of workers that have fallen silent, so that they may begin elsewhere. */
-import { RunEnd } from '../records/Job'
-import { epochOf, type LeaderContext } from './LeaderContext'
-import { LeaderEvent } from './LeaderEvent'
+import { RunEnd } from '../../records/Job'
+import { epochOf, type LeaderContext } from '../LeaderContext'
+import { LeaderEvent } from '../LeaderEvent'
 import type { SuspectRuns } from './SuspectRuns'
 import type { Run } from './Run'
-import type { WorkerLosses } from './WorkerLosses'
-import type { WorkerView } from './WorkerView'
+import type { WorkerLosses } from '../workers/WorkerLosses'
+import type { WorkerView } from '../workers/WorkerView'
 
 /**
  * Milliseconds from when a worker was found unreachable to when runs that may have copies begin elsewhere. It is
--- a/packages/jobs/src/lib/leader/Pacing.ts
+++ b/packages/jobs/src/lib/leader/runs/Pacing.ts
@@ -3,10 +3,10 @@
  * tail latency has room again. Slowing down is fast and letting go on is slow, so that the tail stays
  * under its target rather than around it.
  */
-import type { LeaderContext } from './LeaderContext'
-import { LeaderEvent } from './LeaderEvent'
+import type { LeaderContext } from '../LeaderContext'
+import { LeaderEvent } from '../LeaderEvent'
 import { RunPhase, type Run } from './Run'
-import type { WorkerView } from './WorkerView'
+import type { WorkerView } from '../workers/WorkerView'
 
 /** Share of the target above which best-effort work is slowed down. */
 const TOO_NEAR = 0.85
--- a/packages/jobs/src/lib/leader/Run.ts
+++ b/packages/jobs/src/lib/leader/runs/Run.ts
@@ -1,8 +1,8 @@
 /** One run of a task, from its beginning to its end. */
 import type { QuotaAccount, Resources } from '@rillrudder/scheduler'
-import type { RunProgress } from '../placement/RunProgress'
-import type { StepTimes } from '../placement/StepUrgency'
-import type { Step, TaskName } from '../records/Job'
+import type { RunProgress } from '../../placement/RunProgress'
+import type { StepTimes } from '../../placement/StepUrgency'
+import type { Step, TaskName } from '../../records/Job'
 
 /** What has been asked of a run's worker. @internal */
 export const RunPhase = {
--- a/packages/jobs/src/lib/leader/SuspectRuns.ts
+++ b/packages/jobs/src/lib/leader/runs/SuspectRuns.ts
@@ -3,10 +3,10 @@
  * begin by a late order, or found on a worker that should not have them. The worker is told to stop them,
  * and gets nothing new before it has.
  */
-import type { LeaderContext } from './LeaderContext'
-import type { ListedRun } from './ports'
-import type { AccountUsage } from '../accounts/AccountUsage'
-import type { SuspectRun, WorkerView } from './WorkerView'
+import type { LeaderContext } from '../LeaderContext'
+import type { ListedRun } from '../ports'
+import type { AccountUsage } from '../../accounts/AccountUsage'
+import type { SuspectRun, WorkerView } from '../workers/WorkerView'
 
 /**
  * Settles what suspect workers still run.
--- a/packages/jobs/src/lib/leader/DueRepeats.ts
+++ b/packages/jobs/src/lib/leader/steps/DueRepeats.ts
@@ -1,5 +1,5 @@
 /** Repeats of jobs that are not due yet. */
-import type { JobRecord } from '../state/JobRecord'
+import type { JobRecord } from '../../state/JobRecord'
 
 /** One repeat of a job. @internal */
 export interface JobRepeat {
--- a/packages/jobs/src/lib/leader/Preemption.ts
+++ b/packages/jobs/src/lib/leader/steps/Preemption.ts
@@ -1,7 +1,7 @@
 /** Makes room for urgent steps: when it pays to stop other work, and which runs. */
 import type { Option, RoomCheck } from './chooseForStep'
-import { epochOf, type LeaderContext } from './LeaderContext'
-import type { Run } from './Run'
+import { epochOf, type LeaderContext } from '../LeaderContext'
+import type { Run } from '../runs/Run'
 import { runsToStop } from './runsToStop'
 import type { StepWork } from './StepWork'
 
--- a/packages/jobs/src/lib/leader/Quarantine.ts
+++ b/packages/jobs/src/lib/leader/steps/Quarantine.ts
@@ -6,11 +6,11 @@
  *
  * Answers a cell in which a few tasks crash each worker that starts them while the rest of the work goes on.
  */
-import { suspicionOf, Suspicion } from '../state/TaskCrashes'
-import type { CellState } from '../state/CellState'
+import { suspicionOf, Suspicion } from '../../state/TaskCrashes'
+import type { CellState } from '../../state/CellState'
 import { hasRoom, type Option, type RoomCheck } from './chooseForStep'
 import type { StepWork } from './StepWork'
-import type { WorkerView } from './WorkerView'
+import type { WorkerView } from '../workers/WorkerView'
 
 /**
  * Milliseconds after its beginning for which an isolated task has its worker for itself: within them a task that crashes its
--- a/packages/jobs/src/lib/leader/StepLog.ts
+++ b/packages/jobs/src/lib/leader/steps/StepLog.ts
@@ -1,7 +1,7 @@
 /** Log lines and measures of steps: that they begin, and that they never may. */
 import { Measure } from '@rillrudder/telemetry'
-import type { LeaderContext } from './LeaderContext'
-import { LeaderEvent } from './LeaderEvent'
+import type { LeaderContext } from '../LeaderContext'
+import { LeaderEvent } from '../LeaderEvent'
 import type { Placed } from './placeGang'
 import type { StepWork } from './StepWork'
 
--- a/packages/jobs/src/lib/leader/StepScheduler.ts
+++ b/packages/jobs/src/lib/leader/steps/StepScheduler.ts
@@ -1,28 +1,34 @@
 /** The steps that have tasks to begin: which goes where, and what must be asked before. */
 import { Measure } from '@rillrudder/telemetry'
-import type { Queue } from '../records/Cell'
-import { formatTaskName, RunEnd, type TaskName } from '../records/Job'
-import { isActive, isStepDone, isStepReady, TaskStatus, type JobRecord } from '../state/JobRecord'
-import { Suspicion } from '../state/TaskCrashes'
-import type { Precedence } from '../placement/Precedence'
-import { Reservations } from '../placement/Reservations'
-import { timesOf } from '../placement/stepTimes'
-import { UrgentRoom } from '../placement/UrgentRoom'
-import type { AccountUsage } from '../accounts/AccountUsage'
+import type { Queue } from '../../records/Cell'
+import { formatTaskName, RunEnd, type TaskName } from '../../records/Job'
+import {
+	isActive,
+	isStepDone,
+	isStepReady,
+	TaskStatus,
+	type JobRecord,
+} from '../../state/JobRecord'
+import { Suspicion } from '../../state/TaskCrashes'
+import type { Precedence } from '../../placement/Precedence'
+import { Reservations } from '../../placement/Reservations'
+import { timesOf } from '../../placement/stepTimes'
+import { UrgentRoom } from '../../placement/UrgentRoom'
+import type { AccountUsage } from '../../accounts/AccountUsage'
 import { chooseForStep, hasRoom, type Option, type RoomCheck } from './chooseForStep'
 import { DueRepeats, dueOf } from './DueRepeats'
-import { epochOf, type LeaderContext } from './LeaderContext'
+import { epochOf, type LeaderContext } from '../LeaderContext'
 import { placeGang, type Placed, type TaskChooser } from './placeGang'
 import { Preemption } from './Preemption'
 import { Quarantine } from './Quarantine'
 import { claim } from './reservation'
-import type { RunController } from './RunController'
+import type { RunController } from '../runs/RunController'
 import { StepLog } from './StepLog'
-import { StepQuestions } from './StepQuestions'
+import { StepQuestions } from '../advice/StepQuestions'
 import { byUrgency, stepName, StepWork } from './StepWork'
 import { StepWaits } from './StepWaits'
 import { isBarred, waitOf, type Wait } from './waitReason'
-import type { WorkerRegistry } from './WorkerRegistry'
+import type { WorkerRegistry } from '../workers/WorkerRegistry'
 
 /** What each open worker adds to its service's stamp: more than anything that comes free in a leadership. */
 const WORKER_STAMP = 1e9
--- a/packages/jobs/src/lib/leader/StepWaits.test.ts
+++ b/packages/jobs/src/lib/leader/steps/StepWaits.test.ts
@@ -1,9 +1,9 @@
 /** How long steps wait and why is told by a measure, a line and the explanation of a job. */
 import assert from 'node:assert/strict'
 import { test } from 'node:test'
-import { LeaderSubject } from '../testing/LeaderSubject'
-import { jobOf } from '../testing/samples'
-import { LeaderEvent } from './LeaderEvent'
+import { LeaderSubject } from '../../testing/LeaderSubject'
+import { jobOf } from '../../testing/samples'
+import { LeaderEvent } from '../LeaderEvent'
 
 const JOB = '00000000000000aa'
 const WIDE = { need: { cpu: 4000, memory: 512, accelerators: 0 } }
--- a/packages/jobs/src/lib/leader/StepWaits.ts
+++ b/packages/jobs/src/lib/leader/steps/StepWaits.ts
@@ -1,7 +1,7 @@
 /** Tells how long steps wait and why: a gauge of the oldest wait by reason, a line for each that lasts too long. */
 import { Measure } from '@rillrudder/telemetry'
-import { epochOf, type LeaderContext } from './LeaderContext'
-import { LeaderEvent } from './LeaderEvent'
+import { epochOf, type LeaderContext } from '../LeaderContext'
+import { LeaderEvent } from '../LeaderEvent'
 import type { StepWork } from './StepWork'
 import { WaitReason, type Wait } from './waitReason'
 
--- a/packages/jobs/src/lib/leader/StepWork.ts
+++ b/packages/jobs/src/lib/leader/steps/StepWork.ts
@@ -1,12 +1,17 @@
 /** One step of a job at one of its repeats, while it still has tasks to begin. */
 import { fits, type QuotaAccount, type Resources } from '@rillrudder/scheduler'
-import type { Queue } from '../records/Cell'
-import type { Step } from '../records/Job'
-import { TaskStatus, type JobRecord, type StepRecord } from '../state/JobRecord'
-import type { Standing } from '../placement/Precedence'
-import { compareUrgency, urgencyOf, type StepTimes, type Urgency } from '../placement/StepUrgency'
+import type { Queue } from '../../records/Cell'
+import type { Step } from '../../records/Job'
+import { TaskStatus, type JobRecord, type StepRecord } from '../../state/JobRecord'
+import type { Standing } from '../../placement/Precedence'
+import {
+	compareUrgency,
+	urgencyOf,
+	type StepTimes,
+	type Urgency,
+} from '../../placement/StepUrgency'
 import { reservedFor } from './reservation'
-import { StepAdvice } from './StepAdvice'
+import { StepAdvice } from '../advice/StepAdvice'
 
 /** @returns the name that advice is asked under. @internal */
 export function stepName(job: string, repeat: number, step: number): string {
--- a/packages/jobs/src/lib/leader/chooseForStep.ts
+++ b/packages/jobs/src/lib/leader/steps/chooseForStep.ts
@@ -1,7 +1,7 @@
 /** Chooses the worker for a task of a step among those that may run it. */
 import { fits, type LedgerWorker } from '@rillrudder/scheduler'
 import type { StepWork } from './StepWork'
-import type { WorkerView } from './WorkerView'
+import type { WorkerView } from '../workers/WorkerView'
 
 /** Added for a rack other than the one with the data: such a run takes half as long again. */
 const FAR_PENALTY = 2
--- a/packages/jobs/src/lib/leader/reservation.ts
+++ b/packages/jobs/src/lib/leader/steps/reservation.ts
@@ -1,7 +1,7 @@
 /** What a task takes: room on its worker, and a part of its account's quota. */
 import type { Ledger, QuotaAccount, Resources } from '@rillrudder/scheduler'
-import { countedFor } from '../accounts/AccountUsage'
-import type { Step } from '../records/Job'
+import { countedFor } from '../../accounts/AccountUsage'
+import type { Step } from '../../records/Job'
 
 /** @returns what is reserved on its worker for a task of a step. @internal */
 export function reservedFor(step: Step): Resources {
--- a/packages/jobs/src/lib/leader/runsToStop.ts
+++ b/packages/jobs/src/lib/leader/steps/runsToStop.ts
@@ -4,7 +4,7 @@
  */
 import { plus, type Resources } from '@rillrudder/scheduler'
 import type { Option } from './chooseForStep'
-import { RunPhase, slackOf, type Run } from './Run'
+import { RunPhase, slackOf, type Run } from '../runs/Run'
 import type { StepWork } from './StepWork'
 
 /** Percent from which a run is left alone, since it ends soon by itself. */
--- a/packages/jobs/src/lib/leader/waitReason.ts
+++ b/packages/jobs/src/lib/leader/steps/waitReason.ts
@@ -1,5 +1,5 @@
 /** Why tasks of a step wait, and what ends that: for people, and for the measures of waits. */
-import type { RoomTimes } from '../placement/Reservations'
+import type { RoomTimes } from '../../placement/Reservations'
 import type { Option } from './chooseForStep'
 import type { StepWork } from './StepWork'
 
--- a/packages/jobs/src/lib/leader/Lease.ts
+++ b/packages/jobs/src/lib/leader/workers/Lease.ts
@@ -2,7 +2,7 @@
  * A worker's lease, counted on two clocks. The worker keeps what it runs until a time on its own clock;
  * the controller must know when that is certainly over, and may only assume how slow the other clock is.
  */
-import type { LeaderTiming } from './LeaderTiming'
+import type { LeaderTiming } from '../LeaderTiming'
 
 /**
  * The lease of one incarnation of a worker.
--- a/packages/jobs/src/lib/leader/LifeChanges.test.ts
+++ b/packages/jobs/src/lib/leader/workers/LifeChanges.test.ts
@@ -1,9 +1,9 @@
 /** What crosses when a worker starts again under its name: orders, ends, heartbeats and lists of one life that reach the other. */
 import assert from 'node:assert/strict'
 import { test } from 'node:test'
-import { formatIncarnation } from '../records/Incarnation'
-import { LeaderSubject, type FakeWorker } from '../testing/LeaderSubject'
-import { jobOf } from '../testing/samples'
+import { formatIncarnation } from '../../records/Incarnation'
+import { LeaderSubject, type FakeWorker } from '../../testing/LeaderSubject'
+import { jobOf } from '../../testing/samples'
 
 const JOB = '00000000000000aa'
 const TASK = `${JOB}.0.0.0`
--- a/packages/jobs/src/lib/leader/LifeChanges.ts
+++ b/packages/jobs/src/lib/leader/workers/LifeChanges.ts
@@ -8,12 +8,12 @@
  * lists came by such orders: they are stopped, and ends of them committed, before the earlier life's runs may begin
  * elsewhere; otherwise they would run twice.
  */
-import type { Worker } from '../records/Cell'
-import { isOtherLife } from '../records/Incarnation'
-import { endsOf } from './endsOf'
+import type { Worker } from '../../records/Cell'
+import { isOtherLife } from '../../records/Incarnation'
+import { endsOf } from '../runs/endsOf'
 import type { FenceTokens } from './FenceTokens'
-import { epochOf, type LeaderContext } from './LeaderContext'
-import type { OrderTarget, PollResult } from './ports'
+import { epochOf, type LeaderContext } from '../LeaderContext'
+import type { OrderTarget, PollResult } from '../ports'
 import { WorkerEnd } from './WorkerEnd'
 import type { WorkerView } from './WorkerView'
 
--- a/packages/jobs/src/lib/leader/SilenceNotes.ts
+++ b/packages/jobs/src/lib/leader/workers/SilenceNotes.ts
@@ -3,7 +3,7 @@
  * it is back, and only its heartbeat tells: a leader that takes over has heard none yet, and may rely only on what
  * its predecessor had heard.
  */
-import type { LeaderContext } from './LeaderContext'
+import type { LeaderContext } from '../LeaderContext'
 import type { WorkerView } from './WorkerView'
 
 /** Milliseconds between two notes, so that the heartbeats after a change of leader are noted in a few commands. */
--- a/packages/jobs/src/lib/leader/WorkerLosses.ts
+++ b/packages/jobs/src/lib/leader/workers/WorkerLosses.ts
@@ -2,13 +2,13 @@
  * What workers that fall silent tell: of their data centre, which may be out of reach as a whole, and of the tasks that ran there, which may have
  * crashed them.
  */
-import type { CrashFindings } from '../commands/CellCommand'
-import type { CrashEvidence } from '../state/TaskCrashes'
+import type { CrashFindings } from '../../commands/CellCommand'
+import type { CrashEvidence } from '../../state/TaskCrashes'
 import { crashEvidence } from './crashEvidence'
-import type { LeaderContext } from './LeaderContext'
+import type { LeaderContext } from '../LeaderContext'
 import { LossWaves } from './LossWaves'
 import { OutageWatch } from './OutageWatch'
-import type { Run } from './Run'
+import type { Run } from '../runs/Run'
 import type { WorkerView } from './WorkerView'
 
 /**
--- a/packages/jobs/src/lib/leader/WorkerPolls.test.ts
+++ b/packages/jobs/src/lib/leader/workers/WorkerPolls.test.ts
@@ -1,9 +1,9 @@
 /** What is asked of workers beside the polls that wait there. */
 import assert from 'node:assert/strict'
 import { test } from 'node:test'
-import { RunEnd } from '../records/Job'
-import { LeaderSubject } from '../testing/LeaderSubject'
-import { jobOf } from '../testing/samples'
+import { RunEnd } from '../../records/Job'
+import { LeaderSubject } from '../../testing/LeaderSubject'
+import { jobOf } from '../../testing/samples'
 
 const ID = '00000000000000aa'
 const TASK = `${ID}.0.0.0`
--- a/packages/jobs/src/lib/leader/WorkerPolls.ts
+++ b/packages/jobs/src/lib/leader/workers/WorkerPolls.ts
@@ -1,8 +1,8 @@
 /** Polls of workers: long polls that renew a lease and wait for the next end, and short ones that only ask. */
 import { hidesSurvival } from './crashEvidence'
-import type { LeaderContext } from './LeaderContext'
-import type { PollResult } from './ports'
-import { RunPhase } from './Run'
+import type { LeaderContext } from '../LeaderContext'
+import type { PollResult } from '../ports'
+import { RunPhase } from '../runs/Run'
 import type { WorkerView } from './WorkerView'
 
 /**
--- a/packages/jobs/src/lib/leader/WorkerView.ts
+++ b/packages/jobs/src/lib/leader/workers/WorkerView.ts
@@ -1,8 +1,8 @@
 /** A worker as the leader's controller sees it. */
-import type { Worker } from '../records/Cell'
-import type { CountedRun } from '../accounts/AccountUsage'
+import type { Worker } from '../../records/Cell'
+import type { CountedRun } from '../../accounts/AccountUsage'
 import type { Lease } from './Lease'
-import type { Run } from './Run'
+import type { Run } from '../runs/Run'
 
 /** A run that was given up early: what it takes is not known until the worker has stopped it. @internal */
 export interface SuspectRun {
--- a/packages/jobs/src/lib/leader/crashEvidence.test.ts
+++ b/packages/jobs/src/lib/leader/workers/crashEvidence.test.ts
@@ -1,13 +1,13 @@
 /** Which ends of workers count against which of the tasks that ran there. */
 import assert from 'node:assert/strict'
 import { test } from 'node:test'
-import { CrashEvidence } from '../state/TaskCrashes'
+import { CrashEvidence } from '../../state/TaskCrashes'
 import { crashEvidence, hidesSurvival } from './crashEvidence'
 import { LossWaves } from './LossWaves'
-import { STEP, workerNamed } from '../testing/samples'
-import { DEFAULT_LEADER_TIMING } from './LeaderTiming'
+import { STEP, workerNamed } from '../../testing/samples'
+import { DEFAULT_LEADER_TIMING } from '../LeaderTiming'
 import { Lease } from './Lease'
-import type { Run } from './Run'
+import type { Run } from '../runs/Run'
 import { WorkerView } from './WorkerView'
 
 const { Strong, Doubtful, Weak } = CrashEvidence
--- a/packages/jobs/src/lib/leader/crashEvidence.ts
+++ b/packages/jobs/src/lib/leader/workers/crashEvidence.ts
@@ -16,8 +16,8 @@
  * How long it had been at work is counted from when its worker confirmed it to the worker's last answer, so it was at work
  * for at least that long.
  */
-import { CrashEvidence } from '../state/TaskCrashes'
-import type { Run } from './Run'
+import { CrashEvidence } from '../../state/TaskCrashes'
+import type { Run } from '../runs/Run'
 import type { WorkerView } from './WorkerView'
 
 /**
--- a/packages/jobs/src/lib/leader/sameWorker.ts
+++ b/packages/jobs/src/lib/leader/workers/sameWorker.ts
@@ -1,6 +1,6 @@
 /** Compares descriptions of a worker. */
 import type { Resources } from '@rillrudder/scheduler'
-import type { Worker } from '../records/Cell'
+import type { Worker } from '../../records/Cell'
 
 /** @returns whether two descriptions are of one incarnation and say the same. @public */
 export function sameWorker(left: Worker, right: Worker): boolean {
--- a/packages/jobs/src/lib/placement/Reservations.ts
+++ b/packages/jobs/src/lib/placement/Reservations.ts
@@ -4,8 +4,8 @@
  * soonest are set aside for it; other work may still begin there when it will be gone by then, or fits beside it.
  */
 import { fits, minus, times, type Resources } from '@rillrudder/scheduler'
-import type { Option } from '../leader/chooseForStep'
-import { byUrgency, type StepWork } from '../leader/StepWork'
+import type { Option } from '../leader/steps/chooseForStep'
+import { byUrgency, type StepWork } from '../leader/steps/StepWork'
 import { RoomForecast } from './RoomForecast'
 
 /** Share of a worker's largest resource from which a task counts as one that finds no room by itself. */
--- a/packages/jobs/src/lib/placement/RoomForecast.ts
+++ b/packages/jobs/src/lib/placement/RoomForecast.ts
@@ -1,7 +1,7 @@
 /** When room is expected on a worker: what its runs have, and when they are expected to end. */
 import { NOTHING, plus, type LedgerWorker, type Resources } from '@rillrudder/scheduler'
-import type { Option } from '../leader/chooseForStep'
-import { RunPhase, type Run } from '../leader/Run'
+import type { Option } from '../leader/steps/chooseForStep'
+import { RunPhase, type Run } from '../leader/runs/Run'
 
 /** Milliseconds from a stop's order until its room is free: a stop, its listing and the commit of the end. */
 const STOP_SPAN = 500
--- a/packages/jobs/src/lib/placement/StallWatch.ts
+++ b/packages/jobs/src/lib/placement/StallWatch.ts
@@ -5,8 +5,8 @@
  * Runs that only get on slowly are left alone: declared times are so far off that on a calm day one worker in two
  * seemed slow at some moment (see docs/POLICY.md).
  */
-import { RunPhase, type Run } from '../leader/Run'
-import type { WorkerView } from '../leader/WorkerView'
+import { RunPhase, type Run } from '../leader/runs/Run'
+import type { WorkerView } from '../leader/workers/WorkerView'
 
 /**
  * Milliseconds without progress after which a run counts as standing, at least: a poll and a half, or one reading in
--- a/packages/jobs/src/lib/placement/UrgentRoom.ts
+++ b/packages/jobs/src/lib/placement/UrgentRoom.ts
@@ -8,8 +8,8 @@
  * batch work earned 0.74 of its worth in place of 0.66 with 12% of each worker left and 0.60 with a quarter of each; urgent
  * work earned the same 0.81 all three ways. One run each.
  */
-import type { Option } from '../leader/chooseForStep'
-import type { StepWork } from '../leader/StepWork'
+import type { Option } from '../leader/steps/chooseForStep'
+import type { StepWork } from '../leader/steps/StepWork'
 
 /** Least share of a service's processors that is left, where no urgent work was seen. */
 const LEAST_SHARE = 0.05
--- a/packages/jobs/src/lib/testing/LeaderSubject.ts
+++ b/packages/jobs/src/lib/testing/LeaderSubject.ts
@@ -4,7 +4,7 @@
 import { ManualClock, Random } from '@rillrudder/utils'
 import { digestOf, type ClientAccount } from '../accounts/ClientAccount'
 import { encodeCommands, type CellCommand } from '../commands/CellCommand'
-import type { CellCall, CellReply } from '../leader/calls'
+import type { CellCall, CellReply } from '../leader/callers/calls'
 import { DEFAULT_LEADER_TIMING } from '../leader/LeaderTiming'
 import { JobController } from '../leader/JobController'
 import {
--- a/packages/runs/src/lib/jobs/jobRun.test.ts
+++ b/packages/runs/src/lib/jobs/jobRun.test.ts
@@ -219,8 +219,8 @@
 		rule: /a failed job has failed for a cause/,
 		without: 'isolating a task before it is given up',
 		breaks: () => [
-			[jobsClass('leader', 'Quarantine'), 'isSettled', () => () => true],
-			[jobsClass('leader', 'Quarantine'), 'admits', () => () => true],
+			[jobsClass('leader/steps', 'Quarantine'), 'isSettled', () => () => true],
+			[jobsClass('leader/steps', 'Quarantine'), 'admits', () => () => true],
 		],
 	},
 ]
@@ -239,19 +239,19 @@
 	{
 		rule: /no worker is given more than it has|a task runs once at a time/,
 		without: 'closing a worker while it has what it should not have',
-		breaks: () => [[jobsClass('leader', 'SuspectRuns'), 'raise', () => () => undefined]],
+		breaks: () => [[jobsClass('leader/runs', 'SuspectRuns'), 'raise', () => () => undefined]],
 	},
 	{
 		rule: /a task runs once at a time/,
 		without: 'waiting for the end of a lease',
-		breaks: () => [[jobsClass('leader', 'Lease'), 'isOver', () => () => true]],
+		breaks: () => [[jobsClass('leader/workers', 'Lease'), 'isOver', () => () => true]],
 	},
 	{
 		rule: /a task that is done does not begin again|an accepted job ends|a task begins no more often/,
 		without: 'committing ends before they are noted',
 		breaks: () => [
 			[
-				jobsClass('leader', 'WorkerRegistry'),
+				jobsClass('leader/workers', 'WorkerRegistry'),
 				'takeEnds',
 				(original) =>
 					function (view, ended) {
@@ -281,19 +281,23 @@
 	{
 		rule: /a step's tasks are kept apart/,
 		without: 'an allowance for each worker',
-		breaks: () => [[jobsClass('leader', 'StepWork'), 'allowance', () => () => Number.MAX_VALUE]],
+		breaks: () => [
+			[jobsClass('leader/steps', 'StepWork'), 'allowance', () => () => Number.MAX_VALUE],
+		],
 	},
 	{
 		rule: /a worker has the label that its task asks for/,
 		without: 'polling labels',
-		breaks: () => [[jobsClass('leader', 'StepScheduler'), 'eligible', () => (_, open) => open]],
+		breaks: () => [
+			[jobsClass('leader/steps', 'StepScheduler'), 'eligible', () => (_, open) => open],
+		],
 	},
 	{
 		rule: /nothing of a cancelled job begins/,
 		without: 'committing a cancellation before it is acknowledged',
 		breaks: () => [
 			[
-				jobsClass('leader', 'ClientCalls'),
+				jobsClass('leader/callers', 'ClientCalls'),
 				'cancel',
 				() => (_, reply) => (reply as (reply: object) => void)({ kind: 'noted' }),
 			],
@@ -304,7 +308,7 @@
 		without: 'committing a job before it is accepted',
 		breaks: () => [
 			[
-				jobsClass('leader', 'ClientCalls'),
+				jobsClass('leader/callers', 'ClientCalls'),
 				'submit',
 				(original) =>
 					function (to, job, reply) {
--- a/packages/runs/src/lib/jobs/missedWork.test.ts
+++ b/packages/runs/src/lib/jobs/missedWork.test.ts
@@ -29,7 +29,7 @@
 	{ of: 'steps that are ready', method: 'openReady' },
 ]
 
-const SCHEDULER = jobsClass('leader', 'StepScheduler')
+const SCHEDULER = jobsClass('leader/steps', 'StepScheduler')
 const BLIND: Breakage = [SCHEDULER, 'lookAgain', () => () => []]
 
 function silenced({ method }: WakeUp): Breakage {
@@ -62,6 +62,10 @@
 })
 
 test('a run that nobody is told has begun is not found by looking again: the runs fail', () => {
-	const untold: Breakage = [jobsClass('leader', 'RunController'), 'begun', () => () => undefined]
+	const untold: Breakage = [
+		jobsClass('leader/runs', 'RunController'),
+		'begun',
+		() => () => undefined,
+	]
 	assert.match(failureWithout(untold), /an accepted job ends|a lasting task is at work/)
 })
--- a/packages/runs/src/lib/jobs/restartedRun.test.ts
+++ b/packages/runs/src/lib/jobs/restartedRun.test.ts
@@ -86,7 +86,7 @@
 	{
 		rule: /does not begin again|an accepted job ends|is known by its present life/,
 		without: 'telling lives apart in lists',
-		breaks: () => [[jobsClass('leader', 'LifeChanges'), 'follow', () => () => undefined]],
+		breaks: () => [[jobsClass('leader/workers', 'LifeChanges'), 'follow', () => () => undefined]],
 		play: withMany,
 	},
 	{
@@ -94,7 +94,7 @@
 		without: 'telling lives apart in heartbeats',
 		breaks: () => [
 			[
-				jobsClass('leader', 'LifeChanges'),
+				jobsClass('leader/workers', 'LifeChanges'),
 				'settle',
 				() => (_known, _claimant, done) => (done as (occupant: string) => void)('known'),
 			],
@@ -121,7 +121,7 @@
 		without: 'stopping what a new life began by orders for the earlier one',
 		breaks: () => [
 			[
-				jobsClass('leader', 'LifeChanges'),
+				jobsClass('leader/workers', 'LifeChanges'),
 				'listed',
 				() =>
 					function (change) {
@@ -136,7 +136,7 @@
 		without: 'a fence that rises with each life',
 		breaks: () => [
 			[
-				jobsClass('leader', 'FenceTokens'),
+				jobsClass('leader/workers', 'FenceTokens'),
 				'next',
 				() =>
 					function () {
