--- a/packages/jobs/src/lib/leader/LeaderContext.ts
+++ b/packages/jobs/src/lib/leader/LeaderContext.ts
@@ -3,6 +3,7 @@
 import type { Log, Meter } from '@rillrudder/telemetry'
 import type { Clock, Random } from '@rillrudder/utils'
 import type { CellState } from '../state/CellState'
+import type { LeaderPolicy } from './LeaderPolicy'
 import type { LeaderTiming } from './LeaderTiming'
 import type { Advisers, Proposals, WorkerOrders } from './ports'
 
@@ -14,6 +15,7 @@
 	readonly clock: Clock
 	readonly random: Random
 	readonly timing: LeaderTiming
+	readonly policy: LeaderPolicy
 	/** Term of this leadership, the fence of its orders. */
 	readonly term: number
 	readonly orders: WorkerOrders
--- a/packages/jobs/src/lib/leader/steps/StepScheduler.ts
+++ b/packages/jobs/src/lib/leader/steps/StepScheduler.ts
@@ -13,6 +13,7 @@
 import type { Precedence } from '../../placement/Precedence'
 import { Reservations } from '../../placement/Reservations'
 import { timesOf } from '../../placement/stepTimes'
+import { usefulnessOf } from '../../placement/Usefulness'
 import { UrgentRoom } from '../../placement/UrgentRoom'
 import type { AccountUsage } from '../../accounts/AccountUsage'
 import { chooseForStep, hasRoom, type Option, type RoomCheck } from './chooseForStep'
@@ -257,6 +258,7 @@
 	 * @param full - whether steps that found no room are tried although nothing has come free.
 	 */
 	place(now: number, full: boolean): void {
+		if (full && this.context.policy.overload) this.noteUsefulness()
 		if (this.stale) this.sort()
 		if (full) this.waits.tell(this.order, (work) => this.isWaiting(work))
 		const due = this.order.filter((work) => !work.allPlaced && this.isReady(work))
@@ -285,6 +287,15 @@
 		return isStepReady(job, repeat, number)
 	}
 
+	/** What can't be in time any more lets those go first that can. */
+	private noteUsefulness(): void {
+		const epoch = epochOf(this.context)
+		for (const work of this.steps.values()) {
+			if (work.step.lasting) continue
+			if (work.note(usefulnessOf(work.times, epoch), false)) this.stale = true
+		}
+	}
+
 	private sort(): void {
 		this.order = [...this.steps.values()].sort(byUrgency)
 		this.stale = false
--- a/packages/jobs/src/lib/leader/steps/StepWork.ts
+++ b/packages/jobs/src/lib/leader/steps/StepWork.ts
@@ -10,6 +10,7 @@
 	type StepTimes,
 	type Urgency,
 } from '../../placement/StepUrgency'
+import type { Usefulness } from '../../placement/Usefulness'
 import { reservedFor } from './reservation'
 import { StepAdvice } from '../advice/StepAdvice'
 
@@ -51,9 +52,7 @@
 	allPlaced = false
 	/** The stamp of its service when it was last tried; see the scheduler. */
 	triedAt = -1
-
-	/** What orders it among the others. */
-	readonly urgency: Urgency
+	private currentUrgency: Urgency
 
 	/**
 	 * @param times - when it has to begin.
@@ -65,7 +64,7 @@
 		readonly queue: Queue,
 		readonly repeat: number,
 		readonly number: number,
-		times: StepTimes,
+		readonly times: StepTimes,
 		standing: Standing,
 		readonly account: QuotaAccount | undefined
 	) {
@@ -75,10 +74,24 @@
 		this.need = reservedFor(this.step)
 		this.urgent = standing.urgent
 		this.yields = standing.yields
-		this.urgency = urgencyOf(queue.priority, times, job.beyondRate)
+		const { priority } = queue
+		this.currentUrgency = urgencyOf(times, { priority, beyondRate: job.beyondRate })
 		for (const task of this.record.tasks) if (task.worker !== '') this.count(task.worker, 1)
 	}
 
+	/** What orders it among the others. */
+	get urgency(): Urgency {
+		return this.currentUrgency
+	}
+
+	/** Notes of how much use it still is, and whether its account has more than its share. @returns whether that has changed. */
+	note(usefulness: Usefulness, overShare: boolean): boolean {
+		const { usefulness: used, overShare: over } = this.currentUrgency
+		if (usefulness === used && overShare === over) return false
+		this.currentUrgency = { ...this.currentUrgency, usefulness, overShare }
+		return true
+	}
+
 	/** @returns whether it had to begin by now for its job to be in time. */
 	isOverdue(epoch: number): boolean {
 		return !this.step.lasting && epoch > this.urgency.latestStart
--- a/packages/jobs/src/lib/placement/StepUrgency.test.ts
+++ b/packages/jobs/src/lib/placement/StepUrgency.test.ts
@@ -5,22 +5,26 @@
 const HIGH = 1
 const LOW = 2
 /** A step of 4 s whose job is to be done after 10 s. */
-const TIMES: StepTimes = { deadline: 10_000, remaining: 4000 }
+const TIMES: StepTimes = { deadline: 10_000, usefulUntil: 30_000, remaining: 4000 }
 
 test('of one priority the step that has to begin first goes first, which need not be the one due first', () => {
-	const longer = { deadline: 12_000, remaining: 9000 }
-	assert.ok(compareUrgency(urgencyOf(HIGH, longer), urgencyOf(HIGH, TIMES)) < 0)
+	const longer = { deadline: 12_000, usefulUntil: 36_000, remaining: 9000 }
+	assert.ok(
+		compareUrgency(urgencyOf(longer, { priority: HIGH }), urgencyOf(TIMES, { priority: HIGH })) < 0
+	)
 })
 
 test('a priority goes before all lower ones', () => {
-	const early = { deadline: 1000, remaining: 4000 }
-	assert.ok(compareUrgency(urgencyOf(HIGH, TIMES), urgencyOf(LOW, early)) < 0)
+	const early = { deadline: 1000, usefulUntil: 3000, remaining: 4000 }
+	assert.ok(
+		compareUrgency(urgencyOf(TIMES, { priority: HIGH }), urgencyOf(early, { priority: LOW })) < 0
+	)
 })
 
 test('what an account sent beyond its rate goes after all that was sent within, also of a lower priority', () => {
-	const beyond = urgencyOf(HIGH, TIMES, true)
-	const within = urgencyOf(LOW, TIMES)
+	const beyond = urgencyOf(TIMES, { priority: HIGH, beyondRate: true })
+	const within = urgencyOf(TIMES, { priority: LOW })
 	assert.ok(compareUrgency(within, beyond) < 0)
 	assert.ok(rankOf(within) < rankOf(beyond))
-	assert.ok(rankOf(beyond) < rankOf(urgencyOf(LOW, TIMES, true)))
+	assert.ok(rankOf(beyond) < rankOf(urgencyOf(TIMES, { priority: LOW, beyondRate: true })))
 })
--- a/packages/jobs/src/lib/placement/stepTimes.ts
+++ b/packages/jobs/src/lib/placement/stepTimes.ts
@@ -18,14 +18,21 @@
 	return stretched(remainingChains(steps, queue), queue)
 }
 
+/** Times its objective after which a job is of no use to its caller. */
+const USEFUL_FACTOR = 3
+
 /** @returns when a step of one of a job's repeats has to begin. @internal */
 export function timesOf(job: JobRecord, repeat: number, step: number, queue: Queue): StepTimes {
 	const { steps, repeat: terms } = job.request
 	const since = terms ? terms.first + repeat * terms.interval : job.submitted
 	// A lasting task has no end to be in time for: it should be at work, and again at once when it was interrupted.
-	if (steps[step].lasting) return { deadline: since + queue.latencyTarget, remaining: 0 }
+	if (steps[step].lasting) {
+		return { deadline: since + queue.latencyTarget, usefulUntil: Infinity, remaining: 0 }
+	}
 	const chains = remainingChains(steps, queue)
-	return { deadline: since + stretched(chains, queue), remaining: chains[step] }
+	const objective = stretched(chains, queue)
+	const usefulUntil = since + objective * USEFUL_FACTOR
+	return { deadline: since + objective, usefulUntil, remaining: chains[step] }
 }
 
 function stretched(chains: readonly number[], { latencyTarget, stretch }: Queue): number {
--- a/packages/jobs/src/lib/testing/LeaderSubject.ts
+++ b/packages/jobs/src/lib/testing/LeaderSubject.ts
@@ -5,6 +5,7 @@
 import { digestOf, type ClientAccount } from '../accounts/ClientAccount'
 import { encodeCommands, type CellCommand } from '../commands/CellCommand'
 import type { CellCall, CellReply } from '../leader/callers/calls'
+import { PLAIN_POLICY, type LeaderPolicy } from '../leader/LeaderPolicy'
 import { DEFAULT_LEADER_TIMING } from '../leader/LeaderTiming'
 import { JobController } from '../leader/JobController'
 import {
@@ -272,6 +273,9 @@
 		this.heartbeat(id)
 	}
 
+	/** What the next leadership is asked for; settings give it, as a leadership begins. */
+	policy: LeaderPolicy = PLAIN_POLICY
+
 	/** Begins a leadership, after another one where there was one. */
 	lead(): void {
 		this.state.observer = undefined
@@ -283,6 +287,7 @@
 			clock: this.clock,
 			random,
 			timing: DEFAULT_LEADER_TIMING,
+			policy: this.policy,
 			term: ++this.term,
 			orders: new FakeOrders(this),
 			advisers: new FakeAdvisers(this),
--- a/packages/member/src/lib/CoreInstance.ts
+++ b/packages/member/src/lib/CoreInstance.ts
@@ -7,6 +7,7 @@
 	CellState,
 	type CellCall,
 	type CellReply,
+	type LeaderPolicy,
 	type LeaderTiming,
 	type WorkerOrders,
 } from '@rillrudder/jobs'
@@ -61,6 +62,7 @@
 	readonly random: Random
 	readonly timing: Timing
 	readonly controller: LeaderTiming
+	readonly policy: LeaderPolicy
 	readonly orders: WorkerOrders
 	readonly adviser: Adviser
 	readonly log: Log
@@ -245,7 +247,7 @@
 	}
 
 	private beginLeading(term: number): void {
-		const { clock, random, controller: timing, log, meter } = this.parts
+		const { clock, random, controller: timing, policy, log, meter } = this.parts
 		const { group, state, advisers } = this
 		this.leading = new Leading({
 			group,
@@ -254,6 +256,7 @@
 			clock,
 			random: new Random(random.integer(0, 0x7fffffff)),
 			timing,
+			policy,
 			orders: this.carriedOrders(term),
 			advisers,
 			log,
--- a/packages/member/src/lib/Leading.ts
+++ b/packages/member/src/lib/Leading.ts
@@ -7,6 +7,7 @@
 	type CellCall,
 	type CellReply,
 	type CellState,
+	type LeaderPolicy,
 	type LeaderTiming,
 } from '@rillrudder/jobs'
 import type { OrderResults } from '@rillrudder/protocol'
@@ -25,6 +26,7 @@
 	readonly clock: Clock
 	readonly random: Random
 	readonly timing: LeaderTiming
+	readonly policy: LeaderPolicy
 	readonly orders: CarriedOrders
 	readonly advisers: Advisers
 	readonly log: Log
@@ -46,7 +48,7 @@
 	private over = false
 
 	constructor(private readonly parts: LeadingParts) {
-		const { group, state, clock, random, timing, advisers, log, meter, term } = parts
+		const { group, state, clock, random, timing, policy, advisers, log, meter, term } = parts
 		this.term = term
 		this.batching = new Batching(group, clock, meter)
 		this.orders = new WakingOrders(parts.orders, () => this.flushSoon())
@@ -57,6 +59,7 @@
 			clock,
 			random,
 			timing,
+			policy,
 			term,
 			orders: this.orders,
 			advisers,
--- a/packages/runs/src/lib/jobs/JobRun.ts
+++ b/packages/runs/src/lib/jobs/JobRun.ts
@@ -6,8 +6,10 @@
 	CellState,
 	DEFAULT_LEADER_TIMING,
 	JobController,
+	PLAIN_POLICY,
 	type CellConfiguration,
 	type CellReply,
+	type LeaderPolicy,
 	type Queue,
 } from '@rillrudder/jobs'
 import { CarriedOrders } from '@rillrudder/member'
@@ -51,6 +53,8 @@
 	readonly tellBorn?: boolean
 	/** Whether some tasks crash the workers that start them. */
 	readonly crashingTasks?: boolean
+	/** What is asked of its leaders; nothing more than usual if absent. */
+	readonly policy?: LeaderPolicy
 }
 
 /** What a run has done. @public */
@@ -230,6 +234,7 @@
 			clock,
 			random,
 			timing: DEFAULT_LEADER_TIMING,
+			policy: this.options.policy ?? PLAIN_POLICY,
 			term,
 			orders,
 			advisers,
