A refusal settles every try of a submission; a call that may have been done waits longer for a leader that can tell

Cause: after one try without an answer every refusal became "unknown", though the leader that refuses can tell that no try was or will be taken; and a call that was sent was given up 0.8 s after the leader was lost, when the next one is often about to lead. Callers can't try again after "unknown".

The test that takes the commit out of a hand-in replaces ClientCalls.submit, whose parameters are the call and the reply now; what it checks is the same.

--- a/packages/jobs/src/index.ts
+++ b/packages/jobs/src/index.ts
@@ -8,7 +8,7 @@
 	type End,
 } from './lib/commands/CellCommand'
 export { digestOf, type ClientAccount } from './lib/accounts/ClientAccount'
-export type * from './lib/leader/callers/calls'
+export * from './lib/leader/callers/calls'
 export type { LeaderContext } from './lib/leader/LeaderContext'
 export { LeaderEvent } from './lib/leader/LeaderEvent'
 export { PLAIN_POLICY, type LeaderPolicy } from './lib/leader/LeaderPolicy'
--- a/packages/jobs/src/lib/leader/JobController.ts
+++ b/packages/jobs/src/lib/leader/JobController.ts
@@ -93,7 +93,7 @@
 	call(call: CellCall, reply: Reply): void {
 		switch (call.kind) {
 			case 'submit':
-				return this.clients.submit(call.to, call.job, reply)
+				return this.clients.submit(call, reply)
 			case 'show':
 				return reply(this.clients.show(call.to))
 			case 'cancel':
--- a/packages/jobs/src/lib/leader/callers/ClientCalls.test.ts
+++ b/packages/jobs/src/lib/leader/callers/ClientCalls.test.ts
@@ -140,3 +140,29 @@
 	}
 	assert.deepEqual(begun, [ID, '00000000000000cc', '00000000000000bb'])
 })
+
+const CALL = { instance: 'entry', number: 7 }
+
+function submitNamed(subject: LeaderSubject, key: string, call = CALL): CellReply | undefined {
+	const to = { queue: QUEUE.name, id: ID, keyDigest: digestOf(key) }
+	return subject.call({ kind: 'submit', to, job: jobOf({}), call })
+}
+
+test('an earlier try of a refused call, which comes after the refusal, is refused too, though it could be taken by now', () => {
+	const subject = subjectWithAccounts()
+	const refusal = { kind: 'settled', refusal: { kind: 'unauthorized' } }
+	assert.deepEqual(submitNamed(subject, 'VILLAGE'), refusal)
+	subject.accounts = [accountNamed('town'), accountNamed('village')]
+	subject.configure({}, OPEN)
+	assert.deepEqual(submitNamed(subject, 'VILLAGE'), refusal)
+	assert.equal(subject.state.jobs.find(ID), undefined)
+	assert.equal(submitNamed(subject, 'VILLAGE', { ...CALL, number: 8 })?.kind, 'accepted')
+})
+
+test('a refusal settles nothing where an earlier try was taken, whose key has gone since', () => {
+	const subject = subjectWithAccounts()
+	assert.equal(submitNamed(subject, 'TOWN')?.kind, 'accepted')
+	subject.accounts = [accountNamed('city')]
+	subject.configure({}, OPEN)
+	assert.deepEqual(submitNamed(subject, 'TOWN'), { kind: 'unauthorized' })
+})
--- a/packages/jobs/src/lib/leader/callers/ClientCalls.ts
+++ b/packages/jobs/src/lib/leader/callers/ClientCalls.ts
@@ -8,11 +8,18 @@
 import { JobState, type JobRequest } from '../../records/Job'
 import type { CellConfiguration } from '../../records/Cell'
 import { isActive, type JobRecord } from '../../state/JobRecord'
-import type { CellReply, Destination } from './calls'
+import {
+	isJobRefusal,
+	type CallName,
+	type CellCall,
+	type CellReply,
+	type Destination,
+} from './calls'
 import { shapeOf } from '../explainJob'
 import { epochOf, type LeaderContext } from '../LeaderContext'
 import { LeaderEvent } from '../LeaderEvent'
 import { QueueTable, type Addressed } from './QueueTable'
+import { RefusedCalls } from './RefusedCalls'
 
 /** Jobs that may be kept at a time; bounds the leader's memory and its snapshots. */
 const MOST_JOBS = 20_000
@@ -22,6 +29,8 @@
 const RETRY_AFTER = 1000
 
 type Reply = (reply: CellReply) => void
+/** A call that hands a job in. */
+type Submission = Extract<CellCall, { readonly kind: 'submit' }>
 
 /** A submission that waits to be committed. */
 interface Submitting {
@@ -45,6 +54,7 @@
 	private access: Access
 	private readonly rate: SendingRate
 	private readonly submitting = new Map<string, Submitting>()
+	private readonly refusedCalls = new RefusedCalls()
 	/** Jobs refused by account name. */
 	private readonly refusals = new Map<string, number>()
 
@@ -66,7 +76,33 @@
 	}
 
 	/** Takes a job; the same id again from the same account remains one job. */
-	submit(to: Destination, job: JobRequest, reply: Reply): void {
+	submit({ to, job, call }: Submission, reply: Reply): void {
+		if (!call) this.take(to, job, reply)
+		else this.takeOnce(call, to, job, reply)
+	}
+
+	/** Takes a job by a call that may have been tried before: a refusal holds for all its tries. */
+	private takeOnce(call: CallName, to: Destination, job: JobRequest, reply: Reply): void {
+		const { clock } = this.context
+		const refused = this.refusedCalls.find(call, clock.now())
+		if (refused) {
+			reply({ kind: 'settled', refusal: refused })
+			return
+		}
+		this.take(to, job, (answer) => {
+			if (!isJobRefusal(answer) || this.mayHaveTaken(to)) return reply(answer)
+			this.refusedCalls.note(call, answer, clock.now())
+			reply({ kind: 'settled', refusal: answer })
+		})
+	}
+
+	/** Whether an earlier try may have handed a job of the id in; its key or queue may have gone since. */
+	private mayHaveTaken(to: Destination): boolean {
+		const id = idOf(to)
+		return this.submitting.has(id) || this.context.state.jobs.find(id) !== undefined
+	}
+
+	private take(to: Destination, job: JobRequest, reply: Reply): void {
 		if (!this.context.state.configuration) {
 			reply({ kind: 'not-run', reason: 'no configuration yet', retryAfter: RETRY_AFTER })
 			return
@@ -208,3 +244,8 @@
 }
 
 const NO_SUCH_JOB: CellReply = { kind: 'no-such-job' }
+
+/** The id of the job that a call is about; the last part of its path. */
+function idOf(to: Destination): string {
+	return 'path' in to ? to.path.slice(to.path.lastIndexOf('/') + 1) : to.id
+}
--- a/packages/jobs/src/lib/leader/callers/calls.ts
+++ b/packages/jobs/src/lib/leader/callers/calls.ts
@@ -99,9 +99,23 @@
 	readonly age: number
 }
 
+/** Names a call of an instance through all its tries. @public */
+export interface CallName {
+	/** One life of the instance. */
+	readonly instance: string
+	/** Counts its calls. */
+	readonly number: number
+}
+
 /** What an instance asks of the leader, or the leader of an instance. @public */
 export type CellCall =
-	| { readonly kind: 'submit'; readonly to: Destination; readonly job: JobRequest }
+	| {
+			readonly kind: 'submit'
+			readonly to: Destination
+			readonly job: JobRequest
+			/** Names the call through all its tries; absent where it is tried once. */
+			readonly call?: CallName
+	  }
 	| { readonly kind: 'show'; readonly to: Destination }
 	| { readonly kind: 'cancel'; readonly to: Destination }
 	| { readonly kind: 'list-jobs'; readonly filter: JobFilter }
@@ -139,6 +153,8 @@
 	| { readonly kind: 'configuration'; readonly configuration: CellConfiguration }
 	/** Not run, and never will be by this call: it may come again after `retryAfter` milliseconds. */
 	| { readonly kind: 'not-run'; readonly reason: string; readonly retryAfter: number }
+	/** The submission was not taken, and no earlier try of its call has been or will be. */
+	| { readonly kind: 'settled'; readonly refusal: JobRefusal }
 	/** Nothing was done, since the instance that was asked does not lead, or leads another term. */
 	| { readonly kind: 'not-leader' }
 	/** Nothing is known of what became of it: it may have been done. */
@@ -146,3 +162,22 @@
 	/** The answer to `advise`; undefined tickets when none came. */
 	| { readonly kind: 'advice'; readonly tickets: readonly (readonly [string, string])[] }
 	| { readonly kind: 'advice-busy' }
+
+/** A reply that says that a job was not taken. @public */
+export type JobRefusal = Extract<
+	CellReply,
+	{ readonly kind: 'unauthorized' | 'no-such-queue' | 'id-taken' | 'impossible' | 'not-run' }
+>
+
+const REFUSALS: { readonly [kind in JobRefusal['kind']]: true } = {
+	unauthorized: true,
+	'no-such-queue': true,
+	'id-taken': true,
+	impossible: true,
+	'not-run': true,
+}
+
+/** @returns whether a reply to a submission says that the job was not taken. @public */
+export function isJobRefusal(reply: CellReply): reply is JobRefusal {
+	return Object.hasOwn(REFUSALS, reply.kind)
+}
--- a/packages/member/src/lib/LeaderCalls.test.ts
+++ b/packages/member/src/lib/LeaderCalls.test.ts
@@ -5,7 +5,8 @@
 import type { Event } from '@rillrudder/protocol'
 import { Meter } from '@rillrudder/telemetry'
 import { ManualClock } from '@rillrudder/utils'
-import { LeaderCalls } from './LeaderCalls'
+import { LeaderCalls, type Finality } from './LeaderCalls'
+import { decodeCall } from './linkBodies'
 import type { KnownLeader } from './LeaderView'
 import { PeerCalls } from './PeerCalls'
 
@@ -15,28 +16,33 @@
 	to: { queue: 'checks', id: '00000000000000aa' },
 	job: { spec: '', steps: [] },
 }
-const FINALITY = { patience: 800, limit: 1500 }
+const FINALITY: Finality = { patience: 800, limit: 1500 }
+/** Of a caller who waits longer than it takes to find a leader. */
+const PATIENT: Finality = { ...FINALITY, limitOnceSent: 2400 }
 
 class Subject {
 	readonly clock = new ManualClock()
 	readonly sent: { readonly to: string; readonly id: number; readonly term: number }[] = []
+	/** The calls that were sent. */
+	readonly calls: (CellCall | undefined)[] = []
 	leader: KnownLeader | undefined
 	reachable = true
 	reply: CellReply | undefined
 	private readonly peers = new PeerCalls(this.clock, (peer, event) => this.send(peer, event))
-	private readonly calls = new LeaderCalls({
+	private readonly leaderCalls = new LeaderCalls({
 		clock: this.clock,
 		calls: this.peers,
 		meter: new Meter(),
 		leader: () => this.leader,
+		life: 'first',
 	})
 
 	get outcome(): string | undefined {
 		return this.reply?.kind
 	}
 
-	begin(call = CALL): void {
-		void this.calls.call(call, FINALITY).then((reply) => (this.reply = reply))
+	begin(call = CALL, finality = FINALITY): void {
+		void this.leaderCalls.call(call, finality).then((reply) => (this.reply = reply))
 	}
 
 	answer(reply: CellReply): void {
@@ -59,6 +65,7 @@
 
 	private send(to: string, { body }: Event): boolean {
 		if (!this.reachable || body?.$case !== 'peerCall') return false
+		this.calls.push(decodeCall(body.value.body))
 		this.sent.push({ to, id: body.value.id, term: body.value.term })
 		return true
 	}
@@ -166,3 +173,71 @@
 	await subject.run(10)
 	assert.equal(subject.outcome, 'unauthorized')
 })
+
+/** The call as the leaders got it. */
+function namesSent(subject: Subject): unknown[] {
+	return subject.calls.map((call) => (call as { readonly call?: unknown }).call)
+}
+
+test('all tries of a submission bring one name, and another submission brings another', async () => {
+	const subject = new Subject()
+	subject.leader = leader('a', 1)
+	subject.begin(SUBMIT)
+	await subject.run(10)
+	subject.lose('a')
+	subject.leader = leader('b', 2)
+	await subject.run(100)
+	subject.begin(SUBMIT)
+	await subject.run(10)
+	const [first, again, other] = namesSent(subject)
+	assert.deepEqual(first, { instance: 'first', number: 1 })
+	assert.deepEqual(again, first)
+	assert.deepEqual(other, { instance: 'first', number: 2 })
+})
+
+const SETTLED: CellReply = {
+	kind: 'settled',
+	refusal: { kind: 'not-run', reason: 'too many jobs', retryAfter: 1000 },
+}
+
+test('a leader’s word that no try of the call is taken is told its caller, also after a try without an answer', async () => {
+	const subject = new Subject()
+	subject.leader = leader('a', 1)
+	subject.begin(SUBMIT)
+	await subject.run(10)
+	subject.lose('a')
+	subject.leader = leader('b', 2)
+	await subject.run(100)
+	subject.answer(SETTLED)
+	await subject.run(10)
+	assert.equal(subject.outcome, 'not-run')
+})
+
+test('an earlier leader’s word says nothing of a try that went to a later one', async () => {
+	const subject = new Subject()
+	subject.leader = leader('b', 2)
+	subject.begin(SUBMIT)
+	await subject.run(10)
+	subject.lose('b')
+	subject.leader = leader('a', 1)
+	await subject.run(100)
+	subject.answer(SETTLED)
+	await subject.run(10)
+	assert.equal(subject.outcome, 'unknown')
+})
+
+test('a call that may have been done waits for a leader that can tell, as long as its caller does', async () => {
+	const subject = new Subject()
+	subject.leader = leader('a', 1)
+	subject.begin(SUBMIT, PATIENT)
+	await subject.run(10)
+	subject.leader = undefined
+	subject.lose('a')
+	await subject.run(1900)
+	assert.equal(subject.outcome, undefined)
+	subject.leader = leader('b', 2)
+	await subject.run(100)
+	subject.answer({ kind: 'accepted' })
+	await subject.run(10)
+	assert.equal(subject.outcome, 'accepted')
+})
--- a/packages/member/src/lib/LeaderCalls.ts
+++ b/packages/member/src/lib/LeaderCalls.ts
@@ -2,7 +2,7 @@
  * Brings calls to whoever leads. Every call may be sent again, since its effect is named by an id, a
  * version or a sequence; so a call whose leader is lost goes to the next one, within its patience.
  */
-import type { CellCall, CellReply } from '@rillrudder/jobs'
+import { isJobRefusal, type CellCall, type CellReply, type JobRefusal } from '@rillrudder/jobs'
 import { Measure, type Meter } from '@rillrudder/telemetry'
 import type { Clock } from '@rillrudder/utils'
 import type { KnownLeader } from './LeaderView'
@@ -26,6 +26,11 @@
 	readonly patience: number
 	/** Milliseconds for which it is tried at all. */
 	readonly limit: number
+	/**
+	 * Milliseconds for which it is tried once some instance may have done it, with a leader or without: only a leader can tell what became
+	 * of it, and its caller has nothing to gain from an answer that says nothing. As long as `limit` if absent.
+	 */
+	readonly limitOnceSent?: number
 }
 
 /** What calls need of the instance. @internal */
@@ -39,10 +44,14 @@
 	readonly slow?: (call: CellCall, reply: CellReply, took: number, tries: number) => void
 	/** Answers a call here, when this instance leads. @returns false when it does not. */
 	readonly local?: (call: CellCall, done: (reply: CellReply) => void) => boolean
+	/** This life of the instance, unlike any other's; names its calls. */
+	readonly life: string
 }
 
 interface Attempt {
 	readonly call: CellCall
+	/** The highest term that it was brought to. */
+	term: number
 	readonly startedAt: number
 	readonly finality: Finality
 	readonly done: (reply: CellReply) => void
@@ -59,6 +68,7 @@
 export class LeaderCalls {
 	/** When a leader was last known, on the instance's clock. */
 	private ledAt: number
+	private lastNumber = 0
 
 	constructor(private readonly parts: LeaderCallsParts) {
 		this.ledAt = parts.clock.now()
@@ -78,11 +88,18 @@
 				this.tell(attempt, reply)
 				resolve(reply)
 			}
-			const attempt = { call, startedAt, finality, done, sent: false, tries: 0 }
+			const named = this.named(call)
+			const attempt = { call: named, startedAt, finality, done, term: 0, sent: false, tries: 0 }
 			this.attempt(attempt)
 		})
 	}
 
+	/** A submission that is tried more than once is one call to its leaders. */
+	private named(call: CellCall): CellCall {
+		if (call.kind !== 'submit') return call
+		return { ...call, call: { instance: this.parts.life, number: ++this.lastNumber } }
+	}
+
 	private tell({ call, startedAt, tries }: Attempt, reply: CellReply): void {
 		const took = this.parts.clock.now() - startedAt
 		this.parts.meter.count(Measure.Calls, { kind: call.kind, outcome: reply.kind })
@@ -113,39 +130,57 @@
 			return
 		}
 		const peer = known.via[attempt.tries++ % known.via.length]
-		const to = { peer, term: known.term, hops: 0 }
+		const { term } = known
+		const to = { peer, term, hops: 0 }
 		const limit = Math.min(TRY_LIMIT, this.left(attempt))
-		calls.call(to, attempt.call, limit, (outcome) => this.outcome(attempt, outcome))
+		attempt.term = Math.max(attempt.term, term)
+		calls.call(to, attempt.call, limit, (outcome) => this.outcome(attempt, outcome, term))
 	}
 
-	private outcome(attempt: Attempt, outcome: PeerOutcome): void {
+	private outcome(attempt: Attempt, outcome: PeerOutcome, term: number): void {
 		if (outcome.kind === 'replied') {
-			this.replied(attempt, outcome.reply)
+			this.replied(attempt, outcome.reply, term)
 			return
 		}
 		if (outcome.kind === 'no-reply') attempt.sent = true
 		this.again(attempt)
 	}
 
-	private replied(attempt: Attempt, reply: CellReply): void {
-		if (reply.kind === 'unknown') {
+	private replied(attempt: Attempt, reply: CellReply, term?: number): void {
+		if (reply.kind === 'settled') {
+			this.settled(attempt, reply.refusal, term)
+		} else if (reply.kind === 'unknown') {
 			attempt.sent = true
 			this.again(attempt)
 		} else if (reply.kind === 'not-leader') {
 			this.again(attempt)
-		} else if (attempt.sent && isRefusedJob(attempt.call, reply)) {
-			attempt.done({ kind: 'unknown', reason: `${reply.kind} after a try without an answer` })
+		} else if (attempt.sent && attempt.call.kind === 'submit' && isJobRefusal(reply)) {
+			this.doubt(attempt, reply)
 		} else {
 			attempt.done(reply)
 		}
 	}
 
+	/**
+	 * A leader has settled that no try of a submission is or will be taken, as far as tries came to it or to leaders before it: those of lower
+	 * terms are void once it leads, and it knows what they have committed. A try under a later term may still have been taken.
+	 */
+	private settled(attempt: Attempt, refusal: JobRefusal, term?: number): void {
+		const isNewest = term === undefined ? attempt.term === 0 : term >= attempt.term
+		if (isNewest || !attempt.sent) attempt.done(refusal)
+		else this.doubt(attempt, refusal)
+	}
+
+	/** After a try without an answer a refusal says nothing of that one: it may have been taken, and its key, queue or quota changed since. */
+	private doubt(attempt: Attempt, { kind }: JobRefusal): void {
+		attempt.done({ kind: 'unknown', reason: `${kind} after a try without an answer` })
+	}
+
 	private again(attempt: Attempt): void {
 		const { clock } = this.parts
 		const now = clock.now()
-		const { patience, limit } = attempt.finality
-		const leaderless = now - this.ledAt + RETRY_PAUSE > patience
-		const late = now - attempt.startedAt + RETRY_PAUSE > limit
+		const leaderless = !attempt.sent && now - this.ledAt + RETRY_PAUSE > attempt.finality.patience
+		const late = now - attempt.startedAt + RETRY_PAUSE > limitOf(attempt)
 		if (!leaderless && !late) clock.after(RETRY_PAUSE, () => this.attempt(attempt))
 		else if (attempt.sent) attempt.done({ kind: 'unknown', reason: 'no answer from a leader' })
 		else attempt.done({ kind: 'not-run', reason: 'no leader', retryAfter: RETRY_AFTER })
@@ -153,24 +188,10 @@
 
 	private left(attempt: Attempt): number {
 		const spent = this.parts.clock.now() - attempt.startedAt
-		return Math.max(RETRY_PAUSE, attempt.finality.limit - spent)
+		return Math.max(RETRY_PAUSE, limitOf(attempt) - spent)
 	}
 }
 
-/**
- * Whether a reply says that a job was not taken. After a try without an answer that is not known: it may have been taken
- * then, and its key, queue or quota changed since.
- */
-function isRefusedJob(call: CellCall, { kind }: CellReply): boolean {
-	if (call.kind !== 'submit') return false
-	switch (kind) {
-		case 'unauthorized':
-		case 'no-such-queue':
-		case 'id-taken':
-		case 'impossible':
-		case 'not-run':
-			return true
-		default:
-			return false
-	}
+function limitOf({ finality: { limit, limitOnceSent = limit }, sent }: Attempt): number {
+	return sent ? limitOnceSent : limit
 }
--- a/packages/member/src/lib/PeerLinks.ts
+++ b/packages/member/src/lib/PeerLinks.ts
@@ -1,4 +1,5 @@
 /** What every instance has towards the others: links, calls over them, and who leads. */
+import { randomUUID } from 'node:crypto'
 import type { CellCall, CellReply } from '@rillrudder/jobs'
 import { LinkHub, linkSecurity, type Event } from '@rillrudder/protocol'
 import type { Log, Meter } from '@rillrudder/telemetry'
@@ -53,7 +54,16 @@
 		this.calls = new PeerCalls(clock, (peer, event) => this.hub.send(peer, event))
 		const leader = () => this.view.leader(clock.now())
 		const slow = tellCall(log, leader)
-		this.leaderCalls = new LeaderCalls({ clock, calls: this.calls, meter, leader, slow, local })
+		const life = randomUUID()
+		this.leaderCalls = new LeaderCalls({
+			clock,
+			calls: this.calls,
+			meter,
+			leader,
+			slow,
+			local,
+			life,
+		})
 	}
 
 	/** Keeps links to these peers, and to no others of those that it has dialled. */
--- a/packages/runs/src/lib/jobs/jobRun.test.ts
+++ b/packages/runs/src/lib/jobs/jobRun.test.ts
@@ -311,8 +311,8 @@
 				jobsClass('leader/callers', 'ClientCalls'),
 				'submit',
 				(original) =>
-					function (to, job, reply) {
-						original.call(this, to, job, () => undefined)
+					function (call, reply) {
+						original.call(this, call, () => undefined)
 						;(reply as (reply: object) => void)({ kind: 'accepted' })
 					},
 			],
