Speeds of workers, learned from siblings: heeded in forecast, fit and gangs where the slowest quarter is much slower

Cause: forecasts, the fit and gangs take all workers as equal; where a quarter of them works at less than half the speed of the others, a gang goes as fast as its slowest member and urgent work lands on slow workers as often as on fast ones.

Change: the times of tasks of one step on different workers give the speed of each life of a worker by least squares over many steps, bounded against outliers, with evidence that halves in 3 s. Declared times don't come in. Nothing is heeded unless the slowest quarter is under 0.65 of the median.

--- a/packages/jobs/src/lib/leader/JobController.ts
+++ b/packages/jobs/src/lib/leader/JobController.ts
@@ -19,6 +19,7 @@
 import { RunController } from './runs/RunController'
 import { StepScheduler } from './steps/StepScheduler'
 import { WorkerRegistry } from './workers/WorkerRegistry'
+import { SpeedWatch } from '../speeds/SpeedWatch'
 
 /** Milliseconds after which a configuration that is not there yet may be read again. */
 const RETRY_AFTER = 1000
@@ -49,6 +50,7 @@
 	private readonly clients: ClientCalls
 	private readonly accounts: AccountUsage
 	private readonly reconciliation: Reconciliation
+	private readonly speeds: SpeedWatch
 	private fullPassDue = 0
 	private forgetDue = 0
 	private placing = false
@@ -61,8 +63,12 @@
 			context.timing.quotaTolerance
 		)
 		this.workers = new WorkerRegistry(context, this.accounts, {
-			polled: (view, result, sentAt) => this.runs.polled(view, result, sentAt),
+			polled: (view, result, sentAt) => {
+				this.runs.polled(view, result, sentAt)
+				this.speeds.polled(view, result)
+			},
 		})
+		this.speeds = new SpeedWatch(context, this.workers)
 		this.precedence.configured(state.configuration?.queues ?? [], context.clock.now())
 		this.runs = new RunController(context, this.workers, this.precedence, this.accounts, {
 			ticketRefused: (task, worker) => this.steps.ticketRefused(task, worker),
@@ -87,6 +93,7 @@
 		meter.gauge(Measure.Configuration, state.configuration?.version ?? 0)
 		this.steps.measure()
 		this.workers.measure()
+		this.speeds.measure()
 	}
 
 	/** Answers a call, at once or once what it asks is committed. */
@@ -152,6 +159,7 @@
 			case 'worker-draining':
 				return this.workers.draining(change.worker)
 			case 'worker-gone':
+				this.speeds.gone(change.worker)
 				return this.workers.gone(change.worker)
 			default:
 				return exhaustive(change)
@@ -165,6 +173,7 @@
 		this.runs.tick(now)
 		this.steps.tick(now)
 		this.reconciliation.tick(now)
+		this.speeds.tick(now)
 		if (now >= this.forgetDue) this.forgetOld(now)
 		this.place()
 	}
--- a/packages/jobs/src/lib/leader/LeaderEvent.ts
+++ b/packages/jobs/src/lib/leader/LeaderEvent.ts
@@ -96,6 +96,18 @@
 	RunMoved: 'run-moved',
 	/** Runs stand still on a worker that answers, so it gets nothing new for now; `worker`, `runs`. */
 	WorkerStalled: 'worker-stalled',
+	/**
+	 * Whether the leader heeds the speeds of workers has changed; `reason` (`differ`, `alike`, `few-known`), the `share` of the median speed that
+	 * the slowest quarter works at, `workers`.
+	 */
+	SpeedsHeeded: 'speeds-heeded',
+	/**
+	 * A worker is much slower than the median one; `worker`, its `speed` as a share of the median, the standard `error` of its logarithm,
+	 * `evidence` in tasks, the `age` of the latest in milliseconds.
+	 */
+	WorkerSlow: 'worker-slow',
+	/** A worker is no longer called slow; the fields of `worker-slow`, without those that nothing is known of any more. */
+	WorkerNotSlow: 'worker-not-slow',
 	/** A worker refused an order; `task`, `attempt`, `worker`, `reason`, the `order`. */
 	OrderRefused: 'order-refused',
 	/** Advice is asked; `step`, `workers`. Debug level. */
--- a/packages/jobs/src/lib/leader/runs/RunController.ts
+++ b/packages/jobs/src/lib/leader/runs/RunController.ts
@@ -271,7 +271,7 @@
 			retryAt: 0,
 			checkpoint: '',
 			percent: 0,
-			progress: new RunProgress(now, step.expectedTime),
+			progress: new RunProgress(now, step.expectedTime / (this.workers.find(worker)?.speed ?? 1)),
 			measure: 0,
 			pace: 100,
 			absent: 0,
--- a/packages/jobs/src/lib/leader/steps/Quarantine.ts
+++ b/packages/jobs/src/lib/leader/steps/Quarantine.ts
@@ -52,6 +52,11 @@
 		return suspicionOf(record.tasks[index])
 	}
 
+	/** @returns whether workers have crashed under a task. */
+	isDoubtful(work: StepWork, index: number): boolean {
+		return this.suspicionOf(work, index) !== Suspicion.None
+	}
+
 	/** @returns whether a task of a job may begin on a worker beside what is isolated there. */
 	admits(job: string, worker: string, now: number): boolean {
 		const probation = this.probations.get(worker)
--- a/packages/jobs/src/lib/leader/steps/StepScheduler.ts
+++ b/packages/jobs/src/lib/leader/steps/StepScheduler.ts
@@ -30,6 +30,7 @@
 import { StepWaits } from './StepWaits'
 import { isBarred, waitOf, type Wait } from './waitReason'
 import type { WorkerRegistry } from '../workers/WorkerRegistry'
+import { atLikeSpeed } from '../../speeds/speedFit'
 
 /** What each open worker adds to its service's stamp: more than anything that comes free in a leadership. */
 const WORKER_STAMP = 1e9
@@ -364,7 +365,7 @@
 		work.allPlaced = waiting.length === 0
 		if (work.allPlaced) return
 		if (!this.accounts.mayBegin(work.account, work.step)) return this.reservations.drop(work)
-		const eligible = this.eligible(work, open)
+		const eligible = atLikeSpeed(work, this.eligible(work, open), now)
 		if (!work.toldBarred && isBarred(work, eligible)) this.log.barred(work, eligible.length)
 		const options = this.optionsFor(work, eligible, now)
 		const placed = work.step.gang
@@ -395,7 +396,7 @@
 	/** Tasks that wait and may begin, those that are under no suspicion first; of a gang all or none. */
 	private mayBegin(work: StepWork): number[] {
 		const waiting = work.waiting()
-		const doubtful = waiting.filter((index) => this.isDoubtful(work, index))
+		const doubtful = waiting.filter((index) => this.quarantine.isDoubtful(work, index))
 		if (doubtful.length === 0) return waiting
 		const held = (index: number): boolean =>
 			this.quarantine.suspicionOf(work, index) === Suspicion.Held
@@ -404,15 +405,11 @@
 		return [...plain, ...doubtful.filter((index) => !held(index))]
 	}
 
-	private isDoubtful(work: StepWork, index: number): boolean {
-		return this.quarantine.suspicionOf(work, index) !== Suspicion.None
-	}
-
 	private chooserFor(work: StepWork, now: number): TaskChooser {
 		return (index, options) =>
-			this.isDoubtful(work, index)
+			this.quarantine.isDoubtful(work, index)
 				? this.quarantine.choose(work, index, options, this.isFree, now)
-				: chooseForStep(work, options, this.isFree)
+				: chooseForStep(work, options, this.isFree, epochOf(this.context))
 	}
 
 	private placeEach(
--- a/packages/jobs/src/lib/leader/steps/chooseForStep.ts
+++ b/packages/jobs/src/lib/leader/steps/chooseForStep.ts
@@ -2,6 +2,7 @@
 import { fits, type LedgerWorker } from '@rillrudder/scheduler'
 import type { StepWork } from './StepWork'
 import type { WorkerView } from '../workers/WorkerView'
+import { speedScore } from '../../speeds/speedFit'
 
 /** Added for a rack other than the one with the data: such a run takes half as long again. */
 const FAR_PENALTY = 2
@@ -40,19 +41,21 @@
  * @param work - the step.
  * @param options - workers that may run it.
  * @param isFree - whether a worker's room is not kept for a step that goes before.
+ * @param epoch - now, in milliseconds since the epoch.
  * @returns the best one that has room, or undefined.
  * @internal
  */
 export function chooseForStep(
 	work: StepWork,
 	options: readonly Option[],
-	isFree: RoomCheck
+	isFree: RoomCheck,
+	epoch: number
 ): Option | undefined {
 	let best: Option | undefined
 	let bestScore = Number.POSITIVE_INFINITY
 	for (const option of options) {
 		if (!hasRoom(work, option)) continue
-		const value = score(work, option)
+		const value = score(work, option) + speedScore(work, option.view.speed, epoch)
 		if (value >= bestScore || !isFree(work, option)) continue
 		bestScore = value
 		best = option
--- a/packages/jobs/src/lib/leader/workers/WorkerView.ts
+++ b/packages/jobs/src/lib/leader/workers/WorkerView.ts
@@ -73,6 +73,8 @@
 	left = false
 	/** Whether it counts as ended and only what must come before that, or its commit, is awaited: nothing is ordered there. */
 	givenUp = false
+	/** Its speed as a share of the median worker's; 1 unless speeds are known and differ much. */
+	speed = 1
 	/** When it will have left, where it said so; on the leader's clock. */
 	leavesAt = Number.POSITIVE_INFINITY
 
--- a/packages/jobs/src/lib/placement/Reservations.ts
+++ b/packages/jobs/src/lib/placement/Reservations.ts
@@ -90,7 +90,7 @@
 		const before = this.keptBefore(work, option.view.id)
 		if (before.length === 0) return true
 		const at = Math.max(...before.map((kept) => kept.at))
-		const ends = this.now + work.step.expectedTime * TIME_MARGIN
+		const ends = this.now + (work.step.expectedTime * TIME_MARGIN) / option.view.speed
 		if (!work.step.lasting && ends <= at) return true
 		return fits(work.need, withoutKept(this.forecastOf(option).freeAt(at), before))
 	}
--- a/packages/jobs/src/lib/placement/RunProgress.ts
+++ b/packages/jobs/src/lib/placement/RunProgress.ts
@@ -76,6 +76,16 @@
 		return (span / done) * WHOLE
 	}
 
+	/**
+	 * @param at - when it had done all its work, on the worker's own clock.
+	 * @returns milliseconds that a whole task took at its last speed; undefined when none can be told.
+	 */
+	observedAtEnd(at: number): number | undefined {
+		const { first } = this
+		if (!first || at - first.at < LEAST_SPAN || first.percent >= WHOLE) return undefined
+		return ((at - first.at) / (WHOLE - first.percent)) * WHOLE
+	}
+
 	/**
 	 * @param now - the moment, on the leader's clock.
 	 * @returns when it is expected to end; never before now.
--- a/packages/jobs/src/lib/placement/StallWatch.ts
+++ b/packages/jobs/src/lib/placement/StallWatch.ts
@@ -5,7 +5,8 @@
  * Runs that only get on slowly are left alone: declared times are so far off that on a calm day one worker in two
  * seemed slow at some moment (see docs/POLICY.md).
  */
-import { RunPhase, type Run } from '../leader/runs/Run'
+import type { Run } from '../leader/runs/Run'
+import { tellsOfWorker } from '../leader/runs/tellsOfWorker'
 import type { WorkerView } from '../leader/workers/WorkerView'
 
 /**
@@ -23,10 +24,6 @@
 const CLOSED_FOR = 1500
 /** Attempts up to which a run may be moved, so that none is moved again and again. */
 const LAST_MOVED_ATTEMPT = 3
-/** Percent of a run that has done its work and is about to end. */
-const ALL_DONE = 100
-/** Percent of a worker's speed that a run which is not paced works at. */
-const FULL_PACE = 100
 
 /**
  * Watches whether runs get on.
@@ -54,7 +51,7 @@
 	 * @returns whether it was found to stand still, and was not known to.
 	 */
 	judge(view: WorkerView, workers: number, now: number): boolean {
-		const judged = [...view.runs.values()].filter(isJudged)
+		const judged = [...view.runs.values()].filter(tellsOfWorker)
 		const standing = judged.filter(isStanding)
 		if (standing.length === 0 || standing.length < judged.length * MOST_RUNS) return false
 		const known = this.isStalled(view.id, now)
@@ -66,7 +63,7 @@
 	/** @returns the runs of a worker that stand still and may begin elsewhere. */
 	runsToMove(view: WorkerView): Run[] {
 		return [...view.runs.values()].filter(
-			(run) => isJudged(run) && isStanding(run) && run.attempt <= LAST_MOVED_ATTEMPT
+			(run) => tellsOfWorker(run) && isStanding(run) && run.attempt <= LAST_MOVED_ATTEMPT
 		)
 	}
 
@@ -77,15 +74,6 @@
 	}
 }
 
-/**
- * Whether a run's progress tells of its worker: not that of one which was slowed down, or has done all its work, and not a
- * gang's member, which waits for the others before its work and after.
- */
-function isJudged({ phase, step, pace, percent }: Run): boolean {
-	if (phase !== RunPhase.Running || pace < FULL_PACE || percent >= ALL_DONE) return false
-	return !step.lasting && !step.bestEffort && !step.gang && step.expectedTime > 0
-}
-
 function isStanding({ progress, step }: Run): boolean {
 	return progress.stoodStillFor >= Math.max(STANDS_AFTER, step.expectedTime * STANDS_SHARE)
 }
--- /dev/null
+++ b/packages/jobs/src/lib/speeds/SpeedSpread.ts
@@ -0,0 +1,68 @@
+/**
+ * Whether the speeds of workers differ so much that decisions have to heed them. Where they differ by a quarter, as between generations of
+ * machines, packing them well is worth more than sorting them.
+ */
+import type { SpeedEstimate } from './estimateSpeeds'
+
+/** Which part of the workers, from the slowest on, stands for the slowest quarter: its middle. */
+const SLOWEST = 1 / 8
+/** Speed of the slowest quarter, as a share of the median, under which speeds are heeded. */
+const DIFFERS_BELOW = 0.65
+/** The share from which they are no longer. */
+const ALIKE_ABOVE = 0.75
+/** Share of the workers that must be known. */
+const KNOWN_SHARE = 0.5
+/** Workers that must be known at least: fewer have no slowest quarter to speak of. */
+const LEAST_KNOWN = 8
+
+/** Why speeds are heeded or not. @internal */
+export const SpreadReason = {
+	/** Too few workers are known. */
+	FewKnown: 'few-known',
+	/** They are much alike. */
+	Alike: 'alike',
+	/** The slowest quarter is much slower than the median. */
+	Differ: 'differ',
+} as const
+/** One of the reasons. @internal */
+export type SpreadReason = (typeof SpreadReason)[keyof typeof SpreadReason]
+
+/**
+ * How far the speeds of the workers are apart.
+ *
+ * @internal
+ */
+export class SpeedSpread {
+	reason: SpreadReason = SpreadReason.FewKnown
+	/** Speed of the slowest quarter as a share of the median; 1 while too few are known. */
+	share = 1
+
+	/** Whether decisions heed the speeds. */
+	get heeded(): boolean {
+		return this.reason === SpreadReason.Differ
+	}
+
+	/**
+	 * @param known - what is known of workers.
+	 * @param workers - how many there are.
+	 * @returns whether the reason has changed.
+	 */
+	judge(known: readonly SpeedEstimate[], workers: number): boolean {
+		const { reason } = this
+		const enough = known.length >= Math.max(LEAST_KNOWN, workers * KNOWN_SHARE)
+		this.share = enough ? shareOfSlowest(known) : 1
+		this.reason = enough ? this.compare() : SpreadReason.FewKnown
+		return this.reason !== reason
+	}
+
+	private compare(): SpreadReason {
+		const limit = this.heeded ? ALIKE_ABOVE : DIFFERS_BELOW
+		return this.share < limit ? SpreadReason.Differ : SpreadReason.Alike
+	}
+}
+
+function shareOfSlowest(known: readonly SpeedEstimate[]): number {
+	const logs = known.map(({ log }) => log).sort((left, right) => left - right)
+	const median = logs[Math.floor(logs.length / 2)]
+	return Math.exp(logs[Math.floor(logs.length * SLOWEST)] - median)
+}
--- /dev/null
+++ b/packages/jobs/src/lib/speeds/WorkerSpeeds.ts
@@ -0,0 +1,121 @@
+/** The speeds of workers, learned from how long tasks of one step take on different ones. */
+import { estimateSpeeds, type SpeedEstimate } from './estimateSpeeds'
+import { SiblingTimes, type SiblingTask } from './SiblingTimes'
+import { SpeedSpread } from './SpeedSpread'
+
+/** Evidence, in tasks, from which a worker's speed counts as known. */
+const LEAST_EVIDENCE = 1.5
+/** Speed under which a worker is called slow, as a share of the median. */
+const SLOW_BELOW = 0.75
+/** Speed above which it is no longer. */
+const SLOW_UNTIL = 0.85
+/** Standard errors by which a speed must be off before a worker is called slow: wrong for fewer than 1 in 100. */
+const CERTAIN = 2.5
+
+/** What has changed with an assessment. @internal */
+export interface SpeedChanges {
+	/** Whether decisions heed the speeds from now on, or no longer; undefined when that stays. */
+	readonly heeded: boolean | undefined
+	/** Workers that are called slow from now on. */
+	readonly slow: readonly string[]
+	/** Workers that are no longer. */
+	readonly notSlow: readonly string[]
+}
+
+/**
+ * The speeds of workers. Each life of a worker is one of its own.
+ *
+ * @example
+ * ```ts
+ * speeds.note({ group: '5b8b.0.1', task: '5b8b.0.1.7' }, 'w3', 2400, now)
+ * speeds.assess(workers, now)
+ * const expected = declared / speeds.speedOf('w3')
+ * ```
+ * @internal
+ */
+export class WorkerSpeeds {
+	readonly spread = new SpeedSpread()
+	private readonly times = new SiblingTimes()
+	private estimates = new Map<string, SpeedEstimate>()
+	private readonly slow = new Set<string>()
+
+	/** How many workers are called slow. */
+	get slowCount(): number {
+		return this.slow.size
+	}
+
+	/**
+	 * A task tells how long all of it takes.
+	 *
+	 * @param milliseconds - on the worker's own clock, at the speed seen of late.
+	 * @param now - the moment, on the leader's clock.
+	 */
+	note(task: SiblingTask, worker: string, milliseconds: number, now: number): void {
+		if (milliseconds > 0) this.times.note(task, { worker, time: Math.log(milliseconds), at: now })
+	}
+
+	/** A worker's life is over. */
+	forget(worker: string): void {
+		this.times.forget(worker)
+		this.estimates.delete(worker)
+		this.slow.delete(worker)
+	}
+
+	/** @returns what is known of a worker; undefined while that is too little. */
+	find(worker: string): SpeedEstimate | undefined {
+		const estimate = this.estimates.get(worker)
+		return estimate && isKnown(estimate) ? estimate : undefined
+	}
+
+	/** @returns a worker's speed as a share of the median; 1 where it is not known, or speeds are not heeded. */
+	speedOf(worker: string): number {
+		const estimate = this.spread.heeded ? this.find(worker) : undefined
+		return estimate ? Math.exp(estimate.log) : 1
+	}
+
+	/** @returns whether a worker is called slow. */
+	isSlow(worker: string): boolean {
+		return this.slow.has(worker)
+	}
+
+	/**
+	 * Estimates all speeds anew.
+	 *
+	 * @param workers - how many workers there are.
+	 * @param now - the moment, on the leader's clock.
+	 */
+	assess(workers: number, now: number): SpeedChanges {
+		this.times.prune(now)
+		const before = new Map([...this.estimates].map(([worker, { log }]) => [worker, log]))
+		this.estimates = estimateSpeeds(this.times.all(), before, now)
+		const known = [...this.estimates.values()].filter(isKnown)
+		const { heeded } = this.spread
+		this.spread.judge(known, workers)
+		const changed = this.spread.heeded === heeded ? undefined : this.spread.heeded
+		return { heeded: changed, ...this.callSlow() }
+	}
+
+	private callSlow(): { slow: string[]; notSlow: string[] } {
+		const notSlow = [...this.slow].filter((worker) => !this.staysSlow(worker))
+		for (const worker of notSlow) this.slow.delete(worker)
+		if (!this.spread.heeded) return { slow: [], notSlow }
+		const slow = [...this.estimates].filter(
+			([worker, estimate]) => !this.slow.has(worker) && isCertainlySlow(estimate)
+		)
+		for (const [worker] of slow) this.slow.add(worker)
+		return { slow: slow.map(([worker]) => worker), notSlow }
+	}
+
+	private staysSlow(worker: string): boolean {
+		const estimate = this.find(worker)
+		return this.spread.heeded && estimate !== undefined && estimate.log < Math.log(SLOW_UNTIL)
+	}
+}
+
+function isKnown({ evidence }: SpeedEstimate): boolean {
+	return evidence >= LEAST_EVIDENCE
+}
+
+function isCertainlySlow(estimate: SpeedEstimate): boolean {
+	return isKnown(estimate) && estimate.log + CERTAIN * estimate.error < Math.log(SLOW_BELOW)
+}
--- a/packages/telemetry/src/lib/Meter.ts
+++ b/packages/telemetry/src/lib/Meter.ts
@@ -51,6 +51,10 @@
 	Leads: 'leads',
 	/** Gauge by `state`: workers open, unreachable, draining. */
 	Workers: 'workers',
+	/** Gauge: workers that are called slow. */
+	SlowWorkers: 'slow_workers',
+	/** Gauge: speed of the slowest quarter of the workers as a share of the median; 1 while too few are known. */
+	SlowestShare: 'slowest_workers_share',
 	/** Gauge: runs that have begun and not ended. */
 	Runs: 'runs',
 	/** Gauge by `priority`: steps with tasks that wait to begin. */
