--- a/packages/jobs/src/lib/speeds/SiblingTimes.ts
+++ b/packages/jobs/src/lib/speeds/SiblingTimes.ts
@@ -48,9 +48,9 @@
 		tasks.set(task, time)
 	}
 
-	/** All groups that are known. */
-	*all(): IterableIterator<TaskTime[]> {
-		for (const tasks of this.groups.values()) yield [...tasks.values()]
+	/** All groups of at least two tasks. */
+	*all(): IterableIterator<readonly TaskTime[]> {
+		for (const tasks of this.groups.values()) if (tasks.size > 1) yield [...tasks.values()]
 	}
 
 	/** Drops what is too old. */
--- a/packages/jobs/src/lib/speeds/SpeedSpread.ts
+++ b/packages/jobs/src/lib/speeds/SpeedSpread.ts
@@ -6,6 +6,8 @@
 
 /** Which part of the workers, from the slowest on, stands for the slowest quarter: its middle. */
 const SLOWEST = 1 / 8
+/** Standard errors by which each worker is taken to be faster than estimated: rough estimates alone make no spread. */
+const DOUBT = 1.5
 /** Speed of the slowest quarter, as a share of the median, under which speeds are heeded. */
 const DIFFERS_BELOW = 0.65
 /** The share from which they are no longer. */
@@ -62,7 +64,7 @@
 }
 
 function shareOfSlowest(known: readonly SpeedEstimate[]): number {
-	const logs = known.map(({ log }) => log).sort((left, right) => left - right)
-	const median = logs[Math.floor(logs.length / 2)]
-	return Math.exp(logs[Math.floor(logs.length * SLOWEST)] - median)
+	const logs = known.map(({ log, error }) => log + DOUBT * error)
+	logs.sort((left, right) => left - right)
+	return Math.min(1, Math.exp(logs[Math.floor(logs.length * SLOWEST)]))
 }
--- a/packages/jobs/src/lib/speeds/estimateSpeeds.ts
+++ b/packages/jobs/src/lib/speeds/estimateSpeeds.ts
@@ -7,7 +7,7 @@
 import { levelOf } from './speedLevel'
 
 /** Rounds of one estimate; it goes on from the one before, so few are enough. */
-const ROUNDS = 8
+const ROUNDS = 4
 /** Share of each correction that is made at once: two workers that only know each other would swing otherwise. */
 const DAMPING = 0.5
 /** How far off a task counts at most, as a logarithm; siblings differ by a third among themselves. */
@@ -107,10 +107,10 @@
 	const corrections = new Float64Array(logs.length)
 	const round = { corrections, weights: new Float64Array(logs.length), squares: 0, counted: 0 }
 	for (const group of groups) addGroup(group, logs, round)
-	corrections.forEach((correction, worker) => {
+	for (let worker = 0; worker < logs.length; worker++) {
 		const weight = round.weights[worker]
-		if (weight > 0) logs[worker] += (DAMPING * correction) / weight
-	})
+		if (weight > 0) logs[worker] += (DAMPING * corrections[worker]) / weight
+	}
 	return round
 }
 
@@ -131,10 +131,10 @@
 /** The pace that a group's tasks would have on a worker of median speed, by the estimates so far. */
 function middleOf({ parts, weight }: Group, logs: Float64Array): number {
 	let sum = 0
-	for (const part of parts) {
-		part.paces.forEach((pace, index) => {
-			sum += (pace - logs[part.worker]) * part.weights[index]
-		})
+	for (const { worker, paces, weights } of parts) {
+		for (let index = 0; index < paces.length; index++) {
+			sum += (paces[index] - logs[worker]) * weights[index]
+		}
 	}
 	return sum / weight
 }
@@ -142,11 +142,11 @@
 /** By how much a worker's tasks are off together; none counts for more than the bound. */
 function offOf({ paces, weights }: Part, expected: number, round: Round): number {
 	let sum = 0
-	paces.forEach((pace, index) => {
-		const off = Math.max(-FARTHEST, Math.min(FARTHEST, pace - expected))
+	for (let index = 0; index < paces.length; index++) {
+		const off = Math.max(-FARTHEST, Math.min(FARTHEST, paces[index] - expected))
 		sum += off * weights[index]
 		round.squares += off * off * weights[index]
-	})
+	}
 	return sum
 }
 
--- a/packages/runs/src/lib/jobs/Fleet.ts
+++ b/packages/runs/src/lib/jobs/Fleet.ts
@@ -22,6 +22,8 @@
 	readonly service: string
 	/** Whether workers say when they started. */
 	readonly tellBorn: boolean
+	/** How fast each worker works, by its number; as fast as tasks declare if absent. */
+	readonly speedOf?: (worker: number) => number
 	/** Share of heartbeats that are held back on their way. */
 	readonly heldShare: () => number
 	/** Brings a call to the leader, if there is one. */
@@ -103,6 +105,7 @@
 			slots: 8,
 		}
 		const machine = new FleetWorker({ ...this.parts, gangs: this.gangs }, worker)
+		machine.speed = this.parts.speedOf?.(number) ?? 1
 		this.machines.push(machine)
 		this.byAddress.set(worker.address, machine)
 		this.beatOn(machine)
--- a/packages/runs/src/lib/jobs/FleetWorker.ts
+++ b/packages/runs/src/lib/jobs/FleetWorker.ts
@@ -87,6 +87,8 @@
 	failing = false
 	/** Whether what it runs stands still. */
 	stalled = false
+	/** How fast it works; 1 is as fast as tasks declare. */
+	speed = 1
 	private tickedAt = 0
 	sequence = 0
 	private readonly room: OfferedRoom
@@ -256,7 +258,7 @@
 	private startRun(task: string, attempt: number, checkpoint: string): void {
 		const { clock, random, stepOf, gangs } = this.parts
 		const step = stepOf(task)
-		const works = step.expectedTime * (0.5 + random.fraction())
+		const works = (step.expectedTime * (0.5 + random.fraction())) / this.speed
 		const fails = this.failing || step.image === HOPELESS || random.chance(0.02)
 		const run: FleetRun = {
 			task,
--- a/packages/runs/src/lib/jobs/GangRegistry.ts
+++ b/packages/runs/src/lib/jobs/GangRegistry.ts
@@ -23,6 +23,10 @@
 	private readonly gangs = new Map<string, Gang>()
 	/** How many runs ended because the others did not come. */
 	alone = 0
+	/** How many gangs have worked. */
+	worked = 0
+	/** How many of them worked more slowly than their step declared, for a member's worker is slow. */
+	slow = 0
 
 	constructor(private readonly clock: Clock) {}
 
@@ -35,7 +39,10 @@
 		run.endsAt = this.clock.now() + PATIENCE
 		run.endsAs = RunEnd.Alone
 		if (gang.members.size < run.step.count || gang.over) return
-		const work = run.step.expectedTime
+		const slowest = Math.min(...[...gang.members].map(({ worker }) => worker.speed))
+		this.worked += 1
+		if (slowest < 1) this.slow += 1
+		const work = run.step.expectedTime / slowest
 		gang.worksUntil = this.clock.now() + work
 		for (const member of gang.members) {
 			member.endsAt = gang.worksUntil - (member.fails ? work * FAILS_AFTER : 0)
--- a/packages/runs/src/lib/jobs/JobRun.ts
+++ b/packages/runs/src/lib/jobs/JobRun.ts
@@ -53,6 +53,8 @@
 	readonly tellBorn?: boolean
 	/** Whether some tasks crash the workers that start them. */
 	readonly crashingTasks?: boolean
+	/** How fast each worker works, by its number; as fast as tasks declare if absent. */
+	readonly speedOf?: (worker: number) => number
 	/** What is asked of its leaders; nothing more than usual if absent. */
 	readonly policy?: LeaderPolicy
 }
@@ -66,6 +68,9 @@
 	readonly starts: number
 	/** Members of gangs that waited in vain for the others. */
 	readonly alone: number
+	/** How many gangs worked, and how many of them as slowly as a slow worker lets them. */
+	readonly gangs: number
+	readonly slowGangs: number
 	/** What crashing tasks did; undefined in a run without them. */
 	readonly crashes: CrashTally | undefined
 	readonly faults: { readonly [fault: string]: number }
@@ -141,6 +146,7 @@
 			witness,
 			service: SERVICE,
 			tellBorn: options.tellBorn ?? RESTARTS.some((fault) => this.faults.has(fault)),
+			speedOf: options.speedOf,
 			stepOf: (task) => this.stepOf(task),
 			mayRun: (task, worker, ticket) => this.mayRun(task, worker, ticket),
 			heldShare: () => this.faults.heldShare,
@@ -163,6 +169,8 @@
 			leaders: this.term,
 			starts: this.witness.starts,
 			alone: this.fleet.gangs.alone,
+			gangs: this.fleet.gangs.worked,
+			slowGangs: this.fleet.gangs.slow,
 			crashes: this.crashing?.tally,
 			faults: this.faults.counts,
 		}
