--- a/packages/jobs/src/lib/speeds/SiblingTimes.ts
+++ b/packages/jobs/src/lib/speeds/SiblingTimes.ts
@@ -3,7 +3,7 @@
  * declares comes in, so an error of it, which all siblings share, can't show as the speed of a worker.
  */
 
-/** Milliseconds for which evidence counts in full, then half, and so on: a worker may be slow for seconds only. */
+/** Milliseconds in which the weight of evidence halves: a worker may be slow for seconds only. */
 const HALF_LIFE = 3000
 /** Milliseconds after which evidence is dropped. */
 const KEPT = 12_000
--- a/packages/jobs/src/lib/speeds/WorkerSpeeds.ts
+++ b/packages/jobs/src/lib/speeds/WorkerSpeeds.ts
@@ -8,7 +8,7 @@
 /** Speed under which a worker is called slow, as a share of the median. */
 const SLOW_BELOW = 0.75
 /** Speed above which it is no longer. */
-const SLOW_UNTIL = 0.85
+const SLOW_UNTIL = 0.8
 /** Standard errors by which a speed must be off before a worker is called slow: wrong for fewer than 1 in 100. */
 const CERTAIN = 2.5
 
