What an account has reserved at each service, room that is kept for a step, and weighted max-min fairness, as the parts shares need

Cause: an account's use was known for the whole cell only, and the division of room by weight existed for teams as an order alone. QuotaAccount keeps what is reserved at each service, changed with each claim; the dominant share is one function for accounts and teams.

--- a/packages/jobs/src/lib/leader/runs/Run.ts
+++ b/packages/jobs/src/lib/leader/runs/Run.ts
@@ -27,6 +27,8 @@
 	readonly worker: string
 	/** What is reserved for it. */
 	readonly need: Resources
+	/** The service at whose workers it runs. */
+	readonly service: string
 	/** Whether it is of the highest priority. */
 	readonly urgent: boolean
 	/** The account of its job; undefined for none. */
--- a/packages/jobs/src/lib/leader/runs/RunController.ts
+++ b/packages/jobs/src/lib/leader/runs/RunController.ts
@@ -13,7 +13,7 @@
 import { LeaderEvent } from '../LeaderEvent'
 import { Pacing } from './Pacing'
 import { Refusal, type PollResult, type OrderResult } from '../ports'
-import { claimAgain, reservedFor, unclaim } from '../steps/reservation'
+import { claimAgain, claimOf, unclaim } from '../steps/reservation'
 import { RunPhase, type Run } from './Run'
 import { WorkerEnd } from '../workers/WorkerEnd'
 import type { WorkerRegistry } from '../workers/WorkerRegistry'
@@ -112,9 +112,7 @@
 		const job = this.context.state.jobs.find(name.job)
 		const decision = this.takeDecision(formatTaskName(name))
 		if (!job) return
-		const step = job.request.steps[name.step]
-		const urgent = decision?.urgent ?? false
-		const claimed = { step, need: reservedFor(step), urgent, account: this.accounts.of(job) }
+		const claimed = claimOf(job, name.step, decision?.urgent ?? false, this.accounts.of(job))
 		unclaim(this.context.ledger, worker, claimed)
 	}
 
@@ -248,15 +246,12 @@
 		const { urgent, yields } =
 			decision ?? this.precedence.standingOf(job.queue, step, now, job.beyondRate)
 		const run: Run = {
+			...claimOf(job, name.step, urgent, this.accounts.of(job)),
 			text,
 			name,
-			step,
 			attempt,
 			worker,
-			need: reservedFor(step),
-			urgent,
 			yields,
-			account: this.accounts.of(job),
 			times: timesOf(job, name.repeat, name.step, job.queue),
 			ticket: decision?.ticket ?? '',
 			ticketed: job.queue.advice !== undefined,
--- a/packages/jobs/src/lib/leader/steps/StepWork.ts
+++ b/packages/jobs/src/lib/leader/steps/StepWork.ts
@@ -29,6 +29,8 @@
 	readonly step: Step
 	readonly record: StepRecord
 	readonly need: Resources
+	/** The service at whose workers it runs, as it was configured when its job was accepted. */
+	readonly service: string
 	/** Whether it is of the highest priority at its service. */
 	readonly urgent: boolean
 	/** Whether it leaves room for what is. */
@@ -72,6 +74,7 @@
 		this.step = job.request.steps[number]
 		this.record = job.repeats[repeat][number]
 		this.need = reservedFor(this.step)
+		this.service = job.queue.service
 		this.urgent = standing.urgent
 		this.yields = standing.yields
 		const { priority } = queue
--- a/packages/jobs/src/lib/leader/steps/reservation.ts
+++ b/packages/jobs/src/lib/leader/steps/reservation.ts
@@ -2,6 +2,7 @@
 import type { Ledger, QuotaAccount, Resources } from '@rillrudder/scheduler'
 import { countedFor } from '../../accounts/AccountUsage'
 import type { Step } from '../../records/Job'
+import type { JobRecord } from '../../state/JobRecord'
 
 /** @returns what is reserved on its worker for a task of a step. @internal */
 export function reservedFor(step: Step): Resources {
@@ -13,20 +14,34 @@
 	readonly step: Step
 	/** See {@link reservedFor}. */
 	readonly need: Resources
+	/** The service at whose workers it runs. */
+	readonly service: string
 	/** Whether it is of the highest priority. */
 	readonly urgent: boolean
 	/** The account of its job; undefined for none. */
 	readonly account: QuotaAccount | undefined
 }
 
+/** @returns what a task of a job's step claims. @internal */
+export function claimOf(
+	{ request, queue }: JobRecord,
+	number: number,
+	urgent: boolean,
+	account: QuotaAccount | undefined
+): Claim {
+	const step = request.steps[number]
+	return { step, need: reservedFor(step), service: queue.service, urgent, account }
+}
+
 /** @returns whether the worker had the room, which is then taken. @internal */
 export function claim(
 	ledger: Ledger,
 	worker: string,
-	{ step, need, urgent, account }: Claim
+	{ step, need, service, urgent, account }: Claim
 ): boolean {
 	if (!ledger.reserve(worker, need, urgent)) return false
 	account?.take(countedFor(step))
+	account?.reserve(service, need)
 	return true
 }
 
@@ -34,18 +49,20 @@
 export function claimAgain(
 	ledger: Ledger,
 	worker: string,
-	{ step, need, urgent, account }: Claim
+	{ step, need, service, urgent, account }: Claim
 ): void {
 	ledger.restore(worker, need, urgent)
 	account?.take(countedFor(step))
+	account?.reserve(service, need)
 }
 
 /** Gives back what a task had. @internal */
 export function unclaim(
 	ledger: Ledger,
 	worker: string,
-	{ step, need, urgent, account }: Claim
+	{ step, need, service, urgent, account }: Claim
 ): void {
 	ledger.release(worker, need, urgent)
 	account?.giveBack(countedFor(step))
+	account?.release(service, need)
 }
--- a/packages/jobs/src/lib/placement/Reservations.ts
+++ b/packages/jobs/src/lib/placement/Reservations.ts
@@ -30,6 +30,8 @@
 	readonly next: number
 	/** For the last one that waits. */
 	readonly last: number
+	/** How much room is kept. */
+	readonly room: Resources
 }
 
 /** A place for one task, once it is free. */
@@ -114,7 +116,8 @@
 			const until = work.step.gang ? last : at
 			this.byWorker.set(worker, [...kept, { work, room: times(work.need, count), at: until }])
 		}
-		this.expected.set(work, { next: work.step.gang ? last : first, last })
+		const room = times(work.need, places.length)
+		this.expected.set(work, { next: work.step.gang ? last : first, last, room })
 		this.counts.set(work.queue.service, this.countOf(work) + 1)
 	}
 
--- a/packages/scheduler/src/index.ts
+++ b/packages/scheduler/src/index.ts
@@ -17,7 +17,9 @@
 	type Start,
 	type Task,
 } from './lib/placement/Task'
+export { maxMinLevel, type Contender } from './lib/placement/maxMinLevel'
 export {
+	dominantShare,
 	isWithin,
 	QuotaAccount,
 	scaled,
--- a/packages/scheduler/src/lib/placement/QuotaAccount.ts
+++ b/packages/scheduler/src/lib/placement/QuotaAccount.ts
@@ -23,15 +23,37 @@
  */
 export class QuotaAccount {
 	used: Resources = NOTHING
+	/** What it has reserved at each service, where that is told. */
+	private readonly reserved = new Map<string, Resources>()
 
 	constructor(public terms: QuotaTerms) {}
 
+	/** Its weight as a number to divide by. */
+	get weight(): number {
+		return Math.max(LEAST_WEIGHT, this.terms.weight)
+	}
+
 	/** The largest share of any resource that it uses, against its weight. */
 	share(total: Resources): number {
-		const cpu = this.used.cpu / Math.max(1, total.cpu)
-		const memory = this.used.memory / Math.max(1, total.memory)
-		const accelerators = this.used.accelerators / Math.max(1, total.accelerators)
-		return Math.max(cpu, memory, accelerators) / Math.max(LEAST_WEIGHT, this.terms.weight)
+		return dominantShare(this.used, total) / this.weight
+	}
+
+	/** @returns what it has reserved at a service. */
+	reservedAt(service: string): Resources {
+		return this.reserved.get(service) ?? NOTHING
+	}
+
+	/** Notes that it has reserved an amount at a service. */
+	reserve(service: string, amount: Resources): void {
+		this.reserved.set(service, plus(this.reservedAt(service), amount))
+	}
+
+	/** Notes that it has given an amount back at a service. */
+	release(service: string, amount: Resources): void {
+		const left = minus(this.reservedAt(service), amount)
+		const isNothing = left.cpu <= 0 && left.memory <= 0 && left.accelerators <= 0
+		if (isNothing) this.reserved.delete(service)
+		else this.reserved.set(service, left)
 	}
 
 	/** Whether the quota has room for that much more. */
@@ -50,6 +72,14 @@
 	}
 }
 
+/** @returns the largest share of any resource that an amount is of a total. @public */
+export function dominantShare(amount: Resources, total: Resources): number {
+	const cpu = amount.cpu / Math.max(1, total.cpu)
+	const memory = amount.memory / Math.max(1, total.memory)
+	const accelerators = amount.accelerators / Math.max(1, total.accelerators)
+	return Math.max(cpu, memory, accelerators)
+}
+
 /** @returns a quota of so many times another. @public */
 export function scaled({ cpu, memory, accelerators }: Quota, factor: number): Quota {
 	const scale = (amount: number | undefined): number | undefined =>
--- /dev/null
+++ b/packages/scheduler/src/lib/placement/maxMinLevel.test.ts
@@ -0,0 +1,32 @@
+/** How scarce room is divided among those who want more than there is. */
+import assert from 'node:assert/strict'
+import { test } from 'node:test'
+import fc from 'fast-check'
+import { maxMinLevel, type Contender } from './maxMinLevel'
+
+test('what a modest one leaves goes to the others by weight', () => {
+	const modest = { weight: 1, most: 0.1 }
+	const greedy = { weight: 1, most: Infinity }
+	const heavy = { weight: 2, most: Infinity }
+	assert.ok(Math.abs(maxMinLevel([modest, greedy, heavy], 1) - 0.3) < 1e-9)
+	assert.equal(maxMinLevel([modest], 1), Infinity)
+	assert.equal(maxMinLevel([], 1), Infinity)
+})
+
+const contender: fc.Arbitrary<Contender> = fc.record({
+	weight: fc.double({ min: 0.1, max: 10, noNaN: true }),
+	most: fc.double({ min: 0, max: 2, noNaN: true }),
+})
+
+test('whatever is wanted, all room is given out or all wishes are met, and never more', () => {
+	fc.assert(
+		fc.property(fc.array(contender, { maxLength: 30 }), (contenders) => {
+			const level = maxMinLevel(contenders, 1)
+			const wanted = contenders.reduce((sum, { most }) => sum + most, 0)
+			const given = contenders
+				.map(({ weight, most }) => Math.min(most, weight * level))
+				.reduce((sum, part) => sum + part, 0)
+			assert.ok(Math.abs(given - Math.min(1, wanted)) < 1e-6)
+		})
+	)
+})
--- /dev/null
+++ b/packages/scheduler/src/lib/placement/maxMinLevel.ts
@@ -0,0 +1,34 @@
+/** Divides room among those who want it: by weight, and what one doesn't want goes to the others. */
+
+/** One that wants a part of the room. @public */
+export interface Contender {
+	/** Its part against the others' weights, above 0. */
+	readonly weight: number
+	/** The most that it can use, in the unit of the room; infinite for no limit. */
+	readonly most: number
+}
+
+/**
+ * Weighted max-min fairness: each contender gets its weight times the level, or the most that it can use.
+ *
+ * @param contenders - those who want room.
+ * @param room - what there is for them.
+ * @returns the level; infinite when there is room for all that they can use.
+ * @public
+ */
+export function maxMinLevel(contenders: readonly Contender[], room: number): number {
+	const byLevel = [...contenders].sort((left, right) => levelOf(left) - levelOf(right))
+	let weight = contenders.reduce((sum, contender) => sum + contender.weight, 0)
+	let left = Math.max(0, room)
+	for (const contender of byLevel) {
+		if (levelOf(contender) * weight >= left) return left / weight
+		left -= contender.most
+		weight -= contender.weight
+	}
+	return Number.POSITIVE_INFINITY
+}
+
+/** The level at which a contender has the most that it can use. */
+function levelOf({ most, weight }: Contender): number {
+	return most / weight
+}
