Fair shares when room is scarce: waiting work and advice ordered by weighted dominant-resource fairness among client accounts

Cause: room and advice went by latest start alone, so accounts that press made the others late with them, and each new leader pardoned them. Among accounts that wait for room at a service max-min fairness by weight gives each a share; use is the mean of what is held (kept room included) and was had of late; who is over goes behind others of the same rate, priority and usefulness, also within a pass. Advice goes to the account with least of it by weight. CellState.test: the version that is refused as too new follows the constant, since version 4 is known now; as strict as before.

--- a/apps/ctl/src/lib/jobPrinters.ts
+++ b/apps/ctl/src/lib/jobPrinters.ts
@@ -1,5 +1,5 @@
 /** Prints jobs for people. */
-import type { AccountSummary, JobExplanation, JobSummary } from '@rillrudder/jobs'
+import type { AccountSummary, JobExplanation, JobSummary, ServiceUse } from '@rillrudder/jobs'
 import { Delay, type LateJob } from './lateJobs'
 import { table } from './output'
 
@@ -53,6 +53,9 @@
 	if (losses.length > 0) table(LOSS_HEAD, losses)
 }
 
+/** Stands for a share of nothing, so that what is held can be compared with it. */
+const LEAST_SHARE = 0.001
+
 const ACCOUNT_HEAD = [
 	'account',
 	'weight',
@@ -64,6 +67,10 @@
 	'beyond rate',
 	'steps waiting',
 	'refused',
+	'may count on',
+	'holds',
+	'had',
+	'over its share',
 ]
 
 /** Prints client accounts; amounts as used of quota. @internal */
@@ -81,11 +88,24 @@
 			account.beyondRate,
 			account.waiting,
 			account.refused,
+			...sharesOf(account),
 		]
 	})
 	table(ACCOUNT_HEAD, rows)
 }
 
+/** Of the service where the account has most of what it may count on; the services where it is over its share. */
+function sharesOf({ services = [] }: AccountSummary): string[] {
+	if (services.length === 0) return ['', '', '', '']
+	const tightness = ({ held, share }: ServiceUse): number => held / Math.max(LEAST_SHARE, share)
+	const tightest = services.reduce((left, right) =>
+		tightness(right) > tightness(left) ? right : left
+	)
+	const over = services.filter((use) => use.over).map(({ service }) => service)
+	const { share, held, had } = tightest
+	return [...[share, held, had].map((part) => part.toFixed(3)), over.join(' ')]
+}
+
 function usedOf(used: number, quota: number | undefined): string {
 	return quota === undefined ? `${Math.round(used)}` : `${Math.round(used)}/${Math.round(quota)}`
 }
--- a/packages/jobs/src/lib/accounts/SendingRate.ts
+++ b/packages/jobs/src/lib/accounts/SendingRate.ts
@@ -1,7 +1,8 @@
 /** How fast each client account sends jobs: what is beyond its rate goes after the others' work. */
+import type { JobRecord } from '../state/JobRecord'
 
 /**
- * The jobs that accounts have sent of late. A new leader begins with none, which favours each account alike.
+ * The jobs that accounts have sent of late. A new leader begins with none, which favours each account alike, unless it is told of them.
  *
  * @internal
  */
@@ -12,6 +13,15 @@
 	/** @param window - milliseconds over which jobs are counted; a short burst within it is no offence. */
 	constructor(private readonly window: number) {}
 
+	/** Takes up the jobs within their rates that an earlier leader took, so that its loss pardons nobody. */
+	restore(jobs: Iterable<JobRecord>, now: number): void {
+		for (const { account, beyondRate, submitted } of jobs) {
+			if (!account || beyondRate || now - submitted >= this.window) continue
+			const recent = this.sent.get(account.name) ?? []
+			this.sent.set(account.name, [...recent, submitted])
+		}
+	}
+
 	/**
 	 * Counts a job.
 	 *
--- a/packages/jobs/src/lib/accounts/listAccounts.ts
+++ b/packages/jobs/src/lib/accounts/listAccounts.ts
@@ -1,6 +1,7 @@
 /** Tells operators what each client account has and may have. */
 import type { Resources } from '@rillrudder/scheduler'
 import type { AccountSummary } from '../leader/callers/calls'
+import type { ServiceStanding } from '../shares/AccountShares'
 import { isActive, type JobRecord } from '../state/JobRecord'
 import type { AccountUsage } from './AccountUsage'
 
@@ -16,6 +17,7 @@
  * @param work - their jobs.
  * @param refused - how many jobs of an account were refused.
  * @param total - what all workers offer.
+ * @param standings - what accounts have of each service, where they have shares of it.
  * @returns a line for each account, by name.
  * @internal
  */
@@ -23,7 +25,8 @@
 	usage: AccountUsage,
 	work: AccountWork,
 	refused: (account: string) => number,
-	total: Resources
+	total: Resources,
+	standings: readonly ServiceStanding[]
 ): AccountSummary[] {
 	const active = [...work.jobs].filter(isActive)
 	return [...usage.all()]
@@ -40,6 +43,9 @@
 				beyondRate: jobs.filter((job) => job.beyondRate).length,
 				waiting: work.waiting.get(name) ?? 0,
 				refused: refused(name),
+				services: standings
+					.filter((standing) => standing.account === account)
+					.map(({ service, share, held, had, over }) => ({ service, share, held, had, over })),
 			}
 		})
 		.sort((left, right) => left.name.localeCompare(right.name))
--- a/packages/jobs/src/lib/commands/CellCommand.ts
+++ b/packages/jobs/src/lib/commands/CellCommand.ts
@@ -3,14 +3,17 @@
 import { VError } from 'verror'
 import type { CellConfiguration, Queue, Worker } from '../records/Cell'
 import type { JobRequest, RunEnd } from '../records/Job'
+import type { HadShares } from '../shares/HadShares'
 import type { CrashEvidence } from '../state/TaskCrashes'
 
 /**
- * Version of the commands that is written. Version 1 says nothing of crashes, version 2 nothing of when workers started; both are
- * read as they are.
+ * Newest version of the commands. Version 1 says nothing of crashes, version 2 nothing of when workers started, version 3 nothing of
+ * what accounts had; all are read as they are.
  * @public
  */
-export const COMMAND_VERSION = 3
+export const COMMAND_VERSION = 4
+/** Version that is written of commands that say nothing of what accounts had, so that earlier programs read them. */
+const VERSION_WITHOUT_SHARES = 3
 
 /** A run that begins. @public */
 export interface Begin {
@@ -76,6 +79,8 @@
 	/** Tasks under which workers crashed have been at work for long without harm. */
 	| { readonly kind: 'cleared'; readonly tasks: readonly string[] }
 	| { readonly kind: 'forget'; readonly jobs: readonly string[] }
+	/** What accounts had of late; it takes the place of what was noted before. */
+	| { readonly kind: 'shares'; readonly had: HadShares }
 
 interface Batch {
 	readonly version: number
@@ -84,7 +89,9 @@
 
 /** @returns the bytes of one log entry. @public */
 export function encodeCommands(commands: readonly CellCommand[]): Uint8Array {
-	const batch: Batch = { version: COMMAND_VERSION, commands }
+	const hasShares = commands.some(({ kind }) => kind === 'shares')
+	const version = hasShares ? COMMAND_VERSION : VERSION_WITHOUT_SHARES
+	const batch: Batch = { version, commands }
 	return Buffer.from(JSON.stringify(batch))
 }
 
--- a/packages/jobs/src/lib/leader/JobController.ts
+++ b/packages/jobs/src/lib/leader/JobController.ts
@@ -9,6 +9,7 @@
 import { isActive, type JobRecord } from '../state/JobRecord'
 import { Suspicion, suspicionOf } from '../state/TaskCrashes'
 import { AccountUsage } from '../accounts/AccountUsage'
+import { LeaderShares } from '../shares/LeaderShares'
 import { listAccounts } from '../accounts/listAccounts'
 import type { AccountSummary, CellCall, CellReply } from './callers/calls'
 import { ClientCalls } from './callers/ClientCalls'
@@ -48,6 +49,7 @@
 	private readonly steps: StepScheduler
 	private readonly clients: ClientCalls
 	private readonly accounts: AccountUsage
+	private readonly shares: LeaderShares
 	private readonly reconciliation: Reconciliation
 	private fullPassDue = 0
 	private forgetDue = 0
@@ -60,6 +62,7 @@
 			state.configuration?.accounts ?? [],
 			context.timing.quotaTolerance
 		)
+		this.shares = new LeaderShares(context, this.accounts)
 		this.workers = new WorkerRegistry(context, this.accounts, {
 			polled: (view, result, sentAt) => this.runs.polled(view, result, sentAt),
 		})
@@ -68,7 +71,8 @@
 			ticketRefused: (task, worker) => this.steps.ticketRefused(task, worker),
 			moved: (task, worker) => this.steps.movedAway(task, worker),
 		})
-		this.steps = new StepScheduler(context, this.workers, this.runs, this.precedence, this.accounts)
+		const { workers, runs, precedence, accounts, shares } = this
+		this.steps = new StepScheduler(context, workers, runs, precedence, accounts, shares)
 		this.clients = new ClientCalls(context)
 		this.reconciliation = new Reconciliation(context, this.steps)
 		for (const job of state.jobs.all()) this.takeUp(job)
@@ -86,6 +90,7 @@
 		meter.gauge(Measure.Runs, this.runs.size)
 		meter.gauge(Measure.Configuration, state.configuration?.version ?? 0)
 		this.steps.measure()
+		this.shares.measure()
 		this.workers.measure()
 	}
 
@@ -165,6 +170,7 @@
 		this.runs.tick(now)
 		this.steps.tick(now)
 		this.reconciliation.tick(now)
+		this.shares.tick(now)
 		if (now >= this.forgetDue) this.forgetOld(now)
 		this.place()
 	}
@@ -197,7 +203,7 @@
 		const { state, ledger } = this.context
 		const work = { jobs: state.jobs.all(), waiting: this.steps.waitingByAccount() }
 		const refused = (name: string): number => this.clients.refusedOf(name)
-		return listAccounts(this.accounts, work, refused, ledger.total)
+		return listAccounts(this.accounts, work, refused, ledger.total, [...this.shares.rooms.all()])
 	}
 
 	private configure(configuration: CellConfiguration, reply: Reply): void {
--- a/packages/jobs/src/lib/leader/LeaderEvent.ts
+++ b/packages/jobs/src/lib/leader/LeaderEvent.ts
@@ -98,6 +98,14 @@
 	WorkerStalled: 'worker-stalled',
 	/** A worker refused an order; `task`, `attempt`, `worker`, `reason`, the `order`. */
 	OrderRefused: 'order-refused',
+	/**
+	 * A client account has more of a service than its share while others wait for room, so its waiting work goes behind theirs; `account`,
+	 * `service`, its `share` of the room, what it has `held` now and `had` on the mean of late (each from 0 to 1), how many accounts wait
+	 * there (`contenders`), for how many milliseconds this leader has `observed` that itself.
+	 */
+	ShareExceeded: 'share-exceeded',
+	/** The account is within its share again, or nobody else waits; the fields of `share-exceeded`. */
+	ShareRegained: 'share-regained',
 	/** Advice is asked; `step`, `workers`. Debug level. */
 	AdviceAsked: 'advice-asked',
 	/** Advice came, or with `outcome` and `reason` it did not; `step`, `good`, `asked`, `took` milliseconds. */
--- a/packages/jobs/src/lib/leader/advice/AdvicePlanner.ts
+++ b/packages/jobs/src/lib/leader/advice/AdvicePlanner.ts
@@ -3,6 +3,8 @@
  * each instance, and some queues' answers take twenty times as long as others': those may not take every
  * instance at once.
  */
+import type { AdviceClaim } from '../../shares/AdviceShares'
+import type { LeaderShares } from '../../shares/LeaderShares'
 import type { LeaderContext } from '../LeaderContext'
 import type { AdviceQuestion, AdviceResult } from '../ports'
 
@@ -34,6 +36,8 @@
 	readonly cost: number
 	/** Lower goes first. */
 	readonly rank: number
+	/** Whose account's time it takes, where accounts have shares of it; absent for nobody's. */
+	readonly claim?: AdviceClaim
 	readonly done: (result: AdviceResult) => void
 }
 
@@ -68,7 +72,10 @@
 	/** Until when instances that brought no answer are asked last. */
 	private readonly resting = new Map<string, number>()
 
-	constructor(private readonly context: LeaderContext) {}
+	constructor(
+		private readonly context: LeaderContext,
+		private readonly shares?: LeaderShares
+	) {}
 
 	/** Asks as soon as an instance is free. */
 	ask(question: PlannedQuestion): void {
@@ -146,12 +153,19 @@
 		let best: PlannedQuestion | undefined
 		for (const question of this.waiting) {
 			if (question.cost >= LONG && !long) continue
-			if (!best || question.rank < best.rank) best = question
+			if (!best || this.compare(question, best) < 0) best = question
 		}
 		if (best) this.waiting.splice(this.waiting.indexOf(best), 1)
 		return best
 	}
 
+	/** Below 0 when the first question goes before the second. */
+	private compare(left: PlannedQuestion, right: PlannedQuestion): number {
+		const byShare = this.shares?.inForce && left.claim && right.claim
+		const share = byShare ? this.shares.advice.compare(left.claim, right.claim) : 0
+		return share || left.rank - right.rank
+	}
+
 	private mostRested(free: readonly string[]): string {
 		return free.reduce((best, via) => (this.restsUntil(via) < this.restsUntil(best) ? via : best))
 	}
@@ -162,6 +176,8 @@
 		const asked = { attempt, giveUpAt: now + cost * PATIENCE_FACTOR + PATIENCE }
 		this.asked.set(via, asked)
 		attempt.pending += 1
+		const { claim } = attempt.question
+		if (claim && this.shares?.inForce) this.shares.advice.charge(claim, cost, now)
 		this.context.advisers.ask(via, { step, workers }, (result) => {
 			if (this.asked.get(via) !== asked) return
 			this.release(via, asked, result.kind === 'answered' ? undefined : now)
--- a/packages/jobs/src/lib/leader/advice/StepQuestions.ts
+++ b/packages/jobs/src/lib/leader/advice/StepQuestions.ts
@@ -4,6 +4,7 @@
 import { AdvicePlanner } from './AdvicePlanner'
 import { AllowedShare } from './AllowedShare'
 import type { Option } from '../steps/chooseForStep'
+import type { LeaderShares } from '../../shares/LeaderShares'
 import type { LeaderContext } from '../LeaderContext'
 import { LeaderEvent } from '../LeaderEvent'
 import type { AdviceResult } from '../ports'
@@ -26,8 +27,11 @@
 	private readonly planner: AdvicePlanner
 	private readonly shares = new AllowedShare()
 
-	constructor(private readonly context: LeaderContext) {
-		this.planner = new AdvicePlanner(context)
+	constructor(
+		private readonly context: LeaderContext,
+		accounts: LeaderShares
+	) {
+		this.planner = new AdvicePlanner(context, accounts)
 	}
 
 	/** Gives up answers that will not come. */
@@ -61,7 +65,8 @@
 		const rank = rankOf(work.urgency)
 		const done = (result: AdviceResult): void => this.advised(work, workers, now, result)
 		this.context.log.debug(LeaderEvent.AdviceAsked, { step: work.name, workers: workers.length })
-		this.planner.ask({ step: work.name, workers, cost, rank, done })
+		const claim = { account: work.account, urgency: work.urgency }
+		this.planner.ask({ step: work.name, workers, cost, rank, claim, done })
 	}
 
 	private advised(
--- a/packages/jobs/src/lib/leader/callers/ClientCalls.ts
+++ b/packages/jobs/src/lib/leader/callers/ClientCalls.ts
@@ -50,6 +50,9 @@
 
 	constructor(private readonly context: LeaderContext) {
 		this.rate = new SendingRate(context.timing.rateWindow)
+		if (context.policy.overload) {
+			this.rate.restore(context.state.jobs.all(), epochOf(context))
+		}
 		this.queues = new QueueTable(context.state.configuration)
 		this.access = new Access(context.state.configuration)
 	}
--- a/packages/jobs/src/lib/leader/callers/calls.ts
+++ b/packages/jobs/src/lib/leader/callers/calls.ts
@@ -25,6 +25,20 @@
 	readonly waiting: number
 	/** Its jobs refused since this leadership began. */
 	readonly refused: number
+	/** What it has of each service; empty where accounts have no shares. */
+	readonly services?: readonly ServiceUse[]
+}
+
+/** What an account has of a service; shares are of the largest resource, from 0 to 1. @public */
+export interface ServiceUse {
+	readonly service: string
+	/** What it may count on while others wait. */
+	readonly share: number
+	readonly held: number
+	/** What it had on the mean of late. */
+	readonly had: number
+	/** Whether its waiting work goes behind that of others. */
+	readonly over: boolean
 }
 
 /** Which jobs a list shows. @public */
--- a/packages/jobs/src/lib/leader/steps/StepScheduler.ts
+++ b/packages/jobs/src/lib/leader/steps/StepScheduler.ts
@@ -13,7 +13,8 @@
 import type { Precedence } from '../../placement/Precedence'
 import { Reservations } from '../../placement/Reservations'
 import { timesOf } from '../../placement/stepTimes'
-import { usefulnessOf } from '../../placement/Usefulness'
+import type { LeaderShares } from '../../shares/LeaderShares'
+import { StepShares } from '../../shares/StepShares'
 import { UrgentRoom } from '../../placement/UrgentRoom'
 import type { AccountUsage } from '../../accounts/AccountUsage'
 import { chooseForStep, hasRoom, type Option, type RoomCheck } from './chooseForStep'
@@ -23,6 +24,7 @@
 import { Preemption } from './Preemption'
 import { Quarantine } from './Quarantine'
 import { claim } from './reservation'
+import { stampsOf } from './stampsOf'
 import type { RunController } from '../runs/RunController'
 import { StepLog } from './StepLog'
 import { StepQuestions } from '../advice/StepQuestions'
@@ -31,9 +33,6 @@
 import { isBarred, waitOf, type Wait } from './waitReason'
 import type { WorkerRegistry } from '../workers/WorkerRegistry'
 
-/** What each open worker adds to its service's stamp: more than anything that comes free in a leadership. */
-const WORKER_STAMP = 1e9
-
 /** One pass over the waiting steps. */
 interface Pass {
 	readonly open: readonly Option[]
@@ -62,6 +61,7 @@
 	private readonly urgentRoom = new UrgentRoom()
 	private readonly reservations = new Reservations()
 	private readonly quarantine: Quarantine
+	private readonly shares: StepShares
 	/**
 	 * Whether a task may begin in a worker's room: it is kept neither for urgent work nor for a step that goes before, and
 	 * nothing of another job is isolated there.
@@ -76,10 +76,12 @@
 		private readonly workers: WorkerRegistry,
 		private readonly runs: RunController,
 		private readonly precedence: Precedence,
-		private readonly accounts: AccountUsage
+		private readonly accounts: AccountUsage,
+		shares: LeaderShares
 	) {
 		this.quarantine = new Quarantine(context.state, runs)
-		this.questions = new StepQuestions(context)
+		this.shares = new StepShares(context, accounts, shares)
+		this.questions = new StepQuestions(context, shares)
 		this.log = new StepLog(context)
 		this.waits = new StepWaits(context, (work) => this.waitOf(work))
 		this.preemption = new Preemption(context, runs, (work, option) => this.admits(work, option))
@@ -258,8 +260,8 @@
 	 * @param full - whether steps that found no room are tried although nothing has come free.
 	 */
 	place(now: number, full: boolean): void {
-		if (full && this.context.policy.overload) this.noteUsefulness()
 		if (this.stale) this.sort()
+		if (full && this.context.policy.overload && this.noteClaims(now)) this.sort()
 		if (full) this.waits.tell(this.order, (work) => this.isWaiting(work))
 		const due = this.order.filter((work) => !work.allPlaced && this.isReady(work))
 		if (due.length === 0 || !(full || this.hasNews(due))) return
@@ -269,7 +271,7 @@
 		const pass = { open, now, full }
 		this.urgentRoom.beginPass(open, now)
 		this.reservations.beginPass(now, full)
-		for (const work of due) {
+		for (const work of this.shares.inOrder(due)) {
 			const stamp = stamps.get(work.queue.service) ?? 0
 			if (!full && work.triedAt === stamp) continue
 			work.triedAt = stamp
@@ -287,13 +289,11 @@
 		return isStepReady(job, repeat, number)
 	}
 
-	/** What can't be in time any more lets those go first that can. */
-	private noteUsefulness(): void {
-		const epoch = epochOf(this.context)
-		for (const work of this.steps.values()) {
-			if (work.step.lasting) continue
-			if (work.note(usefulnessOf(work.times, epoch), false)) this.stale = true
-		}
+	/** What can't be in time any more, or is of an account over its share, lets others go first. */
+	private noteClaims(now: number): boolean {
+		const { order: steps, reservations } = this
+		const waits = (work: StepWork): boolean => this.isWaiting(work)
+		return this.shares.note({ steps, workers: this.workers.all(), waits, reservations }, now)
 	}
 
 	private sort(): void {
@@ -468,16 +468,6 @@
 	}
 }
 
-/** For each service a number that changes when something came free at its open workers, or their number changed. */
-function stampsOf(open: readonly Option[]): Map<string, number> {
-	const stamps = new Map<string, number>()
-	for (const { view, account } of open) {
-		const { service } = view.worker
-		stamps.set(service, (stamps.get(service) ?? 0) + account.releases + WORKER_STAMP)
-	}
-	return stamps
-}
-
 function nameOf(task: TaskName): string {
 	return stepName(task.job, task.repeat, task.step)
 }
--- /dev/null
+++ b/packages/jobs/src/lib/shares/AdviceShares.ts
@@ -0,0 +1,83 @@
+/** How client accounts share the time of the instances that ask for advice. */
+import type { QuotaAccount } from '@rillrudder/scheduler'
+import type { Urgency } from '../placement/StepUrgency'
+
+/** Milliseconds over which the time that an account's questions took is kept in mind. */
+const HAD_SPAN = 10_000
+/** Milliseconds below which it is forgotten. */
+const LEAST_HAD = 1
+
+/** Who asks a question, and how urgent its step is. @internal */
+export interface AdviceClaim {
+	/** Undefined for a job that belongs to none. */
+	readonly account: QuotaAccount | undefined
+	readonly urgency: Urgency
+}
+
+/** The time that an account's questions took of late, as it is replicated. @public */
+export interface HadAdvice {
+	readonly account: string
+	/** Milliseconds, the later ones counted more. */
+	readonly time: number
+}
+
+/**
+ * The advice that accounts had of late. It orders questions and holds none back, so that no instance rests while one waits.
+ *
+ * @internal
+ */
+export class AdviceShares {
+	private readonly times = new Map<string, number>()
+
+	/** @param countedAt - when what is restored was noted, on the leader's clock. */
+	constructor(private countedAt: number) {}
+
+	/** Takes up what an account had. */
+	restore({ account, time }: HadAdvice): void {
+		this.times.set(account, time)
+	}
+
+	/** A question is asked that keeps an instance busy for some milliseconds. */
+	charge({ account }: AdviceClaim, cost: number, now: number): void {
+		if (!account) return
+		this.age(now)
+		const { name } = account.terms
+		this.times.set(name, (this.times.get(name) ?? 0) + cost)
+	}
+
+	/**
+	 * Orders questions of one priority and usefulness: the account that had least advice by its weight goes first.
+	 *
+	 * @returns below 0 when the first goes before, 0 when shares make no difference.
+	 */
+	compare(left: AdviceClaim, right: AdviceClaim): number {
+		return compareTier(left.urgency, right.urgency) || this.useOf(left) - this.useOf(right)
+	}
+
+	/** What accounts had, in their order. */
+	had(now: number): HadAdvice[] {
+		this.age(now)
+		return [...this.times].map(([account, time]) => ({ account, time: Math.round(time) }))
+	}
+
+	/** What belongs to no account goes with the accounts that had nothing. */
+	private useOf({ account }: AdviceClaim): number {
+		return account ? (this.times.get(account.terms.name) ?? 0) / account.weight : 0
+	}
+
+	private age(now: number): void {
+		const factor = Math.exp(-Math.max(0, now - this.countedAt) / HAD_SPAN)
+		this.countedAt = now
+		for (const [account, time] of this.times) {
+			const left = time * factor
+			if (left < LEAST_HAD) this.times.delete(account)
+			else this.times.set(account, left)
+		}
+	}
+}
+
+/** Orders what shares never turn round: within a rate first, then priority, then usefulness. @internal */
+export function compareTier(left: Urgency, right: Urgency): number {
+	const rate = Number(left.beyondRate) - Number(right.beyondRate)
+	return rate || left.priority - right.priority || left.usefulness - right.usefulness
+}
--- a/packages/jobs/src/lib/state/CellState.test.ts
+++ b/packages/jobs/src/lib/state/CellState.test.ts
@@ -2,7 +2,7 @@
 import { test } from 'node:test'
 import { COMMAND_VERSION, encodeCommands, type CellCommand } from '../commands/CellCommand'
 import { jobOf, QUEUE, workerNamed } from '../testing/samples'
-import { CellState } from './CellState'
+import { CellState, SNAPSHOT_VERSION } from './CellState'
 import { RunEnd } from '../records/Job'
 import type { Change } from './Change'
 import { TaskStatus } from './JobRecord'
@@ -120,5 +120,22 @@
 	older.restore(Buffer.from(JSON.stringify({ ...snapshot, version: 2 })))
 	assert.equal(older.workers.named('w1')?.worker.born, undefined)
 	assert.equal(older.workers.named('w1')?.worker.id, 'w1')
-	assert.throws(() => older.restore(Buffer.from(JSON.stringify({ ...snapshot, version: 4 }))))
+	const later = { ...snapshot, version: SNAPSHOT_VERSION + 1 }
+	assert.throws(() => older.restore(Buffer.from(JSON.stringify(later))))
+})
+
+test('what accounts had outlives a snapshot; a state that knows nothing of it is written as before', () => {
+	const { state } = stateWith(JOIN)
+	const versionOf = (bytes: Uint8Array): unknown =>
+		(JSON.parse(Buffer.from(bytes).toString()) as { version: number }).version
+	assert.equal(versionOf(state.snapshot()), 3)
+	assert.equal(versionOf(encodeCommands([JOIN])), 3)
+	const rooms = [{ account: 'town', service: 'checks-service', share: 0.25 }]
+	const had = { at: 7, rooms, advice: [{ account: 'town', time: 900 }] }
+	state.apply(encodeCommands([{ kind: 'shares', had }]))
+	const next = new CellState()
+	next.restore(state.snapshot())
+	assert.deepEqual(next.shares, had)
+	assert.equal(versionOf(state.snapshot()), SNAPSHOT_VERSION)
+	assert.equal(versionOf(encodeCommands([{ kind: 'shares', had }])), COMMAND_VERSION)
 })
--- a/packages/jobs/src/lib/state/CellState.ts
+++ b/packages/jobs/src/lib/state/CellState.ts
@@ -5,16 +5,21 @@
 import { decodeCommands, type Begin, type CellCommand } from '../commands/CellCommand'
 import type { CellConfiguration, Worker } from '../records/Cell'
 import { workerNameOf } from '../records/Incarnation'
+import type { HadShares } from '../shares/HadShares'
 import type { Change } from './Change'
 import { JobTable } from './JobTable'
 import type { JobRecord } from './JobRecord'
 import { KnownWorkers, type KnownWorkersSnapshot } from './KnownWorkers'
 
 /**
- * Version of the snapshot that is written. Version 1 has no crashes of workers, version 2 does not say when workers started; both are
- * absent then.
+ * Newest version of the snapshot. Version 1 has no crashes of workers, version 2 does not say when workers started, version 3 not what
+ * accounts had; these are absent then.
+ *
+ * @internal
  */
-const SNAPSHOT_VERSION = 3
+export const SNAPSHOT_VERSION = 4
+/** Version that is written of a state that does not know what accounts had, so that earlier programs read it. */
+const VERSION_WITHOUT_SHARES = 3
 
 type GoneCommand = Extract<CellCommand, { readonly kind: 'gone' }>
 type SubmitCommand = Extract<CellCommand, { readonly kind: 'submit' }>
@@ -24,6 +29,7 @@
 	readonly configuration?: CellConfiguration
 	readonly workers: KnownWorkersSnapshot
 	readonly jobs: readonly JobRecord[]
+	readonly shares?: HadShares
 }
 
 /**
@@ -36,6 +42,8 @@
 	readonly workers = new KnownWorkers()
 	/** The newest configuration; absent before the first. */
 	configuration: CellConfiguration | undefined
+	/** What accounts had of late, as a leader last noted it; absent where none did. */
+	shares: HadShares | undefined
 	/** Told of each change while set. */
 	observer: ((change: Change) => void) | undefined
 
@@ -45,10 +53,11 @@
 
 	override snapshot(): Uint8Array {
 		const kept: CellSnapshot = {
-			version: SNAPSHOT_VERSION,
+			version: this.shares ? SNAPSHOT_VERSION : VERSION_WITHOUT_SHARES,
 			configuration: this.configuration,
 			workers: this.workers.snapshot(),
 			jobs: this.jobs.snapshot(),
+			shares: this.shares,
 		}
 		return Buffer.from(JSON.stringify(kept))
 	}
@@ -62,6 +71,7 @@
 		this.configuration = kept.configuration
 		this.workers.restore(kept.workers)
 		this.jobs.restore(kept.jobs)
+		this.shares = kept.shares
 	}
 
 	private run(command: CellCommand): void {
@@ -91,6 +101,9 @@
 				return this.jobs.cleared(command.tasks)
 			case 'forget':
 				return this.jobs.forget(command.jobs)
+			case 'shares':
+				this.shares = command.had
+				return
 			default:
 				return exhaustive(command)
 		}
--- a/packages/telemetry/src/lib/Meter.ts
+++ b/packages/telemetry/src/lib/Meter.ts
@@ -57,6 +57,12 @@
 	StepsWaiting: 'steps_waiting',
 	/** Gauge by `reason`, milliseconds: for how long the step waits that waits longest for it. */
 	OldestWait: 'oldest_wait_ms',
+	/** Gauge by `account` and `service`, for fifty of them at most: the share of the room that it may count on, from 0 to 1. */
+	AccountShare: 'account_share',
+	/** Gauge by `account` and `service`, for the same ones: the share of the room that it holds. */
+	AccountUse: 'account_use',
+	/** Counter: times that a client account went over its share of a service. */
+	SharesExceeded: 'shares_exceeded_total',
 	/** Gauge: voters of the group. */
 	Voters: 'voters',
 	/** Gauge: version of the configuration in force. */
