--- a/packages/runs/src/lib/jobs/JobRun.ts
+++ b/packages/runs/src/lib/jobs/JobRun.ts
@@ -9,6 +9,7 @@
 	PLAIN_POLICY,
 	type CellConfiguration,
 	type CellReply,
+	type JobRecord,
 	type LeaderPolicy,
 	type Queue,
 } from '@rillrudder/jobs'
@@ -25,6 +26,8 @@
 import { randomJob } from './randomJob'
 import { checkOutcome, type Asked } from './checkOutcome'
 import { CrashingTasks, type CrashTally } from './CrashingTasks'
+import type { CallerAccounts } from './CallerAccounts'
+import { CompetingAccounts, rateOf, type Competition } from './CompetingAccounts'
 import { RunAccounts } from './RunAccounts'
 import { RunAdvisers } from './RunAdvisers'
 import { RunLog } from './RunLog'
@@ -49,6 +52,8 @@
 	readonly faults?: readonly JobFault[]
 	/** Whether callers belong to accounts, whose keys and quotas change. */
 	readonly accounts?: boolean
+	/** How callers' accounts compete, in place of accounts whose keys and quotas change; gives the rate of jobs too. */
+	readonly competition?: Competition
 	/** Whether workers say when they started; they do where they start again under their names. */
 	readonly tellBorn?: boolean
 	/** Whether some tasks crash the workers that start them. */
@@ -108,7 +113,8 @@
 	readonly clock = new ManualClock()
 	readonly random: Random
 	readonly witness: JobInvariants
-	private readonly accounts: RunAccounts | undefined
+	private readonly accounts: CallerAccounts | undefined
+	private readonly competing: CompetingAccounts | undefined
 	private readonly crashing: CrashingTasks | undefined
 	private version = 0
 	readonly fleet: Fleet
@@ -129,7 +135,9 @@
 	/** @param options - seed and rates. */
 	constructor(private readonly options: JobRunOptions) {
 		this.random = new Random(options.seed)
-		this.accounts = options.accounts ? new RunAccounts(options.seed) : undefined
+		const { seed, competition } = options
+		this.competing = competition && new CompetingAccounts(seed, competition)
+		this.accounts = this.competing ?? (options.accounts ? new RunAccounts(seed) : undefined)
 		this.witness = new JobInvariants(this.accounts)
 		const { clock, random, witness } = this
 		this.crashing = options.crashingTasks ? this.crashingTasks() : undefined
@@ -168,6 +176,11 @@
 		}
 	}
 
+	/** All jobs that are kept. */
+	get jobs(): Iterable<JobRecord> {
+		return this.state.jobs.all()
+	}
+
 	/** Lets clients hand jobs in and things go wrong for a span, in milliseconds. */
 	run(span: number): void {
 		const until = this.clock.now() + span
@@ -348,13 +361,16 @@
 
 	private handIn(): void {
 		const { clock, random, options, witness } = this
-		this.nextJobAt = clock.now() + random.exponential(1000 / options.jobRate)
+		const rate = options.competition ? rateOf(options.competition) : options.jobRate
+		this.nextJobAt = clock.now() + random.exponential(1000 / rate)
 		const id = random.integer(0, 0x7fffffff).toString(16).padStart(16, '0')
 		if (this.asked.has(id)) return
-		const request = randomJob(random, clock.date().getTime())
+		const request = this.competing?.request(random) ?? randomJob(random, clock.date().getTime())
 		// A policy that bars every worker with the label would make the job one that can never run.
 		const plain = request.steps.every((step) => !step.lasting && step.requires === '')
-		const queue = plain ? random.pick(QUEUES) : QUEUES[0]
+		// Shares order work of one priority.
+		const mixed = plain && !this.competing
+		const queue = mixed ? random.pick(QUEUES) : QUEUES[0]
 		const job = {
 			id,
 			request,
--- a/packages/runs/src/lib/jobs/RunAccounts.ts
+++ b/packages/runs/src/lib/jobs/RunAccounts.ts
@@ -6,7 +6,8 @@
 import { digestOf, parseTaskName, type ClientAccount, type JobRequest } from '@rillrudder/jobs'
 import { isWithin, minus, NOTHING, plus, type Quota, type Resources } from '@rillrudder/scheduler'
 import { invariant, Random } from '@rillrudder/utils'
-import type { JobWitness, WitnessedRun } from './JobInvariants'
+import { CallerAccounts } from './CallerAccounts'
+import type { WitnessedRun } from './JobInvariants'
 
 /** Milliseconds after its confirmation for which an older quota may still be obeyed. */
 const OBEYED_WITHIN = 2500
@@ -40,7 +41,7 @@
  *
  * @internal
  */
-export class RunAccounts implements JobWitness {
+export class RunAccounts extends CallerAccounts {
 	private readonly random: Random
 	private readonly quotas: number[] = NAMES.map(() => QUOTAS[1])
 	private readonly generations: number[] = NAMES.map(() => 0)
@@ -53,11 +54,11 @@
 
 	/** @param seed - of the run. */
 	constructor(seed: number) {
+		super()
 		this.random = new Random(seed ^ STREAM)
 	}
 
-	/** The accounts of the next configuration, which may be in force from now on. */
-	send(): ClientAccount[] {
+	override send(): ClientAccount[] {
 		return NAMES.map((name, index) => {
 			const quota = { cpu: this.quotas[index] }
 			this.terms[index].push({ quota, until: Number.POSITIVE_INFINITY })
@@ -65,15 +66,13 @@
 		})
 	}
 
-	/** The newest configuration was confirmed. */
-	confirmed(now: number): void {
+	override confirmed(now: number): void {
 		for (const terms of this.terms) {
 			for (const term of terms.slice(0, -1)) term.until = Math.min(term.until, now)
 		}
 	}
 
-	/** @returns whether a change is due; it is made then. */
-	change(now: number): boolean {
+	override change(now: number): boolean {
 		if (now < this.changeAt) return false
 		this.changeAt = now + this.random.exponential(CHANGE_EVERY)
 		const index = this.random.integer(0, NAMES.length - 1)
@@ -82,13 +81,11 @@
 		return true
 	}
 
-	/** Lifts all quotas, so that nothing has to wait for one. */
-	lift(): void {
+	override lift(): void {
 		this.quotas.fill(LIFTED)
 	}
 
-	/** A client hands a job in. @returns the digest of the key that it shows. */
-	owned(id: string, request: JobRequest): string {
+	override owned(id: string, request: JobRequest): string {
 		const known = this.jobs.get(id)
 		if (known) return digestOf(known.key)
 		const stranger = this.random.chance(STRANGERS)
@@ -98,7 +95,7 @@
 		return digestOf(key)
 	}
 
-	began(worker: string, { task, late }: WitnessedRun, now: number): void {
+	override began(worker: string, { task, late }: WitnessedRun, now: number): void {
 		const name = parseTaskName(task)
 		const job = name && this.jobs.get(name.job)
 		if (!name || !job) return
@@ -108,7 +105,7 @@
 		if (!late) this.check(job.owner, amount, now, task)
 	}
 
-	ended(worker: string, task: string): void {
+	override ended(worker: string, task: string): void {
 		this.live.delete(`${worker} ${task}`)
 	}
 
