Work that is thrown away is told by its cause

Nobody could tell work that callers cancel from what a broken gang, a lost worker or we ourselves throw away. Each run that ends otherwise than done now tells its cause and the processor seconds that were lost with it, in its run-ended line and in a counter by cause; what a checkpoint keeps doesn't count. A run knows why it was told to stop. RunController gives its first record of a run and the telling of its end to modules of their own, and is shorter than before.

--- a/packages/jobs/src/lib/leader/LeaderEvent.ts
+++ b/packages/jobs/src/lib/leader/LeaderEvent.ts
@@ -80,7 +80,10 @@
 	TaskSuspected: 'task-suspected',
 	/** A task crashes its workers and begins no more, so its job has failed; `task`, the `workers`. */
 	TaskGivenUp: 'task-given-up',
-	/** A run ended, not as done; `task`, `attempt`, `worker`, `how`, the `phase` that it was in, for `ran` milliseconds. */
+	/**
+	 * A run ended, not as done; `task`, `attempt`, `worker`, `how`, the `phase` that it was in, for `ran` milliseconds, the `cause` and how many
+	 * processor seconds of its work were `wasted`.
+	 */
 	RunEnded: 'run-ended',
 	/**
 	 * A run is stopped to make room; `task`, `attempt`, `worker`, `percent` that it had done, `for` which step of
--- a/packages/jobs/src/lib/leader/runs/Run.ts
+++ b/packages/jobs/src/lib/leader/runs/Run.ts
@@ -3,6 +3,7 @@
 import type { RunProgress } from '../../placement/RunProgress'
 import type { StepTimes } from '../../placement/StepUrgency'
 import type { Step, TaskName } from '../../records/Job'
+import type { StopReason } from './WastedWork'
 
 /** What has been asked of a run's worker. @internal */
 export const RunPhase = {
@@ -57,6 +58,10 @@
 	retryAt: number
 	/** The newest checkpoint that its worker listed; empty for none. */
 	checkpoint: string
+	/** When that was first listed, on the leader's clock. */
+	checkpointAt: number
+	/** Why it was told to stop; absent before. */
+	stopReason: StopReason | undefined
 	/** How far it has got, from 0 to 100. */
 	percent: number
 	/** How fast it gets on, and when it is expected to end. */
--- a/packages/jobs/src/lib/leader/runs/RunController.ts
+++ b/packages/jobs/src/lib/leader/runs/RunController.ts
@@ -3,7 +3,6 @@
 import { formatTaskName, RunEnd, type TaskName } from '../../records/Job'
 import type { AccountUsage } from '../../accounts/AccountUsage'
 import type { Precedence, Standing } from '../../placement/Precedence'
-import { RunProgress } from '../../placement/RunProgress'
 import { timesOf } from '../../placement/stepTimes'
 import type { JobRecord, TaskRecord } from '../../state/JobRecord'
 import { tasksOf } from '../../state/JobTable'
@@ -14,7 +13,10 @@
 import { Pacing } from './Pacing'
 import { Refusal, type PollResult, type OrderResult } from '../ports'
 import { claimAgain, reservedFor, unclaim } from '../steps/reservation'
+import { newRun } from './newRun'
 import { RunPhase, type Run } from './Run'
+import { tellWaste } from './tellWaste'
+import { StopReason } from './WastedWork'
 import { WorkerEnd } from '../workers/WorkerEnd'
 import type { WorkerRegistry } from '../workers/WorkerRegistry'
 import type { WorkerView } from '../workers/WorkerView'
@@ -84,7 +86,7 @@
 		claimAgain(this.context.ledger, task.worker, run)
 		run.checkpoint = task.checkpoint
 		run.restored = true
-		if (!isActive(job) || task.finished) this.beginStop(run)
+		if (!isActive(job) || task.finished) this.beginStop(run, StopReason.Over)
 	}
 
 	/** Remembers a run that has been decided, until it begins or will not. */
@@ -126,27 +128,25 @@
 		this.runs.delete(text)
 		this.workers.find(worker)?.runs.delete(text)
 		unclaim(this.context.ledger, worker, run)
-		const { health, log, clock, meter } = this.context
+		const { health, clock, meter } = this.context
 		meter.count(Measure.RunsEnded, { how })
 		if (how === RunEnd.Done) health.succeeded(worker)
 		if (how === RunEnd.Failed) health.failed(worker, name.job, clock.now())
-		if (how === RunEnd.Done) return
-		const ran = Math.round(clock.now() - run.since)
-		log.info(LeaderEvent.RunEnded, { task: text, attempt, worker, how, phase: run.phase, ran })
+		if (how !== RunEnd.Done) tellWaste(this.context, run, how)
 	}
 
 	/** Stops everything that a job runs. */
 	stopJob(job: JobRecord): void {
 		for (const { text } of tasksOf(job)) {
 			const run = this.runs.get(text)
-			if (run) this.beginStop(run)
+			if (run) this.beginStop(run, StopReason.Over)
 		}
 	}
 
 	/** Stops the run of a task that an earlier run has done. */
 	stopTask(name: TaskName): void {
 		const run = this.runs.get(formatTaskName(name))
-		if (run) this.beginStop(run)
+		if (run) this.beginStop(run, StopReason.Over)
 	}
 
 	/** Stops a run so that a step of the highest priority finds room; it goes on from its checkpoint later. */
@@ -154,7 +154,7 @@
 		const { text: task, attempt, worker, percent } = run
 		this.context.log.info(LeaderEvent.RunPreempted, { task, attempt, worker, percent, for: step })
 		this.context.meter.count(Measure.Preemptions)
-		this.beginStop(run)
+		this.beginStop(run, StopReason.Preempted)
 	}
 
 	/** Stops what a leaving worker should not be caught with. */
@@ -163,7 +163,7 @@
 		const soon = view.leavesAt - now < timing.leaveMargin
 		for (const run of view.runs.values()) {
 			const movable = run.step.lasting || (soon && run.step.checkpoints)
-			if (movable && run.phase === RunPhase.Running) this.beginStop(run)
+			if (movable && run.phase === RunPhase.Running) this.beginStop(run, StopReason.Leaving)
 		}
 	}
 
@@ -186,8 +186,10 @@
 				continue
 			}
 			listed.add(task)
+			const now = this.context.clock.now()
+			if (checkpoint !== run.checkpoint) run.checkpointAt = now
 			Object.assign(run, { checkpoint, percent, measure, absent: 0 })
-			run.progress.read(percent, result.clock, this.context.clock.now())
+			run.progress.read(percent, result.clock, now)
 			this.clearIfHarmless(run)
 			if (run.phase === RunPhase.Starting) this.enter(run, RunPhase.Running)
 		}
@@ -238,7 +240,7 @@
 		this.context.log.info(LeaderEvent.RunMoved, { task, attempt, worker, percent })
 		this.context.meter.count(Measure.Moves)
 		this.listener.moved(run.name, worker)
-		this.beginStop(run)
+		this.beginStop(run, StopReason.Moved)
 	}
 
 	private add(text: string, name: TaskName, job: JobRecord, attempt: number, worker: string): Run {
@@ -247,36 +249,21 @@
 		const now = this.context.clock.now()
 		const { urgent, yields } =
 			decision ?? this.precedence.standingOf(job.queue, step, now, job.beyondRate)
-		const run: Run = {
+		const origin = {
 			text,
 			name,
 			step,
 			attempt,
 			worker,
-			need: reservedFor(step),
 			urgent,
 			yields,
 			account: this.accounts.of(job),
 			times: timesOf(job, name.repeat, name.step, job.queue),
 			ticket: decision?.ticket ?? '',
 			ticketed: job.queue.advice !== undefined,
-			restored: false,
-			phase: RunPhase.Starting,
-			since: now,
-			unanswered: 0,
 			suspected: this.isSuspected(text),
-			ordered: false,
-			confirmedAt: undefined,
-			busy: false,
-			retryAt: 0,
-			checkpoint: '',
-			percent: 0,
-			progress: new RunProgress(now, step.expectedTime),
-			measure: 0,
-			pace: 100,
-			absent: 0,
-			clearing: false,
 		}
+		const run = newRun(origin, now)
 		this.runs.set(text, run)
 		this.workers.find(worker)?.runs.set(text, run)
 		return run
@@ -301,8 +288,9 @@
 		run.retryAt = 0
 	}
 
-	private beginStop(run: Run): void {
+	private beginStop(run: Run, reason: StopReason): void {
 		if (run.phase === RunPhase.Stopping || run.phase === RunPhase.Stopped) return
+		run.stopReason = reason
 		this.enter(run, RunPhase.Stopping)
 		if (!run.busy) this.order(run)
 	}
@@ -357,7 +345,7 @@
 		const { log } = this.context
 		const name = account?.terms.name
 		log.info(LeaderEvent.RunWithdrawn, { task, attempt, worker, reason, account: name })
-		for (const member of this.withGang(run)) this.beginStop(member)
+		for (const member of this.withGang(run)) this.beginStop(member, StopReason.Withdrawn)
 	}
 
 	/** A run, or all runs of its gang: those that are left would wait for it in vain. */
@@ -443,7 +431,7 @@
 		if (reason === Refusal.Ticket) this.listener.ticketRefused(run.name, worker)
 		if (reason === Refusal.Unhealthy) health.failed(worker, run.name.job, clock.now())
 		// An earlier copy of the order may still be on its way; a stop makes sure that it does nothing.
-		if (run.unanswered > 0) this.beginStop(run)
+		if (run.unanswered > 0) this.beginStop(run, StopReason.Withdrawn)
 		else this.proposeEnd(run, RunEnd.Refused)
 	}
 
--- /dev/null
+++ b/packages/jobs/src/lib/leader/runs/WastedWork.test.ts
@@ -0,0 +1,90 @@
+/** Work that is thrown away is told by its cause, in processor seconds, when its run ends. */
+import assert from 'node:assert/strict'
+import { test } from 'node:test'
+import { LeaderSubject } from '../../testing/LeaderSubject'
+import { jobOf } from '../../testing/samples'
+import { LeaderEvent } from '../LeaderEvent'
+
+const JOB = '00000000000000aa'
+const TWO_PROCESSORS = { cpu: 2000, memory: 512, accelerators: 0 }
+
+interface Line {
+	readonly cause: string
+	readonly wasted: number
+}
+
+function endsOf(subject: LeaderSubject): Line[] {
+	return subject.lines
+		.filter((line) => line.includes(`"${LeaderEvent.RunEnded}"`))
+		.map((line) => JSON.parse(line) as Line)
+}
+
+async function counted(subject: LeaderSubject, cause: string): Promise<number> {
+	const line = (await subject.meter.text())
+		.split('\n')
+		.find((text) => text.includes(`wasted_processor_seconds_total{cause="${cause}"}`))
+	return Number(line?.split(' ').at(-1))
+}
+
+/** A task of two processors at work for three seconds on a worker. */
+function atWork(step: object = {}): LeaderSubject {
+	const subject = new LeaderSubject()
+	subject.heartbeat('w1')
+	subject.submit(JOB, jobOf({ need: TWO_PROCESSORS, ...step }))
+	subject.run(3000, 'w1')
+	return subject
+}
+
+test('work of a job that its caller cancels counts whole, whatever its checkpoint', async () => {
+	const subject = atWork({ checkpoints: true })
+	subject.worker('w1').running[0] = { ...subject.worker('w1').running[0], checkpoint: 'c1' }
+	subject.run(1000, 'w1')
+	subject.call({ kind: 'cancel', to: { id: JOB } })
+	subject.run(1000, 'w1')
+	const [{ cause, wasted }, ...more] = endsOf(subject)
+	assert.deepEqual(more, [])
+	assert.equal(cause, 'cancelled')
+	assert.ok(wasted > 7.5 && wasted < 10.5, `${wasted}`)
+	assert.ok(Math.abs((await counted(subject, 'cancelled')) - wasted) < 0.1)
+})
+
+test('of a run that fails only what came after its newest checkpoint counts', () => {
+	const subject = atWork({ checkpoints: true })
+	const [run] = subject.worker('w1').running
+	subject.worker('w1').running[0] = { ...run, checkpoint: 'c1' }
+	subject.run(1000, 'w1')
+	subject.worker('w1').end(`${JOB}.0.0.0`, 'failed', 'c1')
+	subject.run(500, 'w1')
+	const [{ cause, wasted }] = endsOf(subject)
+	assert.equal(cause, 'failed')
+	assert.ok(wasted > 1 && wasted < 3.5, `${wasted}`)
+})
+
+test('a gang tells the member that failed from those that it broke', () => {
+	const subject = atWork({ gang: true, count: 2, need: { ...TWO_PROCESSORS, cpu: 1000 } })
+	subject.worker('w1').end(`${JOB}.0.0.0`, 'failed')
+	subject.worker('w1').end(`${JOB}.0.0.1`, 'broken')
+	subject.run(500, 'w1')
+	assert.deepEqual(
+		endsOf(subject).map(({ cause }) => cause),
+		['failed', 'broken']
+	)
+})
+
+test('a run that is stopped as its worker leaves is told by that, and lasting work throws nothing away', () => {
+	const subject = atWork({ lasting: true })
+	subject.heartbeat('w1', {}, true, 20_000)
+	subject.run(1000, 'w1')
+	const [{ cause, wasted }] = endsOf(subject)
+	assert.equal(cause, 'leaving')
+	assert.equal(wasted, 0)
+})
+
+test('a run whose worker falls silent for good is lost', () => {
+	const subject = atWork()
+	subject.worker('w1').silent = true
+	subject.run(12_000)
+	const [{ cause, wasted }] = endsOf(subject)
+	assert.equal(cause, 'lost')
+	assert.ok(wasted > 5, `${wasted}`)
+})
--- /dev/null
+++ b/packages/jobs/src/lib/leader/runs/tellWaste.ts
@@ -0,0 +1,31 @@
+/** Tells, by a line and a counter, what was thrown away with a run. */
+import { Measure } from '@rillrudder/telemetry'
+import type { RunEnd } from '../../records/Job'
+import { isActive } from '../../state/JobRecord'
+import type { LeaderContext } from '../LeaderContext'
+import { LeaderEvent } from '../LeaderEvent'
+import type { Run } from './Run'
+import { wasteCauseOf, wastedBy } from './WastedWork'
+
+/**
+ * @param context - what the parts of the leader share.
+ * @param run - a run that has ended, not as done.
+ * @param how - how it ended.
+ * @internal
+ */
+export function tellWaste(
+	{ log, clock, meter, state }: LeaderContext,
+	run: Run,
+	how: RunEnd
+): void {
+	const place = state.jobs.locate(run.text)
+	if (!place) return
+	const now = clock.now()
+	const cause = wasteCauseOf(run, how, place)
+	const processorSeconds = wastedBy(run, isActive(place.job), now)
+	meter.count(Measure.WastedWork, { cause }, processorSeconds)
+	const { text: task, attempt, worker, phase } = run
+	const ran = Math.round(now - run.since)
+	const wasted = Math.round(processorSeconds * 10) / 10
+	log.info(LeaderEvent.RunEnded, { task, attempt, worker, how, phase, ran, cause, wasted })
+}
--- a/packages/telemetry/src/lib/Meter.ts
+++ b/packages/telemetry/src/lib/Meter.ts
@@ -15,6 +15,8 @@
 	StepWait: 'step_wait_ms',
 	/** Counter by `how`: runs that ended. */
 	RunsEnded: 'runs_ended_total',
+	/** Counter by `cause`, processor seconds: reserved for work of runs that was thrown away. */
+	WastedWork: 'wasted_processor_seconds_total',
 	/** Counter by `evidence`: workers that crashed under a task, one for each task that ran there. */
 	TaskCrashes: 'task_crashes_total',
 	/** Counter: tasks that were given up since they crash their workers. */
@@ -92,9 +94,9 @@
 	private readonly gauges = new Map<Measure, Gauge>()
 	private readonly histograms = new Map<Measure, Histogram>()
 
-	/** Adds one to a counter. */
-	count(measure: Measure, labels: Labels = {}): void {
-		this.counter(measure, labels).inc({ ...labels })
+	/** Adds to a counter, one unless said otherwise. */
+	count(measure: Measure, labels: Labels = {}, by = 1): void {
+		this.counter(measure, labels).inc({ ...labels }, by)
 	}
 
 	/** Sets a gauge. */
