Gangs with short-lived tickets are planned as a whole

Where a full question takes more than half of a ticket's life, a gang's room and tickets rarely met: tickets were renewed for every allowed worker, too early, and had run out when room came. GangPlanner keeps room for all members at one moment by forecast, asks only about the planned workers and a few spare ones just before it, side by side where one question would take long, and learns which workers are allowed ahead, once. Members are kept off workers lost of late. StepPlacement and the choice of tasks that may begin are taken out of StepScheduler, which is shorter than before.

--- /dev/null
+++ b/packages/jobs/src/lib/gangs/GangPlanner.ts
@@ -0,0 +1,111 @@
+/**
+ * Plans gangs as a whole: keeps room for all members at one moment, and asks for tickets so that they hold then.
+ *
+ * Answers a cell in which many gangs wait for scarce room while tickets run out soon after they have come.
+ */
+import { Measure } from '@rillrudder/telemetry'
+import type { StepQuestions } from '../leader/advice/StepQuestions'
+import type { LeaderContext } from '../leader/LeaderContext'
+import { LeaderEvent } from '../leader/LeaderEvent'
+import type { Option } from '../leader/steps/chooseForStep'
+import type { StepWork } from '../leader/steps/StepWork'
+import type { Reservations } from '../placement/Reservations'
+import { planGang, type GangNeed, type GangPlan } from './GangPlan'
+import { learnWorkers } from './learnWorkers'
+import { needsPlan } from './needsPlan'
+import type { WorkerReliability } from './WorkerReliability'
+
+/**
+ * Plans gangs.
+ *
+ * @internal
+ */
+export class GangPlanner {
+	/** The moment for which each gang last asked for tickets, on the leader's clock. */
+	private readonly askedFor = new WeakMap<StepWork, number>()
+
+	/**
+	 * @param context - what the parts of the leader share.
+	 * @param reservations - the room that is kept for waiting steps.
+	 * @param questions - asks for advice.
+	 * @param reliability - which workers gangs are kept off.
+	 */
+	constructor(
+		private readonly context: LeaderContext,
+		private readonly reservations: Reservations,
+		private readonly questions: StepQuestions,
+		private readonly reliability: WorkerReliability
+	) {}
+
+	/** Plans a gang that found no room, or no tickets, and asks what its plan wants. */
+	prepare(work: StepWork, eligible: readonly Option[], now: number): void {
+		const need = this.needOf(work, now)
+		if (!need) return
+		const allowed = eligible.filter(({ view }) => work.advice.isAllowed(view.id))
+		const plan = planGang(this.reservations.placesFor(work, need.members, allowed), need)
+		if (plan) this.reservations.hold(work, plan.places, plan.at)
+		if (!this.questions.mayAsk(work, now)) return
+		const unknown = this.unknown(work, eligible, plan, need)
+		if (unknown.length > 0) return this.questions.askAbout(work, unknown)
+		if (plan && plan.renew.length > 0 && now >= plan.askAt) this.renew(work, plan, now)
+	}
+
+	/** Learns which workers may run a gang whose earlier steps are about to be done. */
+	learn(work: StepWork, eligible: readonly Option[], now: number): void {
+		if (!this.questions.mayAsk(work, now)) return
+		const share = this.questions.shareOf(work.queue.name)
+		this.questions.askAbout(work, learnWorkers(work, eligible, share, false))
+	}
+
+	/** @returns of the workers that may run a step those that gangs are not kept off; all of them for a step that is not planned. */
+	steady(work: StepWork, options: readonly Option[], now: number): readonly Option[] {
+		if (!needsPlan(work)) return options
+		return options.filter(({ view }) => !this.reliability.isUnsteady(view.id, now))
+	}
+
+	/** A gang has begun: how far its plan was off is measured. */
+	begun(work: StepWork, now: number): void {
+		const planned = this.askedFor.get(work)
+		if (planned === undefined) return
+		this.askedFor.delete(work)
+		this.context.meter.observe(Measure.GangPlanError, Math.abs(now - planned))
+	}
+
+	/** Workers to learn of: not while those that are known will do at once, or the plan awaits its tickets. */
+	private unknown(
+		work: StepWork,
+		eligible: readonly Option[],
+		plan: GangPlan | undefined,
+		{ now, terms }: GangNeed
+	): string[] {
+		const soon = now + terms.base + terms.each * (plan?.renew.length ?? 0)
+		if (plan && plan.at <= soon) return []
+		return learnWorkers(work, eligible, this.questions.shareOf(work.queue.name), true)
+	}
+
+	private renew(work: StepWork, { at, renew, places }: GangPlan, now: number): void {
+		this.askedFor.set(work, at)
+		const { name: step } = work
+		const { length: members } = places
+		const { size: workers } = new Set(places.map((place) => place.worker))
+		const { length: renewed } = renew
+		const ahead = Math.round(at - now)
+		const fields = { step, members, workers, renewed, ahead }
+		this.context.log.info(LeaderEvent.GangPlanned, fields)
+		this.questions.askAbout(work, renew)
+	}
+
+	private needOf({ queue, record, advice }: StepWork, now: number): GangNeed | undefined {
+		const { advice: terms } = queue
+		if (!terms) return undefined
+		return {
+			members: record.tasks.length,
+			now,
+			ticketLife: terms.valid - this.context.timing.ticketMargin,
+			terms,
+			holds: (worker, moment) =>
+				advice.isRenewing(worker) || advice.ticket(worker, moment) !== undefined,
+			isUnsteady: (worker) => this.reliability.isUnsteady(worker, now),
+		}
+	}
+}
--- /dev/null
+++ b/packages/jobs/src/lib/gangs/learnWorkers.ts
@@ -0,0 +1,81 @@
+/**
+ * Which workers a gang asks about to learn whether they may run it. That does not change, so it is asked once for each worker; only as many
+ * are asked as the gang is likely to need.
+ */
+import type { Resources } from '@rillrudder/scheduler'
+import type { Option } from '../leader/steps/chooseForStep'
+import type { StepWork } from '../leader/steps/StepWork'
+
+/** Room that is asked for in free room as a multiple of what is wanted, since others place there meanwhile. */
+const FREE_SURPLUS = 3
+/** Room that allowed workers should have in all, as a multiple of the gang: the more of them, the sooner enough are free together. */
+const WHOLE_SURPLUS = 6
+
+type Amount = (option: Option) => Resources
+
+/**
+ * @param work - the gang's step.
+ * @param eligible - workers of the right service and label.
+ * @param share - share of workers that the queue's policy allows, from 0 to 1, as seen of late.
+ * @param holdsRoom - whether the room that is free now counts; not while earlier steps are awaited.
+ * @returns ids of the workers to ask about; empty when enough are known to be allowed.
+ * @internal
+ */
+export function learnWorkers(
+	work: StepWork,
+	eligible: readonly Option[],
+	share: number,
+	holdsRoom: boolean
+): string[] {
+	const { advice, record } = work
+	const members = record.tasks.length
+	const allowed = eligible.filter(({ view }) => advice.isAllowed(view.id))
+	const unknown = eligible.filter(
+		({ view }) => !advice.isAllowed(view.id) && !advice.isUnfit(view.id)
+	)
+	const freeMissing = members * FREE_SURPLUS - roomIn(work, allowed, freeOf)
+	const mayBeginNow = holdsRoom && roomIn(work, allowed, freeOf) < members
+	if (mayBeginNow && roomIn(work, unknown, freeOf) * share >= freeMissing) {
+		return choose(work, unknown, freeOf, share, freeMissing)
+	}
+	const missing = members * WHOLE_SURPLUS - roomIn(work, allowed, wholeOf)
+	return missing > 0 ? choose(work, unknown, wholeOf, share, missing) : []
+}
+
+/** Takes workers, those with the most room first, until they are likely to have enough among them. */
+function choose(
+	work: StepWork,
+	unknown: readonly Option[],
+	amount: Amount,
+	share: number,
+	wanted: number
+): string[] {
+	const candidates = unknown
+		.map((option) => ({
+			id: option.view.id,
+			room: work.copiesIn(option.view.id, amount(option)),
+			free: work.copiesIn(option.view.id, option.account.free),
+		}))
+		.filter(({ room }) => room > 0)
+		.sort((left, right) => right.free - left.free || right.room - left.room)
+	const chosen: string[] = []
+	let expected = 0
+	for (const { id, room } of candidates) {
+		if (expected >= wanted) break
+		expected += room * share
+		chosen.push(id)
+	}
+	return chosen
+}
+
+function roomIn(work: StepWork, options: readonly Option[], amount: Amount): number {
+	return options.reduce((sum, option) => sum + work.copiesIn(option.view.id, amount(option)), 0)
+}
+
+function freeOf({ account }: Option): Resources {
+	return account.free
+}
+
+function wholeOf({ account }: Option): Resources {
+	return account.most
+}
--- a/packages/jobs/src/lib/leader/LeaderEvent.ts
+++ b/packages/jobs/src/lib/leader/LeaderEvent.ts
@@ -56,6 +56,11 @@
 	 * `term` that it was decided in.
 	 */
 	StepPlaced: 'step-placed',
+	/**
+	 * Tickets are asked for so that a whole gang can begin at one moment; `step`, how many `members`, on how many `workers`, of how many of
+	 * these and others the tickets are `renewed`, and the planned moment: so many milliseconds `ahead`.
+	 */
+	GangPlanned: 'gang-planned',
 	/**
 	 * The policy of a step's queue allows none of the open workers of its service, `workers` of them: it waits for others
 	 * to join; `step`, `priority`. Once for each step.
--- a/packages/jobs/src/lib/leader/advice/StepAdvice.ts
+++ b/packages/jobs/src/lib/leader/advice/StepAdvice.ts
@@ -13,8 +13,10 @@
  * @internal
  */
 export class StepAdvice {
-	/** Whether a question is under way. */
-	asking = false
+	/** Questions that are under way. */
+	private underWay = 0
+	/** The workers that they name. */
+	private readonly awaited = new Set<string>()
 	/** How many questions have been asked. */
 	questions = 0
 	/** When the first answer came, on the leader's clock. */
@@ -24,6 +26,29 @@
 	private readonly tickets = new Map<string, Ticket>()
 	private readonly unfit = new Set<string>()
 
+	/** Whether a question is under way. */
+	get asking(): boolean {
+		return this.underWay > 0
+	}
+
+	/** A question about these workers is on its way. */
+	asked(workers: readonly string[]): void {
+		this.underWay += 1
+		this.questions += 1
+		for (const worker of workers) this.awaited.add(worker)
+	}
+
+	/** A question about these workers is answered, or will not be. */
+	settled(workers: readonly string[]): void {
+		this.underWay -= 1
+		for (const worker of workers) this.awaited.delete(worker)
+	}
+
+	/** @returns whether a new ticket is under way for a worker that is known to be allowed. */
+	isRenewing(worker: string): boolean {
+		return this.awaited.has(worker) && this.tickets.has(worker)
+	}
+
 	/** @returns whether the worker is known not to be allowed. */
 	isUnfit(worker: string): boolean {
 		return this.unfit.has(worker)
--- a/packages/jobs/src/lib/leader/advice/StepQuestions.ts
+++ b/packages/jobs/src/lib/leader/advice/StepQuestions.ts
@@ -1,5 +1,6 @@
 /** Asks for advice about steps: when, about which workers, and what the answers bring. */
 import { Measure } from '@rillrudder/telemetry'
+import type { AdviceTerms } from '../../records/Cell'
 import { rankOf } from '../../placement/StepUrgency'
 import { AdvicePlanner } from './AdvicePlanner'
 import { AllowedShare } from './AllowedShare'
@@ -8,14 +9,14 @@
 import { LeaderEvent } from '../LeaderEvent'
 import type { AdviceResult } from '../ports'
 import type { StepWork } from '../steps/StepWork'
+import { MOST_ASKED } from '../../gangs/needsPlan'
+import { splitQuestion } from '../../gangs/splitQuestion'
 import { workersToAsk } from './workersToAsk'
 
 /** Milliseconds that a step's ticket must still hold for its next task to be decided with it. */
 const ASK_AGAIN = 400
 /** Milliseconds from which an answer is asked for before there is room. */
 const LONG_ANSWER = 150
-/** Workers a question may name at most; the service refuses longer ones. */
-const MOST_ASKED = 100
 
 /**
  * The questions about steps.
@@ -42,9 +43,9 @@
 	 * @param roomAt - when room that is kept for the next of them is expected, on the leader's clock; absent when none is.
 	 */
 	ask(work: StepWork, eligible: readonly Option[], tasks: number, roomAt?: number): void {
-		const { advice, queue } = work
+		const { queue } = work
 		const now = this.context.clock.now()
-		if (!queue.advice || advice.asking || now < advice.notBefore) return
+		if (!queue.advice || !this.mayAsk(work, now)) return
 		const answer = queue.advice.base + queue.advice.each * eligible.length
 		// A gang begins only with all its tickets valid, and a long answer comes late for free room.
 		// An urgent step wants to know where room may be made for it.
@@ -54,10 +55,30 @@
 		const renew = roomAt === undefined || roomAt <= now + answer + ASK_AGAIN
 		const need = { tasks, until, most: MOST_ASKED, ahead, renew, share, terms: queue.advice }
 		const workers = workersToAsk(work, eligible, need)
-		if (workers.length === 0) return
-		advice.asking = true
-		advice.questions += 1
-		const cost = queue.advice.base + queue.advice.each * workers.length
+		if (workers.length > 0) this.send(work, workers, queue.advice)
+	}
+
+	/** @returns whether nothing is being asked about a step, and the last question did not come too early. */
+	mayAsk({ advice, queue }: StepWork, now: number): boolean {
+		return queue.advice !== undefined && !advice.asking && now >= advice.notBefore
+	}
+
+	/** @returns which share of workers a queue's policy allows, from 0 to 1, as seen of late. */
+	shareOf(queue: string): number {
+		return this.shares.of(queue)
+	}
+
+	/** Asks about these workers, in several questions side by side where one would take long. */
+	askAbout(work: StepWork, workers: readonly string[]): void {
+		const terms = work.queue.advice
+		if (!terms) return
+		for (const part of splitQuestion(workers, terms)) this.send(work, part, terms)
+	}
+
+	private send(work: StepWork, workers: readonly string[], terms: AdviceTerms): void {
+		const now = this.context.clock.now()
+		work.advice.asked(workers)
+		const cost = terms.base + terms.each * workers.length
 		const rank = rankOf(work.urgency)
 		const done = (result: AdviceResult): void => this.advised(work, workers, now, result)
 		this.context.log.debug(LeaderEvent.AdviceAsked, { step: work.name, workers: workers.length })
@@ -74,7 +95,7 @@
 		const now = clock.now()
 		meter.count(Measure.Advice, { outcome: result.kind })
 		meter.observe(Measure.AdviceTime, now - askedAt)
-		work.advice.asking = false
+		work.advice.settled(asked)
 		work.triedAt = -1
 		if (result.kind !== 'answered') {
 			if (result.kind === 'busy') work.advice.notBefore = now + timing.retryPause
--- a/packages/jobs/src/lib/leader/runs/Run.ts
+++ b/packages/jobs/src/lib/leader/runs/Run.ts
@@ -66,6 +66,8 @@
 	percent: number
 	/** How fast it gets on, and when it is expected to end. */
 	readonly progress: RunProgress
+	/** Whether it ends soon by itself, since another member of its gang has ended. */
+	ending: boolean
 	/** What the worker last reported of it: tail latency or processor use. */
 	measure: number
 	/** Share of its speed that it was last told to work at, from 0 to 100. */
--- a/packages/jobs/src/lib/leader/runs/RunController.ts
+++ b/packages/jobs/src/lib/leader/runs/RunController.ts
@@ -1,6 +1,7 @@
 /** The runs of the cell: orders to start and stop them, sent again until the worker has answered. */
 import { Measure } from '@rillrudder/telemetry'
 import { formatTaskName, RunEnd, type TaskName } from '../../records/Job'
+import { needsPlan } from '../../gangs/needsPlan'
 import type { AccountUsage } from '../../accounts/AccountUsage'
 import type { Precedence, Standing } from '../../placement/Precedence'
 import { timesOf } from '../../placement/stepTimes'
@@ -132,9 +133,19 @@
 		meter.count(Measure.RunsEnded, { how })
 		if (how === RunEnd.Done) health.succeeded(worker)
 		if (how === RunEnd.Failed) health.failed(worker, name.job, clock.now())
+		if (how === RunEnd.Failed || how === RunEnd.Lapsed)
+			this.workers.losses.reliability.failed(worker, clock.now())
+		this.noteGangEnds(run)
 		if (how !== RunEnd.Done) tellWaste(this.context, run, how)
 	}
 
+	/** The first end of a member of a gang that is planned as a whole tells that the others end soon. */
+	private noteGangEnds(run: Run): void {
+		const job = this.context.state.jobs.find(run.name.job)
+		if (run.ending || !job || !needsPlan({ step: run.step, queue: job.queue })) return
+		for (const member of this.withGang(run)) member.ending = true
+	}
+
 	/** Stops everything that a job runs. */
 	stopJob(job: JobRecord): void {
 		for (const { text } of tasksOf(job)) {
--- a/packages/jobs/src/lib/leader/runs/newRun.ts
+++ b/packages/jobs/src/lib/leader/runs/newRun.ts
@@ -37,6 +37,7 @@
 		checkpointAt: now,
 		stopReason: undefined,
 		percent: 0,
+		ending: false,
 		progress: new RunProgress(now, origin.step.expectedTime),
 		measure: 0,
 		pace: 100,
--- a/packages/jobs/src/lib/leader/steps/Quarantine.ts
+++ b/packages/jobs/src/lib/leader/steps/Quarantine.ts
@@ -91,6 +91,22 @@
 		return best
 	}
 
+	/** @returns tasks that wait and may begin, those that are under no suspicion first; of a gang all or none. */
+	mayBegin(work: StepWork): number[] {
+		const waiting = work.waiting()
+		const doubtful = waiting.filter((index) => this.isDoubtful(work, index))
+		if (doubtful.length === 0) return waiting
+		const held = (index: number): boolean => this.suspicionOf(work, index) === Suspicion.Held
+		if (work.step.gang) return doubtful.some(held) ? [] : waiting
+		const plain = waiting.filter((index) => !doubtful.includes(index))
+		return [...plain, ...doubtful.filter((index) => !held(index))]
+	}
+
+	/** @returns whether a task of a step is under suspicion. */
+	isDoubtful(work: StepWork, index: number): boolean {
+		return this.suspicionOf(work, index) !== Suspicion.None
+	}
+
 	/** An isolated task is to begin on a worker. */
 	decided(task: string, job: string, worker: string): void {
 		this.probations.set(worker, { job, task, until: Number.POSITIVE_INFINITY })
--- /dev/null
+++ b/packages/jobs/src/lib/leader/steps/StepPlacement.ts
@@ -0,0 +1,108 @@
+/** Gives the tasks of one step workers that may run them and have room beside what is kept there for others. */
+import type { AccountUsage } from '../../accounts/AccountUsage'
+import type { GangPlanner } from '../../gangs/GangPlanner'
+import type { Reservations } from '../../placement/Reservations'
+import type { UrgentRoom } from '../../placement/UrgentRoom'
+import type { LeaderContext } from '../LeaderContext'
+import { chooseForStep, type Option, type RoomCheck } from './chooseForStep'
+import { placeGang, type Placed, type TaskChooser } from './placeGang'
+import type { Quarantine } from './Quarantine'
+import { claim } from './reservation'
+import type { StepWork } from './StepWork'
+
+/** What decides whether room is free for a task. @internal */
+export interface PlacementParts {
+	readonly urgentRoom: UrgentRoom
+	readonly reservations: Reservations
+	readonly quarantine: Quarantine
+	readonly gangs: GangPlanner
+}
+
+/**
+ * Places the tasks of steps.
+ *
+ * @internal
+ */
+export class StepPlacement {
+	/**
+	 * Whether a task may begin in a worker's room: it is kept neither for urgent work nor for a step that goes before, and
+	 * nothing of another job is isolated there.
+	 */
+	private readonly isFree: RoomCheck = (work, option) =>
+		this.parts.urgentRoom.allows(work) &&
+		this.parts.quarantine.admits(work.job.id, option.view.id, this.context.clock.now()) &&
+		this.parts.reservations.allows(work, option)
+
+	/**
+	 * @param context - what the parts of the leader share.
+	 * @param accounts - what accounts may have.
+	 * @param parts - what decides whether room is free for a task.
+	 */
+	constructor(
+		private readonly context: LeaderContext,
+		private readonly accounts: AccountUsage,
+		private readonly parts: PlacementParts
+	) {}
+
+	/**
+	 * @param work - the step.
+	 * @param waiting - indexes of its tasks that may begin.
+	 * @param options - workers that may run it.
+	 * @param now - the moment, on the leader's clock.
+	 * @returns where tasks go, with their room reserved; of a gang all or none.
+	 */
+	place(
+		work: StepWork,
+		waiting: readonly number[],
+		options: readonly Option[],
+		now: number
+	): Placed[] {
+		return work.step.gang
+			? this.placeWhole(work, waiting, options, now)
+			: this.placeEach(work, waiting, options, now)
+	}
+
+	private chooserFor(work: StepWork, now: number): TaskChooser {
+		return (index, options) =>
+			this.parts.quarantine.isDoubtful(work, index)
+				? this.parts.quarantine.choose(work, index, options, this.isFree, now)
+				: chooseForStep(work, options, this.isFree)
+	}
+
+	/** Places a gang, on workers that are unlikely to go where they have room for it. */
+	private placeWhole(
+		work: StepWork,
+		waiting: readonly number[],
+		options: readonly Option[],
+		now: number
+	): Placed[] {
+		const { ledger } = this.context
+		const place = (from: readonly Option[]): Placed[] =>
+			placeGang(work, waiting, from, ledger, this.chooserFor(work, now), now)
+		const steady = this.parts.gangs.steady(work, options, now)
+		const first = place(steady)
+		const placed = first.length > 0 || steady.length === options.length ? first : place(options)
+		this.parts.urgentRoom.took(work, placed.length)
+		if (placed.length > 0) this.parts.gangs.begun(work, now)
+		return placed
+	}
+
+	private placeEach(
+		work: StepWork,
+		waiting: readonly number[],
+		options: readonly Option[],
+		now: number
+	): Placed[] {
+		const placed: Placed[] = []
+		const choose = this.chooserFor(work, now)
+		for (const index of waiting) {
+			if (!this.accounts.mayBegin(work.account, work.step)) break
+			const option = choose(index, options)
+			if (!option || !claim(this.context.ledger, option.view.id, work)) break
+			work.count(option.view.id, 1)
+			this.parts.urgentRoom.took(work, 1)
+			placed.push({ index, worker: option.view.id })
+		}
+		return placed
+	}
+}
--- a/packages/jobs/src/lib/leader/steps/StepScheduler.ts
+++ b/packages/jobs/src/lib/leader/steps/StepScheduler.ts
@@ -10,21 +10,23 @@
 	type JobRecord,
 } from '../../state/JobRecord'
 import { Suspicion } from '../../state/TaskCrashes'
+import { GangPlanner } from '../../gangs/GangPlanner'
+import { needsPlan } from '../../gangs/needsPlan'
 import type { Precedence } from '../../placement/Precedence'
 import { Reservations } from '../../placement/Reservations'
 import { timesOf } from '../../placement/stepTimes'
 import { usefulnessOf } from '../../placement/Usefulness'
 import { UrgentRoom } from '../../placement/UrgentRoom'
 import type { AccountUsage } from '../../accounts/AccountUsage'
-import { chooseForStep, hasRoom, type Option, type RoomCheck } from './chooseForStep'
+import { hasRoom, type Option } from './chooseForStep'
 import { DueRepeats, dueOf } from './DueRepeats'
 import { epochOf, type LeaderContext } from '../LeaderContext'
-import { placeGang, type Placed, type TaskChooser } from './placeGang'
+import type { Placed } from './placeGang'
 import { Preemption } from './Preemption'
 import { Quarantine } from './Quarantine'
-import { claim } from './reservation'
 import type { RunController } from '../runs/RunController'
 import { StepLog } from './StepLog'
+import { StepPlacement } from './StepPlacement'
 import { StepQuestions } from '../advice/StepQuestions'
 import { byUrgency, stepName, StepWork } from './StepWork'
 import { StepWaits } from './StepWaits'
@@ -62,14 +64,8 @@
 	private readonly urgentRoom = new UrgentRoom()
 	private readonly reservations = new Reservations()
 	private readonly quarantine: Quarantine
-	/**
-	 * Whether a task may begin in a worker's room: it is kept neither for urgent work nor for a step that goes before, and
-	 * nothing of another job is isolated there.
-	 */
-	private readonly isFree: RoomCheck = (work, option) =>
-		this.urgentRoom.allows(work) &&
-		this.quarantine.admits(work.job.id, option.view.id, this.context.clock.now()) &&
-		this.reservations.allows(work, option)
+	private readonly gangs: GangPlanner
+	private readonly placement: StepPlacement
 
 	constructor(
 		private readonly context: LeaderContext,
@@ -80,6 +76,11 @@
 	) {
 		this.quarantine = new Quarantine(context.state, runs)
 		this.questions = new StepQuestions(context)
+		const { reliability } = workers.losses
+		this.gangs = new GangPlanner(context, this.reservations, this.questions, reliability)
+		const { urgentRoom, reservations, quarantine, gangs } = this
+		const parts = { urgentRoom, reservations, quarantine, gangs }
+		this.placement = new StepPlacement(context, accounts, parts)
 		this.log = new StepLog(context)
 		this.waits = new StepWaits(context, (work) => this.waitOf(work))
 		this.preemption = new Preemption(context, runs, (work, option) => this.admits(work, option))
@@ -133,7 +134,7 @@
 		const room = eligible.filter((option) => this.admits(work, option))
 		const kept = this.reservations.expectedAt(work)
 		const withinQuota = this.accounts.mayBegin(work.account, work.step)
-		const held = this.mayBegin(work).length === 0
+		const held = this.quarantine.mayBegin(work).length === 0
 		const now = this.context.clock.now()
 		return waitOf(work, { eligible, room, held, withinQuota, kept, now })
 	}
@@ -340,7 +341,9 @@
 		job.request.steps.forEach((later, number) => {
 			if (!later.dependsOn.includes(step)) return
 			const work = this.open(job, repeat, number)
-			this.questions.ask(work, this.eligible(work, this.openWorkers()), work.step.count)
+			const eligible = this.eligible(work, this.openWorkers())
+			if (needsPlan(work)) this.gangs.learn(work, eligible, this.context.clock.now())
+			else this.questions.ask(work, eligible, work.step.count)
 		})
 	}
 
@@ -360,21 +363,19 @@
 
 	private placeStep(work: StepWork, { open, now, full }: Pass): void {
 		work.readyAt ??= now
-		const waiting = this.mayBegin(work)
+		const waiting = this.quarantine.mayBegin(work)
 		work.allPlaced = waiting.length === 0
 		if (work.allPlaced) return
 		if (!this.accounts.mayBegin(work.account, work.step)) return this.reservations.drop(work)
 		const eligible = this.eligible(work, open)
 		if (!work.toldBarred && isBarred(work, eligible)) this.log.barred(work, eligible.length)
 		const options = this.optionsFor(work, eligible, now)
-		const placed = work.step.gang
-			? placeGang(work, waiting, options, this.context.ledger, this.chooserFor(work, now), now)
-			: this.placeEach(work, waiting, options, now)
-		if (work.step.gang) this.urgentRoom.took(work, placed.length)
+		const placed = this.placement.place(work, waiting, options, now)
 		const left = waiting.length - placed.length
 		work.allPlaced = left === 0
 		if (placed.length > 0) this.begin(work, placed, now)
 		if (left === 0) return this.reservations.drop(work)
+		if (needsPlan(work)) return full ? this.gangs.prepare(work, eligible, now) : undefined
 		if (full) this.reserve(work, left, eligible)
 		const room = this.reservations.expectedAt(work)
 		if (work.queue.advice) this.questions.ask(work, eligible, left, room?.next)
@@ -392,48 +393,6 @@
 		this.reservations.keep(work, tasks, allowed)
 	}
 
-	/** Tasks that wait and may begin, those that are under no suspicion first; of a gang all or none. */
-	private mayBegin(work: StepWork): number[] {
-		const waiting = work.waiting()
-		const doubtful = waiting.filter((index) => this.isDoubtful(work, index))
-		if (doubtful.length === 0) return waiting
-		const held = (index: number): boolean =>
-			this.quarantine.suspicionOf(work, index) === Suspicion.Held
-		if (work.step.gang) return doubtful.some(held) ? [] : waiting
-		const plain = waiting.filter((index) => !doubtful.includes(index))
-		return [...plain, ...doubtful.filter((index) => !held(index))]
-	}
-
-	private isDoubtful(work: StepWork, index: number): boolean {
-		return this.quarantine.suspicionOf(work, index) !== Suspicion.None
-	}
-
-	private chooserFor(work: StepWork, now: number): TaskChooser {
-		return (index, options) =>
-			this.isDoubtful(work, index)
-				? this.quarantine.choose(work, index, options, this.isFree, now)
-				: chooseForStep(work, options, this.isFree)
-	}
-
-	private placeEach(
-		work: StepWork,
-		waiting: readonly number[],
-		options: readonly Option[],
-		now: number
-	): Placed[] {
-		const placed: Placed[] = []
-		const choose = this.chooserFor(work, now)
-		for (const index of waiting) {
-			if (!this.accounts.mayBegin(work.account, work.step)) break
-			const option = choose(index, options)
-			if (!option || !claim(this.context.ledger, option.view.id, work)) break
-			work.count(option.view.id, 1)
-			this.urgentRoom.took(work, 1)
-			placed.push({ index, worker: option.view.id })
-		}
-		return placed
-	}
-
 	/** Of the eligible workers those that may run the step now. */
 	private optionsFor(work: StepWork, eligible: Option[], now: number): Option[] {
 		if (!work.queue.advice) return eligible
--- a/packages/jobs/src/lib/leader/workers/WorkerLosses.ts
+++ b/packages/jobs/src/lib/leader/workers/WorkerLosses.ts
@@ -8,6 +8,7 @@
 import type { LeaderContext } from '../LeaderContext'
 import { LossWaves } from './LossWaves'
 import { OutageWatch } from './OutageWatch'
+import { WorkerReliability } from '../../gangs/WorkerReliability'
 import type { Run } from '../runs/Run'
 import type { WorkerView } from './WorkerView'
 
@@ -19,6 +20,7 @@
 export class WorkerLosses {
 	private readonly outages = new OutageWatch()
 	private readonly waves = new LossWaves()
+	readonly reliability = new WorkerReliability()
 
 	/**
 	 * @param context - what the parts of the leader share.
@@ -33,6 +35,7 @@
 	lost(view: WorkerView): void {
 		view.lostAt = this.context.clock.now()
 		this.waves.lost(view)
+		this.reliability.lost(view.id, view.lostAt)
 	}
 
 	/** A call to a worker did not come back; its data centre may be out of reach. */
--- a/packages/jobs/src/lib/leader/workers/WorkerRegistry.ts
+++ b/packages/jobs/src/lib/leader/workers/WorkerRegistry.ts
@@ -46,7 +46,8 @@
 	private readonly views = new Map<string, WorkerView>()
 	/** Tells on which workers runs stand still. */
 	readonly stalls = new StallWatch()
-	private readonly losses: WorkerLosses
+	/** What workers that fall silent tell. */
+	readonly losses: WorkerLosses
 	private readonly suspects: SuspectRuns
 	private readonly polls: WorkerPolls
 	private readonly lostRuns: LostRuns
--- a/packages/jobs/src/lib/placement/Reservations.ts
+++ b/packages/jobs/src/lib/placement/Reservations.ts
@@ -6,6 +6,7 @@
 import { fits, minus, times, type Resources } from '@rillrudder/scheduler'
 import type { Option } from '../leader/steps/chooseForStep'
 import { byUrgency, type StepWork } from '../leader/steps/StepWork'
+import type { Place } from '../gangs/GangPlan'
 import { RoomForecast } from './RoomForecast'
 
 /** Share of a worker's largest resource from which a task counts as one that finds no room by itself. */
@@ -32,12 +33,6 @@
 	readonly last: number
 }
 
-/** A place for one task, once it is free. */
-interface Place {
-	readonly worker: string
-	readonly at: number
-}
-
 /**
  * The room that is kept for waiting steps.
  *
@@ -104,10 +99,21 @@
 	 */
 	keep(work: StepWork, tasks: number, options: readonly Option[]): void {
 		if (this.countOf(work) >= MOST_OF_SERVICE || !needsReservation(work, options)) return
-		const places = this.placesFor(work, tasks, options)
+		const places = this.placesFor(work, tasks, options).slice(0, tasks)
 		if (places.length === 0 || (work.step.gang && places.length < tasks)) return
+		this.hold(work, places, places[places.length - 1].at)
+	}
+
+	/**
+	 * Keeps places for tasks of a step, for which nothing is kept yet.
+	 *
+	 * @param work - the step.
+	 * @param places - one for each task, the soonest first.
+	 * @param last - when the last of them begins, on the leader's clock.
+	 */
+	hold(work: StepWork, places: readonly Place[], last: number): void {
+		if (this.countOf(work) >= MOST_OF_SERVICE) return
 		const first = places[0].at
-		const last = places[places.length - 1].at
 		for (const [worker, { count, at }] of gather(places)) {
 			const kept = this.byWorker.get(worker) ?? []
 			// A gang begins at once everywhere; of other steps each task as soon as there is room for it.
@@ -118,8 +124,8 @@
 		this.counts.set(work.queue.service, this.countOf(work) + 1)
 	}
 
-	/** The places that are free soonest, the soonest first, beside what is kept for steps that go before. */
-	private placesFor(work: StepWork, tasks: number, options: readonly Option[]): Place[] {
+	/** @returns the places of a step's tasks, the soonest first, beside what is kept for steps that go before. */
+	placesFor(work: StepWork, tasks: number, options: readonly Option[]): Place[] {
 		const places: Place[] = []
 		for (const option of options) {
 			const { id } = option.view
@@ -132,7 +138,7 @@
 				copies += Math.max(0, more)
 			}
 		}
-		return places.sort((left, right) => left.at - right.at).slice(0, tasks)
+		return places.sort((left, right) => left.at - right.at)
 	}
 
 	private countOf({ queue }: StepWork): number {
--- a/packages/runs/src/lib/jobs/Fleet.ts
+++ b/packages/runs/src/lib/jobs/Fleet.ts
@@ -6,6 +6,7 @@
 
 /** Where the workers are. @internal */
 export const DATA_CENTRES: readonly string[] = ['vake', 'saburtalo', 'isani']
+/** Workers in each data centre, unless a run asks for more. */
 const WORKERS_EACH = 4
 /** Milliseconds between two heartbeats of a worker. */
 const HEARTBEAT_EVERY = 1500
@@ -20,6 +21,8 @@
 /** What the fleet needs of its run. @internal */
 export interface FleetParts extends Omit<FleetWorkerParts, 'gangs'> {
 	readonly service: string
+	/** Workers in each data centre; a few if absent. */
+	readonly workersEach?: number
 	/** Whether workers say when they started. */
 	readonly tellBorn: boolean
 	/** Share of heartbeats that are held back on their way. */
@@ -42,7 +45,7 @@
 	constructor(private readonly parts: FleetParts) {
 		this.gangs = new GangRegistry(parts.clock)
 		for (const dataCentre of DATA_CENTRES) {
-			for (let count = 0; count < WORKERS_EACH; count++) this.add(dataCentre)
+			for (let count = 0; count < (parts.workersEach ?? WORKERS_EACH); count++) this.add(dataCentre)
 		}
 	}
 
--- a/packages/runs/src/lib/jobs/JobRun.ts
+++ b/packages/runs/src/lib/jobs/JobRun.ts
@@ -6,7 +6,9 @@
 	CellState,
 	DEFAULT_LEADER_TIMING,
 	JobController,
+	JobState,
 	PLAIN_POLICY,
+	type AdviceTerms,
 	type CellConfiguration,
 	type CellReply,
 	type LeaderPolicy,
@@ -22,15 +24,17 @@
 import type { FleetWorker } from './FleetWorker'
 import { COMMON_FAULTS, JobFaults, RESTARTS, type JobFault } from './JobFaults'
 import { JobInvariants } from './JobInvariants'
-import { randomJob } from './randomJob'
+import { randomJob, WIDE, wideGang } from './randomJob'
 import { checkOutcome, type Asked } from './checkOutcome'
 import { CrashingTasks, type CrashTally } from './CrashingTasks'
 import { RunAccounts } from './RunAccounts'
-import { RunAdvisers } from './RunAdvisers'
+import { PLENTIFUL_ADVICE, RunAdvisers, type RunAdvice, SCARCE_ADVICE } from './RunAdvisers'
 import { RunLog } from './RunLog'
 
 /** Milliseconds of one step of a run. */
 const STEP = 10
+/** Share of jobs that are wide gangs, in a run with these. */
+const WIDE_SHARE = 0.25
 /** Milliseconds between two readings of the leader's clockwork. */
 const TICK = 20
 /** Milliseconds after which a client without an answer asks again. */
@@ -53,6 +57,8 @@
 	readonly tellBorn?: boolean
 	/** Whether some tasks crash the workers that start them. */
 	readonly crashingTasks?: boolean
+	/** Whether jobs are wide gangs whose tickets run out soon after they have come. */
+	readonly wideGangs?: boolean
 	/** What is asked of its leaders; nothing more than usual if absent. */
 	readonly policy?: LeaderPolicy
 }
@@ -66,6 +72,10 @@
 	readonly starts: number
 	/** Members of gangs that waited in vain for the others. */
 	readonly alone: number
+	/** Wide gangs that were done while jobs were handed in or after, and how many milliseconds each took on the mean. */
+	readonly wide: { readonly done: number; readonly took: number }
+	/** Milliseconds of answers that leaders asked for. */
+	readonly advice: number
 	/** What crashing tasks did; undefined in a run without them. */
 	readonly crashes: CrashTally | undefined
 	readonly faults: { readonly [fault: string]: number }
@@ -74,10 +84,14 @@
 /** So many workers that a leader has its orders carried. */
 const AS_MANY_AS_CARRIED = 1000
 const SERVICE = 'controller'
-const QUEUES: readonly Queue[] = [
-	queueOf('urgent', 0, 2),
-	{ ...queueOf('batch', 2, 3), advice: { base: 40, each: 4, valid: 2000 } },
-]
+const URGENT = queueOf('urgent', 0, 2)
+const BATCH = queueOf('batch', 2, 3)
+/** Workers in each data centre of a run with wide gangs: a question about all of them takes long. */
+const WORKERS_FOR_WIDE = 20
+
+function termsOf({ base, each, valid }: RunAdvice): AdviceTerms {
+	return { base, each, valid }
+}
 
 function queueOf(name: string, priority: number, maxAttempts: number): Queue {
 	return {
@@ -119,6 +133,7 @@
 	private readonly direct: FleetOrders
 	private orders: CarriedOrders | undefined
 	readonly advisers: RunAdvisers
+	private readonly queues: readonly Queue[]
 	private state = new CellState()
 	private controller: JobController | undefined
 	private log: RunLog | undefined
@@ -133,13 +148,16 @@
 		this.witness = new JobInvariants(this.accounts)
 		const { clock, random, witness } = this
 		this.crashing = options.crashingTasks ? this.crashingTasks() : undefined
-		this.advisers = new RunAdvisers(clock, random)
+		const advice = options.wideGangs ? SCARCE_ADVICE : PLENTIFUL_ADVICE
+		this.queues = [URGENT, { ...BATCH, advice: termsOf(advice) }]
+		this.advisers = new RunAdvisers(clock, random, advice)
 		this.faults = new JobFaults(this, options.faultRate, options.faults ?? COMMON_FAULTS)
 		this.fleet = new Fleet({
 			clock,
 			random,
 			witness,
 			service: SERVICE,
+			workersEach: options.wideGangs ? WORKERS_FOR_WIDE : undefined,
 			tellBorn: options.tellBorn ?? RESTARTS.some((fault) => this.faults.has(fault)),
 			stepOf: (task) => this.stepOf(task),
 			mayRun: (task, worker, ticket) => this.mayRun(task, worker, ticket),
@@ -163,11 +181,22 @@
 			leaders: this.term,
 			starts: this.witness.starts,
 			alone: this.fleet.gangs.alone,
+			wide: this.wideTally,
+			advice: this.advisers.took,
 			crashes: this.crashing?.tally,
 			faults: this.faults.counts,
 		}
 	}
 
+	private get wideTally() {
+		const records = [...this.asked.values()]
+			.filter(({ request }) => request.spec === WIDE)
+			.map(({ id }) => this.state.jobs.find(id))
+		const done = records.filter((job) => job?.state === JobState.Completed)
+		const total = done.reduce((sum, job) => sum + (job?.ended ?? 0) - (job?.submitted ?? 0), 0)
+		return { done: done.length, took: Math.round(total / Math.max(1, done.length)) }
+	}
+
 	/** Lets clients hand jobs in and things go wrong for a span, in milliseconds. */
 	run(span: number): void {
 		const until = this.clock.now() + span
@@ -253,7 +282,7 @@
 		const services = [{ name: SERVICE, enforcesCapacity: false }]
 		const accounts = this.accounts?.send()
 		const version = ++this.version
-		this.sendConfiguration({ version, queues: QUEUES, services, accounts, document: '{}' })
+		this.sendConfiguration({ version, queues: this.queues, services, accounts, document: '{}' })
 	}
 
 	private sendConfiguration(configuration: CellConfiguration): void {
@@ -351,10 +380,12 @@
 		this.nextJobAt = clock.now() + random.exponential(1000 / options.jobRate)
 		const id = random.integer(0, 0x7fffffff).toString(16).padStart(16, '0')
 		if (this.asked.has(id)) return
-		const request = randomJob(random, clock.date().getTime())
+		const wide = options.wideGangs && random.chance(WIDE_SHARE)
+		const request = wide ? wideGang(random) : randomJob(random, clock.date().getTime())
 		// A policy that bars every worker with the label would make the job one that can never run.
 		const plain = request.steps.every((step) => !step.lasting && step.requires === '')
-		const queue = plain ? random.pick(QUEUES) : QUEUES[0]
+		const [urgent, batch] = this.queues
+		const queue = wide ? batch : plain ? random.pick(this.queues) : urgent
 		const job = {
 			id,
 			request,
--- a/packages/runs/src/lib/jobs/RunAdvisers.ts
+++ b/packages/runs/src/lib/jobs/RunAdvisers.ts
@@ -1,14 +1,37 @@
 /** The service that knows which workers may run a step, and the instances that ask it. */
-import { Advisers, workerNameOf, type AdviceQuestion, type AdviceResult } from '@rillrudder/jobs'
+import {
+	Advisers,
+	workerNameOf,
+	type AdviceQuestion,
+	type AdviceResult,
+	type AdviceTerms,
+} from '@rillrudder/jobs'
 import type { Clock, Random } from '@rillrudder/utils'
 
-/** Milliseconds that a ticket holds. */
-const VALID = 2000
-/** Milliseconds that an answer takes, and more for each worker asked about. */
-const BASE = 40
-const EACH = 4
-/** Of so many workers one may not run a step. */
-const ONE_BARRED_OF = 3
+/** What the service of a run allows, and what its answers cost. @internal */
+export interface RunAdvice extends AdviceTerms {
+	/** Instances that can ask. */
+	readonly instances: readonly string[]
+	/** Whether a worker may run a step, by a hash of both. */
+	readonly allows: (hash: number) => boolean
+}
+
+/** Quick answers that allow two workers of three. @internal */
+export const PLENTIFUL_ADVICE: RunAdvice = {
+	base: 40,
+	each: 4,
+	valid: 2000,
+	instances: ['self', 'second', 'third', 'fourth'],
+	allows: (hash) => hash % 3 !== 0,
+}
+/** Answers that take a good part of a ticket's life, and allow one worker of three. @internal */
+export const SCARCE_ADVICE: RunAdvice = {
+	base: 560,
+	each: 8,
+	valid: 2000,
+	instances: Array.from({ length: 12 }, (_, number) => `instance-${number}`),
+	allows: (hash) => hash % 3 === 0,
+}
 
 /**
  * Advice in a run.
@@ -18,24 +41,30 @@
 export class RunAdvisers extends Advisers {
 	/** Share of questions that get no answer. */
 	lostShare = 0
+	/** Milliseconds of answers that were asked for. */
+	took = 0
 
 	constructor(
 		private readonly clock: Clock,
-		private readonly random: Random
+		private readonly random: Random,
+		private readonly terms: RunAdvice
 	) {
 		super()
 	}
 
 	override available(): readonly string[] {
-		return ['self', 'second', 'third', 'fourth']
+		return this.terms.instances
 	}
 
 	override ask(_: string, question: AdviceQuestion, done: (result: AdviceResult) => void): void {
 		const { step, workers } = question
-		this.clock.after(BASE + EACH * workers.length, () => {
+		const { base, each, valid, allows } = this.terms
+		const answer = base + each * workers.length
+		this.took += answer
+		this.clock.after(answer, () => {
 			if (this.random.chance(this.lostShare)) return
-			const until = this.clock.now() + VALID
-			const good = workers.filter((worker) => mayRun(step, worker))
+			const until = this.clock.now() + valid
+			const good = workers.filter((worker) => allows(hashOf(step, worker)))
 			const tickets = new Map(good.map((worker) => [worker, `${step}|${worker}|${until}`]))
 			done({ kind: 'answered', tickets })
 		})
@@ -49,8 +78,8 @@
 }
 
 /** A worker's lives are treated alike. */
-function mayRun(step: string, worker: string): boolean {
+function hashOf(step: string, worker: string): number {
 	let hash = 7
 	for (const char of step + workerNameOf(worker)) hash = (hash * 31 + char.charCodeAt(0)) % 100_003
-	return hash % ONE_BARRED_OF !== 0
+	return hash
 }
--- a/packages/runs/src/lib/jobs/randomJob.ts
+++ b/packages/runs/src/lib/jobs/randomJob.ts
@@ -27,6 +27,26 @@
 	return { spec, steps, repeat: { count: random.integer(1, 3), first, interval: 900 } }
 }
 
+/** Text of jobs of one wide gang. @internal */
+export const WIDE = 'wide'
+
+/**
+ * @param random - chooses.
+ * @returns a job of one gang that takes most of the workers that may run it.
+ * @internal
+ */
+export function wideGang(random: Random): JobRequest {
+	const step: Step = {
+		...PLAIN_STEP,
+		count: random.integer(5, 36),
+		need: { cpu: 1300, memory: 512, accelerators: 0 },
+		expectedTime: random.integer(800, 2500),
+		checkpoints: random.chance(0.5),
+		gang: true,
+	}
+	return { spec: WIDE, steps: [step] }
+}
+
 function randomStep(random: Random, number: number): Step {
 	const gang = random.chance(0.15)
 	const earlier = Array.from({ length: number }, (_, at) => at)
--- a/packages/telemetry/src/lib/Meter.ts
+++ b/packages/telemetry/src/lib/Meter.ts
@@ -43,6 +43,8 @@
 	Advice: 'advice_total',
 	/** Histogram, milliseconds: from a question, waiting included, to its answer. */
 	AdviceTime: 'advice_time_ms',
+	/** Histogram, milliseconds: between the moment that a gang asked its tickets for and its beginning. */
+	GangPlanError: 'gang_plan_error_ms',
 	/** Histogram, milliseconds: from a proposal to its being applied. */
 	CommitTime: 'commit_time_ms',
 	/** Counter: times that this instance began to lead. */
