--- a/packages/jobs/src/lib/gangs/GangPlanner.ts
+++ b/packages/jobs/src/lib/gangs/GangPlanner.ts
@@ -10,6 +10,7 @@
 import type { Option } from '../leader/steps/chooseForStep'
 import type { StepWork } from '../leader/steps/StepWork'
 import type { Reservations } from '../placement/Reservations'
+import { TaskStatus } from '../state/JobRecord'
 import { planGang, type GangNeed, type GangPlan } from './GangPlan'
 import { learnWorkers } from './learnWorkers'
 import { needsPlan } from './needsPlan'
@@ -40,19 +41,21 @@
 	/** Plans a gang that found no room, or no tickets, and asks what its plan wants. */
 	prepare(work: StepWork, eligible: readonly Option[], now: number): void {
 		const need = this.needOf(work, now)
-		if (!need) return
+		if (!need || hasMemberElsewhere(work, eligible)) return
 		const allowed = eligible.filter(({ view }) => work.advice.isAllowed(view.id))
 		const plan = planGang(this.reservations.placesFor(work, need.members, allowed), need)
 		if (plan) this.reservations.hold(work, plan.places, plan.at)
-		if (!this.questions.mayAsk(work, now)) return
-		const unknown = this.unknown(work, eligible, plan, need)
-		if (unknown.length > 0) return this.questions.askAbout(work, unknown)
-		if (plan && plan.renew.length > 0 && now >= plan.askAt) this.renew(work, plan, now)
+		const { advice } = work
+		if (now < advice.notBefore) return
+		// Workers that join are learned beside the plan: it does not wait for them.
+		const isDue = plan && plan.renew.length > 0 && now >= plan.askAt
+		if (isDue && !advice.renewing) this.renew(work, plan, now)
+		if (!advice.learning) this.questions.askAbout(work, this.unknown(work, eligible, plan, need))
 	}
 
 	/** Learns which workers may run a gang whose earlier steps are about to be done. */
 	learn(work: StepWork, eligible: readonly Option[], now: number): void {
-		if (!this.questions.mayAsk(work, now)) return
+		if (work.advice.asking || now < work.advice.notBefore) return
 		const share = this.questions.shareOf(work.queue.name)
 		this.questions.askAbout(work, learnWorkers(work, eligible, share, false))
 	}
@@ -109,3 +112,11 @@
 		}
 	}
 }
+
+/** Whether a member is still on a worker that is not open: how long that takes is not known, and no member begins before. */
+function hasMemberElsewhere({ record }: StepWork, eligible: readonly Option[]): boolean {
+	const placed = record.tasks.filter(({ status }) => status === TaskStatus.Placed)
+	if (placed.length === 0) return false
+	const open = new Set(eligible.map(({ view }) => view.id))
+	return placed.some(({ worker }) => !open.has(worker))
+}
--- a/packages/jobs/src/lib/leader/advice/StepAdvice.ts
+++ b/packages/jobs/src/lib/leader/advice/StepAdvice.ts
@@ -44,6 +44,16 @@
 		for (const worker of workers) this.awaited.delete(worker)
 	}
 
+	/** Whether it is being asked of workers whether they are allowed. */
+	get learning(): boolean {
+		return [...this.awaited].some((worker) => !this.isAllowed(worker))
+	}
+
+	/** Whether new tickets of allowed workers are under way. */
+	get renewing(): boolean {
+		return [...this.awaited].some((worker) => this.isAllowed(worker))
+	}
+
 	/** @returns whether a new ticket is under way for a worker that is known to be allowed. */
 	isRenewing(worker: string): boolean {
 		return this.awaited.has(worker) && this.tickets.has(worker)
--- a/packages/jobs/src/lib/leader/advice/StepQuestions.ts
+++ b/packages/jobs/src/lib/leader/advice/StepQuestions.ts
@@ -43,9 +43,9 @@
 	 * @param roomAt - when room that is kept for the next of them is expected, on the leader's clock; absent when none is.
 	 */
 	ask(work: StepWork, eligible: readonly Option[], tasks: number, roomAt?: number): void {
-		const { queue } = work
+		const { advice, queue } = work
 		const now = this.context.clock.now()
-		if (!queue.advice || !this.mayAsk(work, now)) return
+		if (!queue.advice || advice.asking || now < advice.notBefore) return
 		const answer = queue.advice.base + queue.advice.each * eligible.length
 		// A gang begins only with all its tickets valid, and a long answer comes late for free room.
 		// An urgent step wants to know where room may be made for it.
@@ -58,11 +58,6 @@
 		if (workers.length > 0) this.send(work, workers, queue.advice)
 	}
 
-	/** @returns whether nothing is being asked about a step, and the last question did not come too early. */
-	mayAsk({ advice, queue }: StepWork, now: number): boolean {
-		return queue.advice !== undefined && !advice.asking && now >= advice.notBefore
-	}
-
 	/** @returns which share of workers a queue's policy allows, from 0 to 1, as seen of late. */
 	shareOf(queue: string): number {
 		return this.shares.of(queue)
--- a/packages/runs/src/lib/jobs/JobRun.ts
+++ b/packages/runs/src/lib/jobs/JobRun.ts
@@ -121,6 +121,8 @@
 export class JobRun {
 	readonly clock = new ManualClock()
 	readonly random: Random
+	/** Chooses jobs; in a run with wide gangs apart from all else, so that it has the same jobs whatever its leaders decide. */
+	private readonly jobRandom: Random
 	readonly witness: JobInvariants
 	private readonly accounts: RunAccounts | undefined
 	private readonly crashing: CrashingTasks | undefined
@@ -144,6 +146,7 @@
 	/** @param options - seed and rates. */
 	constructor(private readonly options: JobRunOptions) {
 		this.random = new Random(options.seed)
+		this.jobRandom = options.wideGangs ? new Random(options.seed) : this.random
 		this.accounts = options.accounts ? new RunAccounts(options.seed) : undefined
 		this.witness = new JobInvariants(this.accounts)
 		const { clock, random, witness } = this
@@ -376,7 +379,7 @@
 	}
 
 	private handIn(): void {
-		const { clock, random, options, witness } = this
+		const { clock, options, witness, jobRandom: random } = this
 		this.nextJobAt = clock.now() + random.exponential(1000 / options.jobRate)
 		const id = random.integer(0, 0x7fffffff).toString(16).padStart(16, '0')
 		if (this.asked.has(id)) return
