--- a/packages/jobs/src/lib/gangs/GangPlan.ts
+++ b/packages/jobs/src/lib/gangs/GangPlan.ts
@@ -8,8 +8,11 @@
  * finds the tickets there, and for room that comes later most of their life is left.
  */
 const AHEAD = 0.3
-/** Share of further places whose workers are asked about too, so that one run that ends late doesn't hold up the gang. */
-const SPARE = 0.25
+/**
+ * Further places whose workers are asked about too, as a multiple of the gang, so that a run that ends late or a worker that is lost doesn't hold
+ * it up: naming a worker more costs little beside another question.
+ */
+const SPARE = 1
 /** Milliseconds that a gang rather waits than begins on a worker that is likely to go: a gang that is broken waits anew, and does part of its work again. */
 const UNSTEADY_DELAY = 1500
 
