--- /dev/null
+++ b/packages/jobs/src/lib/gangs/GangPlan.test.ts
@@ -0,0 +1,87 @@
+/** The plan of a gang: one moment at which all members have room and a ticket, with short questions just before it. */
+import assert from 'node:assert/strict'
+import { test } from 'node:test'
+import fc from 'fast-check'
+import { planGang, type GangNeed, type Place } from './GangPlan'
+
+const NOW = 1000
+const TERMS = { base: 500, each: 10, valid: 2000 }
+
+function needOf(changes: Partial<GangNeed> = {}): GangNeed {
+	return {
+		members: 4,
+		now: NOW,
+		ticketLife: 1700,
+		terms: TERMS,
+		holds: () => false,
+		isUnsteady: () => false,
+		...changes,
+	}
+}
+
+function places(worker: string, count: number, at: number): Place[] {
+	return Array.from({ length: count }, () => ({ worker, at }))
+}
+
+test('without room for all members there is no plan', () => {
+	assert.equal(planGang(places('w1', 3, NOW), needOf()), undefined)
+})
+
+test('room that comes late is asked about just before it, and not at once', () => {
+	const plan = planGang(places('w1', 4, NOW + 10_000), needOf())
+	assert.equal(plan?.at, NOW + 10_000)
+	assert.ok(plan.askAt > NOW + 8000 && plan.askAt < NOW + 9500, `${plan.askAt}`)
+})
+
+test('room that is free now waits for its tickets, and few workers are named for it', () => {
+	const spread = ['a', 'b', 'c', 'd'].flatMap((worker) => places(worker, 1, NOW))
+	const plan = planGang([...spread, ...places('wide', 4, NOW)], needOf())
+	assert.deepEqual(new Set(plan?.places.map(({ worker }) => worker)), new Set(['wide']))
+	assert.ok(plan!.askAt <= NOW)
+	assert.equal(plan!.at, NOW + TERMS.base + TERMS.each * plan!.renew.length)
+})
+
+test('tickets that hold until there is room are used, and nothing is asked', () => {
+	const from = [...places('held', 4, NOW + 300), ...places('free', 4, NOW)]
+	const plan = planGang(from, needOf({ holds: (worker) => worker === 'held' }))
+	assert.equal(plan?.at, NOW + 300)
+	assert.deepEqual(plan.renew, [])
+})
+
+test('tickets that run out before there is room do not count', () => {
+	const holds = (_: string, moment: number): boolean => moment < NOW + 1000
+	const plan = planGang(places('w1', 4, NOW + 1000), needOf({ holds }))
+	assert.deepEqual(plan?.renew, ['w1'])
+})
+
+test('a worker that is likely to go is taken only where the others come much later', () => {
+	const isUnsteady = (worker: string): boolean => worker === 'flaps'
+	const workersWith = (at: number): string[] => {
+		const from = [...places('flaps', 4, NOW), ...places('steady', 4, at)]
+		return planGang(from, needOf({ isUnsteady }))!.places.map(({ worker }) => worker)
+	}
+	assert.deepEqual(new Set(workersWith(NOW + 1000)), new Set(['steady']))
+	assert.deepEqual(new Set(workersWith(NOW + 9000)), new Set(['flaps']))
+})
+
+test('whatever is free when: a plan has a place for each member, free by its moment, with a ticket that holds or is asked for', () => {
+	const place = fc.record({
+		worker: fc.constantFrom('a', 'b', 'c', 'd', 'e', 'f'),
+		at: fc.integer({ min: NOW, max: NOW + 6000 }),
+	})
+	const until = fc.dictionary(fc.constantFrom('a', 'b', 'c', 'd'), fc.nat(8000))
+	fc.assert(
+		fc.property(fc.array(place, { maxLength: 30 }), until, (from, tickets) => {
+			from.sort((left, right) => left.at - right.at)
+			const holds = (worker: string, moment: number): boolean => moment < (tickets[worker] ?? 0)
+			const plan = planGang(from, needOf({ holds }))
+			assert.equal(plan === undefined, from.length < 4)
+			if (!plan) return
+			assert.equal(plan.places.length, 4)
+			for (const { worker, at } of plan.places) {
+				assert.ok(at <= plan.at)
+				assert.ok(holds(worker, plan.at) || plan.renew.includes(worker))
+			}
+		})
+	)
+})
--- /dev/null
+++ b/packages/jobs/src/lib/gangs/WorkerReliability.test.ts
@@ -0,0 +1,26 @@
+/** Workers that were lost or failed much of late are known as unsteady for a while. */
+import assert from 'node:assert/strict'
+import { test } from 'node:test'
+import { WorkerReliability } from './WorkerReliability'
+
+test('a worker that was never seen to fail is steady', () => {
+	assert.equal(new WorkerReliability().isUnsteady('w1', 0), false)
+})
+
+test('one loss counts for a while, several for longer, also in the next life of the worker', () => {
+	const reliability = new WorkerReliability()
+	reliability.lost('once', 0)
+	for (const at of [0, 1000, 2000]) reliability.lost(`flaps@${at}`, at)
+	assert.equal(reliability.isUnsteady('once', 10_000), true)
+	assert.equal(reliability.isUnsteady('once', 20_000), false)
+	assert.equal(reliability.isUnsteady('flaps@30000', 30_000), true)
+	assert.equal(reliability.isUnsteady('flaps@30000', 60_000), false)
+})
+
+test('a few failures are their tasks’ doing, many within a short span are not', () => {
+	const reliability = new WorkerReliability()
+	for (let count = 0; count < 2; count++) reliability.failed('w1', 0)
+	assert.equal(reliability.isUnsteady('w1', 0), false)
+	for (let count = 0; count < 2; count++) reliability.failed('w1', 1000)
+	assert.equal(reliability.isUnsteady('w1', 1000), true)
+})
--- a/packages/jobs/src/lib/testing/LeaderSubject.ts
+++ b/packages/jobs/src/lib/testing/LeaderSubject.ts
@@ -183,14 +183,15 @@
 	}
 
 	override available(): readonly string[] {
-		return ['self', 'other', 'third']
+		return this.subject.instances
 	}
 
 	override ask(via: string, question: AdviceQuestion, done: (result: AdviceResult) => void): void {
 		this.subject.questions.push({ via, question })
 		const good = question.workers.filter((id) => this.subject.allowed(id))
 		const tickets = new Map(good.map((id) => [id, `ticket-${id}`]))
-		this.subject.clock.after(30, () => done({ kind: 'answered', tickets }))
+		const takes = this.subject.answerTakes(question)
+		this.subject.clock.after(takes, () => done({ kind: 'answered', tickets }))
 	}
 }
 
@@ -231,6 +232,10 @@
 	readonly proposals = new InstantProposals(this)
 	readonly questions: { readonly via: string; readonly question: AdviceQuestion }[] = []
 	allowed: (worker: string) => boolean = () => true
+	/** Milliseconds that an answer takes; infinite for one that does not come. */
+	answerTakes: (question: AdviceQuestion) => number = () => 30
+	/** Instances that can ask. */
+	instances: readonly string[] = ['self', 'other', 'third']
 	deposed = false
 	/** Log lines of all leaderships. */
 	readonly lines: string[] = []
--- /dev/null
+++ b/packages/runs/src/lib/jobs/gangRun.test.ts
@@ -0,0 +1,44 @@
+/** Wide gangs under scarce advice: every rule of jobs holds, all are done, and the plan is what brings their tickets and room together. */
+import assert from 'node:assert/strict'
+import { test } from 'node:test'
+import { jobsClass, withBroken, type Breakage } from '../testing/brokenParts'
+import { firstFailure } from '../testing/firstFailure'
+import { JobRun } from './JobRun'
+
+const CALM = 0
+const ROUGH = 1
+const WILD = 4
+const SPAN = 10_000
+/** Seeds among which a protection that is taken out must show. */
+const MOST_SEEDS = 6
+
+function runOnce(seed: number, faultRate: number): JobRun {
+	const run = new JobRun({ seed, faultRate, jobRate: 6, wideGangs: true })
+	run.run(SPAN)
+	run.settle()
+	return run
+}
+
+test('wide gangs are done in calm runs, and no member waits in vain for the others', () => {
+	let done = 0
+	for (let seed = 1; seed <= 3; seed++) {
+		const { alone, wide } = runOnce(seed, CALM).tally
+		assert.equal(alone, 0)
+		done += wide.done
+	}
+	assert.ok(done > 20, `${done}`)
+})
+
+test('wide gangs under some faults and under many hold every rule of jobs', () => {
+	for (let seed = 1; seed <= 3; seed++) runOnce(seed, ROUGH)
+	for (let seed = 101; seed <= 103; seed++) runOnce(seed, WILD)
+})
+
+test('without new tickets for the planned moment, gangs wait for good', () => {
+	const unrenewed: Breakage = [jobsClass('gangs', 'GangPlanner'), 'renew', () => () => undefined]
+	const play = (seed: number): unknown => runOnce(seed, CALM)
+	assert.match(
+		withBroken([unrenewed], () => firstFailure(play, MOST_SEEDS)),
+		/an accepted job ends/
+	)
+})
