Gangs that come after many others cost a pass no more than before

Gangs for which no room can be kept, since twelve others of the service go before, were planned in full in each pass. They are planned only where there is room for them now, and learn no further workers until their turn comes.

--- a/packages/jobs/src/lib/gangs/GangPlanner.ts
+++ b/packages/jobs/src/lib/gangs/GangPlanner.ts
@@ -12,7 +12,7 @@
 import type { Reservations } from '../placement/Reservations'
 import { TaskStatus } from '../state/JobRecord'
 import { planGang, type GangNeed, type GangPlan } from './GangPlan'
-import { learnWorkers } from './learnWorkers'
+import { freeOf, learnWorkers, roomIn } from './learnWorkers'
 import { needsPlan } from './needsPlan'
 import type { WorkerReliability } from './WorkerReliability'
 
@@ -42,11 +42,12 @@
 	prepare(work: StepWork, eligible: readonly Option[], now: number): void {
 		const need = this.needOf(work, now)
 		if (!need || hasMemberElsewhere(work, eligible)) return
-		const allowed = eligible.filter(({ view }) => work.advice.isAllowed(view.id))
-		const plan = planGang(this.reservations.placesFor(work, need.members, allowed), need)
+		const plan = this.planOf(work, eligible, need)
 		if (plan) this.reservations.hold(work, plan.places, plan.at)
 		const { advice } = work
 		if (now < advice.notBefore) return
+		// A gang that comes after many others learns no more workers than it did at first, until its turn comes.
+		if (!plan && advice.firstAnswerAt !== undefined && !this.reservations.mayKeep(work)) return
 		// Workers that join are learned beside the plan: it does not wait for them.
 		const isDue = plan && plan.renew.length > 0 && now >= plan.askAt
 		if (isDue && !advice.renewing) this.renew(work, plan, now)
@@ -74,6 +75,18 @@
 		this.context.meter.observe(Measure.GangPlanError, Math.abs(now - planned))
 	}
 
+	/** Gangs for which no room can be kept are planned only where there is room for them now. */
+	private planOf(
+		work: StepWork,
+		eligible: readonly Option[],
+		need: GangNeed
+	): GangPlan | undefined {
+		const allowed = eligible.filter(({ view }) => work.advice.isAllowed(view.id))
+		const mayKeep = this.reservations.mayKeep(work)
+		if (!mayKeep && roomIn(work, allowed, freeOf) < need.members) return undefined
+		return planGang(this.reservations.placesFor(work, need.members, allowed), need)
+	}
+
 	/** Workers to learn of: not while those that are known will do at once, or the plan awaits its tickets. */
 	private unknown(
 		work: StepWork,
--- a/packages/jobs/src/lib/gangs/learnWorkers.ts
+++ b/packages/jobs/src/lib/gangs/learnWorkers.ts
@@ -29,12 +29,14 @@
 ): string[] {
 	const { advice, record } = work
 	const members = record.tasks.length
-	const allowed = eligible.filter(({ view }) => advice.isAllowed(view.id))
 	const unknown = eligible.filter(
 		({ view }) => !advice.isAllowed(view.id) && !advice.isUnfit(view.id)
 	)
-	const freeMissing = members * FREE_SURPLUS - roomIn(work, allowed, freeOf)
-	const mayBeginNow = holdsRoom && roomIn(work, allowed, freeOf) < members
+	if (unknown.length === 0) return []
+	const allowed = eligible.filter(({ view }) => advice.isAllowed(view.id))
+	const free = roomIn(work, allowed, freeOf)
+	const freeMissing = members * FREE_SURPLUS - free
+	const mayBeginNow = holdsRoom && free < members
 	if (mayBeginNow && roomIn(work, unknown, freeOf) * share >= freeMissing) {
 		return choose(work, unknown, freeOf, share, freeMissing)
 	}
@@ -68,11 +70,13 @@
 	return chosen
 }
 
-function roomIn(work: StepWork, options: readonly Option[], amount: Amount): number {
+/** @returns how many members have room on workers that have so much. @internal */
+export function roomIn(work: StepWork, options: readonly Option[], amount: Amount): number {
 	return options.reduce((sum, option) => sum + work.copiesIn(option.view.id, amount(option)), 0)
 }
 
-function freeOf({ account }: Option): Resources {
+/** @returns what is free on a worker. @internal */
+export function freeOf({ account }: Option): Resources {
 	return account.free
 }
 
--- a/packages/jobs/src/lib/placement/Reservations.ts
+++ b/packages/jobs/src/lib/placement/Reservations.ts
@@ -98,12 +98,17 @@
 	 * @param options - workers that may run it.
 	 */
 	keep(work: StepWork, tasks: number, options: readonly Option[]): void {
-		if (this.countOf(work) >= MOST_OF_SERVICE || !needsReservation(work, options)) return
+		if (!this.mayKeep(work) || !needsReservation(work, options)) return
 		const places = this.placesFor(work, tasks, options).slice(0, tasks)
 		if (places.length === 0 || (work.step.gang && places.length < tasks)) return
 		this.hold(work, places, places[places.length - 1].at)
 	}
 
+	/** @returns whether room can be kept for one more step of a service. */
+	mayKeep(work: StepWork): boolean {
+		return this.countOf(work) < MOST_OF_SERVICE
+	}
+
 	/**
 	 * Keeps places for tasks of a step, for which nothing is kept yet.
 	 *
@@ -112,7 +117,7 @@
 	 * @param last - when the last of them begins, on the leader's clock.
 	 */
 	hold(work: StepWork, places: readonly Place[], last: number): void {
-		if (this.countOf(work) >= MOST_OF_SERVICE) return
+		if (!this.mayKeep(work)) return
 		const first = places[0].at
 		for (const [worker, { count, at }] of gather(places)) {
 			const kept = this.byWorker.get(worker) ?? []
