Store: a batch is written by one call of the file handle

Cause: appendFile of a file handle goes through Node's whole-file writer, whose promises and copies took about 8% of a follower's own time under load (profile of a core instance that follows, 210 starts a second over loopback). Change: write() until all is written; the sync after it stays as it was.

--- a/packages/store/src/lib/Disk.ts
+++ b/packages/store/src/lib/Disk.ts
@@ -32,7 +32,11 @@
 	}
 
 	override async append(bytes: Uint8Array): Promise<void> {
-		await this.handle.appendFile(bytes)
+		let written = 0
+		while (written < bytes.length) {
+			const { bytesWritten } = await this.handle.write(bytes, written)
+			written += bytesWritten
+		}
 	}
 
 	override async sync(): Promise<void> {
