Links: gRPC's own retries and its diagnostics are off

Cause: each message passed a retry layer that kept a copy, although a link's stream is opened anew by the hub itself, and a diagnostic count. Change: two options of the channel and the server.

--- a/packages/protocol/src/lib/LinkHub.ts
+++ b/packages/protocol/src/lib/LinkHub.ts
@@ -34,6 +34,9 @@
 	'grpc.enable_http_proxy': 0,
 	// Each channel has its own connections, so that a new channel opens a new one.
 	'grpc.use_local_subchannel_pool': 1,
+	// The hub dials again by itself: gRPC's own retries would keep a copy of each message, and its diagnostics a count.
+	'grpc.enable_retries': 0,
+	'grpc.enable_channelz': 0,
 }
 
 /** What a hub is made with. @public */
