--- a/packages/member/src/lib/CoreInstance.ts
+++ b/packages/member/src/lib/CoreInstance.ts
@@ -11,7 +11,7 @@
 	type LeaderTiming,
 	type WorkerOrders,
 } from '@rillrudder/jobs'
-import type { Event, PeerCall } from '@rillrudder/protocol'
+import type { Event, Member, PeerCall } from '@rillrudder/protocol'
 import { Ending, GroupStore, SystemDisk } from '@rillrudder/store'
 import { Measure, type Log, type Meter } from '@rillrudder/telemetry'
 import { Random, type Clock, type Timer } from '@rillrudder/utils'
@@ -97,7 +97,8 @@
 	private leading: Leading | undefined
 	private timers: Timer[] = []
 	private toldLeader = ''
-	private toldMembers = ''
+	/** The members that were told last; the group replaces the list whenever it changes. */
+	private toldMembers: readonly Member[] = []
 
 	constructor(private readonly parts: CoreParts) {
 		const { clock, address: self, adviser } = parts
@@ -240,10 +241,11 @@
 			this.parts.log.info(MemberEvent.LeaderChanged, { leader, term })
 			this.news.tell()
 		}
-		const named = members.map((one) => `${one.id}${one.voter ? '' : '?'}`).join()
-		if (named === this.toldMembers) return
-		this.toldMembers = named
-		this.parts.log.info(MemberEvent.MembersChanged, { members: named })
+		if (members === this.toldMembers) return
+		const named = namesOf(members)
+		const before = namesOf(this.toldMembers)
+		this.toldMembers = members
+		if (named !== before) this.parts.log.info(MemberEvent.MembersChanged, { members: named })
 	}
 
 	private beginLeading(term: number): void {
@@ -353,3 +355,8 @@
 		this.links.dialOnly(this.peersToDial())
 	}
 }
+
+/** Those without a vote are marked. */
+function namesOf(members: readonly Member[]): string {
+	return members.map((one) => `${one.id}${one.voter ? '' : '?'}`).join()
+}
