--- a/packages/member/src/lib/Leading.ts
+++ b/packages/member/src/lib/Leading.ts
@@ -131,6 +131,7 @@
 	/** The leadership is over: nothing more is decided. */
 	end(): void {
 		this.over = true
+		this.batching.end()
 		this.orders.end()
 		this.parts.orders.end()
 		this.parts.log.info(LeaderEvent.LeadershipLost, { term: this.term })
