Work that can be in time goes first also where workers' speeds differ much; a gang's plan keeps off slow workers as it does off unsteady ones

Where a quarter of the workers works at half the speed of the others, work lands late by where it landed, and what is late went first by its latest start. A plan of a gang took a slow worker that is free now before a fast one that is free a second later, though all members then go at its pace.

--- a/packages/jobs/src/lib/gangs/GangPlan.test.ts
+++ b/packages/jobs/src/lib/gangs/GangPlan.test.ts
@@ -14,7 +14,7 @@
 		ticketLife: 1700,
 		terms: TERMS,
 		holds: () => false,
-		isUnsteady: () => false,
+		delayOf: () => 0,
 		...changes,
 	}
 }
@@ -55,10 +55,10 @@
 })
 
 test('a worker that is likely to go is taken only where the others come much later', () => {
-	const isUnsteady = (worker: string): boolean => worker === 'flaps'
+	const delayOf = (worker: string): number => (worker === 'flaps' ? 1500 : 0)
 	const workersWith = (at: number): string[] => {
 		const from = [...places('flaps', 4, NOW), ...places('steady', 4, at)]
-		return planGang(from, needOf({ isUnsteady }))!.places.map(({ worker }) => worker)
+		return planGang(from, needOf({ delayOf }))!.places.map(({ worker }) => worker)
 	}
 	assert.deepEqual(new Set(workersWith(NOW + 1000)), new Set(['steady']))
 	assert.deepEqual(new Set(workersWith(NOW + 9000)), new Set(['flaps']))
--- a/packages/jobs/src/lib/gangs/GangPlan.ts
+++ b/packages/jobs/src/lib/gangs/GangPlan.ts
@@ -13,9 +13,6 @@
  * it up: naming a worker more costs little beside another question.
  */
 const SPARE = 1
-/** Milliseconds that a gang rather waits than begins on a worker that is likely to go: a gang that is broken waits anew, and does part of its work again. */
-const UNSTEADY_DELAY = 1500
-
 /** A place for one member, once it is free. @internal */
 export interface Place {
 	readonly worker: string
@@ -35,8 +32,8 @@
 	readonly terms: AdviceTerms
 	/** Whether a worker's ticket holds at a moment. */
 	readonly holds: (worker: string, moment: number) => boolean
-	/** Whether a worker is likely to go, or to fail what it starts. */
-	readonly isUnsteady: (worker: string) => boolean
+	/** Milliseconds that the gang rather waits than has a member on a worker: that one is slow, or is likely to go. */
+	readonly delayOf: (worker: string) => number
 }
 
 /** A plan. @internal */
@@ -109,7 +106,7 @@
 	}
 	const keyed = places.map((place) => ({
 		place,
-		at: Math.max(place.at, earliest) + (need.isUnsteady(place.worker) ? UNSTEADY_DELAY : 0),
+		at: Math.max(place.at, earliest) + need.delayOf(place.worker),
 		count: counts.get(place.worker) ?? 0,
 	}))
 	keyed.sort(
--- a/packages/jobs/src/lib/gangs/GangPlanner.ts
+++ b/packages/jobs/src/lib/gangs/GangPlanner.ts
@@ -16,6 +16,9 @@
 import { needsPlan } from './needsPlan'
 import type { WorkerReliability } from './WorkerReliability'
 
+/** Milliseconds that a gang rather waits than begins on a worker that is likely to go. */
+const UNSTEADY_DELAY = 1500
+
 /**
  * Plans gangs.
  *
@@ -40,7 +43,7 @@
 
 	/** Plans a gang that found no room, or no tickets, and asks what its plan wants. */
 	prepare(work: StepWork, eligible: readonly Option[], now: number): void {
-		const need = this.needOf(work, now)
+		const need = this.needOf(work, eligible, now)
 		if (!need || hasMemberElsewhere(work, eligible)) return
 		const plan = this.planOf(work, eligible, need)
 		if (plan) this.reservations.hold(work, plan.places, plan.at)
@@ -111,9 +114,17 @@
 		this.questions.askAbout(work, renew)
 	}
 
-	private needOf({ queue, record, advice }: StepWork, now: number): GangNeed | undefined {
+	/** A gang goes as fast as its slowest member; one that is broken waits anew, and does part of its work again. */
+	private delayOf(worker: string, expected: number, speed: number, now: number): number {
+		const longer = Math.max(0, expected / speed - expected)
+		return longer + (this.reliability.isUnsteady(worker, now) ? UNSTEADY_DELAY : 0)
+	}
+
+	private needOf(work: StepWork, eligible: readonly Option[], now: number): GangNeed | undefined {
+		const { queue, record, advice, step } = work
 		const { advice: terms } = queue
 		if (!terms) return undefined
+		const speeds = new Map(eligible.map(({ view }) => [view.id, view.speed]))
 		return {
 			members: record.tasks.length,
 			now,
@@ -121,7 +132,7 @@
 			terms,
 			holds: (worker, moment) =>
 				advice.isRenewing(worker) || advice.ticket(worker, moment) !== undefined,
-			isUnsteady: (worker) => this.reliability.isUnsteady(worker, now),
+			delayOf: (worker) => this.delayOf(worker, step.expectedTime, speeds.get(worker) ?? 1, now),
 		}
 	}
 }
--- a/packages/jobs/src/lib/leader/JobController.ts
+++ b/packages/jobs/src/lib/leader/JobController.ts
@@ -4,6 +4,7 @@
 import type { CellConfiguration, Heartbeat } from '../records/Cell'
 import { formatTaskName } from '../records/Job'
 import type { Change } from '../state/Change'
+import { OrderByUse } from '../placement/OrderByUse'
 import { Precedence } from '../placement/Precedence'
 import { objectiveOf } from '../placement/stepTimes'
 import { isActive, type JobRecord } from '../state/JobRecord'
@@ -64,14 +65,15 @@
 			state.configuration?.accounts ?? [],
 			context.timing.quotaTolerance
 		)
-		this.shares = new LeaderShares(context, this.accounts)
+		const use = new OrderByUse(context.policy)
+		this.shares = new LeaderShares(context, this.accounts, use)
 		this.workers = new WorkerRegistry(context, this.accounts, {
 			polled: (view, result, sentAt) => {
 				this.runs.polled(view, result, sentAt)
 				this.speeds.polled(view, result)
 			},
 		})
-		this.speeds = new SpeedWatch(context, this.workers)
+		this.speeds = new SpeedWatch(context, this.workers, use)
 		this.precedence.configured(state.configuration?.queues ?? [], context.clock.now())
 		this.runs = new RunController(context, this.workers, this.precedence, this.accounts, {
 			ticketRefused: (task, worker) => this.steps.ticketRefused(task, worker),
--- a/packages/jobs/src/lib/leader/steps/StepScheduler.ts
+++ b/packages/jobs/src/lib/leader/steps/StepScheduler.ts
@@ -263,7 +263,7 @@
 	 */
 	place(now: number, full: boolean): void {
 		if (this.stale) this.sort()
-		if (full && this.context.policy.overload && this.noteClaims(now)) this.sort()
+		if (full && this.noteClaims(now)) this.sort()
 		if (full) this.waits.tell(this.order, (work) => this.isWaiting(work))
 		const due = this.order.filter((work) => !work.allPlaced && this.isReady(work))
 		if (due.length === 0 || !(full || this.hasNews(due))) return
--- a/packages/jobs/src/lib/shares/LeaderShares.ts
+++ b/packages/jobs/src/lib/shares/LeaderShares.ts
@@ -9,6 +9,7 @@
 import { AccountShares, type HadRoom, type ServiceStanding, type Want } from './AccountShares'
 import { AdviceShares } from './AdviceShares'
 import type { HadShares } from './HadShares'
+import type { OrderByUse } from '../placement/OrderByUse'
 import type { ServiceRoom } from './ServiceRoom'
 
 /** Milliseconds between two notes for the next leader: a third of the span over which shares are averaged. */
@@ -37,7 +38,9 @@
 
 	constructor(
 		private readonly context: LeaderContext,
-		private readonly accounts: AccountUsage
+		private readonly accounts: AccountUsage,
+		/** Whether steps are ordered by the use that they are of. */
+		readonly use: OrderByUse
 	) {
 		const now = context.clock.now()
 		const { shares } = context.state
--- a/packages/jobs/src/lib/shares/StepShares.ts
+++ b/packages/jobs/src/lib/shares/StepShares.ts
@@ -12,7 +12,7 @@
 import type { StepWork } from '../leader/steps/StepWork'
 import type { WorkerView } from '../leader/workers/WorkerView'
 import type { Reservations } from '../placement/Reservations'
-import { usefulnessOf } from '../placement/Usefulness'
+import { Usefulness, usefulnessOf } from '../placement/Usefulness'
 import type { AccountShares, Want } from './AccountShares'
 import { inShareOrder } from './inShareOrder'
 import type { LeaderShares } from './LeaderShares'
@@ -36,6 +36,9 @@
  * @internal
  */
 export class StepShares {
+	/** Whether anything but its times orders a step, as of the last look. */
+	private ordered = false
+
 	constructor(
 		private readonly context: LeaderContext,
 		private readonly accounts: AccountUsage,
@@ -44,7 +47,11 @@
 
 	/** Notes anew what orders the steps besides their times. @returns whether that has changed for any. */
 	note(view: StepView, now: number): boolean {
+		const { inForce: byUse } = this.shares.use
 		const rooms = this.shares.inForce
+		// What was noted while either was in force is taken back once.
+		if (!byUse && !rooms && !this.ordered) return false
+		this.ordered = byUse || rooms
 		if (rooms) this.shares.look(now, this.roomsOf(view), this.wantsOf(view))
 		const epoch = epochOf(this.context)
 		const kept = new KeptRooms()
@@ -52,7 +59,8 @@
 		for (const work of view.steps) {
 			if (work.step.lasting) continue
 			const over = rooms && this.isOver(work, kept)
-			if (work.note(usefulnessOf(work.times, epoch), over)) changed = true
+			const usefulness = byUse ? usefulnessOf(work.times, epoch) : Usefulness.InTime
+			if (work.note(usefulness, over)) changed = true
 			const room = rooms && view.reservations.expectedAt(work)?.room
 			if (room) this.keep(work, room, kept)
 		}
--- a/packages/jobs/src/lib/speeds/SpeedWatch.ts
+++ b/packages/jobs/src/lib/speeds/SpeedWatch.ts
@@ -9,6 +9,7 @@
 import type { WorkerRegistry } from '../leader/workers/WorkerRegistry'
 import type { WorkerView } from '../leader/workers/WorkerView'
 import { RunEnd } from '../records/Job'
+import type { OrderByUse } from '../placement/OrderByUse'
 import { WorkerSpeeds } from './WorkerSpeeds'
 
 /** Milliseconds between two estimates. */
@@ -29,7 +30,8 @@
 
 	constructor(
 		private readonly context: LeaderContext,
-		private readonly workers: WorkerRegistry
+		private readonly workers: WorkerRegistry,
+		private readonly use: OrderByUse
 	) {}
 
 	/** Takes what a worker has listed. */
@@ -58,6 +60,7 @@
 		this.due = now + PERIOD
 		const { heeded, slow, notSlow } = this.speeds.assess(this.workers.size, now)
 		for (const view of this.workers.all()) view.speed = this.speeds.speedOf(view.id)
+		this.use.speedsDiffer = this.speeds.spread.heeded
 		if (heeded !== undefined) this.tellSpread()
 		for (const worker of slow) this.tell(LeaderEvent.WorkerSlow, worker, now)
 		for (const worker of notSlow) this.tell(LeaderEvent.WorkerNotSlow, worker, now)
