--- a/packages/jobs/src/lib/leader/steps/StepScheduler.ts
+++ b/packages/jobs/src/lib/leader/steps/StepScheduler.ts
@@ -327,6 +327,7 @@
 		const work = new StepWork(job, queue, repeat, step, times, standing, account)
 		this.steps.set(name, work)
 		this.stale = true
+		this.shares.opened(work)
 		return work
 	}
 
--- a/packages/jobs/src/lib/placement/OrderByUse.test.ts
+++ b/packages/jobs/src/lib/placement/OrderByUse.test.ts
@@ -5,11 +5,14 @@
 import { jobOf } from '../testing/samples'
 import { OrderByUse } from './OrderByUse'
 
-test('the order by use is in force where settings call for it, or speeds differ much', () => {
+test('the order by use is in force where settings call for it, speeds differ much, or gangs are planned', () => {
 	const plain = new OrderByUse(PLAIN_POLICY)
 	assert.equal(plain.inForce, false)
 	plain.speedsDiffer = true
 	assert.equal(plain.inForce, true)
+	const withGangs = new OrderByUse(PLAIN_POLICY)
+	withGangs.plansGangs = true
+	assert.equal(withGangs.inForce, true)
 	assert.equal(new OrderByUse({ overload: true }).inForce, true)
 })
 
--- a/packages/jobs/src/lib/placement/OrderByUse.ts
+++ b/packages/jobs/src/lib/placement/OrderByUse.ts
@@ -1,6 +1,7 @@
 /**
  * Whether waiting steps are ordered by the use that they still are of, besides their latest start. It is called for where callers compete for
- * too little room, by the settings, and where workers differ so much in speed that work becomes late by where it landed.
+ * too little room, by the settings; where workers differ so much in speed that work becomes late by where it landed; and where gangs are
+ * planned as a whole, since a late one that goes first takes room and advice for long, and so makes the next one late.
  */
 import type { LeaderPolicy } from '../leader/LeaderPolicy'
 
@@ -12,11 +13,13 @@
 export class OrderByUse {
 	/** Whether the speeds of workers differ so much that decisions heed them. */
 	speedsDiffer = false
+	/** Whether gangs have been planned as a whole in this leadership. */
+	plansGangs = false
 
 	constructor(private readonly policy: LeaderPolicy) {}
 
 	/** Whether what can still be in time goes before what can't. */
 	get inForce(): boolean {
-		return this.policy.overload || this.speedsDiffer
+		return this.policy.overload || this.speedsDiffer || this.plansGangs
 	}
 }
--- a/packages/jobs/src/lib/shares/StepShares.ts
+++ b/packages/jobs/src/lib/shares/StepShares.ts
@@ -8,6 +8,7 @@
 	type Resources,
 } from '@rillrudder/scheduler'
 import type { AccountUsage } from '../accounts/AccountUsage'
+import { needsPlan } from '../gangs/needsPlan'
 import { epochOf, type LeaderContext } from '../leader/LeaderContext'
 import type { StepWork } from '../leader/steps/StepWork'
 import type { WorkerView } from '../leader/workers/WorkerView'
@@ -45,6 +46,11 @@
 		private readonly shares: LeaderShares
 	) {}
 
+	/** A step waits from now on. */
+	opened(work: StepWork): void {
+		if (needsPlan(work)) this.shares.use.plansGangs = true
+	}
+
 	/** Notes anew what orders the steps besides their times. @returns whether that has changed for any. */
 	note(view: StepView, now: number): boolean {
 		const { inForce: byUse } = this.shares.use
