--- a/packages/jobs/src/lib/leader/workers/LossWaves.ts
+++ b/packages/jobs/src/lib/leader/workers/LossWaves.ts
@@ -10,8 +10,7 @@
 const LEAST = 3
 /**
  * Losses among the workers of a service, as a share of them, within `RECENT` from which a loss says little of what had just begun there: each
- * worker is then lost every 10 s, and a poll's wait of 0.5 s after its beginning is enough for 5% of all runs to lose theirs. Of 260 seeded runs
- * one gave up a task that had done nothing, for three such losses.
+ * worker is then lost every 10 s, and many a run loses its own by chance in the poll's wait after its beginning.
  */
 const OFTEN = 0.5
 /** Milliseconds. */
--- a/packages/jobs/src/lib/leader/workers/WorkerPolls.ts
+++ b/packages/jobs/src/lib/leader/workers/WorkerPolls.ts
@@ -12,10 +12,8 @@
 const MANY_WORKERS = 100
 
 /**
- * Milliseconds by which an urgent run is late before its worker is asked beside the poll that waits there. Declared times
- * are off by a fifth, 130 ms of the 640 that such a run takes; a lost poll hides its end for 1.25 s. On a played day with a
- * burst, workers that left a twentieth of their orders unanswered and others cut off, 164 of 1,065 checks were late in place of
- * 222, for 2% more polls (one run each).
+ * Milliseconds by which an urgent run is late before its worker is asked beside the poll that waits there: a lost
+ * poll hides the run's end for over a second, more than urgent work has in hand, and declared times are off by about as much as this.
  */
 const OVERDUE = 130
 
--- a/packages/jobs/src/lib/leader/workers/WorkerRegistry.ts
+++ b/packages/jobs/src/lib/leader/workers/WorkerRegistry.ts
@@ -383,8 +383,7 @@
 
 	/**
 	 * Earlier leaders may have granted a whole lease just before they lost their place. And a worker that has just started again may have been
-	 * granted one by its earlier life's clock, which it keeps for as long as it keeps anything: in 2 of 200 seeded runs one that was cut off
-	 * within 8 s of its start still ran what had begun elsewhere.
+	 * granted one by its earlier life's clock, which it keeps for as long as it keeps anything.
 	 */
 	private firstLease({ id, born }: Worker): Lease {
 		const { timing, clock, state } = this.context
--- a/packages/jobs/src/lib/placement/UrgentRoom.ts
+++ b/packages/jobs/src/lib/placement/UrgentRoom.ts
@@ -4,9 +4,7 @@
  * processors a quarter, where large tasks take nine, keeps a third such task out and leaves fourteen. What large tasks
  * leave over on each worker is where urgent work finds its room.
  *
- * Answers a cell that is full of large tasks all day. On such a day (96% of the processors wanted, tasks of 9 of 32) large
- * batch work earned 0.74 of its worth in place of 0.66 with 12% of each worker left and 0.60 with a quarter of each; urgent
- * work earned the same 0.81 all three ways. One run each.
+ * Answers a cell that is full of large tasks all day.
  */
 import type { Option } from '../leader/steps/chooseForStep'
 import type { StepWork } from '../leader/steps/StepWork'
--- a/packages/jobs/src/lib/state/TaskCrashes.ts
+++ b/packages/jobs/src/lib/state/TaskCrashes.ts
@@ -50,18 +50,18 @@
 /** One of the treatments. @public */
 export type Suspicion = (typeof Suspicion)[keyof typeof Suspicion]
 
-/** Crashes with strong evidence that prove that a task does it; with two, 3 of 210 seeded runs gave up an innocent task. */
+/** Crashes with strong evidence that prove that a task does it; two happen to innocent tasks. */
 const STRONG_PROOF = 3
 /**
  * Crashes with strong or doubtful evidence after which a task is given up: a sixth start could be the third after the third
- * crash. Chance failures at a task's beginning are rare enough that five of them were not seen.
+ * crash. Five chance failures at one task's beginning are too rare to count with.
  */
 const DOUBTFUL_PROOF = 5
 /** Crashes of any evidence after which a task is given up, so that one that crashes its workers late is bounded too. */
 const WEAK_PROOF = 10
 /**
- * Lost workers with strong evidence from which a task is isolated. From the first on, crashes threw away an eighth less work of
- * neighbours than from the second on, and jobs were done 3% sooner (210 seeded runs each).
+ * Lost workers with strong evidence from which a task is isolated: to wait for a second one costs its neighbours more work than isolating an
+ * innocent task costs it.
  */
 const ISOLATED_FROM = 1
 /** Lost workers with strong or doubtful evidence from which a task is isolated, and waits to hear what became of each. */
