A call that this instance answered as leader has its term too, and the name of a call doesn't hide a fault that is known

A try that was answered here left no term, so a refusal of an earlier leader could settle it (only a lease that held too long would bring that about), and one of this instance as the newer leader settled no earlier try: "unknown" where "not run" was true. A submission that can't be handled was handled anew for each call that brought it, since its digest held the name.

Change: local calls come with the term; the digest of a faulty call leaves its name out. Three tests, which failed before.

--- a/packages/member/src/lib/CallFaults.ts
+++ b/packages/member/src/lib/CallFaults.ts
@@ -67,6 +67,8 @@
 	}
 }
 
+/** The name of a call is left out: a submission that its caller brings again has another. */
 function digestOf(call: CellCall): string {
-	return createHash('sha256').update(JSON.stringify(call)).digest('hex')
+	const asked = call.kind === 'submit' ? { ...call, call: undefined } : call
+	return createHash('sha256').update(JSON.stringify(asked)).digest('hex')
 }
--- a/packages/member/src/lib/CoreInstance.ts
+++ b/packages/member/src/lib/CoreInstance.ts
@@ -22,7 +22,7 @@
 import { OrderCarrier } from './carriers/OrderCarrier'
 import { CallFaults } from './CallFaults'
 import { CellMachine } from './CellMachine'
-import type { Finality } from './LeaderCalls'
+import type { Finality, LocalLeader } from './LeaderCalls'
 import { CoreNews } from './CoreNews'
 import { decodeCall } from './linkBodies'
 import { GatheredHeartbeats } from './GatheredHeartbeats'
@@ -109,7 +109,7 @@
 			meter: parts.meter,
 			receive: (from, event) => this.receive(from, event),
 			lost: (peer) => this.leading?.lost(peer),
-			local: (call, done) => this.callHere(call, done),
+			local: () => this.localLeader(),
 		})
 		const peers = (): readonly string[] => this.links.hub.connected
 		this.advisers = new AskingPeers({ self, adviser, calls: this.links.calls, peers })
@@ -290,11 +290,14 @@
 		this.leading = undefined
 	}
 
-	private callHere(call: CellCall, done: (reply: CellReply) => void): boolean {
-		if (!this.leading || !this.group.mayAct) return false
-		const { leading } = this
-		this.faults.handle(call, done, () => leading.call(call, done))
-		return true
+	/** @returns this instance as the leader; undefined while it may not act as such. */
+	private localLeader(): LocalLeader | undefined {
+		const { leading, faults } = this
+		if (!leading || !this.group.mayAct) return undefined
+		return {
+			term: leading.term,
+			call: (call, done) => faults.handle(call, done, () => leading.call(call, done)),
+		}
 	}
 
 	private receive(from: string, { body }: Event): void {
@@ -321,8 +324,9 @@
 			return
 		}
 		if (this.leading) {
-			const meant = term === this.leading.term && this.callHere(call, reply)
-			if (!meant) reply({ kind: 'not-leader' })
+			const leader = this.localLeader()
+			if (leader?.term === term) leader.call(call, reply)
+			else reply({ kind: 'not-leader' })
 			return
 		}
 		const leader = this.group.replica.status.leader
--- a/packages/member/src/lib/LeaderCalls.test.ts
+++ b/packages/member/src/lib/LeaderCalls.test.ts
@@ -5,7 +5,7 @@
 import type { Event } from '@rillrudder/protocol'
 import { Meter } from '@rillrudder/telemetry'
 import { ManualClock } from '@rillrudder/utils'
-import { LeaderCalls, type Finality } from './LeaderCalls'
+import { LeaderCalls, type Finality, type LocalLeader } from './LeaderCalls'
 import { decodeCall } from './linkBodies'
 import type { KnownLeader } from './LeaderView'
 import { PeerCalls } from './PeerCalls'
@@ -28,6 +28,9 @@
 	leader: KnownLeader | undefined
 	reachable = true
 	reply: CellReply | undefined
+	/** Term that this instance leads, and what its calls here wait for. */
+	localTerm: number | undefined
+	answerHere: ((reply: CellReply) => void) | undefined
 	private readonly peers = new PeerCalls(this.clock, (peer, event) => this.send(peer, event))
 	private readonly leaderCalls = new LeaderCalls({
 		clock: this.clock,
@@ -35,6 +38,7 @@
 		meter: new Meter(),
 		leader: () => this.leader,
 		life: 'first',
+		local: () => this.localLeader(),
 	})
 
 	get outcome(): string | undefined {
@@ -63,6 +67,12 @@
 		await new Promise((done) => setImmediate(done))
 	}
 
+	private localLeader(): LocalLeader | undefined {
+		const term = this.localTerm
+		if (term === undefined) return undefined
+		return { term, call: (_call, done) => (this.answerHere = done) }
+	}
+
 	private send(to: string, { body }: Event): boolean {
 		if (!this.reachable || body?.$case !== 'peerCall') return false
 		this.calls.push(decodeCall(body.value.body))
@@ -241,3 +251,30 @@
 	await subject.run(10)
 	assert.equal(subject.outcome, 'accepted')
 })
+
+test('an earlier leader’s word says nothing of a try that this instance may have taken as the leader of a later term', async () => {
+	const subject = new Subject()
+	subject.localTerm = 2
+	subject.begin(SUBMIT)
+	await subject.run(10)
+	subject.localTerm = undefined
+	subject.answerHere?.({ kind: 'unknown', reason: 'the leader has changed' })
+	subject.leader = leader('a', 1)
+	await subject.run(100)
+	subject.answer(SETTLED)
+	await subject.run(10)
+	assert.equal(subject.outcome, 'unknown')
+})
+
+test('this instance’s word as the newest leader settles a try that went to an earlier one', async () => {
+	const subject = new Subject()
+	subject.leader = leader('a', 1)
+	subject.begin(SUBMIT)
+	await subject.run(10)
+	subject.localTerm = 2
+	subject.lose('a')
+	await subject.run(100)
+	subject.answerHere?.(SETTLED)
+	await subject.run(10)
+	assert.equal(subject.outcome, 'not-run')
+})
--- a/packages/member/src/lib/LeaderCalls.ts
+++ b/packages/member/src/lib/LeaderCalls.ts
@@ -33,6 +33,13 @@
 	readonly limitOnceSent?: number
 }
 
+/** The instance itself while it leads. @internal */
+export interface LocalLeader {
+	readonly term: number
+	/** Answers a call here. */
+	readonly call: (call: CellCall, done: (reply: CellReply) => void) => void
+}
+
 /** What calls need of the instance. @internal */
 export interface LeaderCallsParts {
 	readonly clock: Clock
@@ -42,8 +49,8 @@
 	readonly leader: () => KnownLeader | undefined
 	/** Told of a call that was not answered well, or late. */
 	readonly slow?: (call: CellCall, reply: CellReply, took: number, tries: number) => void
-	/** Answers a call here, when this instance leads. @returns false when it does not. */
-	readonly local?: (call: CellCall, done: (reply: CellReply) => void) => boolean
+	/** @returns this instance as the leader; undefined while it does not lead. */
+	readonly local?: () => LocalLeader | undefined
 	/** This life of the instance, unlike any other's; names its calls. */
 	readonly life: string
 }
@@ -110,17 +117,9 @@
 
 	private attempt(attempt: Attempt): void {
 		const { local, leader, calls } = this.parts
-		let settled = false
-		const replied = (reply: CellReply): void => {
-			if (settled) return
-			settled = true
-			this.replied(attempt, reply)
-		}
-		if (local?.(attempt.call, replied)) {
-			attempt.sent = true
-			this.parts.clock.after(this.left(attempt), () =>
-				replied({ kind: 'unknown', reason: 'not committed in time' })
-			)
+		const here = local?.()
+		if (here) {
+			this.attemptHere(attempt, here)
 			return
 		}
 		const known = leader()
@@ -137,6 +136,21 @@
 		calls.call(to, attempt.call, limit, (outcome) => this.outcome(attempt, outcome, term))
 	}
 
+	/** Answers here, as the leader. */
+	private attemptHere(attempt: Attempt, { term, call }: LocalLeader): void {
+		let answered = false
+		const replied = (reply: CellReply): void => {
+			if (answered) return
+			answered = true
+			this.replied(attempt, reply, term)
+		}
+		attempt.term = Math.max(attempt.term, term)
+		call(attempt.call, replied)
+		attempt.sent = true
+		const reason = 'not committed in time'
+		this.parts.clock.after(this.left(attempt), () => replied({ kind: 'unknown', reason }))
+	}
+
 	private outcome(attempt: Attempt, outcome: PeerOutcome, term: number): void {
 		if (outcome.kind === 'replied') {
 			this.replied(attempt, outcome.reply, term)
@@ -146,7 +160,7 @@
 		this.again(attempt)
 	}
 
-	private replied(attempt: Attempt, reply: CellReply, term?: number): void {
+	private replied(attempt: Attempt, reply: CellReply, term: number): void {
 		if (reply.kind === 'settled') {
 			this.settled(attempt, reply.refusal, term)
 		} else if (reply.kind === 'unknown') {
@@ -165,9 +179,8 @@
 	 * A leader has settled that no try of a submission is or will be taken, as far as tries came to it or to leaders before it: those of lower
 	 * terms are void once it leads, and it knows what they have committed. A try under a later term may still have been taken.
 	 */
-	private settled(attempt: Attempt, refusal: JobRefusal, term?: number): void {
-		const isNewest = term === undefined ? attempt.term === 0 : term >= attempt.term
-		if (isNewest || !attempt.sent) attempt.done(refusal)
+	private settled(attempt: Attempt, refusal: JobRefusal, term: number): void {
+		if (term >= attempt.term || !attempt.sent) attempt.done(refusal)
 		else this.doubt(attempt, refusal)
 	}
 
--- a/packages/member/src/lib/PeerLinks.ts
+++ b/packages/member/src/lib/PeerLinks.ts
@@ -1,10 +1,9 @@
 /** What every instance has towards the others: links, calls over them, and who leads. */
 import { randomUUID } from 'node:crypto'
-import type { CellCall, CellReply } from '@rillrudder/jobs'
 import { LinkHub, linkSecurity, type Event } from '@rillrudder/protocol'
 import type { Log, Meter } from '@rillrudder/telemetry'
 import type { Clock } from '@rillrudder/utils'
-import { LeaderCalls } from './LeaderCalls'
+import { LeaderCalls, type LocalLeader } from './LeaderCalls'
 import { LeaderView } from './LeaderView'
 import { LINK_SILENCE, LONGEST_REDIAL } from './linkTiming'
 import { MemberEvent } from './MemberEvent'
@@ -22,8 +21,8 @@
 	readonly receive: (from: string, event: Event) => void
 	/** Told once a peer is lost. */
 	readonly lost?: (peer: string) => void
-	/** Answers a call here, when this instance leads. @returns false when it does not. */
-	readonly local?: (call: CellCall, done: (reply: CellReply) => void) => boolean
+	/** @returns this instance as the leader; undefined while it does not lead. */
+	readonly local?: () => LocalLeader | undefined
 }
 
 /**
--- a/packages/member/src/lib/linkBodies.test.ts
+++ b/packages/member/src/lib/linkBodies.test.ts
@@ -64,3 +64,25 @@
 	assert.deepEqual(replies, ['unknown', 'unknown'])
 	assert.equal(handled, 2)
 })
+
+test('a submission whose handling fails is not handled again when its caller brings it by another call', () => {
+	const clock = new ManualClock()
+	const faults = new CallFaults(
+		clock,
+		new Log('test', clock, 'silent', () => undefined),
+		new Meter()
+	)
+	const job = { spec: '', steps: [] }
+	const submission = (number: number): CellCall => {
+		const call = { instance: 'entry', number }
+		return { kind: 'submit', to: { queue: 'checks', id: 'x' }, job, call }
+	}
+	let handled = 0
+	const fail = (): void => {
+		handled += 1
+		throw new Error('a fault')
+	}
+	faults.handle(submission(1), () => undefined, fail)
+	faults.handle(submission(2), () => undefined, fail)
+	assert.equal(handled, 1)
+})
