Work is spread by what an instance can carry, and an entry instance that can't keep up turns callers away before they notice

Cause: entry instances differ by three in processor, memory and link, and get as many callers, questions and orders; an instance that is choked was noticed by its callers alone.

Change: instances tell their processor, the delay of their event loop and the fill of their calls in core news and in answers to questions. Carriers are chosen by weighted rendezvous (the plain hash where they are alike), a late one gives up a tenth of its workers a second; questions go past late, loaded and small instances; an entry instance says not ready from 60 ms of delay on, and refuses new submissions from 250 ms on.

--- a/packages/jobs/src/lib/leader/advice/AdvicePlanner.ts
+++ b/packages/jobs/src/lib/leader/advice/AdvicePlanner.ts
@@ -5,6 +5,7 @@
  */
 import type { LeaderContext } from '../LeaderContext'
 import type { AdviceQuestion, AdviceResult } from '../ports'
+import { bestAdviser } from './bestAdviser'
 
 /** Milliseconds from which an answer counts as a long one. */
 const LONG = 150
@@ -96,7 +97,7 @@
 			const kept = attempt.question.cost >= LONG ? this.keptFree() : 0
 			if (free.length <= kept) continue
 			attempt.copyAt = Number.POSITIVE_INFINITY
-			this.send(this.mostRested(free), attempt)
+			this.send(this.bestOf(free), attempt)
 		}
 	}
 
@@ -119,7 +120,7 @@
 		const next = this.takeNext(long < longMost)
 		if (!next) return false
 		const copyAt = this.context.clock.now() + next.cost * COPY_FACTOR + COPY_AFTER
-		this.send(this.mostRested(free), { question: next, pending: 0, answered: false, copyAt })
+		this.send(this.bestOf(free), { question: next, pending: 0, answered: false, copyAt })
 		return true
 	}
 
@@ -152,8 +153,12 @@
 		return best
 	}
 
-	private mostRested(free: readonly string[]): string {
-		return free.reduce((best, via) => (this.restsUntil(via) < this.restsUntil(best) ? via : best))
+	private bestOf(free: readonly string[]): string {
+		const { advisers } = this.context
+		return bestAdviser(free, (via) => ({
+			restsUntil: this.restsUntil(via),
+			...advisers.standing(via),
+		}))
 	}
 
 	private send(via: string, attempt: Attempt): void {
--- a/packages/jobs/src/lib/leader/ports.ts
+++ b/packages/jobs/src/lib/leader/ports.ts
@@ -2,6 +2,7 @@
 import type { CellCommand } from '../commands/CellCommand'
 import type { Worker } from '../records/Cell'
 import type { RunEnd } from '../records/Job'
+import { PLAIN_STANDING, type AdviserStanding } from './advice/AdviserStanding'
 
 /** Polls that need a new connection which one instance sends in a tick; each takes about 1 ms of it. */
 const FIRST_POLLS = 20
@@ -148,6 +149,11 @@
 export abstract class Advisers {
 	/** Ids of the instances that can ask now. */
 	abstract available(): readonly string[]
+	/** How well an instance can ask now; all alike unless more is known. */
+	standing(_via: string): AdviserStanding {
+		return PLAIN_STANDING
+	}
+
 	/** Asks through an instance. */
 	abstract ask(via: string, question: AdviceQuestion, done: (result: AdviceResult) => void): void
 }
--- a/packages/member/src/index.ts
+++ b/packages/member/src/index.ts
@@ -4,6 +4,7 @@
 export type { Carrier } from './lib/carriers/CarrierChoice'
 export { OrderCarrier } from './lib/carriers/OrderCarrier'
 export { CoreInstance, type CoreParts } from './lib/CoreInstance'
+export { UNKNOWN_CAPACITY, type InstanceCapacity } from './lib/load/InstanceCapacity'
 export { EntryInstance, type EntryParts } from './lib/EntryInstance'
 export type { Finality } from './lib/LeaderCalls'
 export { MemberEvent } from './lib/MemberEvent'
--- a/packages/member/src/lib/AskingPeers.ts
+++ b/packages/member/src/lib/AskingPeers.ts
@@ -1,5 +1,11 @@
 /** Advice for the leader's controller, asked through this instance and every one that is linked to it. */
-import { Advisers, type AdviceQuestion, type AdviceResult, type CellReply } from '@rillrudder/jobs'
+import {
+	Advisers,
+	type AdviceQuestion,
+	type AdviceResult,
+	type AdviserStanding,
+	type CellReply,
+} from '@rillrudder/jobs'
 import type { Adviser } from './Adviser'
 import type { PeerCalls, PeerOutcome } from './PeerCalls'
 
@@ -13,6 +19,8 @@
 	readonly calls: PeerCalls
 	/** Peers that are linked now. */
 	readonly peers: () => readonly string[]
+	/** How well each of them can ask now. */
+	readonly standing: (id: string) => AdviserStanding
 }
 
 /**
@@ -29,6 +37,10 @@
 		return [this.parts.self, ...this.parts.peers()]
 	}
 
+	override standing(via: string): AdviserStanding {
+		return this.parts.standing(via)
+	}
+
 	override ask(via: string, question: AdviceQuestion, done: (result: AdviceResult) => void): void {
 		if (via === this.parts.self) {
 			void this.parts.adviser.ask(question).then(done)
--- a/packages/member/src/lib/CoreInstance.ts
+++ b/packages/member/src/lib/CoreInstance.ts
@@ -5,6 +5,7 @@
 import { Group } from '@rillrudder/group'
 import {
 	CellState,
+	type AdviserStanding,
 	type CellCall,
 	type CellReply,
 	type LeaderPolicy,
@@ -25,6 +26,11 @@
 import type { Finality, LocalLeader } from './LeaderCalls'
 import { CoreNews } from './CoreNews'
 import { decodeCall } from './linkBodies'
+import { adviserStanding } from './load/adviserStanding'
+import { CarrierSpread } from './load/CarrierSpread'
+import type { InstanceCapacity } from './load/InstanceCapacity'
+import { InstanceLoad } from './load/InstanceLoad'
+import { PeerLoads } from './load/PeerLoads'
 import { GatheredHeartbeats } from './GatheredHeartbeats'
 import { NEWS_PERIOD } from './LeaderView'
 import { Leading } from './Leading'
@@ -50,6 +56,7 @@
 	/** Host and port for links; also its id. */
 	readonly address: string
 	readonly dataCentre: string
+	readonly capacity: InstanceCapacity
 	/** Data folder. */
 	readonly data: string
 	/** Link addresses of instances to ask for admission; they may change. */
@@ -91,6 +98,11 @@
 	private readonly heartbeats: GatheredHeartbeats
 	private readonly news: CoreNews
 	private readonly faults: CallFaults
+	private readonly load: InstanceLoad
+	/** Of other core instances, from their news. */
+	private readonly coreLoads = new PeerLoads()
+	/** Of entry instances, from their answers to questions. */
+	private readonly entryLoads = new PeerLoads()
 	/** When each peer last said something, on the instance's clock. */
 	private readonly heardAt = new Map<string, number>()
 	private group!: Group
@@ -101,6 +113,7 @@
 
 	constructor(private readonly parts: CoreParts) {
 		const { clock, address: self, adviser } = parts
+		this.load = new InstanceLoad(parts.capacity, TICK_PERIOD, clock.now())
 		this.faults = new CallFaults(clock, parts.log, parts.meter)
 		this.links = new PeerLinks({
 			self,
@@ -108,11 +121,17 @@
 			log: parts.log,
 			meter: parts.meter,
 			receive: (from, event) => this.receive(from, event),
-			lost: (peer) => this.leading?.lost(peer),
+			lost: (peer) => this.lost(peer),
 			local: () => this.localLeader(),
 		})
 		const peers = (): readonly string[] => this.links.hub.connected
-		this.advisers = new AskingPeers({ self, adviser, calls: this.links.calls, peers })
+		this.advisers = new AskingPeers({
+			self,
+			adviser,
+			calls: this.links.calls,
+			peers,
+			standing: (id) => this.standingOf(id),
+		})
 		this.heartbeats = new GatheredHeartbeats({
 			workers: this.state.workers,
 			clock,
@@ -124,6 +143,7 @@
 			clock,
 			links: this.links,
 			replica: () => this.group.replica,
+			load: () => this.load.report(),
 			linkedMembers: () => this.linkedMembers(),
 		})
 		this.carrier = new OrderCarrier(
@@ -213,6 +233,7 @@
 	}
 
 	private tick(): void {
+		this.load.tick(this.parts.clock.now())
 		this.group.tick()
 		this.settled()
 		if (this.leading && this.group.mayAct) this.leading.tick()
@@ -223,6 +244,7 @@
 	private measure(): void {
 		const { meter } = this.parts
 		const { term, members } = this.group.replica.status
+		meter.gauge(Measure.LoopDelay, this.load.loopDelay)
 		meter.gauge(Measure.Term, term)
 		meter.gauge(Measure.Leads, this.leading ? 1 : 0)
 		meter.gauge(Measure.Voters, members.filter((member) => member.voter).length)
@@ -267,13 +289,14 @@
 	}
 
 	private carriedOrders(term: number): CarriedOrders {
-		const { clock, orders: direct, log } = this.parts
+		const { clock, orders: direct, log, meter } = this.parts
 		return new CarriedOrders({
 			direct,
 			term,
 			clock,
 			log,
 			linked: () => this.linkedMembers(),
+			spread: new CarrierSpread(this.coreLoads, log, meter),
 			heardAt: (id) => this.heardAt.get(id) ?? Number.NEGATIVE_INFINITY,
 			workers: () => this.state.workers.size,
 			send: (to, value) => this.links.hub.send(to, { body: { $case: 'orderBatch', value } }),
@@ -285,6 +308,21 @@
 		return members.filter(({ id }) => id !== this.parts.address && this.links.hub.isConnected(id))
 	}
 
+	private standingOf(id: string): AdviserStanding {
+		const now = this.parts.clock.now()
+		const load = this.coreLoads.loadOf(id, now) ?? this.entryLoads.loadOf(id, now)
+		return adviserStanding(load, {
+			processor: this.entryLoads.processorOf(id),
+			largest: this.entryLoads.largestProcessor(),
+		})
+	}
+
+	private lost(peer: string): void {
+		this.coreLoads.lost(peer)
+		this.entryLoads.lost(peer)
+		this.leading?.lost(peer)
+	}
+
 	private endLeading(): void {
 		this.leading?.end()
 		this.leading = undefined
@@ -301,15 +339,18 @@
 	}
 
 	private receive(from: string, { body }: Event): void {
-		this.heardAt.set(from, this.parts.clock.now())
+		const now = this.parts.clock.now()
+		this.heardAt.set(from, now)
 		if (!body) return
 		if (body.$case === 'group') this.group.receive(body.value)
 		else if (body.$case === 'peerCall') this.peerCalled(from, body.value)
-		else if (body.$case === 'cellNews')
-			this.links.view.take(from, body.value, this.parts.clock.now())
-		else if (body.$case === 'orderBatch') this.carrier.take(from, body.value)
+		else if (body.$case === 'cellNews') {
+			this.links.view.take(from, body.value, now)
+			this.coreLoads.take(from, body.value.load, now)
+		} else if (body.$case === 'orderBatch') this.carrier.take(from, body.value)
 		else if (body.$case === 'orderResults') this.leading?.carried(body.value)
 		else if (body.$case === 'peerReply') {
+			this.entryLoads.take(from, body.value.load, now)
 			this.links.calls.replied(body.value)
 			this.leading?.flushSoon()
 		}
--- a/packages/member/src/lib/CoreNews.ts
+++ b/packages/member/src/lib/CoreNews.ts
@@ -1,6 +1,6 @@
 /** What a core instance tells everyone linked to it: who leads, who belongs to the core, and whether that is fresh. */
 import type { Replica } from '@rillrudder/consensus'
-import type { CellNews } from '@rillrudder/protocol'
+import type { CellNews, LoadReport } from '@rillrudder/protocol'
 import type { Clock } from '@rillrudder/utils'
 import { LEADER_TELLS_EVERY } from './LeaderView'
 import type { PeerLinks } from './PeerLinks'
@@ -15,6 +15,8 @@
 	readonly clock: Clock
 	readonly links: PeerLinks
 	readonly replica: () => Replica
+	/** How loaded this instance is. */
+	readonly load: () => LoadReport
 	/** Members of the core that are linked now, without this one. */
 	readonly linkedMembers: () => readonly { readonly id: string }[]
 }
@@ -58,6 +60,7 @@
 		const fresh = replica.leads
 			? replica.holdsLease(now)
 			: now - replica.leaderHeardAt < LEADER_FRESH
-		return { leader, term, members: members.map((member) => member.id), fresh }
+		const ids = members.map((member) => member.id)
+		return { leader, term, members: ids, fresh, load: this.parts.load() }
 	}
 }
--- a/packages/member/src/lib/EntryInstance.ts
+++ b/packages/member/src/lib/EntryInstance.ts
@@ -7,6 +7,8 @@
 import { answerQuestion } from './AskingPeers'
 import type { Finality } from './LeaderCalls'
 import { decodeCall } from './linkBodies'
+import { EntryLoad } from './load/EntryLoad'
+import type { InstanceCapacity } from './load/InstanceCapacity'
 import { MemberEvent } from './MemberEvent'
 import { PeerLinks } from './PeerLinks'
 import { peersForEntry } from './peersForEntry'
@@ -22,6 +24,7 @@
 	readonly name: string
 	/** Link addresses of instances of the core; they may change. */
 	readonly seeds: () => readonly string[]
+	readonly capacity: InstanceCapacity
 	readonly clock: Clock
 	readonly adviser: Adviser
 	readonly log: Log
@@ -35,12 +38,14 @@
  */
 export class EntryInstance {
 	private readonly links: PeerLinks
+	private readonly load: EntryLoad
 	private timer: Timer | undefined
 	private toldLeader = ''
 	/** When a leader was last known, on the instance's clock. */
 	private ledAt = Number.NEGATIVE_INFINITY
 
 	constructor(private readonly parts: EntryParts) {
+		this.load = new EntryLoad({ ...parts, period: DIAL_PERIOD })
 		this.links = new PeerLinks({
 			self: ID_PREFIX + parts.name,
 			clock: parts.clock,
@@ -51,20 +56,24 @@
 		})
 	}
 
-	/** Whether a leader is known that calls can be brought to. */
+	/** Whether new connections may come here: calls can be brought to a leader, and this instance isn't overloaded. */
 	get ready(): boolean {
+		return this.knowsLeader && this.load.takesConnections
+	}
+
+	private get knowsLeader(): boolean {
 		return (this.links.view.leader(this.parts.clock.now())?.via.length ?? 0) > 0
 	}
 
 	/** Links up. */
 	start(): void {
 		this.dial()
-		this.timer = this.parts.clock.every(DIAL_PERIOD, () => this.dial())
+		this.timer = this.parts.clock.every(DIAL_PERIOD, () => this.tick())
 	}
 
 	/** Brings a call to the leader. */
 	call(call: CellCall, finality: Finality): Promise<CellReply> {
-		return this.links.leaderCalls.call(call, finality)
+		return this.load.pass(call, () => this.links.leaderCalls.call(call, finality))
 	}
 
 	/** Ends all links. */
@@ -90,12 +99,12 @@
 			return
 		}
 		void answerQuestion(this.parts.adviser, call.question).then((reply) =>
-			this.links.calls.reply(from, id, reply)
+			this.links.calls.reply(from, id, reply, this.load.report())
 		)
 	}
 
 	private noteLeader(): void {
-		if (this.ready) this.links.leaderCalls.led()
+		if (this.knowsLeader) this.links.leaderCalls.led()
 		const known = this.links.view.leader(this.parts.clock.now())
 		const leader = known?.id ?? ''
 		if (leader === this.toldLeader) return
@@ -103,6 +112,11 @@
 		this.parts.log.info(MemberEvent.LeaderChanged, { leader, term: known?.term ?? 0 })
 	}
 
+	private tick(): void {
+		this.load.tick()
+		this.dial()
+	}
+
 	private dial(): void {
 		const { clock, seeds, name } = this.parts
 		const { view } = this.links
--- a/packages/member/src/lib/MemberEvent.ts
+++ b/packages/member/src/lib/MemberEvent.ts
@@ -14,6 +14,10 @@
 	PeerLost: 'peer-lost',
 	/** An instance did not carry orders to workers for this leader, which gives them itself for now; `peer`, `reason`, `orders`. */
 	CarrierLost: 'carrier-lost',
+	/** The leader gives an instance more or fewer orders to carry; `peer`, the share of its workers that it has `kept`, its `loopDelay` and the `age` of that, milliseconds. */
+	CarrierWeightChanged: 'carrier-weight-changed',
+	/** An entry instance turns callers away, or no longer; `level`, `delay` of its event loop in milliseconds, `calls` under way, submissions `refused` at the level before. */
+	SheddingChanged: 'shedding-changed',
 	/** Another instance leads, or none is known; `leader`, `term`. */
 	LeaderChanged: 'leader-changed',
 	/** The members of the core have changed; `members`, a question mark behind those that do not vote. */
--- a/packages/member/src/lib/PeerCalls.ts
+++ b/packages/member/src/lib/PeerCalls.ts
@@ -1,6 +1,6 @@
 /** Calls between instances over their links: each gets one reply, or is given up. */
 import type { CellCall, CellReply } from '@rillrudder/jobs'
-import type { Event, PeerCall, PeerReply } from '@rillrudder/protocol'
+import type { Event, LoadReport, PeerCall, PeerReply } from '@rillrudder/protocol'
 import type { Clock, Timer } from '@rillrudder/utils'
 import { decodeReply } from './linkBodies'
 
@@ -82,9 +82,9 @@
 		this.pending.set(id, { peer, timer, done })
 	}
 
-	/** Sends the reply to a peer's call. */
-	reply(peer: string, id: number, reply: CellReply): void {
-		const value: PeerReply = { id, body: Buffer.from(JSON.stringify(reply)) }
+	/** Sends the reply to a peer's call, with the load of this instance where the peer may make use of it. */
+	reply(peer: string, id: number, reply: CellReply, load?: LoadReport): void {
+		const value: PeerReply = { id, body: Buffer.from(JSON.stringify(reply)), load }
 		// A reply that can't be sent is missed by the peer, which asks again.
 		this.send(peer, { body: { $case: 'peerReply', value } })
 	}
--- a/packages/member/src/lib/carriers/CarriedOrders.ts
+++ b/packages/member/src/lib/carriers/CarriedOrders.ts
@@ -16,6 +16,7 @@
 import type { OrderBatch, OrderResults } from '@rillrudder/protocol'
 import type { Log } from '@rillrudder/telemetry'
 import type { Clock } from '@rillrudder/utils'
+import type { CarrierSpread, WeightedCarrier } from '../load/CarrierSpread'
 import { MemberEvent } from '../MemberEvent'
 import { decodeResults, encodeCarried, type CarriedBody, type CarriedOrder } from './CarriedOrder'
 import { CarrierChoice, type Carrier } from './CarrierChoice'
@@ -47,6 +48,8 @@
 	readonly log: Log
 	/** Instances of the core that are linked now, without this one. */
 	readonly linked: () => readonly Carrier[]
+	/** How much each of them is given; all alike if absent. */
+	readonly spread?: CarrierSpread
 	/** @returns when an instance last said something, on this one's clock. */
 	readonly heardAt: (id: string) => number
 	/** How many workers there are. */
@@ -215,8 +218,13 @@
 		const usable = linked().filter(
 			({ id }) => !this.isSilent(id, now) && (this.resting.get(id) ?? 0) <= now
 		)
-		this.choice.set(usable)
+		const { spread } = this.parts
+		this.choice.set(spread ? spread.of(usable, now) : usable.map(alike))
 	}
 }
 
+function alike(carrier: Carrier): WeightedCarrier {
+	return { ...carrier, weight: 1, kept: 1 }
+}
+
 type Done = (result: Result) => void
--- a/packages/member/src/lib/carriers/CarrierChoice.ts
+++ b/packages/member/src/lib/carriers/CarrierChoice.ts
@@ -3,7 +3,8 @@
  * used, so that connections are kept and orders to a worker keep their way.
  */
 import type { OrderTarget } from '@rillrudder/jobs'
-import { textHash } from '@rillrudder/utils'
+import { choose } from '../load/rendezvous'
+import type { WeightedCarrier } from '../load/CarrierSpread'
 
 /** An instance that can carry orders. @public */
 export interface Carrier {
@@ -18,8 +19,10 @@
  * @internal
  */
 export class CarrierChoice {
-	private readonly byDataCentre = new Map<string, string[]>()
+	private readonly byDataCentre = new Map<string, WeightedCarrier[]>()
 	private count = 0
+	/** Data centres where weights have differed: they count for good, so that a carrier that goes moves no other's workers. */
+	private readonly weighted = new Set<string>()
 
 	/** How many instances can carry orders. */
 	get size(): number {
@@ -27,35 +30,33 @@
 	}
 
 	/** These instances can carry orders from now on, and no others. */
-	set(carriers: readonly Carrier[]): void {
+	set(carriers: readonly WeightedCarrier[]): void {
 		this.byDataCentre.clear()
 		this.count = carriers.length
-		for (const { id, dataCentre } of carriers) {
-			this.byDataCentre.set(dataCentre, [...(this.byDataCentre.get(dataCentre) ?? []), id])
+		for (const carrier of carriers) {
+			const there = this.byDataCentre.get(carrier.dataCentre)
+			if (!there) {
+				this.byDataCentre.set(carrier.dataCentre, [carrier])
+				continue
+			}
+			if (there[0].weight !== carrier.weight) this.weighted.add(carrier.dataCentre)
+			there.push(carrier)
 		}
 	}
 
 	/** An instance can carry no orders for now. */
 	drop(id: string): void {
-		for (const [dataCentre, ids] of this.byDataCentre) {
-			if (!ids.includes(id)) continue
-			this.count -= 1
-			this.byDataCentre.set(
-				dataCentre,
-				ids.filter((other) => other !== id)
-			)
+		for (const [dataCentre, carriers] of this.byDataCentre) {
+			const others = carriers.filter((other) => other.id !== id)
+			this.count -= carriers.length - others.length
+			this.byDataCentre.set(dataCentre, others)
 		}
 	}
 
 	/** @returns the instance that carries orders to a worker; undefined when none in its data centre can. */
 	of({ id, dataCentre }: OrderTarget): string | undefined {
-		const ids = this.byDataCentre.get(dataCentre) ?? []
-		if (ids.length <= 1) return ids[0]
-		// The highest hash of the pair: a worker changes its carrier only when that one comes or goes.
-		return ids.reduce((best, other) => (rank(id, other) > rank(id, best) ? other : best))
+		const carriers = this.byDataCentre.get(dataCentre) ?? []
+		if (carriers.length <= 1) return carriers[0]?.id
+		return choose(id, carriers, { weighted: this.weighted.has(dataCentre) })?.id
 	}
 }
-
-function rank(worker: string, carrier: string): number {
-	return textHash(`${worker} ${carrier}`)
-}
--- /dev/null
+++ b/packages/member/src/lib/load/EntryLoad.test.ts
@@ -0,0 +1,119 @@
+/** An entry instance of a third of the others' size gets as many callers as they: it turns some away before its answers come too late. */
+import assert from 'node:assert/strict'
+import { test } from 'node:test'
+import type { CellCall, CellReply } from '@rillrudder/jobs'
+import { Log, Meter } from '@rillrudder/telemetry'
+import { ManualClock } from '@rillrudder/utils'
+import fc from 'fast-check'
+import { EntryLoad } from './EntryLoad'
+import { mostCalls, UNKNOWN_CAPACITY, type InstanceCapacity } from './InstanceCapacity'
+import { LATE_LOOP, LoopDelay } from './LoopDelay'
+import { Shedding, ShedLevel } from './Shedding'
+
+const PERIOD = 250
+const LARGE: InstanceCapacity = { processor: 810, memory: 490, link: 5 }
+const SMALL: InstanceCapacity = { processor: 243, memory: 210, link: 1.5 }
+const ACCEPTED: CellReply = { kind: 'accepted' }
+
+const submit = (id: string): CellCall => {
+	return { kind: 'submit', to: { queue: 'checks', id }, job: { spec: '', steps: [] } }
+}
+
+class Subject {
+	readonly clock = new ManualClock()
+	readonly lines: string[] = []
+	readonly load: EntryLoad
+	/** Ends the calls that are under way. */
+	readonly ends: (() => void)[] = []
+
+	constructor(capacity = SMALL) {
+		const log = new Log('test', this.clock, 'info', (line) => this.lines.push(line))
+		const parts = { capacity, clock: this.clock, log, meter: new Meter(), period: PERIOD }
+		this.load = new EntryLoad(parts)
+	}
+
+	/** Lets time pass in which the loop is so late each time. */
+	run(span: number, late = 0): void {
+		for (let spent = 0; spent < span; spent += PERIOD + late) {
+			this.clock.advance(PERIOD + late)
+			this.load.tick()
+		}
+	}
+
+	/** Begins a call that stays under way. */
+	hold(call: CellCall): void {
+		const never = new Promise<CellReply>((resolve) => this.ends.push(() => resolve(ACCEPTED)))
+		void this.load.pass(call, () => never)
+	}
+
+	async outcome(call: CellCall): Promise<string> {
+		return (await this.load.pass(call, () => Promise.resolve(ACCEPTED))).kind
+	}
+}
+
+test('a loop that stays late sends new connections elsewhere, and takes them again once it has been punctual for a while', async () => {
+	const subject = new Subject()
+	subject.run(3000, 100)
+	assert.equal(subject.load.takesConnections, false)
+	assert.equal(await subject.outcome(submit('a')), 'accepted')
+	subject.run(2000)
+	assert.equal(subject.load.takesConnections, false)
+	subject.run(4000)
+	assert.equal(subject.load.takesConnections, true)
+	assert.equal(subject.lines.length, 2)
+})
+
+test('a loop that is a second late refuses new submissions only: no state, no cancel, no job that may have been taken', async () => {
+	const subject = new Subject()
+	assert.equal(await subject.outcome(submit('before')), 'accepted')
+	subject.run(6000, 1000)
+	assert.equal(await subject.outcome(submit('new')), 'not-run')
+	assert.equal(await subject.outcome(submit('before')), 'accepted')
+	assert.equal(await subject.outcome({ kind: 'show', to: { id: 'new' } }), 'accepted')
+	assert.equal(await subject.outcome({ kind: 'cancel', to: { id: 'new' } }), 'accepted')
+	assert.ok(subject.lines.some((line) => line.includes('"submissions"')))
+})
+
+test('calls beyond what its link and memory hold are refused, and a small one holds fewer than a large one', async () => {
+	assert.ok(mostCalls(SMALL) < mostCalls(LARGE) / 2)
+	assert.equal(mostCalls(UNKNOWN_CAPACITY), Number.POSITIVE_INFINITY)
+	const subject = new Subject()
+	for (let calls = 0; calls < mostCalls(SMALL); calls++) subject.hold(submit(`${calls}`))
+	assert.equal(await subject.outcome(submit('new')), 'not-run')
+	for (const end of subject.ends) end()
+	await Promise.resolve()
+	subject.run(8000)
+	assert.equal(await subject.outcome(submit('new')), 'accepted')
+	assert.equal(subject.load.takesConnections, true)
+})
+
+test('without knowledge of its capacity and with a punctual loop it takes everything', async () => {
+	const subject = new Subject(UNKNOWN_CAPACITY)
+	for (let calls = 0; calls < 5000; calls++) subject.hold(submit(`${calls}`))
+	subject.run(2000, 10)
+	assert.equal(subject.load.takesConnections, true)
+	assert.equal(await subject.outcome(submit('new')), 'accepted')
+})
+
+test('below the bounds nothing is ever turned away', () => {
+	const calm = fc.record({
+		loopDelay: fc.double({ min: 0, max: LATE_LOOP - 1, noNaN: true }),
+		fill: fc.double({ min: 0, max: 0.49, noNaN: true }),
+	})
+	const neverSheds = fc.property(fc.array(calm), (readings) => {
+		const shedding = new Shedding()
+		readings.forEach((reading, index) => shedding.update(reading, index * PERIOD))
+		assert.equal(shedding.level, ShedLevel.None)
+	})
+	fc.assert(neverSheds, { numRuns: 200, seed: 36 })
+})
+
+test('one standstill of a process is no load, a loop that stays late is', () => {
+	const delay = new LoopDelay(PERIOD, 0)
+	delay.fired(PERIOD)
+	delay.fired(5000)
+	delay.fired(5000 + PERIOD)
+	assert.equal(delay.mean, 0)
+	for (let number = 1; number <= 10; number++) delay.fired(5250 + number * (PERIOD + 100))
+	assert.ok(delay.mean > LATE_LOOP)
+})
--- a/packages/protocol/src/index.ts
+++ b/packages/protocol/src/index.ts
@@ -18,6 +18,7 @@
 	LinkClient,
 	LinkServer,
 	LinkService,
+	LoadReport,
 	Loan,
 	Loans,
 	Member,
--- a/packages/telemetry/src/lib/Meter.ts
+++ b/packages/telemetry/src/lib/Meter.ts
@@ -61,6 +61,12 @@
 	Voters: 'voters',
 	/** Gauge: version of the configuration in force. */
 	Configuration: 'configuration_version',
+	/** Gauge, milliseconds: how late the event loop runs. */
+	LoopDelay: 'loop_delay_ms',
+	/** Gauge: callers' calls under way at an entry instance. */
+	CallsUnderWay: 'calls_under_way',
+	/** Gauge by `peer`, at a leader: share of its workers that a carrier keeps while it is late. */
+	CarrierKept: 'carrier_kept',
 	/** Gauge: log lines left out since the start. */
 	LinesLeftOut: 'log_lines_left_out',
 } as const
