--- a/packages/member/src/lib/CoreInstance.ts
+++ b/packages/member/src/lib/CoreInstance.ts
@@ -5,7 +5,6 @@
 import { Group } from '@rillrudder/group'
 import {
 	CellState,
-	type AdviserStanding,
 	type CellCall,
 	type CellReply,
 	type LeaderPolicy,
@@ -26,11 +25,10 @@
 import type { Finality, LocalLeader } from './LeaderCalls'
 import { CoreNews } from './CoreNews'
 import { decodeCall } from './linkBodies'
-import { adviserStanding } from './load/adviserStanding'
+import { CellLoads } from './load/CellLoads'
 import { CarrierSpread } from './load/CarrierSpread'
 import type { InstanceCapacity } from './load/InstanceCapacity'
 import { InstanceLoad } from './load/InstanceLoad'
-import { PeerLoads } from './load/PeerLoads'
 import { GatheredHeartbeats } from './GatheredHeartbeats'
 import { NEWS_PERIOD } from './LeaderView'
 import { Leading } from './Leading'
@@ -99,10 +97,7 @@
 	private readonly news: CoreNews
 	private readonly faults: CallFaults
 	private readonly load: InstanceLoad
-	/** Of other core instances, from their news. */
-	private readonly coreLoads = new PeerLoads()
-	/** Of entry instances, from their answers to questions. */
-	private readonly entryLoads = new PeerLoads()
+	private readonly loads: CellLoads
 	/** When each peer last said something, on the instance's clock. */
 	private readonly heardAt = new Map<string, number>()
 	private group!: Group
@@ -114,6 +109,7 @@
 	constructor(private readonly parts: CoreParts) {
 		const { clock, address: self, adviser } = parts
 		this.load = new InstanceLoad(parts.capacity, TICK_PERIOD, clock.now())
+		this.loads = new CellLoads(self, this.load)
 		this.faults = new CallFaults(clock, parts.log, parts.meter)
 		this.links = new PeerLinks({
 			self,
@@ -130,7 +126,7 @@
 			adviser,
 			calls: this.links.calls,
 			peers,
-			standing: (id) => this.standingOf(id),
+			standing: (id) => this.loads.standingOf(id, clock.now()),
 		})
 		this.heartbeats = new GatheredHeartbeats({
 			workers: this.state.workers,
@@ -143,7 +139,7 @@
 			clock,
 			links: this.links,
 			replica: () => this.group.replica,
-			load: () => this.load.report(),
+			load: () => this.loads.report(),
 			linkedMembers: () => this.linkedMembers(),
 		})
 		this.carrier = new OrderCarrier(
@@ -296,7 +292,7 @@
 			clock,
 			log,
 			linked: () => this.linkedMembers(),
-			spread: new CarrierSpread(this.coreLoads, log, meter),
+			spread: new CarrierSpread(this.loads.core, log, meter),
 			heardAt: (id) => this.heardAt.get(id) ?? Number.NEGATIVE_INFINITY,
 			workers: () => this.state.workers.size,
 			send: (to, value) => this.links.hub.send(to, { body: { $case: 'orderBatch', value } }),
@@ -308,18 +304,8 @@
 		return members.filter(({ id }) => id !== this.parts.address && this.links.hub.isConnected(id))
 	}
 
-	private standingOf(id: string): AdviserStanding {
-		const now = this.parts.clock.now()
-		const load = this.coreLoads.loadOf(id, now) ?? this.entryLoads.loadOf(id, now)
-		return adviserStanding(load, {
-			processor: this.entryLoads.processorOf(id),
-			largest: this.entryLoads.largestProcessor(),
-		})
-	}
-
 	private lost(peer: string): void {
-		this.coreLoads.lost(peer)
-		this.entryLoads.lost(peer)
+		this.loads.lost(peer)
 		this.leading?.lost(peer)
 	}
 
@@ -346,11 +332,11 @@
 		else if (body.$case === 'peerCall') this.peerCalled(from, body.value)
 		else if (body.$case === 'cellNews') {
 			this.links.view.take(from, body.value, now)
-			this.coreLoads.take(from, body.value.load, now)
+			this.loads.core.take(from, body.value.load, now)
 		} else if (body.$case === 'orderBatch') this.carrier.take(from, body.value)
 		else if (body.$case === 'orderResults') this.leading?.carried(body.value)
 		else if (body.$case === 'peerReply') {
-			this.entryLoads.take(from, body.value.load, now)
+			this.loads.entry.take(from, body.value.load, now)
 			this.links.calls.replied(body.value)
 			this.leading?.flushSoon()
 		}
