--- a/packages/jobs/src/lib/leader/runs/Run.ts
+++ b/packages/jobs/src/lib/leader/runs/Run.ts
@@ -3,6 +3,7 @@
 import type { RunProgress } from '../../placement/RunProgress'
 import type { StepTimes } from '../../placement/StepUrgency'
 import type { Step, TaskName } from '../../records/Job'
+import type { StopReason } from './WastedWork'
 
 /** What has been asked of a run's worker. @internal */
 export const RunPhase = {
@@ -27,6 +28,8 @@
 	readonly worker: string
 	/** What is reserved for it. */
 	readonly need: Resources
+	/** The service at whose workers it runs. */
+	readonly service: string
 	/** Whether it is of the highest priority. */
 	readonly urgent: boolean
 	/** The account of its job; undefined for none. */
@@ -57,10 +60,16 @@
 	retryAt: number
 	/** The newest checkpoint that its worker listed; empty for none. */
 	checkpoint: string
+	/** When that was first listed, on the leader's clock. */
+	checkpointAt: number
+	/** Why it was told to stop; absent before. */
+	stopReason: StopReason | undefined
 	/** How far it has got, from 0 to 100. */
 	percent: number
 	/** How fast it gets on, and when it is expected to end. */
 	readonly progress: RunProgress
+	/** Whether it ends soon by itself, since another member of its gang has ended. */
+	ending: boolean
 	/** What the worker last reported of it: tail latency or processor use. */
 	measure: number
 	/** Share of its speed that it was last told to work at, from 0 to 100. */
--- a/packages/runs/src/lib/jobs/JobRun.ts
+++ b/packages/runs/src/lib/jobs/JobRun.ts
@@ -6,9 +6,13 @@
 	CellState,
 	DEFAULT_LEADER_TIMING,
 	JobController,
+	JobState,
 	PLAIN_POLICY,
+	type AdviceTerms,
 	type CellConfiguration,
 	type CellReply,
+	type JobRecord,
+	type JobRequest,
 	type LeaderPolicy,
 	type Queue,
 } from '@rillrudder/jobs'
@@ -22,15 +26,19 @@
 import type { FleetWorker } from './FleetWorker'
 import { COMMON_FAULTS, JobFaults, RESTARTS, type JobFault } from './JobFaults'
 import { JobInvariants } from './JobInvariants'
-import { randomJob } from './randomJob'
+import { randomJob, WIDE, wideGang } from './randomJob'
 import { checkOutcome, type Asked } from './checkOutcome'
 import { CrashingTasks, type CrashTally } from './CrashingTasks'
+import type { CallerAccounts } from './CallerAccounts'
+import { CompetingAccounts, rateOf, type Competition } from './CompetingAccounts'
 import { RunAccounts } from './RunAccounts'
-import { RunAdvisers } from './RunAdvisers'
+import { PLENTIFUL_ADVICE, RunAdvisers, type RunAdvice, SCARCE_ADVICE } from './RunAdvisers'
 import { RunLog } from './RunLog'
 
 /** Milliseconds of one step of a run. */
 const STEP = 10
+/** Share of jobs that are wide gangs, in a run with these. */
+const WIDE_SHARE = 0.25
 /** Milliseconds between two readings of the leader's clockwork. */
 const TICK = 20
 /** Milliseconds after which a client without an answer asks again. */
@@ -49,10 +57,16 @@
 	readonly faults?: readonly JobFault[]
 	/** Whether callers belong to accounts, whose keys and quotas change. */
 	readonly accounts?: boolean
+	/** How callers' accounts compete, in place of accounts whose keys and quotas change; gives the rate of jobs too. */
+	readonly competition?: Competition
 	/** Whether workers say when they started; they do where they start again under their names. */
 	readonly tellBorn?: boolean
 	/** Whether some tasks crash the workers that start them. */
 	readonly crashingTasks?: boolean
+	/** How fast each worker works, by its number; as fast as tasks declare if absent. */
+	readonly speedOf?: (worker: number) => number
+	/** Whether jobs are wide gangs whose tickets run out soon after they have come. */
+	readonly wideGangs?: boolean
 	/** What is asked of its leaders; nothing more than usual if absent. */
 	readonly policy?: LeaderPolicy
 }
@@ -66,6 +80,13 @@
 	readonly starts: number
 	/** Members of gangs that waited in vain for the others. */
 	readonly alone: number
+	/** How many gangs worked, and how many of them as slowly as a slow worker lets them. */
+	readonly gangs: number
+	readonly slowGangs: number
+	/** Wide gangs that were done while jobs were handed in or after, and how many milliseconds each took on the mean. */
+	readonly wide: { readonly done: number; readonly took: number }
+	/** Milliseconds of answers that leaders asked for. */
+	readonly advice: number
 	/** What crashing tasks did; undefined in a run without them. */
 	readonly crashes: CrashTally | undefined
 	readonly faults: { readonly [fault: string]: number }
@@ -74,10 +95,14 @@
 /** So many workers that a leader has its orders carried. */
 const AS_MANY_AS_CARRIED = 1000
 const SERVICE = 'controller'
-const QUEUES: readonly Queue[] = [
-	queueOf('urgent', 0, 2),
-	{ ...queueOf('batch', 2, 3), advice: { base: 40, each: 4, valid: 2000 } },
-]
+const URGENT = queueOf('urgent', 0, 2)
+const BATCH = queueOf('batch', 2, 3)
+/** Workers in each data centre of a run with wide gangs: a question about all of them takes long. */
+const WORKERS_FOR_WIDE = 20
+
+function termsOf({ base, each, valid }: RunAdvice): AdviceTerms {
+	return { base, each, valid }
+}
 
 function queueOf(name: string, priority: number, maxAttempts: number): Queue {
 	return {
@@ -107,8 +132,11 @@
 export class JobRun {
 	readonly clock = new ManualClock()
 	readonly random: Random
+	/** Chooses jobs; in a run with wide gangs apart from all else, so that it has the same jobs whatever its leaders decide. */
+	private readonly jobRandom: Random
 	readonly witness: JobInvariants
-	private readonly accounts: RunAccounts | undefined
+	private readonly accounts: CallerAccounts | undefined
+	private readonly competing: CompetingAccounts | undefined
 	private readonly crashing: CrashingTasks | undefined
 	private version = 0
 	readonly fleet: Fleet
@@ -119,6 +147,7 @@
 	private readonly direct: FleetOrders
 	private orders: CarriedOrders | undefined
 	readonly advisers: RunAdvisers
+	private readonly queues: readonly Queue[]
 	private state = new CellState()
 	private controller: JobController | undefined
 	private log: RunLog | undefined
@@ -129,18 +158,25 @@
 	/** @param options - seed and rates. */
 	constructor(private readonly options: JobRunOptions) {
 		this.random = new Random(options.seed)
-		this.accounts = options.accounts ? new RunAccounts(options.seed) : undefined
+		const { seed, competition } = options
+		this.jobRandom = options.wideGangs ? new Random(seed) : this.random
+		this.competing = competition && new CompetingAccounts(seed, competition)
+		this.accounts = this.competing ?? (options.accounts ? new RunAccounts(seed) : undefined)
 		this.witness = new JobInvariants(this.accounts)
 		const { clock, random, witness } = this
 		this.crashing = options.crashingTasks ? this.crashingTasks() : undefined
-		this.advisers = new RunAdvisers(clock, random)
+		const advice = options.wideGangs ? SCARCE_ADVICE : PLENTIFUL_ADVICE
+		this.queues = [URGENT, { ...BATCH, advice: termsOf(advice) }]
+		this.advisers = new RunAdvisers(clock, random, advice)
 		this.faults = new JobFaults(this, options.faultRate, options.faults ?? COMMON_FAULTS)
 		this.fleet = new Fleet({
 			clock,
 			random,
 			witness,
 			service: SERVICE,
+			workersEach: options.wideGangs ? WORKERS_FOR_WIDE : undefined,
 			tellBorn: options.tellBorn ?? RESTARTS.some((fault) => this.faults.has(fault)),
+			speedOf: options.speedOf,
 			stepOf: (task) => this.stepOf(task),
 			mayRun: (task, worker, ticket) => this.mayRun(task, worker, ticket),
 			heldShare: () => this.faults.heldShare,
@@ -163,11 +199,29 @@
 			leaders: this.term,
 			starts: this.witness.starts,
 			alone: this.fleet.gangs.alone,
+			gangs: this.fleet.gangs.worked,
+			slowGangs: this.fleet.gangs.slow,
+			wide: this.wideTally,
+			advice: this.advisers.took,
 			crashes: this.crashing?.tally,
 			faults: this.faults.counts,
 		}
 	}
 
+	/** All jobs that are kept. */
+	get jobs(): Iterable<JobRecord> {
+		return this.state.jobs.all()
+	}
+
+	private get wideTally() {
+		const records = [...this.asked.values()]
+			.filter(({ request }) => request.spec === WIDE)
+			.map(({ id }) => this.state.jobs.find(id))
+		const done = records.filter((job) => job?.state === JobState.Completed)
+		const total = done.reduce((sum, job) => sum + (job?.ended ?? 0) - (job?.submitted ?? 0), 0)
+		return { done: done.length, took: Math.round(total / Math.max(1, done.length)) }
+	}
+
 	/** Lets clients hand jobs in and things go wrong for a span, in milliseconds. */
 	run(span: number): void {
 		const until = this.clock.now() + span
@@ -253,7 +307,7 @@
 		const services = [{ name: SERVICE, enforcesCapacity: false }]
 		const accounts = this.accounts?.send()
 		const version = ++this.version
-		this.sendConfiguration({ version, queues: QUEUES, services, accounts, document: '{}' })
+		this.sendConfiguration({ version, queues: this.queues, services, accounts, document: '{}' })
 	}
 
 	private sendConfiguration(configuration: CellConfiguration): void {
@@ -347,14 +401,13 @@
 	}
 
 	private handIn(): void {
-		const { clock, random, options, witness } = this
-		this.nextJobAt = clock.now() + random.exponential(1000 / options.jobRate)
+		const { clock, options, witness, jobRandom: random } = this
+		const rate = options.competition ? rateOf(options.competition) : options.jobRate
+		this.nextJobAt = clock.now() + random.exponential(1000 / rate)
 		const id = random.integer(0, 0x7fffffff).toString(16).padStart(16, '0')
 		if (this.asked.has(id)) return
-		const request = randomJob(random, clock.date().getTime())
-		// A policy that bars every worker with the label would make the job one that can never run.
-		const plain = request.steps.every((step) => !step.lasting && step.requires === '')
-		const queue = plain ? random.pick(QUEUES) : QUEUES[0]
+		const request = this.newRequest(random)
+		const queue = this.queueFor(request, random)
 		const job = {
 			id,
 			request,
@@ -371,6 +424,22 @@
 		this.submit(job, queue.name)
 	}
 
+	private newRequest(random: Random): JobRequest {
+		const { competing, options, clock } = this
+		if (competing) return competing.request(random)
+		if (options.wideGangs && random.chance(WIDE_SHARE)) return wideGang(random)
+		return randomJob(random, clock.date().getTime())
+	}
+
+	private queueFor({ spec, steps }: JobRequest, random: Random): Queue {
+		const [urgent, batch] = this.queues
+		if (spec === WIDE) return batch
+		// A policy that bars every worker with the label would make the job one that can never run.
+		const plain = steps.every((step) => !step.lasting && step.requires === '')
+		// Shares order work of one priority.
+		return plain && !this.competing ? random.pick(this.queues) : urgent
+	}
+
 	private submit(job: Asked, queue: string): void {
 		if (job.accepted || job.refused || job.uncertain) return
 		const keyDigest = this.accounts?.owned(job.id, job.request)
