--- a/packages/jobs/src/lib/leader/JobController.ts
+++ b/packages/jobs/src/lib/leader/JobController.ts
@@ -4,11 +4,13 @@
 import type { CellConfiguration, Heartbeat } from '../records/Cell'
 import { formatTaskName } from '../records/Job'
 import type { Change } from '../state/Change'
+import { OrderByUse } from '../placement/OrderByUse'
 import { Precedence } from '../placement/Precedence'
 import { objectiveOf } from '../placement/stepTimes'
 import { isActive, type JobRecord } from '../state/JobRecord'
 import { Suspicion, suspicionOf } from '../state/TaskCrashes'
 import { AccountUsage } from '../accounts/AccountUsage'
+import { LeaderShares } from '../shares/LeaderShares'
 import { listAccounts } from '../accounts/listAccounts'
 import type { AccountSummary, CellCall, CellReply } from './callers/calls'
 import { ClientCalls } from './callers/ClientCalls'
@@ -19,6 +21,7 @@
 import { RunController } from './runs/RunController'
 import { StepScheduler } from './steps/StepScheduler'
 import { WorkerRegistry } from './workers/WorkerRegistry'
+import { SpeedWatch } from '../speeds/SpeedWatch'
 
 /** Milliseconds after which a configuration that is not there yet may be read again. */
 const RETRY_AFTER = 1000
@@ -48,7 +51,9 @@
 	private readonly steps: StepScheduler
 	private readonly clients: ClientCalls
 	private readonly accounts: AccountUsage
+	private readonly shares: LeaderShares
 	private readonly reconciliation: Reconciliation
+	private readonly speeds: SpeedWatch
 	private fullPassDue = 0
 	private forgetDue = 0
 	private placing = false
@@ -60,15 +65,22 @@
 			state.configuration?.accounts ?? [],
 			context.timing.quotaTolerance
 		)
+		const use = new OrderByUse(context.policy)
+		this.shares = new LeaderShares(context, this.accounts, use)
 		this.workers = new WorkerRegistry(context, this.accounts, {
-			polled: (view, result, sentAt) => this.runs.polled(view, result, sentAt),
+			polled: (view, result, sentAt) => {
+				this.runs.polled(view, result, sentAt)
+				this.speeds.polled(view, result)
+			},
 		})
+		this.speeds = new SpeedWatch(context, this.workers, use)
 		this.precedence.configured(state.configuration?.queues ?? [], context.clock.now())
 		this.runs = new RunController(context, this.workers, this.precedence, this.accounts, {
 			ticketRefused: (task, worker) => this.steps.ticketRefused(task, worker),
 			moved: (task, worker) => this.steps.movedAway(task, worker),
 		})
-		this.steps = new StepScheduler(context, this.workers, this.runs, this.precedence, this.accounts)
+		const { workers, runs, precedence, accounts, shares } = this
+		this.steps = new StepScheduler(context, workers, runs, precedence, accounts, shares)
 		this.clients = new ClientCalls(context)
 		this.reconciliation = new Reconciliation(context, this.steps)
 		for (const job of state.jobs.all()) this.takeUp(job)
@@ -86,7 +98,9 @@
 		meter.gauge(Measure.Runs, this.runs.size)
 		meter.gauge(Measure.Configuration, state.configuration?.version ?? 0)
 		this.steps.measure()
+		this.shares.measure()
 		this.workers.measure()
+		this.speeds.measure()
 	}
 
 	/** Answers a call, at once or once what it asks is committed. */
@@ -152,6 +166,7 @@
 			case 'worker-draining':
 				return this.workers.draining(change.worker)
 			case 'worker-gone':
+				this.speeds.gone(change.worker)
 				return this.workers.gone(change.worker)
 			default:
 				return exhaustive(change)
@@ -165,6 +180,8 @@
 		this.runs.tick(now)
 		this.steps.tick(now)
 		this.reconciliation.tick(now)
+		this.speeds.tick(now)
+		this.shares.tick(now)
 		if (now >= this.forgetDue) this.forgetOld(now)
 		this.place()
 	}
@@ -197,7 +214,7 @@
 		const { state, ledger } = this.context
 		const work = { jobs: state.jobs.all(), waiting: this.steps.waitingByAccount() }
 		const refused = (name: string): number => this.clients.refusedOf(name)
-		return listAccounts(this.accounts, work, refused, ledger.total)
+		return listAccounts(this.accounts, work, refused, ledger.total, [...this.shares.rooms.all()])
 	}
 
 	private configure(configuration: CellConfiguration, reply: Reply): void {
--- a/packages/jobs/src/lib/leader/LeaderEvent.ts
+++ b/packages/jobs/src/lib/leader/LeaderEvent.ts
@@ -56,6 +56,11 @@
 	 * `term` that it was decided in.
 	 */
 	StepPlaced: 'step-placed',
+	/**
+	 * Tickets are asked for so that a whole gang can begin at one moment; `step`, how many `members`, on how many `workers`, of how many of
+	 * these and others the tickets are `renewed`, and the planned moment: so many milliseconds `ahead`.
+	 */
+	GangPlanned: 'gang-planned',
 	/**
 	 * The policy of a step's queue allows none of the open workers of its service, `workers` of them: it waits for others
 	 * to join; `step`, `priority`. Once for each step.
@@ -80,7 +85,10 @@
 	TaskSuspected: 'task-suspected',
 	/** A task crashes its workers and begins no more, so its job has failed; `task`, the `workers`. */
 	TaskGivenUp: 'task-given-up',
-	/** A run ended, not as done; `task`, `attempt`, `worker`, `how`, the `phase` that it was in, for `ran` milliseconds. */
+	/**
+	 * A run ended, not as done; `task`, `attempt`, `worker`, `how`, the `phase` that it was in, for `ran` milliseconds, the `cause` and how many
+	 * processor seconds of its work were `wasted`.
+	 */
 	RunEnded: 'run-ended',
 	/**
 	 * A run is stopped to make room; `task`, `attempt`, `worker`, `percent` that it had done, `for` which step of
@@ -96,8 +104,28 @@
 	RunMoved: 'run-moved',
 	/** Runs stand still on a worker that answers, so it gets nothing new for now; `worker`, `runs`. */
 	WorkerStalled: 'worker-stalled',
+	/**
+	 * Whether the leader heeds the speeds of workers has changed; `reason` (`differ`, `alike`, `few-known`), the `share` of the median speed that
+	 * the slowest quarter works at, `workers`.
+	 */
+	SpeedsHeeded: 'speeds-heeded',
+	/**
+	 * A worker is much slower than the median one; `worker`, its `speed` as a share of the median, the standard `error` of its logarithm,
+	 * `evidence` in tasks, the `age` of the latest in milliseconds.
+	 */
+	WorkerSlow: 'worker-slow',
+	/** A worker is no longer called slow; the fields of `worker-slow`, without those that nothing is known of any more. */
+	WorkerNotSlow: 'worker-not-slow',
 	/** A worker refused an order; `task`, `attempt`, `worker`, `reason`, the `order`. */
 	OrderRefused: 'order-refused',
+	/**
+	 * A client account has more of a service than its share while others wait for room, so its waiting work goes behind theirs; `account`,
+	 * `service`, its `share` of the room, what it has `held` now and `had` on the mean of late (each from 0 to 1), how many accounts wait
+	 * there (`contenders`), for how many milliseconds this leader has `observed` that itself.
+	 */
+	ShareExceeded: 'share-exceeded',
+	/** The account is within its share again, or nobody else waits; the fields of `share-exceeded`. */
+	ShareRegained: 'share-regained',
 	/** Advice is asked; `step`, `workers`. Debug level. */
 	AdviceAsked: 'advice-asked',
 	/** Advice came, or with `outcome` and `reason` it did not; `step`, `good`, `asked`, `took` milliseconds. */
--- a/packages/jobs/src/lib/leader/advice/StepQuestions.ts
+++ b/packages/jobs/src/lib/leader/advice/StepQuestions.ts
@@ -1,21 +1,23 @@
 /** Asks for advice about steps: when, about which workers, and what the answers bring. */
 import { Measure } from '@rillrudder/telemetry'
+import type { AdviceTerms } from '../../records/Cell'
 import { rankOf } from '../../placement/StepUrgency'
 import { AdvicePlanner } from './AdvicePlanner'
 import { AllowedShare } from './AllowedShare'
 import type { Option } from '../steps/chooseForStep'
+import type { LeaderShares } from '../../shares/LeaderShares'
 import type { LeaderContext } from '../LeaderContext'
 import { LeaderEvent } from '../LeaderEvent'
 import type { AdviceResult } from '../ports'
 import type { StepWork } from '../steps/StepWork'
+import { MOST_ASKED } from '../../gangs/needsPlan'
+import { splitQuestion } from '../../gangs/splitQuestion'
 import { workersToAsk } from './workersToAsk'
 
 /** Milliseconds that a step's ticket must still hold for its next task to be decided with it. */
 const ASK_AGAIN = 400
 /** Milliseconds from which an answer is asked for before there is room. */
 const LONG_ANSWER = 150
-/** Workers a question may name at most; the service refuses longer ones. */
-const MOST_ASKED = 100
 
 /**
  * The questions about steps.
@@ -26,8 +28,11 @@
 	private readonly planner: AdvicePlanner
 	private readonly shares = new AllowedShare()
 
-	constructor(private readonly context: LeaderContext) {
-		this.planner = new AdvicePlanner(context)
+	constructor(
+		private readonly context: LeaderContext,
+		accounts: LeaderShares
+	) {
+		this.planner = new AdvicePlanner(context, accounts)
 	}
 
 	/** Gives up answers that will not come. */
@@ -54,14 +59,30 @@
 		const renew = roomAt === undefined || roomAt <= now + answer + ASK_AGAIN
 		const need = { tasks, until, most: MOST_ASKED, ahead, renew, share, terms: queue.advice }
 		const workers = workersToAsk(work, eligible, need)
-		if (workers.length === 0) return
-		advice.asking = true
-		advice.questions += 1
-		const cost = queue.advice.base + queue.advice.each * workers.length
+		if (workers.length > 0) this.send(work, workers, queue.advice)
+	}
+
+	/** @returns which share of workers a queue's policy allows, from 0 to 1, as seen of late. */
+	shareOf(queue: string): number {
+		return this.shares.of(queue)
+	}
+
+	/** Asks about these workers, in several questions side by side where one would take long. */
+	askAbout(work: StepWork, workers: readonly string[]): void {
+		const terms = work.queue.advice
+		if (!terms) return
+		for (const part of splitQuestion(workers, terms)) this.send(work, part, terms)
+	}
+
+	private send(work: StepWork, workers: readonly string[], terms: AdviceTerms): void {
+		const now = this.context.clock.now()
+		work.advice.asked(workers)
+		const cost = terms.base + terms.each * workers.length
 		const rank = rankOf(work.urgency)
 		const done = (result: AdviceResult): void => this.advised(work, workers, now, result)
 		this.context.log.debug(LeaderEvent.AdviceAsked, { step: work.name, workers: workers.length })
-		this.planner.ask({ step: work.name, workers, cost, rank, done })
+		const claim = { account: work.account, urgency: work.urgency }
+		this.planner.ask({ step: work.name, workers, cost, rank, claim, done })
 	}
 
 	private advised(
@@ -74,7 +95,7 @@
 		const now = clock.now()
 		meter.count(Measure.Advice, { outcome: result.kind })
 		meter.observe(Measure.AdviceTime, now - askedAt)
-		work.advice.asking = false
+		work.advice.settled(asked)
 		work.triedAt = -1
 		if (result.kind !== 'answered') {
 			if (result.kind === 'busy') work.advice.notBefore = now + timing.retryPause
--- /dev/null
+++ b/packages/jobs/src/lib/leader/runs/newRun.ts
@@ -0,0 +1,52 @@
+/** A run as it is before its worker has been told of it. */
+import { RunProgress } from '../../placement/RunProgress'
+import { RunPhase, type Run } from './Run'
+
+/** What tells one run from others. @internal */
+export type RunOrigin = Pick<
+	Run,
+	| 'text'
+	| 'name'
+	| 'step'
+	| 'need'
+	| 'service'
+	| 'attempt'
+	| 'worker'
+	| 'urgent'
+	| 'yields'
+	| 'account'
+	| 'times'
+	| 'ticket'
+	| 'ticketed'
+	| 'suspected'
+>
+
+/**
+ * @param now - the moment, on the leader's clock.
+ * @param speed - of its worker, as a share of the median worker's.
+ * @returns the run.
+ * @internal
+ */
+export function newRun(origin: RunOrigin, now: number, speed = 1): Run {
+	return {
+		...origin,
+		restored: false,
+		phase: RunPhase.Starting,
+		since: now,
+		unanswered: 0,
+		ordered: false,
+		confirmedAt: undefined,
+		busy: false,
+		retryAt: 0,
+		checkpoint: '',
+		checkpointAt: now,
+		stopReason: undefined,
+		percent: 0,
+		ending: false,
+		progress: new RunProgress(now, origin.step.expectedTime / speed),
+		measure: 0,
+		pace: 100,
+		absent: 0,
+		clearing: false,
+	}
+}
--- a/packages/telemetry/src/lib/Meter.ts
+++ b/packages/telemetry/src/lib/Meter.ts
@@ -15,6 +15,8 @@
 	StepWait: 'step_wait_ms',
 	/** Counter by `how`: runs that ended. */
 	RunsEnded: 'runs_ended_total',
+	/** Counter by `cause`, processor seconds: reserved for work of runs that was thrown away. */
+	WastedWork: 'wasted_processor_seconds_total',
 	/** Counter by `evidence`: workers that crashed under a task, one for each task that ran there. */
 	TaskCrashes: 'task_crashes_total',
 	/** Counter: tasks that were given up since they crash their workers. */
@@ -41,6 +43,8 @@
 	Advice: 'advice_total',
 	/** Histogram, milliseconds: from a question, waiting included, to its answer. */
 	AdviceTime: 'advice_time_ms',
+	/** Histogram, milliseconds: between the moment that a gang asked its tickets for and its beginning. */
+	GangPlanError: 'gang_plan_error_ms',
 	/** Histogram, milliseconds: from a proposal to its being applied. */
 	CommitTime: 'commit_time_ms',
 	/** Counter: times that this instance began to lead. */
@@ -51,12 +55,22 @@
 	Leads: 'leads',
 	/** Gauge by `state`: workers open, unreachable, draining. */
 	Workers: 'workers',
+	/** Gauge: workers that are called slow. */
+	SlowWorkers: 'slow_workers',
+	/** Gauge: speed of the slowest quarter of the workers as a share of the median; 1 while too few are known. */
+	SlowestShare: 'slowest_workers_share',
 	/** Gauge: runs that have begun and not ended. */
 	Runs: 'runs',
 	/** Gauge by `priority`: steps with tasks that wait to begin. */
 	StepsWaiting: 'steps_waiting',
 	/** Gauge by `reason`, milliseconds: for how long the step waits that waits longest for it. */
 	OldestWait: 'oldest_wait_ms',
+	/** Gauge by `account` and `service`, for fifty of them at most: the share of the room that it may count on, from 0 to 1. */
+	AccountShare: 'account_share',
+	/** Gauge by `account` and `service`, for the same ones: the share of the room that it holds. */
+	AccountUse: 'account_use',
+	/** Counter: times that a client account went over its share of a service. */
+	SharesExceeded: 'shares_exceeded_total',
 	/** Gauge: voters of the group. */
 	Voters: 'voters',
 	/** Gauge: version of the configuration in force. */
@@ -98,9 +112,9 @@
 	private readonly gauges = new Map<Measure, Gauge>()
 	private readonly histograms = new Map<Measure, Histogram>()
 
-	/** Adds one to a counter. */
-	count(measure: Measure, labels: Labels = {}): void {
-		this.counter(measure, labels).inc({ ...labels })
+	/** Adds to a counter, one unless said otherwise. */
+	count(measure: Measure, labels: Labels = {}, by = 1): void {
+		this.counter(measure, labels).inc({ ...labels }, by)
 	}
 
 	/** Sets a gauge. */
