--- a/packages/jobs/src/lib/leader/advice/AdvicePlanner.ts
+++ b/packages/jobs/src/lib/leader/advice/AdvicePlanner.ts
@@ -7,6 +7,7 @@
 import type { LeaderShares } from '../../shares/LeaderShares'
 import type { LeaderContext } from '../LeaderContext'
 import type { AdviceQuestion, AdviceResult } from '../ports'
+import { bestAdviser } from './bestAdviser'
 
 /** Milliseconds from which an answer counts as a long one. */
 const LONG = 150
@@ -103,7 +104,7 @@
 			const kept = attempt.question.cost >= LONG ? this.keptFree() : 0
 			if (free.length <= kept) continue
 			attempt.copyAt = Number.POSITIVE_INFINITY
-			this.send(this.mostRested(free), attempt)
+			this.send(this.bestOf(free), attempt)
 		}
 	}
 
@@ -126,7 +127,7 @@
 		const next = this.takeNext(long < longMost)
 		if (!next) return false
 		const copyAt = this.context.clock.now() + next.cost * COPY_FACTOR + COPY_AFTER
-		this.send(this.mostRested(free), { question: next, pending: 0, answered: false, copyAt })
+		this.send(this.bestOf(free), { question: next, pending: 0, answered: false, copyAt })
 		return true
 	}
 
@@ -159,6 +160,14 @@
 		return best
 	}
 
+	private bestOf(free: readonly string[]): string {
+		const { advisers } = this.context
+		return bestAdviser(free, (via) => ({
+			restsUntil: this.restsUntil(via),
+			...advisers.standing(via),
+		}))
+	}
+
 	/** Below 0 when the first question goes before the second. */
 	private compare(left: PlannedQuestion, right: PlannedQuestion): number {
 		const byShare = this.shares?.inForce && left.claim && right.claim
@@ -166,10 +175,6 @@
 		return share || left.rank - right.rank
 	}
 
-	private mostRested(free: readonly string[]): string {
-		return free.reduce((best, via) => (this.restsUntil(via) < this.restsUntil(best) ? via : best))
-	}
-
 	private send(via: string, attempt: Attempt): void {
 		const now = this.context.clock.now()
 		const { step, workers, cost } = attempt.question
--- a/packages/member/src/lib/CoreInstance.ts
+++ b/packages/member/src/lib/CoreInstance.ts
@@ -22,9 +22,13 @@
 import { OrderCarrier } from './carriers/OrderCarrier'
 import { CallFaults } from './CallFaults'
 import { CellMachine } from './CellMachine'
-import type { Finality } from './LeaderCalls'
+import type { Finality, LocalLeader } from './LeaderCalls'
 import { CoreNews } from './CoreNews'
 import { decodeCall } from './linkBodies'
+import { CellLoads } from './load/CellLoads'
+import { CarrierSpread } from './load/CarrierSpread'
+import type { InstanceCapacity } from './load/InstanceCapacity'
+import { InstanceLoad } from './load/InstanceLoad'
 import { GatheredHeartbeats } from './GatheredHeartbeats'
 import { NEWS_PERIOD } from './LeaderView'
 import { Leading } from './Leading'
@@ -50,6 +54,7 @@
 	/** Host and port for links; also its id. */
 	readonly address: string
 	readonly dataCentre: string
+	readonly capacity: InstanceCapacity
 	/** Data folder. */
 	readonly data: string
 	/** Link addresses of instances to ask for admission; they may change. */
@@ -91,6 +96,8 @@
 	private readonly heartbeats: GatheredHeartbeats
 	private readonly news: CoreNews
 	private readonly faults: CallFaults
+	private readonly load: InstanceLoad
+	private readonly loads: CellLoads
 	/** When each peer last said something, on the instance's clock. */
 	private readonly heardAt = new Map<string, number>()
 	private group!: Group
@@ -102,6 +109,8 @@
 
 	constructor(private readonly parts: CoreParts) {
 		const { clock, address: self, adviser } = parts
+		this.load = new InstanceLoad(parts.capacity, TICK_PERIOD, clock.now())
+		this.loads = new CellLoads(self, this.load)
 		this.faults = new CallFaults(clock, parts.log, parts.meter)
 		this.links = new PeerLinks({
 			self,
@@ -109,11 +118,17 @@
 			log: parts.log,
 			meter: parts.meter,
 			receive: (from, event) => this.receive(from, event),
-			lost: (peer) => this.leading?.lost(peer),
-			local: (call, done) => this.callHere(call, done),
+			lost: (peer) => this.lost(peer),
+			local: () => this.localLeader(),
 		})
 		const peers = (): readonly string[] => this.links.hub.connected
-		this.advisers = new AskingPeers({ self, adviser, calls: this.links.calls, peers })
+		this.advisers = new AskingPeers({
+			self,
+			adviser,
+			calls: this.links.calls,
+			peers,
+			standing: (id) => this.loads.standingOf(id, clock.now()),
+		})
 		this.heartbeats = new GatheredHeartbeats({
 			workers: this.state.workers,
 			clock,
@@ -125,6 +140,7 @@
 			clock,
 			links: this.links,
 			replica: () => this.group.replica,
+			load: () => this.loads.report(),
 			linkedMembers: () => this.linkedMembers(),
 		})
 		this.carrier = new OrderCarrier(
@@ -214,6 +230,7 @@
 	}
 
 	private tick(): void {
+		this.load.tick(this.parts.clock.now())
 		this.group.tick()
 		this.settled()
 		if (this.leading && this.group.mayAct) this.leading.tick()
@@ -224,6 +241,7 @@
 	private measure(): void {
 		const { meter } = this.parts
 		const { term, members } = this.group.replica.status
+		meter.gauge(Measure.LoopDelay, this.load.loopDelay)
 		meter.gauge(Measure.Term, term)
 		meter.gauge(Measure.Leads, this.leading ? 1 : 0)
 		meter.gauge(Measure.Voters, members.filter((member) => member.voter).length)
@@ -269,13 +287,14 @@
 	}
 
 	private carriedOrders(term: number): CarriedOrders {
-		const { clock, orders: direct, log } = this.parts
+		const { clock, orders: direct, log, meter } = this.parts
 		return new CarriedOrders({
 			direct,
 			term,
 			clock,
 			log,
 			linked: () => this.linkedMembers(),
+			spread: new CarrierSpread(this.loads.core, log, meter),
 			heardAt: (id) => this.heardAt.get(id) ?? Number.NEGATIVE_INFINITY,
 			workers: () => this.state.workers.size,
 			send: (to, value) => this.links.hub.send(to, { body: { $case: 'orderBatch', value } }),
@@ -287,28 +306,39 @@
 		return members.filter(({ id }) => id !== this.parts.address && this.links.hub.isConnected(id))
 	}
 
+	private lost(peer: string): void {
+		this.loads.lost(peer)
+		this.leading?.lost(peer)
+	}
+
 	private endLeading(): void {
 		this.leading?.end()
 		this.leading = undefined
 	}
 
-	private callHere(call: CellCall, done: (reply: CellReply) => void): boolean {
-		if (!this.leading || !this.group.mayAct) return false
-		const { leading } = this
-		this.faults.handle(call, done, () => leading.call(call, done))
-		return true
+	/** @returns this instance as the leader; undefined while it may not act as such. */
+	private localLeader(): LocalLeader | undefined {
+		const { leading, faults } = this
+		if (!leading || !this.group.mayAct) return undefined
+		return {
+			term: leading.term,
+			call: (call, done) => faults.handle(call, done, () => leading.call(call, done)),
+		}
 	}
 
 	private receive(from: string, { body }: Event): void {
-		this.heardAt.set(from, this.parts.clock.now())
+		const now = this.parts.clock.now()
+		this.heardAt.set(from, now)
 		if (!body) return
 		if (body.$case === 'group') this.group.receive(body.value)
 		else if (body.$case === 'peerCall') this.peerCalled(from, body.value)
-		else if (body.$case === 'cellNews')
-			this.links.view.take(from, body.value, this.parts.clock.now())
-		else if (body.$case === 'orderBatch') this.carrier.take(from, body.value)
+		else if (body.$case === 'cellNews') {
+			this.links.view.take(from, body.value, now)
+			this.loads.core.take(from, body.value.load, now)
+		} else if (body.$case === 'orderBatch') this.carrier.take(from, body.value)
 		else if (body.$case === 'orderResults') this.leading?.carried(body.value)
 		else if (body.$case === 'peerReply') {
+			this.loads.entry.take(from, body.value.load, now)
 			this.links.calls.replied(body.value)
 			this.leading?.flushSoon()
 		}
@@ -323,8 +353,9 @@
 			return
 		}
 		if (this.leading) {
-			const meant = term === this.leading.term && this.callHere(call, reply)
-			if (!meant) reply({ kind: 'not-leader' })
+			const leader = this.localLeader()
+			if (leader?.term === term) leader.call(call, reply)
+			else reply({ kind: 'not-leader' })
 			return
 		}
 		const leader = this.group.replica.status.leader
