--- a/packages/jobs/src/lib/shares/AdviceShares.ts
+++ b/packages/jobs/src/lib/shares/AdviceShares.ts
@@ -1,6 +1,6 @@
 /** How client accounts share the time of the instances that ask for advice. */
 import type { QuotaAccount } from '@rillrudder/scheduler'
-import type { Urgency } from '../placement/StepUrgency'
+import { compareTier, type Urgency } from '../placement/StepUrgency'
 
 /** Milliseconds over which the time that an account's questions took is kept in mind. */
 const HAD_SPAN = 10_000
@@ -75,9 +75,3 @@
 		}
 	}
 }
-
-/** Orders what shares never turn round: within a rate first, then priority, then usefulness. @internal */
-export function compareTier(left: Urgency, right: Urgency): number {
-	const rate = Number(left.beyondRate) - Number(right.beyondRate)
-	return rate || left.priority - right.priority || left.usefulness - right.usefulness
-}
--- a/packages/jobs/src/lib/shares/inShareOrder.ts
+++ b/packages/jobs/src/lib/shares/inShareOrder.ts
@@ -1,6 +1,6 @@
 /** The order in which waiting steps are tried within one pass, as accounts come to hold more. */
 import type { Urgency } from '../placement/StepUrgency'
-import { compareTier } from './AdviceShares'
+import { compareTier } from '../placement/StepUrgency'
 
 /** A step with what orders it. @internal */
 export interface Ordered {
--- a/packages/member/src/lib/LeaderCalls.test.ts
+++ b/packages/member/src/lib/LeaderCalls.test.ts
@@ -278,3 +278,20 @@
 	await subject.run(10)
 	assert.equal(subject.outcome, 'not-run')
 })
+
+test('a call whose caller has gone is not brought to the next leader: the caller may be refused elsewhere meanwhile', async () => {
+	const subject = new Subject()
+	let gone = false
+	subject.leader = leader('a', 1)
+	subject.begin(SUBMIT, { ...PATIENT, isAbandoned: () => gone })
+	await subject.run(10)
+	gone = true
+	subject.lose('a')
+	subject.leader = leader('b', 2)
+	await subject.run(500)
+	assert.deepEqual(
+		subject.sent.map(({ to }) => to),
+		['a']
+	)
+	assert.equal(subject.outcome, 'unknown')
+})
--- a/packages/member/src/lib/LeaderCalls.ts
+++ b/packages/member/src/lib/LeaderCalls.ts
@@ -31,6 +31,8 @@
 	 * of it, and its caller has nothing to gain from an answer that says nothing. As long as `limit` if absent.
 	 */
 	readonly limitOnceSent?: number
+	/** Whether its caller has gone: it is not tried again then, since the caller may try elsewhere. Never if absent. */
+	readonly isAbandoned?: () => boolean
 }
 
 /** The instance itself while it leads. @internal */
@@ -193,7 +195,8 @@
 		const { clock } = this.parts
 		const now = clock.now()
 		const leaderless = !attempt.sent && now - this.ledAt + RETRY_PAUSE > attempt.finality.patience
-		const late = now - attempt.startedAt + RETRY_PAUSE > limitOf(attempt)
+		const spent = now - attempt.startedAt + RETRY_PAUSE > limitOf(attempt)
+		const late = spent || (attempt.finality.isAbandoned?.() ?? false)
 		if (!leaderless && !late) clock.after(RETRY_PAUSE, () => this.attempt(attempt))
 		else if (attempt.sent) attempt.done({ kind: 'unknown', reason: 'no answer from a leader' })
 		else attempt.done({ kind: 'not-run', reason: 'no leader', retryAfter: RETRY_AFTER })
--- a/packages/web/src/lib/HttpServer.ts
+++ b/packages/web/src/lib/HttpServer.ts
@@ -26,6 +26,8 @@
 	readonly headers: IncomingMessage['headers']
 	readonly query: URLSearchParams
 	readonly body: Buffer
+	/** Whether its caller has closed the connection, and so gets no answer any more. */
+	readonly isAbandoned: () => boolean
 }
 
 /**
@@ -81,7 +83,8 @@
 			const host = (headers.host ?? '').split(':')[0]
 			const [path, search = ''] = url.split('?')
 			const query = new URLSearchParams(search)
-			const call = { method, host, path, query, headers, body: body.value }
+			const isAbandoned = (): boolean => response.destroyed
+			const call = { method, host, path, query, headers, body: body.value, isAbandoned }
 			this.answer(response, await this.handle(call))
 		} catch (fault) {
 			this.answer(response, { status: 500, body: { error: (fault as Error).message } })
