--- a/packages/member/src/lib/EntryInstance.ts
+++ b/packages/member/src/lib/EntryInstance.ts
@@ -73,7 +73,7 @@
 
 	/** Brings a call to the leader. */
 	call(call: CellCall, finality: Finality): Promise<CellReply> {
-		return this.load.pass(call, () => this.links.leaderCalls.call(call, finality))
+		return this.load.pass(() => this.links.leaderCalls.call(call, finality))
 	}
 
 	/** Ends all links. */
--- a/packages/member/src/lib/MemberEvent.ts
+++ b/packages/member/src/lib/MemberEvent.ts
@@ -16,7 +16,7 @@
 	CarrierLost: 'carrier-lost',
 	/** The leader gives an instance more or fewer orders to carry; `peer`, the share of its workers that it has `kept`, its `loopDelay` and the `age` of that, milliseconds. */
 	CarrierWeightChanged: 'carrier-weight-changed',
-	/** An entry instance turns callers away, or no longer; `level`, `delay` of its event loop in milliseconds, `calls` under way, submissions `refused` at the level before. */
+	/** An entry instance sends new connections elsewhere (`active`), or no longer; `delay` of its event loop in milliseconds, `calls` under way. */
 	SheddingChanged: 'shedding-changed',
 	/** Another instance leads, or none is known; `leader`, `term`. */
 	LeaderChanged: 'leader-changed',
--- a/packages/member/src/lib/load/EntryLoad.ts
+++ b/packages/member/src/lib/load/EntryLoad.ts
@@ -1,16 +1,12 @@
-/** What an entry instance takes, refuses and tells of itself by its own load. */
-import type { CellCall, CellReply } from '@rillrudder/jobs'
+/** What an entry instance tells of itself, and whether it takes new connections, by its own load. */
+import type { CellReply } from '@rillrudder/jobs'
 import type { LoadReport } from '@rillrudder/protocol'
 import { Measure, type Log, type Meter } from '@rillrudder/telemetry'
 import type { Clock } from '@rillrudder/utils'
 import { MemberEvent } from '../MemberEvent'
 import type { InstanceCapacity } from './InstanceCapacity'
 import { InstanceLoad } from './InstanceLoad'
-import { SentJobs } from './SentJobs'
-import { Shedding, ShedLevel } from './Shedding'
-
-/** Milliseconds after which a refused submission may come again; its next connection leads elsewhere. */
-const RETRY_AFTER = 1000
+import { Shedding } from './Shedding'
 
 /** What the load of an entry instance is kept with. @internal */
 export interface EntryLoadParts {
@@ -30,9 +26,6 @@
 export class EntryLoad {
 	private readonly load: InstanceLoad
 	private readonly shedding = new Shedding()
-	private readonly sent = new SentJobs()
-	/** Submissions refused since the last line about it. */
-	private refused = 0
 
 	constructor(private readonly parts: EntryLoadParts) {
 		const { capacity, period, clock } = parts
@@ -41,7 +34,7 @@
 
 	/** Whether new connections may come here. */
 	get takesConnections(): boolean {
-		return this.shedding.level === ShedLevel.None
+		return !this.shedding.active
 	}
 
 	/** Reads the load and sets the gauges. */
@@ -58,14 +51,8 @@
 		return this.load.report()
 	}
 
-	/** Passes a call on, or refuses it. */
-	async pass(call: CellCall, send: () => Promise<CellReply>): Promise<CellReply> {
-		this.update()
-		if (this.refuses(call)) {
-			this.refused += 1
-			return { kind: 'not-run', reason: 'this instance is overloaded', retryAfter: RETRY_AFTER }
-		}
-		if (call.kind === 'submit') this.sent.note(call.to, this.parts.clock.now())
+	/** Passes a call on. */
+	async pass(send: () => Promise<CellReply>): Promise<CellReply> {
 		this.load.calls += 1
 		try {
 			return await send()
@@ -74,21 +61,13 @@
 		}
 	}
 
-	/** States and cancels are served on, and so is a job that may have been taken before. */
-	private refuses(call: CellCall): boolean {
-		if (call.kind !== 'submit' || this.shedding.level !== ShedLevel.Submissions) return false
-		return !this.sent.has(call.to, this.parts.clock.now())
-	}
-
 	private update(): void {
-		const before = this.shedding.level
+		const before = this.shedding.active
 		this.shedding.update(this.load, this.parts.clock.now())
-		const { level } = this.shedding
-		if (level === before) return
+		const { active } = this.shedding
+		if (active === before) return
 		const { loopDelay, calls } = this.load
-		const { refused } = this
-		this.refused = 0
 		const delay = Math.round(loopDelay)
-		this.parts.log.warn(MemberEvent.SheddingChanged, { level, delay, calls, refused })
+		this.parts.log.warn(MemberEvent.SheddingChanged, { active, delay, calls })
 	}
 }
