--- a/packages/jobs/src/lib/placement/StepUrgency.ts
+++ b/packages/jobs/src/lib/placement/StepUrgency.ts
@@ -1,6 +1,6 @@
 /**
- * In which order waiting steps are placed: work that accounts sent within their rates first, and of that what is still of some use to its
- * caller; then priority; of one priority what can still be in time, then what is late; of these what is within its account's share; and of these the latest moment at which a step has to begin for
+ * In which order waiting steps are placed: work that accounts sent within their rates first, then priority; of one priority what can still
+ * be in time, then what its caller has still some use of, then the rest; of these what is within its account's share; and of these the latest moment at which a step has to begin for
  * its job to be in time.
  */
 import { Usefulness } from './Usefulness'
@@ -49,9 +49,8 @@
 /** Orders by what goes before any account's share, the most urgent first. @internal */
 export function compareTier(left: Urgency, right: Urgency): number {
 	const rate = Number(left.beyondRate) - Number(right.beyondRate)
-	const use = Number(isTooLate(left)) - Number(isTooLate(right))
 	const priority = left.priority - right.priority
-	return rate || use || priority || left.usefulness - right.usefulness
+	return rate || priority || left.usefulness - right.usefulness
 }
 
 /** Orders by urgency, the most urgent first. @internal */
@@ -66,21 +65,14 @@
 const USEFULNESS_RANK = 4e12
 /** Makes every priority rank before all degrees of usefulness. */
 const PRIORITY_RANK = 2e13
-/** Makes what is of some use rank before what is of none; of each fifty priorities are told apart. */
-const TOO_LATE_RANK = 1e15
-/** Makes every priority within its account's rate rank before all that is beyond. */
-const BEYOND_RATE_RANK = 3e15
+/** Makes every priority within its account's rate rank before all that is beyond; fifty of them are told apart. */
+const BEYOND_RATE_RANK = 1e15
 
 /** @returns the urgency as a number, lower for what goes first. @internal */
 export function rankOf(urgency: Urgency): number {
 	const { beyondRate, priority, usefulness, overShare, latestStart } = urgency
 	const rate = beyondRate ? BEYOND_RATE_RANK : 0
-	const tooLate = isTooLate(urgency) ? TOO_LATE_RANK : 0
 	const share = overShare ? SHARE_RANK : 0
 	const use = usefulness * USEFULNESS_RANK
-	return rate + tooLate + priority * PRIORITY_RANK + use + share + latestStart
-}
-
-function isTooLate({ usefulness }: Urgency): boolean {
-	return usefulness === Usefulness.TooLate
+	return rate + priority * PRIORITY_RANK + use + share + latestStart
 }
