--- a/packages/jobs/src/lib/leader/LeaderPolicy.ts
+++ b/packages/jobs/src/lib/leader/LeaderPolicy.ts
@@ -3,11 +3,13 @@
 /** Parts of the policy that are off unless a deployment's settings call for them. @public */
 export interface LeaderPolicy {
 	/**
-	 * Whether callers compete for too little room: accounts get shares of it by their weights, jobs that can be of no use are refused when
-	 * they are handed in, and what can still be in time goes before what can't.
+	 * Whether callers compete for too little room: what can still be in time goes before what can't, and a change of leader pardons nobody
+	 * who sends beyond its rate.
 	 */
 	readonly overload: boolean
+	/** Whether accounts get shares of scarce room and advice by their weights. */
+	readonly shares: boolean
 }
 
 /** The policy of a deployment that asks for nothing more. @public */
-export const PLAIN_POLICY: LeaderPolicy = { overload: false }
+export const PLAIN_POLICY: LeaderPolicy = { overload: false, shares: false }
--- a/packages/jobs/src/lib/placement/OrderByUse.test.ts
+++ b/packages/jobs/src/lib/placement/OrderByUse.test.ts
@@ -13,7 +13,7 @@
 	const withGangs = new OrderByUse(PLAIN_POLICY)
 	withGangs.plansGangs = true
 	assert.equal(withGangs.inForce, true)
-	assert.equal(new OrderByUse({ overload: true }).inForce, true)
+	assert.equal(new OrderByUse({ ...PLAIN_POLICY, overload: true }).inForce, true)
 })
 
 const WHOLE_WORKER = { cpu: 4000, memory: 512, accelerators: 0 }
@@ -24,7 +24,7 @@
 /** A worker that is full while one job waits until it can't be in time any more; then another one is handed in, and room comes free. */
 function begunFirst(overload: boolean): string {
 	const subject = new LeaderSubject()
-	subject.policy = { overload }
+	subject.policy = { ...PLAIN_POLICY, overload }
 	subject.lead()
 	const job = jobOf({ need: WHOLE_WORKER, expectedTime: 1000 })
 	subject.heartbeat('w1')
--- a/packages/jobs/src/lib/shares/LeaderShares.test.ts
+++ b/packages/jobs/src/lib/shares/LeaderShares.test.ts
@@ -4,7 +4,7 @@
 import { LeaderSubject } from '../testing/LeaderSubject'
 import { accountNamed, jobOf, QUEUE } from '../testing/samples'
 
-const OVERLOAD = { overload: true }
+const OVERLOAD = { overload: true, shares: true }
 const WORKERS = ['w1', 'w2']
 const SERVICE = QUEUE.service
 
@@ -85,7 +85,7 @@
 })
 
 test('where the settings do not call for shares nothing is noted and nothing told', () => {
-	const subject = fullSubject({ overload: false })
+	const subject = fullSubject({ overload: false, shares: false })
 	assert.deepEqual(usesOf(subject, 'pressing'), [])
 	assert.deepEqual(notesIn(subject), [])
 	assert.ok(!subject.lines.some((line) => line.includes('share-')))
--- a/packages/jobs/src/lib/shares/LeaderShares.ts
+++ b/packages/jobs/src/lib/shares/LeaderShares.ts
@@ -55,7 +55,7 @@
 	/** Whether accounts have shares: the settings call for it and the configuration has accounts with weights. */
 	get inForce(): boolean {
 		const { policy, state } = this.context
-		if (!policy.overload) return false
+		if (!policy.shares) return false
 		return state.configuration?.accounts?.some(({ weight }) => weight > 0) ?? false
 	}
 
--- a/packages/runs/src/lib/jobs/shareRun.test.ts
+++ b/packages/runs/src/lib/jobs/shareRun.test.ts
@@ -23,7 +23,7 @@
 /** @returns what accounts got in a run of each seed. */
 function play(competition: Competition, faultRate = 0): Served[][] {
 	return SEEDS.map((seed) => {
-		const policy = { overload: true }
+		const policy = { overload: true, shares: true }
 		const run = new JobRun({ seed, faultRate, jobRate: 0, competition, policy })
 		run.run(SPAN)
 		const served = servedOf(run.jobs, run.clock.date().getTime())
