--- a/packages/jobs/src/lib/gangs/GangPlanner.ts
+++ b/packages/jobs/src/lib/gangs/GangPlanner.ts
@@ -124,7 +124,8 @@
 		const { queue, record, advice, step } = work
 		const { advice: terms } = queue
 		if (!terms) return undefined
-		const speeds = new Map(eligible.map(({ view }) => [view.id, view.speed]))
+		const uneven = eligible.filter(({ view }) => view.speed !== 1)
+		const speeds = new Map(uneven.map(({ view }) => [view.id, view.speed]))
 		return {
 			members: record.tasks.length,
 			now,
