Waits of steps by cause, the cost of a pass and the delay of a start are told

The log could not tell whether steps wait for room, for advice or since nobody tries them, nor how long a decision takes to reach its worker. step-placed and the new step-dropped tell what a step has waited for; measures step_waits_ms_total by priority and reason, pass_time_ms, start_delay_ms. Reasons are looked up in full passes only, ten a second.

--- a/packages/jobs/src/lib/leader/JobController.ts
+++ b/packages/jobs/src/lib/leader/JobController.ts
@@ -194,6 +194,8 @@
 		const full = now >= this.fullPassDue
 		if (full) this.fullPassDue = now + FULL_PASS
 		this.steps.place(now, full)
+		const { clock, meter } = this.context
+		meter.observe(Measure.PassTime, clock.now() - now, { full: String(full) })
 		this.placing = false
 	}
 
--- a/packages/jobs/src/lib/leader/LeaderEvent.ts
+++ b/packages/jobs/src/lib/leader/LeaderEvent.ts
@@ -52,10 +52,15 @@
 	/**
 	 * Runs of a step begin; `step`, `priority`, `runs`, how many are still `waiting`, `waited` milliseconds
 	 * since the steps before it were done, `questions` for advice and when the first was answered (`advised`,
-	 * after so many of these milliseconds, 0 for before), `workers` with their counts, `configuration` and
-	 * `term` that it was decided in.
+	 * after so many of these milliseconds, 0 for before), how many milliseconds it has waited for what (`waits`), `workers` with their counts,
+	 * `configuration` and `term` that it was decided in.
 	 */
 	StepPlaced: 'step-placed',
+	/**
+	 * The job of a step has ended while tasks of it still were `waiting` to begin; `step`, `priority`, for how many milliseconds it had `waited`, and
+	 * for what (`waits`).
+	 */
+	StepDropped: 'step-dropped',
 	/**
 	 * Tickets are asked for so that a whole gang can begin at one moment; `step`, how many `members`, on how many `workers`, of how many of
 	 * these and others the tickets are `renewed`, and the planned moment: so many milliseconds `ahead`.
--- a/packages/jobs/src/lib/leader/runs/Run.ts
+++ b/packages/jobs/src/lib/leader/runs/Run.ts
@@ -41,6 +41,8 @@
 	readonly ticket: string
 	/** Whether its worker wants a ticket. */
 	readonly ticketed: boolean
+	/** When this leader decided to begin it, on its clock; undefined for one that an earlier leader began. */
+	readonly decidedAt: number | undefined
 	/** Whether an earlier leader began it. */
 	restored: boolean
 	phase: RunPhase
--- a/packages/jobs/src/lib/leader/runs/RunController.ts
+++ b/packages/jobs/src/lib/leader/runs/RunController.ts
@@ -33,6 +33,8 @@
 
 /** What was decided for a run before it begins. @internal */
 export interface Decision extends Standing {
+	/** When, on the leader's clock. */
+	readonly at: number
 	/** Where it is to begin. */
 	readonly worker: string
 	/** Shows its worker that it may run it; empty where none is wanted. */
@@ -267,6 +269,7 @@
 			yields,
 			times: timesOf(job, name.repeat, name.step, job.queue),
 			ticket: decision?.ticket ?? '',
+			decidedAt: decision?.at,
 			ticketed: job.queue.advice !== undefined,
 			suspected: this.isSuspected(text),
 		}
@@ -290,11 +293,18 @@
 	private enter(run: Run, phase: RunPhase): void {
 		run.phase = phase
 		run.since = this.context.clock.now()
-		if (phase === RunPhase.Running) run.confirmedAt ??= run.since
+		if (phase === RunPhase.Running) this.noteConfirmed(run)
 		run.unanswered = 0
 		run.retryAt = 0
 	}
 
+	private noteConfirmed(run: Run): void {
+		if (run.confirmedAt !== undefined) return
+		run.confirmedAt = run.since
+		if (run.decidedAt === undefined) return
+		this.context.meter.observe(Measure.StartDelay, run.since - run.decidedAt)
+	}
+
 	private beginStop(run: Run, reason: StopReason): void {
 		if (run.phase === RunPhase.Stopping || run.phase === RunPhase.Stopped) return
 		run.stopReason = reason
--- a/packages/jobs/src/lib/leader/runs/newRun.ts
+++ b/packages/jobs/src/lib/leader/runs/newRun.ts
@@ -18,6 +18,7 @@
 	| 'times'
 	| 'ticket'
 	| 'ticketed'
+	| 'decidedAt'
 	| 'suspected'
 >
 
--- a/packages/jobs/src/lib/leader/steps/StepLog.ts
+++ b/packages/jobs/src/lib/leader/steps/StepLog.ts
@@ -17,7 +17,8 @@
 	placed(work: StepWork, placed: readonly Placed[], now: number): void {
 		const { meter, log, state, term } = this.context
 		const waited = work.waited(now)
-		meter.observe(Measure.StepWait, waited, { priority: String(work.queue.priority) })
+		const priority = String(work.queue.priority)
+		meter.observe(Measure.StepWait, waited, { priority })
 		log.info(LeaderEvent.StepPlaced, {
 			step: work.name,
 			priority: work.queue.priority,
@@ -26,12 +27,32 @@
 			waited: Math.round(waited),
 			questions: work.advice.questions,
 			advised: Math.round(work.waited(work.advice.firstAnswerAt ?? 0)),
+			waits: String(work.waits),
 			workers: countedWorkers(placed),
 			configuration: state.configuration?.version ?? 0,
 			term,
 		})
 	}
 
+	/** A step will not be placed any more, as its job has ended; what it waited for counts, whether it was placed or not. */
+	closed(work: StepWork): void {
+		const { meter, log, clock } = this.context
+		const waiting = work.waiting().length
+		work.waits.note(undefined, clock.now())
+		const priority = String(work.queue.priority)
+		for (const [reason, span] of work.waits.all()) {
+			meter.count(Measure.StepWaits, { priority, reason }, span)
+		}
+		if (waiting === 0 || work.readyAt === undefined) return
+		log.info(LeaderEvent.StepDropped, {
+			step: work.name,
+			priority: work.queue.priority,
+			waiting,
+			waited: Math.round(work.waited(clock.now())),
+			waits: String(work.waits),
+		})
+	}
+
 	/** The policy of a step's queue allows none of so many open workers; to be told once for each step. */
 	barred(work: StepWork, workers: number): void {
 		work.toldBarred = true
--- a/packages/jobs/src/lib/leader/steps/StepScheduler.ts
+++ b/packages/jobs/src/lib/leader/steps/StepScheduler.ts
@@ -32,7 +32,7 @@
 import { StepQuestions } from '../advice/StepQuestions'
 import { byUrgency, stepName, StepWork } from './StepWork'
 import { StepWaits } from './StepWaits'
-import { isBarred, waitOf, type Wait } from './waitReason'
+import { isBarred, reasonIn, waitOf, WaitReason, type Wait } from './waitReason'
 import type { WorkerRegistry } from '../workers/WorkerRegistry'
 import { atLikeSpeed } from '../../speeds/speedFit'
 
@@ -305,6 +305,7 @@
 
 	private close(work: StepWork): void {
 		this.steps.delete(work.name)
+		this.log.closed(work)
 		this.reservations.drop(work)
 	}
 
@@ -367,14 +368,22 @@
 		work.readyAt ??= now
 		const waiting = this.quarantine.mayBegin(work)
 		work.allPlaced = waiting.length === 0
-		if (work.allPlaced) return
-		if (!this.accounts.mayBegin(work.account, work.step)) return this.reservations.drop(work)
+		if (work.allPlaced) {
+			const isHeld = work.waiting().length > 0
+			return work.waits.note(isHeld ? WaitReason.Held : undefined, now)
+		}
+		if (!this.accounts.mayBegin(work.account, work.step)) {
+			work.waits.note(WaitReason.Quota, now)
+			return this.reservations.drop(work)
+		}
 		const eligible = atLikeSpeed(work, this.eligible(work, open), now)
 		if (!work.toldBarred && isBarred(work, eligible)) this.log.barred(work, eligible.length)
 		const options = this.optionsFor(work, eligible, now)
 		const placed = this.placement.place(work, waiting, options, now)
 		const left = waiting.length - placed.length
 		work.allPlaced = left === 0
+		if (left === 0) work.waits.note(undefined, now)
+		else if (full) work.waits.note(reasonIn(work, { eligible, options }), now)
 		if (placed.length > 0) this.begin(work, placed, now)
 		if (left === 0) return this.reservations.drop(work)
 		if (needsPlan(work)) return full ? this.gangs.prepare(work, eligible, now) : undefined
@@ -421,7 +430,8 @@
 			const isolated = this.quarantine.suspicionOf(work, index) === Suspicion.Isolated
 			if (isolated) this.quarantine.decided(task, job.id, worker)
 			const ticket = work.advice.ticket(worker, now) ?? ''
-			this.runs.decided(task, { worker, ticket, urgent: work.urgent, yields: work.yields })
+			const { urgent, yields } = work
+			this.runs.decided(task, { worker, ticket, urgent, yields, at: now })
 			return { task, attempt, worker }
 		})
 		this.log.placed(work, placed, now)
--- a/packages/jobs/src/lib/leader/steps/StepWork.ts
+++ b/packages/jobs/src/lib/leader/steps/StepWork.ts
@@ -13,6 +13,7 @@
 import type { Usefulness } from '../../placement/Usefulness'
 import { reservedFor } from './reservation'
 import { StepAdvice } from '../advice/StepAdvice'
+import { WaitTimes } from './WaitTimes'
 
 /** @returns the name that advice is asked under. @internal */
 export function stepName(job: string, repeat: number, step: number): string {
@@ -36,6 +37,8 @@
 	/** Whether it leaves room for what is. */
 	readonly yields: boolean
 	readonly advice = new StepAdvice()
+	/** What its tasks have waited for. */
+	readonly waits = new WaitTimes()
 	/** Indexes of tasks whose beginning is decided and not yet applied. */
 	readonly decided = new Set<number>()
 	/** How many of its tasks are on each worker. */
--- /dev/null
+++ b/packages/jobs/src/lib/leader/steps/WaitTimes.ts
@@ -0,0 +1,43 @@
+/** For how long a step has waited, by the reason that kept it. */
+import type { WaitReason } from './waitReason'
+
+/**
+ * The time that one step has waited, by reason. A reason counts from when it is noted to when the next one is.
+ *
+ * @internal
+ */
+export class WaitTimes {
+	private readonly spans = new Map<WaitReason, number>()
+	private reason: WaitReason | undefined
+	private since = 0
+
+	/**
+	 * @param reason - what keeps the step from now on; undefined while nothing waits.
+	 * @param now - the moment, on the leader's clock.
+	 */
+	note(reason: WaitReason | undefined, now: number): void {
+		if (this.reason !== undefined) {
+			this.spans.set(this.reason, this.spanOf(this.reason) + now - this.since)
+		}
+		this.reason = reason
+		this.since = now
+	}
+
+	/** @returns the milliseconds that each reason has kept it, those that lasted longest first. */
+	all(): [reason: WaitReason, span: number][] {
+		return [...this.spans].sort(([, left], [, right]) => right - left)
+	}
+
+	/** The same as one text for the log, as in `room:1200 advice:85`; reasons of under a millisecond are left out. */
+	toString(): string {
+		return this.all()
+			.map(([reason, span]) => [reason, Math.round(span)] as const)
+			.filter(([, span]) => span > 0)
+			.map(([reason, span]) => `${reason}:${span}`)
+			.join(' ')
+	}
+
+	private spanOf(reason: WaitReason): number {
+		return this.spans.get(reason) ?? 0
+	}
+}
--- a/packages/jobs/src/lib/leader/steps/waitReason.ts
+++ b/packages/jobs/src/lib/leader/steps/waitReason.ts
@@ -1,6 +1,6 @@
 /** Why tasks of a step wait, and what ends that: for people, and for the measures of waits. */
 import type { RoomTimes } from '../../placement/Reservations'
-import type { Option } from './chooseForStep'
+import { hasRoom, type Option } from './chooseForStep'
 import type { StepWork } from './StepWork'
 
 /** Why tasks of a step wait. @public */
@@ -53,6 +53,31 @@
 	readonly now: number
 }
 
+/** What a pass over the waiting steps has seen of a step, some of whose tasks found no place. @internal */
+export interface PassSight {
+	/** Open workers of its service that have its label. */
+	readonly eligible: readonly Option[]
+	/** Those of them that may run it now. */
+	readonly options: readonly Option[]
+}
+
+/**
+ * A cheaper answer than {@link waitOf}, for every step in every pass.
+ *
+ * @returns why tasks of a step wait that a pass has just tried to place.
+ * @internal
+ */
+export function reasonIn(work: StepWork, { eligible, options }: PassSight): WaitReason {
+	if (eligible.length === 0) return WaitReason.Worker
+	if (options.some((option) => hasRoom(work, option))) {
+		return work.step.gang ? WaitReason.Gang : WaitReason.Reservation
+	}
+	const { advice } = work
+	const others = eligible.some((option) => !advice.isUnfit(option.view.id) && hasRoom(work, option))
+	if (!work.queue.advice || !others) return WaitReason.Room
+	return advice.asking ? WaitReason.Advice : WaitReason.Policy
+}
+
 /** @returns whether the queue's policy allows none of the workers that could run a step. @internal */
 export function isBarred({ advice, queue }: StepWork, eligible: readonly Option[]): boolean {
 	if (!queue.advice || eligible.length === 0) return false
--- a/packages/jobs/src/lib/testing/LeaderSubject.ts
+++ b/packages/jobs/src/lib/testing/LeaderSubject.ts
@@ -240,6 +240,8 @@
 	/** Log lines of all leaderships. */
 	readonly lines: string[] = []
 	readonly meter = new Meter()
+	/** The room of the workers, as the present leadership counts it. */
+	ledger!: Ledger
 	/** Client accounts of the configurations that follow; undefined for a cell without. */
 	accounts: readonly ClientAccount[] | undefined
 	controller!: JobController
@@ -285,9 +287,10 @@
 	lead(): void {
 		this.state.observer = undefined
 		const random = new Random(7)
+		this.ledger = new Ledger(random)
 		this.controller = new JobController({
 			state: this.state,
-			ledger: new Ledger(random),
+			ledger: this.ledger,
 			health: new WorkerHealth(),
 			clock: this.clock,
 			random,
--- a/packages/telemetry/src/lib/Meter.ts
+++ b/packages/telemetry/src/lib/Meter.ts
@@ -13,6 +13,12 @@
 	JobTime: 'job_time_ms',
 	/** Histogram by `priority`, milliseconds: from when a step could begin to its runs' beginning. */
 	StepWait: 'step_wait_ms',
+	/** Counter by `priority` and `reason`, milliseconds: that steps waited for their runs' beginning. */
+	StepWaits: 'step_waits_ms_total',
+	/** Histogram by `full`, milliseconds: that one pass over the waiting steps took. */
+	PassTime: 'pass_time_ms',
+	/** Histogram, milliseconds: from the decision to begin a run to its worker's confirmation. */
+	StartDelay: 'start_delay_ms',
 	/** Counter by `how`: runs that ended. */
 	RunsEnded: 'runs_ended_total',
 	/** Counter by `cause`, processor seconds: reserved for work of runs that was thrown away. */
