--- a/packages/runs/src/lib/jobs/FleetWorker.ts
+++ b/packages/runs/src/lib/jobs/FleetWorker.ts
@@ -67,6 +67,8 @@
 	readonly stepOf: (task: string) => Step
 	/** @returns whether a ticket lets the worker run the task's step now. */
 	readonly mayRun: (task: string, worker: string, ticket: string) => boolean
+	/** @returns why a start is refused that could be carried out; undefined if it is not. */
+	readonly refusal: () => Refusal | undefined
 	/** Told of each run that begins. */
 	readonly began: (machine: FleetWorker, task: string) => void
 }
@@ -190,6 +192,8 @@
 		if (this.runs.get(task)?.attempt === attempt) return this.done()
 		if (past) return this.refuse(Refusal.Late)
 		if (!this.parts.mayRun(task, this.worker.id, ticket)) return this.refuse(Refusal.Ticket)
+		const refusal = this.parts.refusal()
+		if (refusal) return this.refuse(refusal)
 		const { witness, clock } = this.parts
 		const { checkpoint } = order
 		const seen = { worker: this.worker.id, task, attempt, checkpoint, late }
--- a/packages/runs/src/lib/jobs/JobFaults.ts
+++ b/packages/runs/src/lib/jobs/JobFaults.ts
@@ -1,4 +1,5 @@
 /** What goes wrong in a run of jobs, alone and in pairs. */
+import { Refusal } from '@rillrudder/jobs'
 import type { FleetWorker } from './FleetWorker'
 import type { JobRun } from './JobRun'
 
@@ -34,6 +35,8 @@
 	WorkerRestartedAtOnce: 'worker-restarted-at-once',
 	/** Most workers of a rack do so at the same moment. */
 	RackRestarted: 'rack-restarted',
+	/** Workers refuse some of the starts that they are ordered. */
+	StartsRefused: 'starts-refused',
 } as const
 /** One of the faults. @public */
 export type JobFault = (typeof JobFault)[keyof typeof JobFault]
@@ -49,6 +52,7 @@
 	'worker-restarted',
 	'worker-restarted-at-once',
 	'rack-restarted',
+	'starts-refused',
 ]
 
 /** What goes wrong in a run unless it says otherwise. @public */
@@ -90,6 +94,15 @@
 const LOST_SHARE = 0.2
 const CANCELLED_SHARE = 0.3
 const HELD_SHARE = 0.5
+const REFUSED_SHARE = 0.08
+/** Why workers refuse a start that they could carry out; the other reasons follow from what they have done. */
+const REFUSALS = [
+	Refusal.Late,
+	Refusal.Room,
+	Refusal.Ticket,
+	Refusal.Unhealthy,
+	Refusal.Invalid,
+] as const
 
 /**
  * The faults of a run.
@@ -101,6 +114,8 @@
 	lostShare = 0
 	/** Share of heartbeats that are held back. */
 	heldShare = 0
+	/** Share of starts that are refused. */
+	private refusedShare = 0
 	readonly counts: { [fault: string]: number } = {}
 	private nextAt = 0
 
@@ -115,6 +130,13 @@
 		return this.kinds.includes(fault)
 	}
 
+	/** @returns why a worker refuses the start that it is about to carry out; undefined if it does not. */
+	refusal(): Refusal | undefined {
+		const { random } = this.run
+		if (this.refusedShare === 0 || !random.chance(this.refusedShare)) return undefined
+		return random.pick(REFUSALS)
+	}
+
 	/** Lets something go wrong, where that is due. */
 	step(): void {
 		const { clock, random } = this.run
@@ -129,6 +151,7 @@
 		this.lateShare = 0
 		this.lostShare = 0
 		this.heldShare = 0
+		this.refusedShare = 0
 		for (const machine of this.run.fleet.machines) {
 			machine.cut = false
 			machine.resize(1)
@@ -193,6 +216,9 @@
 			case JobFault.HeartbeatsHeld:
 				this.heldShare = HELD_SHARE
 				return this.later(span, () => (this.heldShare = 0))
+			case JobFault.StartsRefused:
+				this.refusedShare = REFUSED_SHARE
+				return this.later(span, () => (this.refusedShare = 0))
 			case JobFault.CancelWave:
 				return this.run.cancelSome(CANCELLED_SHARE)
 			case JobFault.CarrierFrozen:
--- a/packages/runs/src/lib/jobs/JobRun.ts
+++ b/packages/runs/src/lib/jobs/JobRun.ts
@@ -180,6 +180,7 @@
 			stepOf: (task) => this.stepOf(task),
 			mayRun: (task, worker, ticket) => this.mayRun(task, worker, ticket),
 			heldShare: () => this.faults.heldShare,
+			refusal: () => this.faults.refusal(),
 			began: (machine, task) => this.crashing?.began(machine, task),
 			call: (call, reply) => this.controller?.call(call, reply),
 		})
--- a/packages/runs/src/lib/jobs/gangRun.test.ts
+++ b/packages/runs/src/lib/jobs/gangRun.test.ts
@@ -3,6 +3,7 @@
 import { test } from 'node:test'
 import { jobsClass, withBroken, type Breakage } from '../testing/brokenParts'
 import { firstFailure } from '../testing/firstFailure'
+import { JobFault } from './JobFaults'
 import { JobRun } from './JobRun'
 
 const CALM = 0
@@ -34,6 +35,20 @@
 	for (let seed = 101; seed <= 103; seed++) runOnce(seed, WILD)
 })
 
+/** Nothing goes wrong but that workers refuse starts, for each reason that they may give. */
+function runWithRefusals(seed: number): JobRun {
+	const faults = [JobFault.StartsRefused]
+	const run = new JobRun({ seed, faultRate: ROUGH, jobRate: 6, wideGangs: true, faults })
+	run.run(SPAN)
+	run.settle()
+	return run
+}
+
+// Guards against gangs that begin in part: those that had begun waited for the one that was refused.
+test('no member of a gang waits in vain for one whose start is refused', () => {
+	for (let seed = 1; seed <= 4; seed++) assert.equal(runWithRefusals(seed).tally.alone, 0)
+})
+
 test('without new tickets for the planned moment, gangs wait for good', () => {
 	const unrenewed: Breakage = [jobsClass('gangs', 'GangPlanner'), 'renew', () => () => undefined]
 	const play = (seed: number): unknown => runOnce(seed, CALM)
