A gang's attempt has one owner: its members begin together or not at all

What callers saw: a member of a gang began, waited 4 s for the others and ended alone; its job went on 6 s later. Cause: each member was begun, ordered, refused and ended by itself. Where one could not begin (its ticket had run out on the way, its worker refused, was gone or said nothing, its leader had changed), nobody told the others. Change: GangAttempts decides for all members of an attempt. The next leader takes the same from replicated state: a member that its worker doesn't list ends the attempt. A line gang-given-up tells who held it up, gauges how long members gather. It works since an order to stop, unlike silence, reaches those that wait before their patience is over. Tests changed: two workers of shrunkenRoom.test stand still until all members are there, as workers do; CellState.test names the version of shares and of whole gangs each; answers that a test gives to a start come after the orders given with it.

--- a/packages/jobs/src/lib/commands/CellCommand.ts
+++ b/packages/jobs/src/lib/commands/CellCommand.ts
@@ -8,12 +8,14 @@
 
 /**
  * Newest version of the commands. Version 1 says nothing of crashes, version 2 nothing of when workers started, version 3 nothing of
- * what accounts had; all are read as they are.
+ * what accounts had, version 4 not which runs begin all or none; all are read as they are.
  * @public
  */
-export const COMMAND_VERSION = 4
-/** Version that is written of commands that say nothing of what accounts had, so that earlier programs read them. */
-const VERSION_WITHOUT_SHARES = 3
+export const COMMAND_VERSION = 5
+/** Version of commands that tell what accounts had. */
+const VERSION_WITH_SHARES = 4
+/** Version of all other commands: each is written in the earliest that holds it, so that earlier programs read it. */
+const VERSION_OF_OTHERS = 3
 
 /** A run that begins. @public */
 export interface Begin {
@@ -54,7 +56,12 @@
 			readonly at: number
 	  }
 	| { readonly kind: 'cancel'; readonly id: string; readonly at: number }
-	| { readonly kind: 'begin'; readonly runs: readonly Begin[] }
+	| {
+			readonly kind: 'begin'
+			readonly runs: readonly Begin[]
+			/** Set for the members of a gang: all of them begin, or none. */
+			readonly whole?: true
+	  }
 	| { readonly kind: 'end'; readonly runs: readonly End[]; readonly at: number }
 	| {
 			readonly kind: 'worker'
@@ -89,12 +96,16 @@
 
 /** @returns the bytes of one log entry. @public */
 export function encodeCommands(commands: readonly CellCommand[]): Uint8Array {
-	const hasShares = commands.some(({ kind }) => kind === 'shares')
-	const version = hasShares ? COMMAND_VERSION : VERSION_WITHOUT_SHARES
+	const version = Math.max(VERSION_OF_OTHERS, ...commands.map(versionOf))
 	const batch: Batch = { version, commands }
 	return Buffer.from(JSON.stringify(batch))
 }
 
+function versionOf(command: CellCommand): number {
+	if (command.kind === 'begin' && command.whole) return COMMAND_VERSION
+	return command.kind === 'shares' ? VERSION_WITH_SHARES : VERSION_OF_OTHERS
+}
+
 /**
  * @param bytes - one log entry.
  * @returns its commands.
--- a/packages/jobs/src/lib/leader/JobController.ts
+++ b/packages/jobs/src/lib/leader/JobController.ts
@@ -150,7 +150,7 @@
 				return this.runs.begun(change.task, change.attempt, change.worker)
 			case 'run-void':
 				this.steps.voided(change.task, change.worker)
-				return this.runs.voided(change.task, change.worker)
+				return this.runs.voided(change.task, change.attempt, change.worker)
 			case 'run-ended':
 				this.runs.ended(change.task, change.attempt, change.worker, change.how)
 				return this.steps.ended(change.task, change.worker, change.how)
--- a/packages/jobs/src/lib/leader/LeaderEvent.ts
+++ b/packages/jobs/src/lib/leader/LeaderEvent.ts
@@ -66,6 +66,12 @@
 	 * these and others the tickets are `renewed`, and the planned moment: so many milliseconds `ahead`.
 	 */
 	GangPlanned: 'gang-planned',
+	/**
+	 * An attempt to begin a gang is given up before all of its members were there; `step`, `attempt`, how many `members`, `reason` and `detail`, the
+	 * `task` and `worker` that kept it from beginning where it was one, for how many milliseconds the others had `gathered`, and which members were
+	 * `missing`.
+	 */
+	GangGivenUp: 'gang-given-up',
 	/**
 	 * The policy of a step's queue allows none of the open workers of its service, `workers` of them: it waits for others
 	 * to join; `step`, `priority`. Once for each step.
--- a/packages/jobs/src/lib/leader/LeaderTiming.ts
+++ b/packages/jobs/src/lib/leader/LeaderTiming.ts
@@ -29,6 +29,8 @@
 	readonly workerSilent: number
 	/** A worker that has not been heard of for this long, and runs nothing, is forgotten. */
 	readonly workerForgotten: number
+	/** How long a member of a gang waits on its worker for the others, at least. */
+	readonly gangWait: number
 	/** How far ahead of its ticket's end a start must be decided. */
 	readonly ticketMargin: number
 	/** How long a leaving worker is given before what runs there is moved, counted back from its end. */
@@ -59,6 +61,7 @@
 	// heartbeat).
 	workerSilent: 4000,
 	workerForgotten: 60_000,
+	gangWait: 3000,
 	// A commit with a sync of 9 ms, and the order's way to the worker, with room for a slow disk.
 	ticketMargin: 300,
 	leaveMargin: 700,
--- a/packages/jobs/src/lib/leader/runs/RunController.ts
+++ b/packages/jobs/src/lib/leader/runs/RunController.ts
@@ -1,6 +1,8 @@
 /** The runs of the cell: orders to start and stop them, sent again until the worker has answered. */
 import { Measure } from '@rillrudder/telemetry'
 import { formatTaskName, RunEnd, type TaskName } from '../../records/Job'
+import { GangFailure } from '../../gangs/GangAttempt'
+import { GangAttempts } from '../../gangs/GangAttempts'
 import { needsPlan } from '../../gangs/needsPlan'
 import type { AccountUsage } from '../../accounts/AccountUsage'
 import type { Precedence, Standing } from '../../placement/Precedence'
@@ -41,6 +43,20 @@
 	readonly ticket: string
 }
 
+/** Why a run may not be ordered to start. @internal */
+export const StartObstacle = {
+	/** Its account has more running than its quota allows. */
+	Quota: 'quota',
+	/** Its worker has more on it than it offers. */
+	Room: 'room',
+	/** Its worker has not been heard for too long. */
+	Unheard: 'unheard',
+	/** Its worker can't be reached, or does not take new work. */
+	Unreachable: 'unreachable',
+} as const
+/** One of the obstacles. @internal */
+export type StartObstacle = (typeof StartObstacle)[keyof typeof StartObstacle]
+
 /** Told of orders that show that a choice was wrong. @internal */
 export interface RunListener {
 	/** The ticket that a run was started with does not hold. */
@@ -59,6 +75,7 @@
 	/** Runs that have been decided and not yet begun. */
 	private readonly pending = new Map<string, Decision>()
 	private readonly pacing: Pacing
+	private readonly gangs: GangAttempts
 
 	constructor(
 		private readonly context: LeaderContext,
@@ -68,6 +85,11 @@
 		private readonly listener: RunListener
 	) {
 		this.pacing = new Pacing(context)
+		this.gangs = new GangAttempts(context, {
+			obstacleOf: (run) => this.obstacleOf(run),
+			order: (run) => this.order(run),
+			giveUp: (runs) => this.giveUp(runs),
+		})
 	}
 
 	/** How many runs there are. */
@@ -77,19 +99,26 @@
 
 	/** Takes up the runs that an earlier leader began. */
 	restore(job: JobRecord): void {
+		const members: Run[] = []
 		for (const { text, task } of tasksOf(job)) {
-			if (task.status === TaskStatus.Placed) this.takeUp(job, text, task)
+			if (task.status !== TaskStatus.Placed) continue
+			const run = this.takeUp(job, text, task)
+			if (run?.step.gang && run.phase === RunPhase.Starting && !isGangDone(job, run))
+				members.push(run)
 		}
+		for (const run of members) this.gangs.restored(run)
+		this.gangs.restoredAll(members)
 	}
 
-	private takeUp(job: JobRecord, text: string, task: TaskRecord): void {
+	private takeUp(job: JobRecord, text: string, task: TaskRecord): Run | undefined {
 		const place = this.context.state.jobs.locate(text)
-		if (!place) return
+		if (!place) return undefined
 		const run = this.add(text, place.name, job, task.attempt, task.worker)
 		claimAgain(this.context.ledger, task.worker, run)
 		run.checkpoint = task.checkpoint
 		run.restored = true
 		if (!isActive(job) || task.finished) this.beginStop(run, StopReason.Over)
+		return run
 	}
 
 	/** Remembers a run that has been decided, until it begins or will not. */
@@ -109,16 +138,19 @@
 		const job = this.context.state.jobs.find(name.job)
 		if (!job) return
 		const run = this.add(text, name, job, attempt, worker)
-		this.order(run)
+		if (run.step.gang) this.gangs.begun(run)
+		else this.order(run)
 	}
 
 	/** A run that was decided will not begin. */
-	voided(name: TaskName, worker: string): void {
+	voided(name: TaskName, attempt: number, worker: string): void {
 		const job = this.context.state.jobs.find(name.job)
 		const decision = this.takeDecision(formatTaskName(name))
 		if (!job) return
 		const claimed = claimOf(job, name.step, decision?.urgent ?? false, this.accounts.of(job))
 		unclaim(this.context.ledger, worker, claimed)
+		const { gang, count } = claimed.step
+		if (gang) this.gangs.voided(name, attempt, count)
 	}
 
 	/** A run has ended: what it had is free. */
@@ -136,6 +168,7 @@
 		if (how === RunEnd.Failed || how === RunEnd.Lapsed)
 			this.workers.losses.reliability.failed(worker, clock.now())
 		this.noteGangEnds(run)
+		this.gangs.ended(run, how === RunEnd.Done)
 		if (how !== RunEnd.Done) tellWaste(this.context, run, how)
 	}
 
@@ -143,7 +176,7 @@
 	private noteGangEnds(run: Run): void {
 		const job = this.context.state.jobs.find(run.name.job)
 		if (run.ending || !job || !needsPlan({ step: run.step, queue: job.queue })) return
-		for (const member of this.withGang(run)) member.ending = true
+		for (const member of this.gangs.together(run)) member.ending = true
 	}
 
 	/** Stops everything that a job runs. */
@@ -157,7 +190,8 @@
 	/** Stops the run of a task that an earlier run has done. */
 	stopTask(name: TaskName): void {
 		const run = this.runs.get(formatTaskName(name))
-		if (run) this.beginStop(run, StopReason.Over)
+		if (!run) return
+		for (const one of this.gangs.together(run)) this.beginStop(one, StopReason.Over)
 	}
 
 	/** Stops a run so that a step of the highest priority finds room; it goes on from its checkpoint later. */
@@ -184,6 +218,7 @@
 			if (run.busy || now < run.retryAt) continue
 			if (run.phase === RunPhase.Starting || run.phase === RunPhase.Stopping) this.order(run)
 		}
+		this.gangs.tick(now)
 		for (const view of this.workers.all()) if (view.draining) this.leaving(view, now)
 	}
 
@@ -203,6 +238,7 @@
 			run.progress.read(percent, result.clock, now)
 			this.clearIfHarmless(run)
 			if (run.phase === RunPhase.Starting) this.enter(run, RunPhase.Running)
+			this.gangs.progressed(run)
 		}
 		for (const { task, attempt } of result.ended) {
 			listed.add(task)
@@ -307,6 +343,7 @@
 
 	private beginStop(run: Run, reason: StopReason): void {
 		if (run.phase === RunPhase.Stopping || run.phase === RunPhase.Stopped) return
+		if (reason !== StopReason.Over) this.gangs.failed(run, GangFailure.Stopped, reason)
 		run.stopReason = reason
 		this.enter(run, RunPhase.Stopping)
 		if (!run.busy) this.order(run)
@@ -322,14 +359,38 @@
 		else this.orderStop(run, view)
 	}
 
-	private orderStart(run: Run, view: WorkerView): void {
-		const { orders, clock, state, timing } = this.context
-		const place = state.jobs.locate(run.text)
-		if (!this.accounts.mayGoOn(run.account, run.step)) return this.withdraw(run, 'quota')
+	/** @returns why a run may not be ordered to start now, though its worker can be reached. */
+	private startObstacle(run: Run, view: WorkerView): StartObstacle | undefined {
+		const { clock, timing, ledger } = this.context
+		if (!this.accounts.mayGoOn(run.account, run.step)) return StartObstacle.Quota
 		// What was free when this was decided may be gone: a worker's room can shrink while its run is on its way.
-		if (this.context.ledger.find(run.worker)?.isOver) return this.withdraw(run, 'room')
+		if (ledger.find(run.worker)?.isOver) return StartObstacle.Room
 		// So may be that of a worker which an earlier leader chose and this one has not heard yet.
-		if (view.silence(clock.now()) >= timing.workerSilent) return this.awaitWord(run)
+		return view.silence(clock.now()) >= timing.workerSilent ? StartObstacle.Unheard : undefined
+	}
+
+	/** @returns why a member of a gang may not be ordered to start now. */
+	private obstacleOf(run: Run): StartObstacle | undefined {
+		const view = this.workers.find(run.worker)
+		if (!view || view.givenUp || view.unreachable || !view.listed) return StartObstacle.Unreachable
+		return this.startObstacle(run, view)
+	}
+
+	/** Gives members of a gang up: what no order can have reached has ended, the others are stopped. */
+	private giveUp(runs: readonly Run[]): void {
+		const unordered = runs.filter(({ ordered, restored }) => !ordered && !restored)
+		if (unordered.length > 0) this.proposeEnds(unordered, RunEnd.Refused)
+		for (const run of runs) {
+			if (!unordered.includes(run)) this.beginStop(run, StopReason.Withdrawn)
+		}
+	}
+
+	private orderStart(run: Run, view: WorkerView): void {
+		const { orders, clock, state } = this.context
+		const place = state.jobs.locate(run.text)
+		const obstacle = this.startObstacle(run, view)
+		if (obstacle === StartObstacle.Unheard) return this.awaitWord(run)
+		if (obstacle) return this.withdraw(run, obstacle)
 		const leaseUntil = view.lease.renew(clock.now())
 		if (!place || leaseUntil === undefined) return
 		run.busy = true
@@ -352,27 +413,17 @@
 	/** A run is not ordered before its worker is heard; it goes elsewhere if that takes longer than a heartbeat should. */
 	private awaitWord(run: Run): void {
 		const { clock, timing } = this.context
-		if (clock.now() - run.since > timing.workerQuiet) this.withdraw(run, 'unheard')
+		if (clock.now() - run.since > timing.workerQuiet) this.withdraw(run, StartObstacle.Unheard)
 		else run.retryAt = clock.now() + timing.retryPause
 	}
 
 	/** A run that its worker has not confirmed is not begun any more; what an order on its way may begin is stopped. */
-	private withdraw(run: Run, reason: 'quota' | 'room' | 'unheard'): void {
+	private withdraw(run: Run, reason: StartObstacle): void {
 		const { text: task, attempt, worker, account } = run
 		const { log } = this.context
 		const name = account?.terms.name
 		log.info(LeaderEvent.RunWithdrawn, { task, attempt, worker, reason, account: name })
-		for (const member of this.withGang(run)) this.beginStop(member, StopReason.Withdrawn)
-	}
-
-	/** A run, or all runs of its gang: those that are left would wait for it in vain. */
-	private withGang(run: Run): Run[] {
-		if (!run.step.gang) return [run]
-		const { job, repeat, step } = run.name
-		return [...this.runs.values()].filter(
-			({ name, attempt }) =>
-				name.job === job && name.repeat === repeat && name.step === step && attempt === run.attempt
-		)
+		this.beginStop(run, StopReason.Withdrawn)
 	}
 
 	private orderStop(run: Run, view: WorkerView): void {
@@ -419,6 +470,7 @@
 		if (asked === RunPhase.Starting) {
 			if (run.phase === RunPhase.Starting) this.enter(run, RunPhase.Running)
 			else if (run.phase === RunPhase.Stopping) this.order(run)
+			this.gangs.progressed(run)
 			const view = this.workers.find(run.worker)
 			if (view && !view.polling) view.pollDue = 0
 		} else if (run.phase === RunPhase.Stopping) {
@@ -437,9 +489,12 @@
 		run.retryAt = clock.now() + timing.retryPause
 		if (asked === RunPhase.Stopping || run.phase === RunPhase.Stopping) {
 			if (!run.busy && reason === Refusal.Old) this.enter(run, RunPhase.Stopped)
+			else if (asked === RunPhase.Starting && run.unanswered === 0)
+				this.proposeEnd(run, RunEnd.Refused)
 			return
 		}
 		if (reason === Refusal.Late) return
+		this.gangs.failed(run, GangFailure.Refused, reason)
 		if (reason === Refusal.Old) {
 			// Its end is listed, or it was stopped by an order of an earlier leader.
 			this.enter(run, RunPhase.Stopped)
@@ -453,8 +508,9 @@
 	}
 
 	private notListed(run: Run, sentAt: number): void {
-		if (run.restored && run.phase === RunPhase.Starting && run.ticketed) {
+		if (run.restored && run.phase === RunPhase.Starting && (run.ticketed || run.step.gang)) {
 			// It never began, and no order of an earlier leader is obeyed any more. Its ticket is not known here.
+			this.gangs.failed(run, GangFailure.NotBegun)
 			this.proposeEnd(run, RunEnd.Refused)
 			return
 		}
@@ -467,9 +523,22 @@
 	}
 
 	private proposeEnd(run: Run, how: RunEnd): void {
-		const { text: task, attempt, checkpoint } = run
-		const runs = [{ task, attempt, how, checkpoint }]
-		run.retryAt = Number.POSITIVE_INFINITY
+		this.proposeEnds([run], how)
+	}
+
+	private proposeEnds(ended: readonly Run[], how: RunEnd): void {
+		for (const run of ended) run.retryAt = Number.POSITIVE_INFINITY
+		const runs = ended.map(({ text: task, attempt, checkpoint }) => ({
+			task,
+			attempt,
+			how,
+			checkpoint,
+		}))
 		this.context.proposals.propose({ kind: 'end', runs, at: epochOf(this.context) })
 	}
 }
+
+/** Whether another member of a run's gang has done the work of all. */
+function isGangDone(job: JobRecord, { name }: Run): boolean {
+	return job.repeats[name.repeat][name.step].gangDone === true
+}
--- a/packages/jobs/src/lib/leader/shrunkenRoom.test.ts
+++ b/packages/jobs/src/lib/leader/shrunkenRoom.test.ts
@@ -67,7 +67,11 @@
 
 test('a gang of which one member has lost its room is not begun in part', () => {
 	const subject = new LeaderSubject()
-	for (const id of ['w1', 'w2']) subject.heartbeat(id)
+	for (const id of ['w1', 'w2']) {
+		subject.heartbeat(id)
+		// Members get on only once all of them are there.
+		subject.worker(id).pace = 0
+	}
 	subject.worker('w2').silent = true
 	subject.submit(FIRST, jobOf({ count: 6, gang: true }))
 	subject.run(100, 'w1', 'w2')
--- a/packages/jobs/src/lib/leader/steps/StepScheduler.ts
+++ b/packages/jobs/src/lib/leader/steps/StepScheduler.ts
@@ -435,7 +435,8 @@
 			return { task, attempt, worker }
 		})
 		this.log.placed(work, placed, now)
-		this.context.proposals.propose({ kind: 'begin', runs })
+		const whole = request.gang ? true : undefined
+		this.context.proposals.propose({ kind: 'begin', runs, whole })
 	}
 }
 
--- a/packages/jobs/src/lib/state/CellState.test.ts
+++ b/packages/jobs/src/lib/state/CellState.test.ts
@@ -137,5 +137,7 @@
 	next.restore(state.snapshot())
 	assert.deepEqual(next.shares, had)
 	assert.equal(versionOf(state.snapshot()), SNAPSHOT_VERSION)
-	assert.equal(versionOf(encodeCommands([{ kind: 'shares', had }])), COMMAND_VERSION)
+	assert.equal(versionOf(encodeCommands([{ kind: 'shares', had }])), 4)
+	const whole = { kind: 'begin', runs: [], whole: true } as const
+	assert.equal(versionOf(encodeCommands([whole])), COMMAND_VERSION)
 })
--- a/packages/jobs/src/lib/state/CellState.ts
+++ b/packages/jobs/src/lib/state/CellState.ts
@@ -83,7 +83,7 @@
 			case 'cancel':
 				return this.jobs.cancel(command.id, command.at)
 			case 'begin':
-				return command.runs.forEach((run) => this.begin(run))
+				return command.whole ? this.beginWhole(command.runs) : command.runs.forEach(this.begin)
 			case 'end':
 				return command.runs.forEach((run) => this.jobs.end(run, command.at))
 			case 'worker':
@@ -130,11 +130,22 @@
 	}
 
 	/** A worker may have ended between the decision and its place in the log. */
-	private begin(run: Begin): void {
+	private readonly begin = (run: Begin): void => {
 		if (this.workers.find(run.worker)) this.jobs.begin(run)
 		else this.jobs.voided(run)
 	}
 
+	/** Begins all of a gang or none. */
+	private beginWhole(runs: readonly Begin[]): void {
+		const mayBegin = runs.every(
+			(run) => this.workers.find(run.worker) !== undefined && this.jobs.mayBegin(run)
+		)
+		for (const run of runs) {
+			if (mayBegin) this.jobs.begin(run)
+			else this.jobs.voided(run)
+		}
+	}
+
 	private gone({ worker, at, crash }: GoneCommand): void {
 		this.workers.leave(worker)
 		this.jobs.endAllOn(worker, at, crash)
--- a/packages/jobs/src/lib/state/Change.ts
+++ b/packages/jobs/src/lib/state/Change.ts
@@ -17,7 +17,12 @@
 			readonly worker: string
 	  }
 	/** A run was decided on and did not begin, because the task can't begin any more. */
-	| { readonly kind: 'run-void'; readonly task: TaskName; readonly worker: string }
+	| {
+			readonly kind: 'run-void'
+			readonly task: TaskName
+			readonly attempt: number
+			readonly worker: string
+	  }
 	| {
 			readonly kind: 'run-ended'
 			readonly task: TaskName
--- a/packages/jobs/src/lib/state/JobTable.ts
+++ b/packages/jobs/src/lib/state/JobTable.ts
@@ -105,15 +105,21 @@
 		if (job && isActive(job)) this.endJob(job, JobState.Cancelled, at)
 	}
 
+	/** @returns whether a task may still begin under an attempt number. */
+	mayBegin({ task: text, attempt }: Begin): boolean {
+		const place = this.locate(text)
+		if (!place || !isActive(place.job)) return false
+		const { task } = place
+		return task.status === TaskStatus.Waiting && attempt > task.attempt
+	}
+
 	/** Begins a run, if the task may still begin. */
-	begin({ task: text, attempt, worker }: Begin): void {
+	begin(run: Begin): void {
+		const { task: text, attempt, worker } = run
 		const place = this.locate(text)
 		if (!place) return
+		if (!this.mayBegin(run)) return this.voided(run)
 		const { name, job, task } = place
-		if (!isActive(job) || task.status !== TaskStatus.Waiting || attempt <= task.attempt) {
-			this.voided({ task: text, attempt, worker })
-			return
-		}
 		task.status = TaskStatus.Placed
 		task.attempt = attempt
 		task.worker = worker
@@ -123,9 +129,9 @@
 	}
 
 	/** Takes note that a run that was decided does not begin. */
-	voided({ task: text, worker }: Begin): void {
+	voided({ task: text, attempt, worker }: Begin): void {
 		const place = this.locate(text)
-		if (place) this.report({ kind: 'run-void', task: place.name, worker })
+		if (place) this.report({ kind: 'run-void', task: place.name, attempt, worker })
 	}
 
 	/** Takes note of a run's end. */
--- a/packages/jobs/src/lib/testing/LeaderSubject.ts
+++ b/packages/jobs/src/lib/testing/LeaderSubject.ts
@@ -117,8 +117,10 @@
 		const fake = this.subject.worker(worker.id)
 		fake.starts.push(order)
 		if (fake.silent) return this.lose(done)
-		const result = fake.startResults.shift() ?? fake.startResult
-		if (result) return done(result)
+		const next = fake.startResults.shift()
+		// An answer never comes before the orders that are given together have all gone out.
+		if (next) return void this.subject.clock.after(1, () => done(next))
+		if (fake.startResult) return done(fake.startResult)
 		const { task, attempt, checkpoint } = order
 		if (!fake.running.some((one) => one.task === task)) {
 			fake.running.push({ task, attempt, checkpoint, percent: 0, measure: 0 })
--- a/packages/runs/src/lib/jobs/gangRun.test.ts
+++ b/packages/runs/src/lib/jobs/gangRun.test.ts
@@ -35,9 +35,9 @@
 	for (let seed = 101; seed <= 103; seed++) runOnce(seed, WILD)
 })
 
-/** Nothing goes wrong but that workers refuse starts, for each reason that they may give. */
-function runWithRefusals(seed: number): JobRun {
-	const faults = [JobFault.StartsRefused]
+/** Nothing goes wrong but that workers refuse starts, for each reason that they may give, and what else is named. */
+function runWithRefusals(seed: number, ...others: JobFault[]): JobRun {
+	const faults = [JobFault.StartsRefused, ...others]
 	const run = new JobRun({ seed, faultRate: ROUGH, jobRate: 6, wideGangs: true, faults })
 	run.run(SPAN)
 	run.settle()
@@ -49,6 +49,21 @@
 	for (let seed = 1; seed <= 4; seed++) assert.equal(runWithRefusals(seed).tally.alone, 0)
 })
 
+test('no member of a gang waits in vain where the leader changes while starts are refused', () => {
+	for (let seed = 11; seed <= 14; seed++) {
+		assert.equal(runWithRefusals(seed, JobFault.LeaderLost).tally.alone, 0)
+	}
+})
+
+test('members wait in vain when nobody decides for all of an attempt', () => {
+	const unowned: Breakage = [jobsClass('gangs', 'GangAttempts'), 'fail', () => () => undefined]
+	const play = (seed: number): void => assert.equal(runWithRefusals(seed).tally.alone, 0)
+	assert.match(
+		withBroken([unowned], () => firstFailure(play, MOST_SEEDS)),
+		/strictly equal/
+	)
+})
+
 test('without new tickets for the planned moment, gangs wait for good', () => {
 	const unrenewed: Breakage = [jobsClass('gangs', 'GangPlanner'), 'renew', () => () => undefined]
 	const play = (seed: number): unknown => runOnce(seed, CALM)
--- a/packages/telemetry/src/lib/Meter.ts
+++ b/packages/telemetry/src/lib/Meter.ts
@@ -51,6 +51,10 @@
 	AdviceTime: 'advice_time_ms',
 	/** Histogram, milliseconds: between the moment that a gang asked its tickets for and its beginning. */
 	GangPlanError: 'gang_plan_error_ms',
+	/** Histogram, milliseconds: from the orders to start a gang's members to when all of them were there. */
+	GangGathering: 'gang_gathering_ms',
+	/** Counter by `reason`: attempts of gangs that were given up before all members were there. */
+	GangsGivenUp: 'gangs_given_up_total',
 	/** Histogram, milliseconds: from a proposal to its being applied. */
 	CommitTime: 'commit_time_ms',
 	/** Counter: times that this instance began to lead. */
