Parcels between instances are bounded by bytes, and links have room for one a turn

Cause: what gathers for a peer went out as one parcel, 512 events of up to 512 KiB each. A stream passes 64 KiB in a turn of a busy process's event loop, so such a parcel takes longer than the second without a whole parcel after which a peer takes its link for dead; it dials anew, what waited is dropped, and everything begins again. Change: a parcel takes events up to 256 KiB, one message of the log up to 128 KiB, and who dials takes up to 1 MiB unread. The new test of Outbox fails on the code before (one parcel of ten events of 100 KiB).

--- a/packages/consensus/src/lib/Leadership.ts
+++ b/packages/consensus/src/lib/Leadership.ts
@@ -17,7 +17,8 @@
 import { Role, type ReplicaState } from './ReplicaState'
 
 const MOST_ENTRIES = 512
-const MOST_BYTES = 512 * 1024
+/** Bytes of one message; a follower that is far behind is sent the next one when it has answered. */
+const MOST_BYTES = 128 * 1024
 const MOST_AHEAD = 8192
 const PIECE_BYTES = 64 * 1024
 /** Spans of `Timing.election` for which a leader leads before it gives way to a preferred one. */
--- a/packages/protocol/src/lib/LinkHub.ts
+++ b/packages/protocol/src/lib/LinkHub.ts
@@ -24,7 +24,10 @@
 /** Milliseconds between two looks for connections that are silent for too long. */
 const WATCH_PERIOD = 100
 const MOST_MESSAGE_BYTES = 16 * 1024 * 1024
+/** Bytes that a peer may send on a dialled link before they are read; by default a busy process sends 64 KiB a turn. */
+const LINK_WINDOW = 1024 * 1024
 const CHANNEL_OPTIONS = {
+	'grpc-node.flow_control_window': LINK_WINDOW,
 	'grpc.keepalive_time_ms': 5000,
 	'grpc.keepalive_timeout_ms': 3000,
 	'grpc.keepalive_permit_without_calls': 1,
--- a/packages/protocol/src/lib/Outbox.test.ts
+++ b/packages/protocol/src/lib/Outbox.test.ts
@@ -34,6 +34,21 @@
 	assert.equal(newer.events, 2)
 })
 
+// Guards against a peer that is never brought up to date: one parcel took longer than it waits for a sign of life.
+test('a parcel is no larger than a busy process sends before its peer takes the link for dead', async () => {
+	const outbox = new Outbox('self')
+	const stream = new Stream()
+	outbox.connect(stream)
+	for (let count = 0; count < 10; count++) {
+		const body = Buffer.alloc(100 * 1024)
+		outbox.send({ body: { $case: 'orderBatch', value: { term: 1, body } } })
+	}
+	await turn()
+	assert.equal(stream.events, 10)
+	const sizes = stream.parcels.map((parcel) => parcel.events.length)
+	assert.deepEqual(sizes, [3, 3, 3, 1])
+})
+
 test('an older stream takes over when the newest ends', async () => {
 	const outbox = new Outbox('self')
 	const [older, newer] = [new Stream(), new Stream()]
--- a/packages/protocol/src/lib/Outbox.ts
+++ b/packages/protocol/src/lib/Outbox.ts
@@ -3,12 +3,18 @@
  * does what gathers while an earlier message is under way.
  */
 import type { Event, Parcel } from './generated/rillrudder/v1/link'
+import { payloadOf } from './payloadOf'
 
 /** Version of the protocol that is spoken; a peer with another one is refused. @public */
 export const PROTOCOL_VERSION = 1
 
 const MOST_WAITING = 20_000
 const MOST_IN_A_PARCEL = 512
+/**
+ * Bytes of events from which on a parcel takes no more. A stream passes its window of 64 KiB in a turn of a busy process, and a peer takes a link
+ * for dead on which no whole parcel has come for a second.
+ */
+const MOST_PARCEL_BYTES = 256 * 1024
 
 /** The part of a stream that an outbox writes to. @internal */
 export interface ParcelStream {
@@ -87,8 +93,19 @@
 
 	private flush(): void {
 		if (this.writing || this.waiting.length === 0) return
-		const events = this.waiting.splice(0, MOST_IN_A_PARCEL)
-		this.write(events)
+		this.write(this.waiting.splice(0, this.nextCount()))
+	}
+
+	/** How many of the events that wait go into the next parcel. */
+	private nextCount(): number {
+		const most = Math.min(this.waiting.length, MOST_IN_A_PARCEL)
+		let count = 0
+		let bytes = 0
+		while (count < most && bytes < MOST_PARCEL_BYTES) {
+			bytes += payloadOf(this.waiting[count])
+			count += 1
+		}
+		return count
 	}
 
 	private write(events: Event[]): void {
