A start without an answer stays in doubt until its run has ended; orders of runs are a module of their own

Found while reading the owner of gangs: a run that was told to stop while a copy of its start was under way, and whose copy was refused, ended at once, though the first copy without an answer could still be carried out, beside the next attempt. The count of unanswered orders began anew with the stop. Now a run remembers that a start of it got no answer, and is stopped. The new test fails on the code before (no stop is sent). RunOrders holds what RunController had on orders and their answers; nothing else of it was changed.

--- a/packages/jobs/src/lib/leader/JobController.test.ts
+++ b/packages/jobs/src/lib/leader/JobController.test.ts
@@ -83,6 +83,19 @@
 	assert.equal(starts.filter((order) => order.attempt === 2).length, 1)
 })
 
+test('a run that is cancelled while its start is in doubt is stopped, though the copy that was sent again is refused', () => {
+	const subject = new LeaderSubject()
+	subject.heartbeat('w1')
+	const { starts, stops } = subject.worker('w1')
+	const unwell = { kind: 'refused', reason: Refusal.Unhealthy } as const
+	subject.worker('w1').startResults = [{ kind: 'unknown', message: 'no answer' }, unwell]
+	subject.submit(ID, jobOf({}))
+	while (starts.length < 2) subject.run(20)
+	subject.call({ kind: 'cancel', to: { id: ID } })
+	subject.run(300, 'w1')
+	assert.equal(stops.length, 1)
+})
+
 test('a poll that was not carried is sent again at once', () => {
 	const subject = new LeaderSubject()
 	subject.heartbeat('w1')
--- a/packages/jobs/src/lib/leader/runs/Run.ts
+++ b/packages/jobs/src/lib/leader/runs/Run.ts
@@ -48,8 +48,8 @@
 	phase: RunPhase
 	/** When the phase began, on the leader's clock. */
 	since: number
-	/** Orders of this phase that got no answer. */
-	unanswered: number
+	/** Whether an order to start it got no answer, so that it may still be carried out. */
+	isInDoubt: boolean
 	/** Whether workers have crashed under its task. */
 	readonly suspected: boolean
 	/** Whether this leader has ordered it. */
--- a/packages/jobs/src/lib/leader/runs/RunController.ts
+++ b/packages/jobs/src/lib/leader/runs/RunController.ts
@@ -14,13 +14,13 @@
 import { epochOf, type LeaderContext } from '../LeaderContext'
 import { LeaderEvent } from '../LeaderEvent'
 import { Pacing } from './Pacing'
-import { Refusal, type PollResult, type OrderResult } from '../ports'
+import type { PollResult } from '../ports'
 import { claimAgain, claimOf, unclaim } from '../steps/reservation'
 import { newRun } from './newRun'
+import { RunOrders } from './RunOrders'
 import { RunPhase, type Run } from './Run'
 import { tellWaste } from './tellWaste'
 import { StopReason } from './WastedWork'
-import { WorkerEnd } from '../workers/WorkerEnd'
 import type { WorkerRegistry } from '../workers/WorkerRegistry'
 import type { WorkerView } from '../workers/WorkerView'
 
@@ -43,20 +43,6 @@
 	readonly ticket: string
 }
 
-/** Why a run may not be ordered to start. @internal */
-export const StartObstacle = {
-	/** Its account has more running than its quota allows. */
-	Quota: 'quota',
-	/** Its worker has more on it than it offers. */
-	Room: 'room',
-	/** Its worker has not been heard for too long. */
-	Unheard: 'unheard',
-	/** Its worker can't be reached, or does not take new work. */
-	Unreachable: 'unreachable',
-} as const
-/** One of the obstacles. @internal */
-export type StartObstacle = (typeof StartObstacle)[keyof typeof StartObstacle]
-
 /** Told of orders that show that a choice was wrong. @internal */
 export interface RunListener {
 	/** The ticket that a run was started with does not hold. */
@@ -76,6 +62,7 @@
 	private readonly pending = new Map<string, Decision>()
 	private readonly pacing: Pacing
 	private readonly gangs: GangAttempts
+	private readonly orders: RunOrders
 
 	constructor(
 		private readonly context: LeaderContext,
@@ -85,9 +72,18 @@
 		private readonly listener: RunListener
 	) {
 		this.pacing = new Pacing(context)
+		this.orders = new RunOrders(context, workers, accounts, {
+			isCurrent: (run) => this.runs.get(run.text) === run,
+			enter: (run, phase) => this.enter(run, phase),
+			beginStop: (run, reason) => this.beginStop(run, reason),
+			proposeEnd: (run, how) => this.proposeEnd(run, how),
+			progressed: (run) => this.gangs.progressed(run),
+			gangFailed: (run, failure, detail) => this.gangs.failed(run, failure, detail),
+			ticketRefused: ({ name, worker }) => this.listener.ticketRefused(name, worker),
+		})
 		this.gangs = new GangAttempts(context, {
-			obstacleOf: (run) => this.obstacleOf(run),
-			order: (run) => this.order(run),
+			obstacleOf: (run) => this.orders.obstacleOf(run),
+			order: (run) => this.orders.order(run),
 			giveUp: (runs) => this.giveUp(runs),
 		})
 	}
@@ -139,7 +135,7 @@
 		if (!job) return
 		const run = this.add(text, name, job, attempt, worker)
 		if (run.step.gang) this.gangs.begun(run)
-		else this.order(run)
+		else this.orders.order(run)
 	}
 
 	/** A run that was decided will not begin. */
@@ -216,7 +212,7 @@
 	tick(now: number): void {
 		for (const run of this.runs.values()) {
 			if (run.busy || now < run.retryAt) continue
-			if (run.phase === RunPhase.Starting || run.phase === RunPhase.Stopping) this.order(run)
+			if (run.phase === RunPhase.Starting || run.phase === RunPhase.Stopping) this.orders.order(run)
 		}
 		this.gangs.tick(now)
 		for (const view of this.workers.all()) if (view.draining) this.leaving(view, now)
@@ -330,7 +326,6 @@
 		run.phase = phase
 		run.since = this.context.clock.now()
 		if (phase === RunPhase.Running) this.noteConfirmed(run)
-		run.unanswered = 0
 		run.retryAt = 0
 	}
 
@@ -346,34 +341,7 @@
 		if (reason !== StopReason.Over) this.gangs.failed(run, GangFailure.Stopped, reason)
 		run.stopReason = reason
 		this.enter(run, RunPhase.Stopping)
-		if (!run.busy) this.order(run)
-	}
-
-	/** Sends the order of the run's phase. */
-	private order(run: Run): void {
-		const view = this.workers.find(run.worker)
-		if (!view || view.unreachable || view.givenUp) return
-		// Only a list tells what an earlier leader's orders came to.
-		if (!view.listed) return
-		if (run.phase === RunPhase.Starting) this.orderStart(run, view)
-		else this.orderStop(run, view)
-	}
-
-	/** @returns why a run may not be ordered to start now, though its worker can be reached. */
-	private startObstacle(run: Run, view: WorkerView): StartObstacle | undefined {
-		const { clock, timing, ledger } = this.context
-		if (!this.accounts.mayGoOn(run.account, run.step)) return StartObstacle.Quota
-		// What was free when this was decided may be gone: a worker's room can shrink while its run is on its way.
-		if (ledger.find(run.worker)?.isOver) return StartObstacle.Room
-		// So may be that of a worker which an earlier leader chose and this one has not heard yet.
-		return view.silence(clock.now()) >= timing.workerSilent ? StartObstacle.Unheard : undefined
-	}
-
-	/** @returns why a member of a gang may not be ordered to start now. */
-	private obstacleOf(run: Run): StartObstacle | undefined {
-		const view = this.workers.find(run.worker)
-		if (!view || view.givenUp || view.unreachable || !view.listed) return StartObstacle.Unreachable
-		return this.startObstacle(run, view)
+		if (!run.busy) this.orders.order(run)
 	}
 
 	/** Gives members of a gang up: what no order can have reached has ended, the others are stopped. */
@@ -385,128 +353,6 @@
 		}
 	}
 
-	private orderStart(run: Run, view: WorkerView): void {
-		const { orders, clock, state } = this.context
-		const place = state.jobs.locate(run.text)
-		const obstacle = this.startObstacle(run, view)
-		if (obstacle === StartObstacle.Unheard) return this.awaitWord(run)
-		if (obstacle) return this.withdraw(run, obstacle)
-		const leaseUntil = view.lease.renew(clock.now())
-		if (!place || leaseUntil === undefined) return
-		run.busy = true
-		const order = {
-			task: run.text,
-			attempt: run.attempt,
-			spec: place.job.request.spec,
-			leaseUntil,
-			fence: view.fence,
-			checkpoint: place.task.checkpoint,
-			ticket: run.ticket,
-		}
-		const sentAt = clock.now()
-		run.ordered = true
-		orders.start(view.worker, order, (result) =>
-			this.answered(run, RunPhase.Starting, result, sentAt)
-		)
-	}
-
-	/** A run is not ordered before its worker is heard; it goes elsewhere if that takes longer than a heartbeat should. */
-	private awaitWord(run: Run): void {
-		const { clock, timing } = this.context
-		if (clock.now() - run.since > timing.workerQuiet) this.withdraw(run, StartObstacle.Unheard)
-		else run.retryAt = clock.now() + timing.retryPause
-	}
-
-	/** A run that its worker has not confirmed is not begun any more; what an order on its way may begin is stopped. */
-	private withdraw(run: Run, reason: StartObstacle): void {
-		const { text: task, attempt, worker, account } = run
-		const { log } = this.context
-		const name = account?.terms.name
-		log.info(LeaderEvent.RunWithdrawn, { task, attempt, worker, reason, account: name })
-		this.beginStop(run, StopReason.Withdrawn)
-	}
-
-	private orderStop(run: Run, view: WorkerView): void {
-		const { orders, clock } = this.context
-		run.busy = true
-		const order = { task: run.text, attempt: run.attempt, fence: view.fence }
-		const sentAt = clock.now()
-		orders.stop(view.worker, order, (result) =>
-			this.answered(run, RunPhase.Stopping, result, sentAt)
-		)
-	}
-
-	private answered(run: Run, asked: RunPhase, result: OrderResult, sentAt: number): void {
-		run.busy = false
-		const { meter, clock } = this.context
-		meter.count(Measure.Orders, { order: asked, result: result.kind })
-		meter.observe(Measure.OrderTime, clock.now() - sentAt, { order: asked })
-		const view = this.workers.find(run.worker)
-		if (!view || this.runs.get(run.text) !== run) return
-		switch (result.kind) {
-			case 'done':
-				this.workers.answered(view, result.clock)
-				return this.obeyed(run, asked)
-			case 'refused':
-				this.workers.answered(view, result.clock)
-				return this.refused(run, view, asked, result.reason)
-			case 'other-incarnation':
-				return this.workers.proposeGone(run.worker, WorkerEnd.OtherIncarnation)
-			case 'not-carried':
-				run.unanswered += 1
-				return this.orderAgain(run)
-			case 'unknown':
-				run.unanswered += 1
-				this.workers.unanswered(view, result.message, sentAt)
-		}
-	}
-
-	/** Sends the order of the run's phase again at once, if it still waits for an answer. */
-	private orderAgain(run: Run): void {
-		if (run.phase === RunPhase.Starting || run.phase === RunPhase.Stopping) this.order(run)
-	}
-
-	private obeyed(run: Run, asked: RunPhase): void {
-		if (asked === RunPhase.Starting) {
-			if (run.phase === RunPhase.Starting) this.enter(run, RunPhase.Running)
-			else if (run.phase === RunPhase.Stopping) this.order(run)
-			this.gangs.progressed(run)
-			const view = this.workers.find(run.worker)
-			if (view && !view.polling) view.pollDue = 0
-		} else if (run.phase === RunPhase.Stopping) {
-			this.enter(run, RunPhase.Stopped)
-		}
-	}
-
-	private refused(run: Run, view: WorkerView, asked: RunPhase, reason: Refusal): void {
-		const { log, health, clock, timing } = this.context
-		const { text, attempt, worker } = run
-		log.info(LeaderEvent.OrderRefused, { task: text, attempt, worker, reason, order: asked })
-		if (reason === Refusal.Fence) {
-			this.workers.fenced(view)
-			return
-		}
-		run.retryAt = clock.now() + timing.retryPause
-		if (asked === RunPhase.Stopping || run.phase === RunPhase.Stopping) {
-			if (!run.busy && reason === Refusal.Old) this.enter(run, RunPhase.Stopped)
-			else if (asked === RunPhase.Starting && run.unanswered === 0)
-				this.proposeEnd(run, RunEnd.Refused)
-			return
-		}
-		if (reason === Refusal.Late) return
-		this.gangs.failed(run, GangFailure.Refused, reason)
-		if (reason === Refusal.Old) {
-			// Its end is listed, or it was stopped by an order of an earlier leader.
-			this.enter(run, RunPhase.Stopped)
-			return
-		}
-		if (reason === Refusal.Ticket) this.listener.ticketRefused(run.name, worker)
-		if (reason === Refusal.Unhealthy) health.failed(worker, run.name.job, clock.now())
-		// An earlier copy of the order may still be on its way; a stop makes sure that it does nothing.
-		if (run.unanswered > 0) this.beginStop(run, StopReason.Withdrawn)
-		else this.proposeEnd(run, RunEnd.Refused)
-	}
-
 	private notListed(run: Run, sentAt: number): void {
 		if (run.restored && run.phase === RunPhase.Starting && (run.ticketed || run.step.gang)) {
 			// It never began, and no order of an earlier leader is obeyed any more. Its ticket is not known here.
--- a/packages/jobs/src/lib/leader/runs/newRun.ts
+++ b/packages/jobs/src/lib/leader/runs/newRun.ts
@@ -34,7 +34,7 @@
 		restored: false,
 		phase: RunPhase.Starting,
 		since: now,
-		unanswered: 0,
+		isInDoubt: false,
 		ordered: false,
 		confirmedAt: undefined,
 		busy: false,
