Orders to a carrier, and results from it, gather for at most a commit

The first order after a pause goes at once; those that follow within 8 ms go together, as commands to the log do; results gather for 8 ms in place of 4.

--- a/packages/member/src/lib/carriers/CarriedOrders.test.ts
+++ b/packages/member/src/lib/carriers/CarriedOrders.test.ts
@@ -108,6 +108,23 @@
 	assert.deepEqual(results, [{ kind: 'done', clock: 4 }])
 })
 
+test('orders that follow each other closely go out in one message, the first one at once', () => {
+	const subject = new Subject()
+	const stop = (): void => subject.orders.stop(workerIn('south'), STOP, () => undefined)
+	const carried = (): number => subject.remote.get('south-1')?.calls.length ?? 0
+	stop()
+	subject.orders.flush()
+	assert.equal(carried(), 1)
+	for (let count = 0; count < 3; count++) {
+		subject.clock.advance(1)
+		stop()
+		subject.orders.flush()
+	}
+	assert.equal(carried(), 1)
+	subject.clock.advance(5)
+	assert.equal(carried(), 4)
+})
+
 test('a data centre without an instance of the core is reached from here, and so is everything in a small cell', () => {
 	const subject = new Subject()
 	subject.orders.stop(workerIn('west'), STOP, () => undefined)
--- a/packages/member/src/lib/carriers/CarriedOrders.ts
+++ b/packages/member/src/lib/carriers/CarriedOrders.ts
@@ -15,7 +15,7 @@
 } from '@rillrudder/jobs'
 import type { OrderBatch, OrderResults } from '@rillrudder/protocol'
 import type { Log } from '@rillrudder/telemetry'
-import type { Clock } from '@rillrudder/utils'
+import type { Clock, Timer } from '@rillrudder/utils'
 import type { CarrierSpread, WeightedCarrier } from '../load/CarrierSpread'
 import { MemberEvent } from '../MemberEvent'
 import { decodeResults, encodeCarried, type CarriedBody, type CarriedOrder } from './CarriedOrder'
@@ -35,6 +35,11 @@
 const ORDER_LIMIT = 500
 /** Milliseconds for which an instance that did not carry an order is given none. */
 const REST = 1000
+/**
+ * Milliseconds for which orders to one instance gather after some went there: a message costs both ends as much as many orders in it. The first
+ * one goes at once, and none is later by more than a commit.
+ */
+const GATHER = 8
 /** Milliseconds between two readings of the clock beyond which the leader itself was late, and not the others. */
 const LATE_TICK = 100
 
@@ -75,6 +80,10 @@
 	private readonly choice = new CarrierChoice()
 	private readonly pending = new Map<number, Pending>()
 	private readonly outgoing = new Map<string, CarriedOrder[]>()
+	/** When orders last went to each instance. */
+	private readonly sentAt = new Map<string, number>()
+	/** Set while orders gather. */
+	private timer: Timer | undefined
 	/** Until when instances that did not carry an order are given none. */
 	private readonly resting = new Map<string, number>()
 	private lastId = 0
@@ -123,9 +132,14 @@
 		for (const { id, result } of decodeResults(body)) this.settle(id, result)
 	}
 
-	/** Sends the orders that have gathered; to be called at the end of every turn in which some may have been given. */
+	/** Sends the orders that need gather no longer; to be called at the end of every turn in which some may have been given. */
 	flush(): void {
-		for (const [carrier, orders] of [...this.outgoing]) this.sendTo(carrier, orders)
+		const now = this.parts.clock.now()
+		for (const [carrier, orders] of [...this.outgoing]) {
+			const rest = (this.sentAt.get(carrier) ?? Number.NEGATIVE_INFINITY) + GATHER - now
+			if (rest > 0) this.flushAfter(rest)
+			else this.sendTo(carrier, orders, now)
+		}
 	}
 
 	/** Finds instances that have fallen silent, and those that can carry again. */
@@ -144,6 +158,7 @@
 
 	/** The leadership is over. */
 	end(): void {
+		this.timer?.cancel()
 		this.pending.clear()
 		this.outgoing.clear()
 	}
@@ -166,8 +181,16 @@
 		else this.outgoing.set(carrier, [order])
 	}
 
-	private sendTo(carrier: string, orders: readonly CarriedOrder[]): void {
+	private flushAfter(rest: number): void {
+		this.timer ??= this.parts.clock.after(rest, () => {
+			this.timer = undefined
+			this.flush()
+		})
+	}
+
+	private sendTo(carrier: string, orders: readonly CarriedOrder[], now: number): void {
 		if (!this.outgoing.delete(carrier)) return
+		this.sentAt.set(carrier, now)
 		const batch = { term: this.parts.term, body: encodeCarried(orders) }
 		if (!this.parts.send(carrier, batch)) this.fail(carrier, 'there is no link')
 	}
--- a/packages/member/src/lib/carriers/OrderCarrier.ts
+++ b/packages/member/src/lib/carriers/OrderCarrier.ts
@@ -9,7 +9,7 @@
 import { decodeOrders, encodeCarried, type CarriedOrder, type CarriedResult } from './CarriedOrder'
 
 /** Milliseconds for which results gather, since a message costs thirty times as much as a result in it. */
-const GATHER = 4
+const GATHER = 8
 
 /** Results on their way to one leader. */
 interface Gathered {
