Each priority keeps a quarter of the instances that ask for long answers while questions of it wait

Which questions go first followed from priority alone, so a kind below could be passed over for as long as others came: there was no bound. Change: while questions of a priority wait and fewer than a quarter of the instances for long answers are asked for it, its own go first. The new test fails on the code before (8 of 88 questions of the lower priority, all at its end).

--- a/packages/jobs/src/lib/leader/advice/AdvicePlanner.test.ts
+++ b/packages/jobs/src/lib/leader/advice/AdvicePlanner.test.ts
@@ -40,13 +40,14 @@
 	const advisers = new TimedAdvisers(clock, costs)
 	const planner = new AdvicePlanner({ clock, advisers } as unknown as LeaderContext)
 	const waits: number[] = []
-	const ask = (step: string, cost: number): void => {
+	const ask = (step: string, cost: number, priority = 0): void => {
 		costs.set(step, cost)
 		const since = clock.now()
 		const done = (): void => {
 			if (cost === SHORT) waits.push(clock.now() - since - cost)
 		}
-		const question: PlannedQuestion = { step, workers: [], cost, rank: cost, done }
+		const rank = cost + priority
+		const question: PlannedQuestion = { step, workers: [], cost, rank, priority, done }
 		planner.ask(question)
 	}
 	return { clock, advisers, ask, waits, planner }
@@ -60,6 +61,22 @@
 	assert.equal(advisers.asked.length, 9)
 })
 
+// Guards against a kind of work that is never begun: questions that went before its own took every instance for as long as they came.
+test('questions of a lower priority keep a part of the instances while others would fill them all', () => {
+	const { clock, advisers, ask } = subject()
+	for (let round = 0; round < 10; round++) {
+		for (let number = 0; number < 8; number++) {
+			ask(`first ${round} ${number}`, LONG, 1)
+			ask(`second ${round} ${number}`, LONG, 2)
+		}
+		clock.advance(LONG)
+	}
+	const second = advisers.asked.filter(({ step }) => step.startsWith('second'))
+	assert.ok(second.length >= 2 * 9, `${second.length} of ${advisers.asked.length}`)
+	const first = advisers.asked.length - second.length
+	assert.ok(first > second.length * 2, `${first} of ${advisers.asked.length}`)
+})
+
 test('a burst of short questions keeps more instances free of long answers', () => {
 	const { clock, ask, waits } = subject()
 	for (let number = 0; number < 400; number++) {
--- a/packages/jobs/src/lib/leader/advice/AdvicePlanner.ts
+++ b/packages/jobs/src/lib/leader/advice/AdvicePlanner.ts
@@ -15,6 +15,11 @@
 const LEAST_KEPT_FREE = 2
 /** The same for each instance that short answers have filled of late, so that few of them wait. */
 const KEPT_FREE_PER_BUSY = 2
+/**
+ * Share of the instances that may be asked for long answers which each priority keeps while questions of it wait. Without it, a priority whose
+ * questions fill all instances has those below it wait for as long as that lasts.
+ */
+const FLOOR_SHARE = 0.25
 /** Milliseconds over which the load of short answers is averaged. */
 const LOAD_SPAN = 1000
 /** Times the expected span, plus `PATIENCE`, after which an answer is given up. */
@@ -37,6 +42,8 @@
 	readonly cost: number
 	/** Lower goes first. */
 	readonly rank: number
+	/** Of the step's queue. */
+	readonly priority: number
 	/** Whose account's time it takes, where accounts have shares of it; absent for nobody's. */
 	readonly claim?: AdviceClaim
 	readonly done: (result: AdviceResult) => void
@@ -124,7 +131,7 @@
 		const asked = [...this.asked.values()]
 		const long = asked.filter(({ attempt }) => attempt.question.cost >= LONG).length
 		const longMost = Math.max(1, free.length + asked.length - this.keptFree())
-		const next = this.takeNext(long < longMost)
+		const next = long < longMost ? this.takeNext(longMost) : this.takeShort()
 		if (!next) return false
 		const copyAt = this.context.clock.now() + next.cost * COPY_FACTOR + COPY_AFTER
 		this.send(this.bestOf(free), { question: next, pending: 0, answered: false, copyAt })
@@ -149,17 +156,48 @@
 		return Math.max(LEAST_KEPT_FREE, Math.ceil(this.decayedLoad() * KEPT_FREE_PER_BUSY))
 	}
 
-	/** Takes the question that matters most; a long one only where there is place for it. */
-	private takeNext(long: boolean): PlannedQuestion | undefined {
+	/**
+	 * Takes the question that matters most; of long ones first those of priorities that have less than their floor.
+	 *
+	 * @param longMost - how many instances may be asked for long answers at a time.
+	 */
+	private takeNext(longMost: number): PlannedQuestion | undefined {
+		const floor = Math.floor(longMost * FLOOR_SHARE)
+		const held = this.longByPriority()
+		const isBelow = ({ cost, priority }: PlannedQuestion): boolean =>
+			cost >= LONG && (held.get(priority) ?? 0) < floor
+		return this.take(this.bestWaiting(isBelow) ?? this.bestWaiting(() => true))
+	}
+
+	/** Takes the short question that matters most. */
+	private takeShort(): PlannedQuestion | undefined {
+		return this.take(this.bestWaiting(({ cost }) => cost < LONG))
+	}
+
+	private take(question: PlannedQuestion | undefined): PlannedQuestion | undefined {
+		if (question) this.waiting.splice(this.waiting.indexOf(question), 1)
+		return question
+	}
+
+	private bestWaiting(counts: (question: PlannedQuestion) => boolean): PlannedQuestion | undefined {
 		let best: PlannedQuestion | undefined
 		for (const question of this.waiting) {
-			if (question.cost >= LONG && !long) continue
+			if (!counts(question)) continue
 			if (!best || this.compare(question, best) < 0) best = question
 		}
-		if (best) this.waiting.splice(this.waiting.indexOf(best), 1)
 		return best
 	}
 
+	/** How many instances are asked for long answers, by the priority of the question. */
+	private longByPriority(): ReadonlyMap<number, number> {
+		const counts = new Map<number, number>()
+		for (const { attempt } of this.asked.values()) {
+			const { cost, priority } = attempt.question
+			if (cost >= LONG) counts.set(priority, (counts.get(priority) ?? 0) + 1)
+		}
+		return counts
+	}
+
 	private bestOf(free: readonly string[]): string {
 		const { advisers } = this.context
 		return bestAdviser(free, (via) => ({
--- a/packages/jobs/src/lib/leader/advice/StepQuestions.ts
+++ b/packages/jobs/src/lib/leader/advice/StepQuestions.ts
@@ -82,7 +82,8 @@
 		const done = (result: AdviceResult): void => this.advised(work, workers, now, result)
 		this.context.log.debug(LeaderEvent.AdviceAsked, { step: work.name, workers: workers.length })
 		const claim = { account: work.account, urgency: work.urgency }
-		this.planner.ask({ step: work.name, workers, cost, rank, claim, done })
+		const { priority } = work.queue
+		this.planner.ask({ step: work.name, workers, cost, rank, priority, claim, done })
 	}
 
 	private advised(
