A gang's members are taken up in one call; two getters that nothing reads are gone

Behaviour stays as it is. GangAttempts.restored and restoredAll were only ever called one after the other, and the second looked up again what the first had opened. GangAttempt.isWhole was never read, and LedgerWorker.reserved has no caller since the room left to urgent work is told from capacity and what is free.

--- a/packages/jobs/src/lib/gangs/GangAttempt.ts
+++ b/packages/jobs/src/lib/gangs/GangAttempt.ts
@@ -36,6 +36,7 @@
 	private voided = 0
 	/** Whether no further member can begin under its number. */
 	private settled = false
+	/** Whether all members have been there at one time: from then on the end of one ends the others at their workers. */
 	private whole = false
 	/** When its members were ordered to start, or were taken up from an earlier leader; on the leader's clock. */
 	orderedAt: number | undefined
@@ -63,11 +64,6 @@
 		return this.begun === this.size && this.members.size === this.size
 	}
 
-	/** Whether all members have been there at one time: from then on the end of one ends the others at their workers. */
-	get isWhole(): boolean {
-		return this.whole
-	}
-
 	/** Whether it was neither given up nor whole so far. */
 	get isGathering(): boolean {
 		return !this.whole && this.failure === undefined
--- a/packages/jobs/src/lib/gangs/GangAttempts.ts
+++ b/packages/jobs/src/lib/gangs/GangAttempts.ts
@@ -64,18 +64,21 @@
 		this.closeIfOver(attempt)
 	}
 
-	/** Takes up a member that an earlier leader began; its worker's list tells how far it is. */
-	restored(run: Run): void {
-		const attempt = this.open(run.name, run.attempt, run.step.count)
-		attempt.add(run)
-		attempt.orderedAt ??= this.context.clock.now()
-	}
-
-	/** All members of these runs' attempts that an earlier leader had begun are taken up: what is not all of a gang is given up. */
-	restoredAll(runs: Iterable<Run>): void {
-		for (const attempt of new Set([...runs].map((run) => this.find(run)))) {
-			attempt?.settle()
-			if (attempt && !attempt.isCommitted) this.fail(attempt, GangFailure.NotBegun)
+	/**
+	 * Takes up all members of a job's gangs that an earlier leader began; their workers' lists tell how far they are. What is not all of a gang is
+	 * given up.
+	 */
+	restored(runs: readonly Run[]): void {
+		const attempts = new Set<GangAttempt>()
+		for (const run of runs) {
+			const attempt = this.open(run.name, run.attempt, run.step.count)
+			attempt.add(run)
+			attempt.orderedAt ??= this.context.clock.now()
+			attempts.add(attempt)
+		}
+		for (const attempt of attempts) {
+			attempt.settle()
+			if (!attempt.isCommitted) this.fail(attempt, GangFailure.NotBegun)
 		}
 	}
 
--- a/packages/jobs/src/lib/leader/runs/RunController.ts
+++ b/packages/jobs/src/lib/leader/runs/RunController.ts
@@ -102,8 +102,7 @@
 			if (run?.step.gang && run.phase === RunPhase.Starting && !isGangDone(job, run))
 				members.push(run)
 		}
-		for (const run of members) this.gangs.restored(run)
-		this.gangs.restoredAll(members)
+		this.gangs.restored(members)
 	}
 
 	private takeUp(job: JobRecord, text: string, task: TaskRecord): Run | undefined {
--- a/packages/scheduler/src/lib/capacity/LedgerWorker.ts
+++ b/packages/scheduler/src/lib/capacity/LedgerWorker.ts
@@ -1,5 +1,5 @@
 /** A worker as the ledger keeps it. */
-import { minus, type Resources } from './Resources'
+import type { Resources } from './Resources'
 
 /** What is known of a worker when it joins. @public */
 export interface WorkerOffer {
@@ -58,9 +58,4 @@
 		const { cpu, memory, accelerators } = this.free
 		return cpu < 0 || memory < 0 || accelerators < 0
 	}
-
-	/** What is reserved there. */
-	get reserved(): Resources {
-		return minus(this.capacity, this.free)
-	}
 }
