A start that its worker refused, or its next life answered, is no evidence of a crash

Cause: evidence asked only whether this leader had ordered the run, not whether an order can have begun it. A worker that refuses a start, or a life that answers in place of the one that was meant, has begun nothing; only an order that is under way or got no answer leaves a doubt (RunOrders keeps it as isInDoubt; carriers and HTTP send an order once, so an answer is the answer to the only copy).

Test: crashEvidence.test.ts, row 'its only order was refused, or answered by the next life': doubtful before, nothing now. The rows for an order under way and one without an answer hold the doubt that the bound on crashing tasks rests on.

The bound itself is unchanged: a start that a crashing task can have begun by still counts.

--- a/packages/jobs/src/lib/leader/workers/crashEvidence.ts
+++ b/packages/jobs/src/lib/leader/workers/crashEvidence.ts
@@ -4,7 +4,7 @@
  *
  * | the run, when its worker was last heard of                                    | evidence |
  * | ------------------------------------------------------------------------------ | -------- |
- * | it had never been ordered                                                      | none     |
+ * | no order to start it can have reached its worker                               | none     |
  * | it was never confirmed, so its worker may have been gone before                | doubtful |
  * | it lasts, and had been at work for longer than `SETTLED`                       | none     |
  * | it had been at work for longer than `JUST_BEGUN`                               | weak     |
@@ -36,12 +36,12 @@
  * @internal
  */
 export function crashEvidence(
-	run: Pick<Run, 'ordered' | 'confirmedAt' | 'restored' | 'step'>,
+	run: Pick<Run, 'ordered' | 'busy' | 'isInDoubt' | 'confirmedAt' | 'restored' | 'step'>,
 	view: Pick<WorkerView, 'draining' | 'left' | 'answeredAt'>,
 	inWave: boolean
 ): CrashEvidence | undefined {
-	const { ordered, restored, confirmedAt } = run
-	if (!ordered && !restored) return undefined
+	const { restored, confirmedAt } = run
+	if (!mayHaveBegun(run)) return undefined
 	if (confirmedAt === undefined) return CrashEvidence.Doubtful
 	const atWork = view.answeredAt - confirmedAt
 	if (run.step.lasting && atWork > SETTLED) return undefined
@@ -50,6 +50,18 @@
 	return leaves || restored || inWave ? CrashEvidence.Doubtful : CrashEvidence.Strong
 }
 
+/** A worker that refuses an order, or has started again before it came, has begun nothing; an order without an answer may have been obeyed. */
+function mayHaveBegun({
+	ordered,
+	busy,
+	isInDoubt,
+	confirmedAt,
+	restored,
+}: Pick<Run, 'ordered' | 'busy' | 'isInDoubt' | 'confirmedAt' | 'restored'>): boolean {
+	if (restored) return true
+	return ordered && (confirmedAt !== undefined || busy || isInDoubt)
+}
+
 /**
  * @returns whether a task under suspicion has begun on a worker of which no answer tells yet that it has lived on: the
  * sooner it is asked, the fewer chance failures count against the task.
