A start that its worker confirmed while its run was to stop has begun

Cause: evidence of a crash now asks whether the run can have begun. A start that was answered 'done' after its gang had been given up sent the stop and kept no word of the answer, so the crash that followed counted for nothing.

--- a/packages/jobs/src/lib/leader/runs/RunOrders.ts
+++ b/packages/jobs/src/lib/leader/runs/RunOrders.ts
@@ -173,7 +173,7 @@
 	private obeyed(run: Run, asked: RunPhase): void {
 		if (asked === RunPhase.Starting) {
 			if (run.phase === RunPhase.Starting) this.host.enter(run, RunPhase.Running)
-			else if (run.phase === RunPhase.Stopping) this.order(run)
+			else if (run.phase === RunPhase.Stopping) this.orderStopOfBegun(run)
 			this.host.progressed(run)
 			const view = this.workers.find(run.worker)
 			if (view && !view.polling) view.pollDue = 0
@@ -182,6 +182,12 @@
 		}
 	}
 
+	/** A run has begun that is to stop already: if its worker crashes meanwhile, that counts as for any other run. */
+	private orderStopOfBegun(run: Run): void {
+		run.confirmedAt ??= this.context.clock.now()
+		this.order(run)
+	}
+
 	private refused(run: Run, view: WorkerView, asked: RunPhase, reason: Refusal): void {
 		const { log, health, clock, timing } = this.context
 		const { text, attempt, worker } = run
--- a/packages/runs/src/lib/jobs/jobRun.test.ts
+++ b/packages/runs/src/lib/jobs/jobRun.test.ts
@@ -123,6 +123,11 @@
 	runWithEverything(7238, WILD)
 })
 
+// Guards against a task that crashes its workers and begins once more than the bound allows.
+test('the run of every fault with seed 7111, which once failed: a start that was confirmed after its run was to stop counted as one that never began', () => {
+	runWithEverything(7111, 1.5)
+})
+
 /** What workers offer shrinks and grows beside all other faults, and tasks crash them. */
 function runWithShrinkingRoom(seed: number, faultRate: number, span = SPAN): JobRun {
 	const shrinks = Array<JobFault>(3).fill(JobFault.RoomShrinks)
