--- a/packages/jobs/src/lib/state/CellState.test.ts
+++ b/packages/jobs/src/lib/state/CellState.test.ts
@@ -139,5 +139,7 @@
 	assert.equal(versionOf(state.snapshot()), SNAPSHOT_VERSION)
 	assert.equal(versionOf(encodeCommands([{ kind: 'shares', had }])), 4)
 	const whole = { kind: 'begin', runs: [], whole: true } as const
-	assert.equal(versionOf(encodeCommands([whole])), COMMAND_VERSION)
+	assert.equal(versionOf(encodeCommands([whole])), 5)
+	const atWork = { kind: 'at-work', runs: [{ task: 'a.0.0.0', attempt: 1 }] } as const
+	assert.equal(versionOf(encodeCommands([atWork])), COMMAND_VERSION)
 })
