What the leader does for a waiting step no longer grows with the workers

Cause: each full pass, ten a second, and each pass after an answer listed all workers, and looked through them for every waiting step: for those with a ticket, those allowed, those to ask about. Telling why a step waits listed all of them anew for each step. Where a policy is asked for each job some steps always wait, so the leader's work was waiting steps times workers; past its processor more steps wait, and that is all it does.

Change: of a step whose queue has a policy the workers with tickets are looked up by name (StepOptions); a question looks at 500 workers first where there are more; waits are told from the workers of the pass, ten lines a pass; beyond 500 workers the list of the last full pass serves until the next one, and whoever is chosen from it must still be open (OpenWorkerList). At 500 workers and fewer every pass lists anew, as before.

Open: room that is kept in queues without a policy, and gangs that are planned, still look at all workers.

--- a/packages/jobs/src/lib/leader/advice/StepAdvice.ts
+++ b/packages/jobs/src/lib/leader/advice/StepAdvice.ts
@@ -69,6 +69,18 @@
 		return this.tickets.has(worker)
 	}
 
+	/** The workers that are known to be allowed, with a ticket or not. */
+	get allowed(): Iterable<string> {
+		return this.tickets.keys()
+	}
+
+	/** @returns the workers whose tickets hold. */
+	holding(now: number): string[] {
+		const held: string[] = []
+		for (const [worker, { until }] of this.tickets) if (until > now) held.push(worker)
+		return held
+	}
+
 	/** @returns the worker's ticket while it holds. */
 	ticket(worker: string, now: number): string | undefined {
 		const ticket = this.tickets.get(worker)
--- a/packages/jobs/src/lib/leader/advice/workersToAsk.test.ts
+++ b/packages/jobs/src/lib/leader/advice/workersToAsk.test.ts
@@ -25,3 +25,26 @@
 test('where all cost little, all are named, up to what the service takes', () => {
 	assert.equal(namedIn({ base: 570, each: 1, valid: 2000 }), 80)
 })
+
+/** Workers that a question about a few tasks may look at, however many there are. */
+const MOST_LOOKED_AT = 600
+const THOUSANDS = 3000
+
+// Guards against questions whose cost grows with the workers.
+test('where thousands of workers have room, a question looks at some hundreds of them', () => {
+	const subject = new LeaderSubject({ advice: { base: 30, each: 0.3, valid: 2000 } })
+	for (let number = 0; number < THOUSANDS; number++) subject.heartbeat(`w${number}`)
+	let looks = 0
+	for (const account of subject.ledger.all()) {
+		const { free } = account
+		Object.defineProperty(account, 'free', {
+			get: () => {
+				looks += 1
+				return free
+			},
+		})
+	}
+	subject.submit(ID, jobOf({ count: 4 }))
+	assert.ok(subject.questions.length > 0)
+	assert.ok(looks <= MOST_LOOKED_AT, `${looks} looks`)
+})
--- a/packages/jobs/src/lib/leader/advice/workersToAsk.ts
+++ b/packages/jobs/src/lib/leader/advice/workersToAsk.ts
@@ -1,5 +1,6 @@
 /** Chooses the workers to ask about: few, since each one makes the answer later. */
 import type { Resources } from '@rillrudder/scheduler'
+import { textHash } from '@rillrudder/utils'
 import type { AdviceTerms } from '../../records/Cell'
 import type { Option } from '../steps/chooseForStep'
 import type { StepWork } from '../steps/StepWork'
@@ -16,6 +17,9 @@
 /** Workers beyond that, so that bad luck does not cost another question. */
 const SPARE_WORKERS = 2
 
+/** Workers among which a question looks first where there are more; with free room there it needs no look at the others. */
+const LOOKED_AT_FIRST = 500
+
 /** What a question is for. @internal */
 export interface AdviceNeed {
 	/** How many tasks want a place. */
@@ -40,6 +44,13 @@
 	readonly room: number
 }
 
+interface Choice {
+	/** Ids of the workers. */
+	readonly workers: string[]
+	/** Whether they are likely to have as much room as is wanted. */
+	readonly isEnough: boolean
+}
+
 /**
  * @param work - the step.
  * @param eligible - workers of the right service and label.
@@ -53,12 +64,13 @@
 	need: AdviceNeed
 ): string[] {
 	const { advice } = work
-	const useful = eligible.filter(({ view: { id } }) =>
-		advice.isAllowed(id)
-			? need.renew && advice.ticket(id, need.until) === undefined
-			: !advice.isUnfit(id)
-	)
-	const now = pick(work, candidates(work, useful, freeOf), need, 0)
+	if (eligible.length > LOOKED_AT_FIRST) {
+		const first = usefulAmong(work, firstOf(eligible, work.name), need)
+		const choice = pick(work, candidates(work, first, freeOf), need, 0)
+		if (choice.isEnough) return choice.workers
+	}
+	const useful = usefulAmong(work, eligible, need)
+	const { workers: now } = pick(work, candidates(work, useful, freeOf), need, 0)
 	if (now.length > 0 && coversAllCheaply(useful.length, need)) {
 		return candidates(work, useful, capacityOf).map(({ option }) => option.view.id)
 	}
@@ -66,7 +78,25 @@
 	const covered = eligible
 		.filter(({ view }) => advice.ticket(view.id, need.until) !== undefined)
 		.reduce((sum, option) => sum + work.copiesIn(option.view.id, capacityOf(option)), 0)
-	return pick(work, candidates(work, useful, capacityOf), need, covered)
+	return pick(work, candidates(work, useful, capacityOf), need, covered).workers
+}
+
+/** Other steps look at other workers first. */
+function firstOf(eligible: readonly Option[], step: string): Option[] {
+	const start = textHash(step) % eligible.length
+	const first = eligible.slice(start, start + LOOKED_AT_FIRST)
+	return first.concat(eligible.slice(0, LOOKED_AT_FIRST - first.length))
+}
+
+/** Workers of which an answer would bring something: not known yet, or allowed with a ticket that runs out. */
+function usefulAmong(
+	{ advice }: StepWork,
+	options: readonly Option[],
+	{ renew, until }: AdviceNeed
+): Option[] {
+	return options.filter(({ view: { id } }) =>
+		advice.isAllowed(id) ? renew && advice.ticket(id, until) === undefined : !advice.isUnfit(id)
+	)
 }
 
 function coversAllCheaply(workers: number, { terms, most }: AdviceNeed): boolean {
@@ -90,7 +120,7 @@
 	from: readonly Candidate[],
 	need: AdviceNeed,
 	covered: number
-): string[] {
+): Choice {
 	const wanted = need.tasks * (work.step.gang ? GANG_SURPLUS : SURPLUS)
 	const chosen: string[] = []
 	let expected = covered
@@ -102,7 +132,7 @@
 		expected += room * (work.advice.isAllowed(id) ? 1 : need.share)
 		chosen.push(id)
 	}
-	return chosen
+	return { workers: chosen, isEnough: expected >= wanted }
 }
 
 function freeOf({ account }: Option): Resources {
--- /dev/null
+++ b/packages/jobs/src/lib/leader/steps/OpenWorkerList.ts
@@ -0,0 +1,60 @@
+/** The workers to which new work may go, with their accounts. */
+import type { LeaderContext } from '../LeaderContext'
+import type { WorkerRegistry } from '../workers/WorkerRegistry'
+import type { WorkerView } from '../workers/WorkerView'
+import type { Option } from './chooseForStep'
+import type { OpenWorkers } from './PlacementPass'
+
+/** Workers up to which each pass lists them anew; beyond, the listing of the last full pass serves until the next one. */
+const LISTED_EACH_PASS = 500
+
+/**
+ * The open workers. Listing them looks at each; where there are thousands, passes between two full ones work on the last listing, so whoever
+ * chooses a worker from it asks whether it is still open.
+ *
+ * @internal
+ */
+export class OpenWorkerList implements OpenWorkers {
+	private listed: readonly Option[] | undefined
+
+	constructor(
+		private readonly context: Pick<LeaderContext, 'ledger'>,
+		private readonly workers: Pick<WorkerRegistry, 'all' | 'find' | 'isOpen' | 'size'>
+	) {}
+
+	/** The next question for all workers lists them anew. */
+	renew(): void {
+		this.listed = undefined
+	}
+
+	all(): readonly Option[] {
+		const mayServe = this.listed && this.workers.size > LISTED_EACH_PASS
+		if (!this.listed || !mayServe) this.listed = this.list()
+		return this.listed
+	}
+
+	find(id: string): Option | undefined {
+		const view = this.workers.find(id)
+		return view && this.optionOf(view)
+	}
+
+	/** @returns whether a worker that was listed still takes new work. */
+	isOpen({ view }: Option): boolean {
+		return this.workers.find(view.id) === view && this.workers.isOpen(view)
+	}
+
+	private list(): Option[] {
+		const found: Option[] = []
+		for (const view of this.workers.all()) {
+			const option = this.optionOf(view)
+			if (option) found.push(option)
+		}
+		return found
+	}
+
+	private optionOf(view: WorkerView): Option | undefined {
+		if (!this.workers.isOpen(view)) return undefined
+		const account = this.context.ledger.find(view.id)
+		return account && { view, account }
+	}
+}
--- a/packages/jobs/src/lib/leader/steps/PlacementPass.ts
+++ b/packages/jobs/src/lib/leader/steps/PlacementPass.ts
@@ -62,6 +62,16 @@
 		return found
 	}
 
+	/** @returns of the workers named those that are open and eligible; few are looked at, however many workers there are. */
+	named(work: StepWork, ids: Iterable<string>): Option[] {
+		const found: Option[] = []
+		for (const id of ids) {
+			const option = this.workers.find(id)
+			if (option && isEligible(work, option)) found.push(option)
+		}
+		return found
+	}
+
 	/** @returns eligible workers where something has come free, and that may have a task of the step and have room for it. */
 	freedFor(work: StepWork): Option[] {
 		return this.freed.filter(
--- a/packages/jobs/src/lib/leader/steps/Preemption.ts
+++ b/packages/jobs/src/lib/leader/steps/Preemption.ts
@@ -68,8 +68,10 @@
 
 	/** Whether a worker that has not been asked about has room. */
 	private mayFindRoom(work: StepWork, { eligible, options }: RoomNeed): boolean {
-		const allowed = new Set(options)
-		const unknown = eligible.filter((one) => !allowed.has(one) && !work.advice.isUnfit(one.view.id))
-		return unknown.some((option) => this.admits(work, option))
+		const allowed = new Set(options.map(({ view }) => view.id))
+		return eligible.some((option) => {
+			const { id } = option.view
+			return !allowed.has(id) && !work.advice.isUnfit(id) && this.admits(work, option)
+		})
 	}
 }
--- a/packages/jobs/src/lib/leader/steps/StepPlacement.ts
+++ b/packages/jobs/src/lib/leader/steps/StepPlacement.ts
@@ -7,6 +7,7 @@
 import { epochOf, type LeaderContext } from '../LeaderContext'
 import { chooseForStep, type Option, type RoomCheck } from './chooseForStep'
 import { placeGang, type Placed, type TaskChooser } from './placeGang'
+import type { OpenWorkerList } from './OpenWorkerList'
 import type { Quarantine } from './Quarantine'
 import { claim } from './reservation'
 import type { StepWork } from './StepWork'
@@ -17,6 +18,7 @@
 	readonly reservations: Reservations
 	readonly quarantine: Quarantine
 	readonly gangs: GangPlanner
+	readonly openWorkers: OpenWorkerList
 }
 
 /**
@@ -26,10 +28,11 @@
  */
 export class StepPlacement {
 	/**
-	 * Whether a task may begin in a worker's room: it is kept neither for urgent work nor for a step that goes before, and
+	 * Whether a task may begin in a worker's room: the worker is open, and its room is kept neither for urgent work nor for a step that goes before, and
 	 * nothing of another job is isolated there.
 	 */
 	private readonly isFree: RoomCheck = (work, option) =>
+		this.parts.openWorkers.isOpen(option) &&
 		this.parts.urgentRoom.allows(work) &&
 		this.parts.quarantine.admits(work.job.id, option.view.id, this.context.clock.now()) &&
 		this.parts.reservations.allows(work, option)
--- a/packages/jobs/src/lib/leader/steps/StepScheduler.ts
+++ b/packages/jobs/src/lib/leader/steps/StepScheduler.ts
@@ -25,17 +25,17 @@
 import type { Placed } from './placeGang'
 import { Preemption } from './Preemption'
 import { Quarantine } from './Quarantine'
-import { PlacementPass, type OpenWorkers } from './PlacementPass'
+import { OpenWorkerList } from './OpenWorkerList'
+import { PlacementPass } from './PlacementPass'
 import type { RunController } from '../runs/RunController'
 import { StepLog } from './StepLog'
+import { StepOptions } from './StepOptions'
 import { StepPlacement } from './StepPlacement'
 import { StepQuestions } from '../advice/StepQuestions'
 import { byUrgency, stepName, StepWork } from './StepWork'
 import { StepWaits } from './StepWaits'
 import { isBarred, reasonIn, waitOf, WaitReason, type Wait } from './waitReason'
 import type { WorkerRegistry } from '../workers/WorkerRegistry'
-import type { WorkerView } from '../workers/WorkerView'
-import { atLikeSpeed } from '../../speeds/speedFit'
 
 const NOTHING_RELEASED: ReadonlySet<string> = new Set()
 
@@ -61,13 +61,7 @@
 	private readonly shares: StepShares
 	private readonly gangs: GangPlanner
 	private readonly placement: StepPlacement
-	private readonly openWorkers: OpenWorkers = {
-		all: () => [...this.workers.all()].flatMap((view) => this.openOption(view) ?? []),
-		find: (id) => {
-			const view = this.workers.find(id)
-			return view && this.openOption(view)
-		},
-	}
+	private readonly openWorkers: OpenWorkerList
 
 	constructor(
 		private readonly context: LeaderContext,
@@ -77,16 +71,17 @@
 		private readonly accounts: AccountUsage,
 		shares: LeaderShares
 	) {
+		this.openWorkers = new OpenWorkerList(context, workers)
 		this.quarantine = new Quarantine(context.state, runs)
 		this.shares = new StepShares(context, accounts, shares)
 		this.questions = new StepQuestions(context, shares)
 		const { reliability } = workers.losses
 		this.gangs = new GangPlanner(context, this.reservations, this.questions, reliability)
-		const { urgentRoom, reservations, quarantine, gangs } = this
-		const parts = { urgentRoom, reservations, quarantine, gangs }
+		const { urgentRoom, reservations, quarantine, gangs, openWorkers } = this
+		const parts = { urgentRoom, reservations, quarantine, gangs, openWorkers }
 		this.placement = new StepPlacement(context, accounts, parts)
 		this.log = new StepLog(context)
-		this.waits = new StepWaits(context, (work) => this.waitOf(work))
+		this.waits = new StepWaits(context, (work, pass) => this.waitOf(work, pass))
 		this.preemption = new Preemption(context, runs, (work, option) => this.admits(work, option))
 	}
 
@@ -101,7 +96,7 @@
 		for (const [priority, count] of counts) {
 			this.context.meter.gauge(Measure.StepsWaiting, count, { priority: String(priority) })
 		}
-		this.waits.measure(this.waiting())
+		this.waits.measure(this.waiting(), this.lookAround())
 	}
 
 	/** The steps that could begin and have tasks without a place. */
@@ -128,13 +123,13 @@
 	whyWaiting(name: string): string {
 		const work = this.steps.get(name)
 		if (!work) return 'it is not due yet'
-		const { text, until } = this.waitOf(work)
+		const { text, until } = this.waitOf(work, this.lookAround())
 		const waited = Math.round(work.waited(this.context.clock.now()))
 		return `${text}; for ${waited} ms, until ${until}`
 	}
 
-	private waitOf(work: StepWork): Wait {
-		const eligible = this.lookAround().eligible(work)
+	private waitOf(work: StepWork, pass: PlacementPass): Wait {
+		const eligible = pass.eligible(work)
 		const room = eligible.filter((option) => this.admits(work, option))
 		const kept = this.reservations.expectedAt(work)
 		const withinQuota = this.accounts.mayBegin(work.account, work.step)
@@ -265,10 +260,11 @@
 	place(now: number, full: boolean): void {
 		if (this.stale) this.sort()
 		if (full && this.noteClaims(now)) this.sort()
-		if (full) this.waits.tell(this.order, (work) => this.isWaiting(work))
+		if (full) this.openWorkers.renew()
 		const released = this.context.ledger.takeReleased()
 		const due = this.order.filter((work) => !work.allPlaced && this.isReady(work))
 		const pass = new PlacementPass(now, full, this.openWorkers, released)
+		if (full) this.waits.tell(this.order, (work) => this.isWaiting(work), pass)
 		const tried = due.filter((work) => pass.tries(work))
 		if (tried.length === 0) return
 		if (full) this.openAtFullPass = pass.open
@@ -350,11 +346,6 @@
 		return hasRoom(work, option) && this.urgentRoom.allows(work)
 	}
 
-	private openOption(view: WorkerView): Option | undefined {
-		const account = this.context.ledger.find(view.id)
-		return account && this.workers.isOpen(view) ? { view, account } : undefined
-	}
-
 	private placeStep(work: StepWork, pass: PlacementPass): void {
 		const { now, full } = pass
 		work.readyAt ??= now
@@ -370,14 +361,14 @@
 		}
 		if (pass.isNarrowFor(work)) return this.placeOnFreed(work, waiting, pass)
 		work.hasNews = false
-		const eligible = atLikeSpeed(work, pass.eligible(work), now)
+		const workers = new StepOptions(work, pass)
+		const { eligible, ready: options } = workers
 		if (!work.toldBarred && isBarred(work, eligible)) this.log.barred(work, eligible.length)
-		const options = this.optionsFor(work, eligible, now)
 		const left = this.placeAmong(work, waiting, options, now)
 		if (left === 0) return
 		if (full) work.waits.note(reasonIn(work, { eligible, options }), now)
 		if (needsPlan(work)) return full ? this.gangs.prepare(work, eligible, now) : undefined
-		if (full) this.reserve(work, left, eligible)
+		if (full && this.reservations.mayKeep(work)) this.reservations.keep(work, left, workers.allowed)
 		const room = this.reservations.expectedAt(work)
 		if (work.queue.advice) this.questions.ask(work, eligible, left, room?.next)
 		if (work.urgent && !work.step.gang) {
@@ -389,7 +380,7 @@
 	private placeOnFreed(work: StepWork, waiting: readonly number[], pass: PlacementPass): void {
 		const freed = pass.freedFor(work)
 		if (freed.length === 0) return
-		const options = this.optionsFor(work, freed, pass.now)
+		const options = this.readyAmong(work, freed, pass.now)
 		const left = this.placeAmong(work, waiting, options, pass.now)
 		if (left === 0 || options.length === freed.length || work.advice.asking) return
 		const room = this.reservations.expectedAt(work)
@@ -413,20 +404,10 @@
 		return 0
 	}
 
-	/** Keeps room for the tasks of a step that found none. */
-	private reserve(work: StepWork, tasks: number, eligible: readonly Option[]): void {
-		if (!this.reservations.mayKeep(work)) return
-		const { advice, queue } = work
-		const allowed = queue.advice
-			? eligible.filter(({ view }) => advice.isAllowed(view.id))
-			: eligible
-		this.reservations.keep(work, tasks, allowed)
-	}
-
-	/** Of the eligible workers those that may run the step now. */
-	private optionsFor(work: StepWork, eligible: readonly Option[], now: number): readonly Option[] {
-		if (!work.queue.advice) return eligible
-		return eligible.filter(({ view }) => work.advice.ticket(view.id, now) !== undefined)
+	/** Of workers where something has come free those that may run the step now. */
+	private readyAmong(work: StepWork, freed: readonly Option[], now: number): readonly Option[] {
+		if (!work.queue.advice) return freed
+		return freed.filter(({ view }) => work.advice.ticket(view.id, now) !== undefined)
 	}
 
 	private begin(work: StepWork, placed: readonly Placed[], now: number): void {
--- a/packages/jobs/src/lib/leader/steps/StepWaits.ts
+++ b/packages/jobs/src/lib/leader/steps/StepWaits.ts
@@ -2,11 +2,14 @@
 import { Measure } from '@rillrudder/telemetry'
 import { epochOf, type LeaderContext } from '../LeaderContext'
 import { LeaderEvent } from '../LeaderEvent'
+import type { PlacementPass } from './PlacementPass'
 import type { StepWork } from './StepWork'
 import { WaitReason, type Wait } from './waitReason'
 
 /** Steps whose reasons one measure looks up, those that have waited longest: each costs a look at all workers. */
 const MOST_MEASURED = 20
+/** Steps of which one pass tells that they are overdue: each costs a look at all workers, and the log takes as many lines in the time of a pass. */
+const MOST_TOLD = 10
 /** Milliseconds after which a step that nothing but this controller keeps from beginning waits too long; a question to a policy takes up to 2 s. */
 const TOO_LONG = 5000
 /** What only workers, callers or operators can end. */
@@ -31,7 +34,7 @@
 	 */
 	constructor(
 		private readonly context: LeaderContext,
-		private readonly waitOf: (work: StepWork) => Wait
+		private readonly waitOf: (work: StepWork, pass: PlacementPass) => Wait
 	) {}
 
 	/**
@@ -39,12 +42,13 @@
 	 * all workers, and in overload hundreds of steps wait.
 	 *
 	 * @param waiting - steps that could begin and have tasks without a place.
+	 * @param pass - the workers as they are now.
 	 */
-	measure(waiting: readonly StepWork[]): void {
+	measure(waiting: readonly StepWork[], pass: PlacementPass): void {
 		const now = this.context.clock.now()
 		const oldest = new Map<WaitReason, number>()
 		for (const work of longestOf(waiting, now)) {
-			const wait = this.waitOf(work)
+			const wait = this.waitOf(work, pass)
 			const waited = work.waited(now)
 			oldest.set(wait.reason, Math.max(oldest.get(wait.reason) ?? 0, waited))
 			if (!work.toldTooLong && waited > TOO_LONG) this.tellTooLong(work, wait)
@@ -55,12 +59,19 @@
 	}
 
 	/** Tells once of each step that had to begin by now for its job to be in time. */
-	tell(steps: readonly StepWork[], isWaiting: (work: StepWork) => boolean): void {
+	tell(
+		steps: readonly StepWork[],
+		isWaiting: (work: StepWork) => boolean,
+		pass: PlacementPass
+	): void {
 		const epoch = epochOf(this.context)
+		let told = 0
 		for (const work of steps) {
 			if (work.toldOverdue || !work.isOverdue(epoch) || !isWaiting(work)) continue
 			work.toldOverdue = true
-			this.line(LeaderEvent.StepOverdue, work, this.waitOf(work))
+			this.line(LeaderEvent.StepOverdue, work, this.waitOf(work, pass))
+			told += 1
+			if (told === MOST_TOLD) return
 		}
 	}
 
--- a/packages/jobs/src/lib/leader/steps/passCost.test.ts
+++ b/packages/jobs/src/lib/leader/steps/passCost.test.ts
@@ -4,6 +4,7 @@
 import type { Ledger, LedgerWorker } from '@rillrudder/scheduler'
 import { LeaderSubject } from '../../testing/LeaderSubject'
 import { jobOf } from '../../testing/samples'
+import { WorkerView } from '../workers/WorkerView'
 
 const WORKERS = Array.from({ length: 40 }, (_, number) => `w${number}`)
 const WAITING = 60
@@ -71,3 +72,43 @@
 	const most = (WAITING + WORKERS.length) * LOOKS_EACH
 	assert.ok(least <= most, `${counts.join()} looks, ${most} at most`)
 })
+
+const MANY_WORKERS = 600
+const FULL_PASSES_A_SECOND = 10
+/** Looks at workers that a step may cost a full pass while it waits for its policy's answer; the questions name few. */
+const MOST_LOOKS_A_STEP = 20
+const SLOW_POLICY = { advice: { base: 2000, each: 0.3, valid: 10_000 } }
+
+/** Counts how often any worker is looked at: what is known of a worker is found by its id. */
+function countLooks(during: () => void): number {
+	const { get } = Object.getOwnPropertyDescriptor(WorkerView.prototype, 'id')!
+	let count = 0
+	const counted = function (this: WorkerView): unknown {
+		count += 1
+		return get!.call(this)
+	}
+	Object.defineProperty(WorkerView.prototype, 'id', { get: counted, configurable: true })
+	during()
+	Object.defineProperty(WorkerView.prototype, 'id', { get, configurable: true })
+	return count
+}
+
+/** @returns looks at workers in a second in which so many steps wait for an answer that does not come. */
+function looksWhileWaiting(steps: number): number {
+	const subject = new LeaderSubject(SLOW_POLICY)
+	subject.answerTakes = () => Number.POSITIVE_INFINITY
+	subject.instances = Array.from({ length: steps }, (_, number) => `instance-${number}`)
+	for (let number = 0; number < MANY_WORKERS; number++) subject.heartbeat(`w${number}`)
+	for (let number = 1; number <= steps; number++) subject.submit(idOf(number), jobOf({}))
+	// By then each of them has been told of as overdue, which costs a look at all workers once.
+	subject.run(500)
+	return countLooks(() => subject.run(1000))
+}
+
+// Guards against a leader whose work for each waiting step grows with the workers: with thousands of them it answered no call in time any more.
+test('a step that waits for the answer of its policy costs a pass no look at every worker', () => {
+	const [few, many] = [20, 60]
+	const more = looksWhileWaiting(many) - looksWhileWaiting(few)
+	const each = more / (many - few) / FULL_PASSES_A_SECOND
+	assert.ok(each <= MOST_LOOKS_A_STEP, `${each} looks a step and pass`)
+})
