Entry instances at rest are woken less often

Two followers told each of them every 150 ms that nothing had changed; the hub looked every 100 ms for connections that are silent for 950 ms, and ran a timer for greetings although nobody had dialled in.

Change: core instances that don't lead tell entry instances every 300 ms, which count news for 700 ms (one lost message leaves them their leader, as before; an instance that is cut off from the core knows it 0.2 s later, still before the platform's second question). A change is told at once, as before. The hub looks for silent connections when the first may be one, and greets from the first peer on that dials in.

Tests: CoreNews.test.ts (how often each is told; a lost message), LinkHub.test.ts (a hub with nothing to watch wakes nobody) fail before.

--- a/packages/member/src/lib/CoreInstance.ts
+++ b/packages/member/src/lib/CoreInstance.ts
@@ -30,7 +30,7 @@
 import type { InstanceCapacity } from './load/InstanceCapacity'
 import { InstanceLoad } from './load/InstanceLoad'
 import { GatheredHeartbeats } from './GatheredHeartbeats'
-import { NEWS_PERIOD } from './LeaderView'
+import { CORE_NEWS_KEPT, NEWS_PERIOD } from './LeaderView'
 import { Leading } from './Leading'
 import { TICK_PERIOD } from './linkTiming'
 import { MemberEvent } from './MemberEvent'
@@ -114,6 +114,7 @@
 		this.faults = new CallFaults(clock, parts.log, parts.meter)
 		this.links = new PeerLinks({
 			self,
+			newsKept: CORE_NEWS_KEPT,
 			clock,
 			log: parts.log,
 			meter: parts.meter,
--- /dev/null
+++ b/packages/member/src/lib/CoreNews.test.ts
@@ -0,0 +1,57 @@
+/** How often instances of the core tell who leads, and for how long that counts. */
+import assert from 'node:assert/strict'
+import { test } from 'node:test'
+import type { Replica } from '@rillrudder/consensus'
+import type { CellNews } from '@rillrudder/protocol'
+import { ManualClock } from '@rillrudder/utils'
+import { CoreNews } from './CoreNews'
+import { ENTRY_NEWS_KEPT, LeaderView, NEWS_PERIOD } from './LeaderView'
+import type { PeerLinks } from './PeerLinks'
+
+const ENTRY = 'entry/a'
+const MEMBER = 'b'
+const SPAN = 3000
+const LOAD = { processor: 0, loopDelay: 0, age: 0 }
+
+/** @returns to whom a core instance tells news in a span, one name for each. */
+function toldIn(span: number, leads: boolean): string[] {
+	const clock = new ManualClock()
+	const sent: string[] = []
+	const hub = { connected: [MEMBER, ENTRY], send: (peer: string) => sent.push(peer) > 0 }
+	const links = {
+		hub,
+		view: new LeaderView(ENTRY_NEWS_KEPT),
+		leaderCalls: { led: () => undefined },
+	}
+	const status = { leader: 'c', term: 3, members: [] }
+	const news = new CoreNews({
+		self: leads ? 'c' : 'a',
+		clock,
+		links: links as unknown as PeerLinks,
+		replica: () =>
+			({ leads, status, leaderHeardAt: clock.now(), holdsLease: () => true }) as unknown as Replica,
+		load: () => LOAD as never,
+		linkedMembers: () => [{ id: MEMBER }],
+	})
+	clock.every(NEWS_PERIOD, () => news.tellAgain())
+	clock.advance(span)
+	return sent
+}
+
+// Guards against entry instances, of which there are hundreds, being woken by news that say nothing new.
+test('entry instances are told who leads every 300 ms at most while nothing changes, others of the core every 150', () => {
+	const toldBy = (leads: boolean, peer: string): number =>
+		toldIn(SPAN, leads).filter((name) => name === peer).length
+	assert.equal(toldBy(false, ENTRY), SPAN / 300)
+	assert.ok(toldBy(true, ENTRY) <= SPAN / 300)
+	assert.equal(toldBy(false, MEMBER), SPAN / NEWS_PERIOD)
+	assert.equal(toldBy(true, MEMBER), SPAN / NEWS_PERIOD)
+})
+
+test('an entry instance goes on knowing its leader over one message that is lost, and not over a second one', () => {
+	const view = new LeaderView(ENTRY_NEWS_KEPT)
+	const news: CellNews = { leader: 'c', term: 3, members: [], fresh: true, load: undefined }
+	view.take('a', news, 0)
+	assert.equal(view.leader(600)?.id, 'c')
+	assert.equal(view.leader(900), undefined)
+})
--- a/packages/member/src/lib/CoreNews.ts
+++ b/packages/member/src/lib/CoreNews.ts
@@ -2,7 +2,7 @@
 import type { Replica } from '@rillrudder/consensus'
 import type { CellNews, LoadReport } from '@rillrudder/protocol'
 import type { Clock } from '@rillrudder/utils'
-import { LEADER_TELLS_EVERY } from './LeaderView'
+import { ENTRY_TOLD_EVERY, LEADER_TELLS_EVERY } from './LeaderView'
 import type { PeerLinks } from './PeerLinks'
 
 /** Milliseconds since its last word for which a follower says that its leader is there. */
@@ -31,12 +31,12 @@
 
 	constructor(private readonly parts: CoreNewsParts) {}
 
-	/** Tells news that are due, the leader its entry instances more seldom. */
+	/** Tells news that are due, entry instances more seldom. */
 	tellAgain(): void {
 		const { replica, linkedMembers } = this.parts
 		this.told += 1
-		const all = !replica().leads || this.told % LEADER_TELLS_EVERY === 0
-		if (all) this.tell()
+		const every = replica().leads ? LEADER_TELLS_EVERY : ENTRY_TOLD_EVERY
+		if (this.told % every === 0) this.tell()
 		else this.tellTo(linkedMembers().map(({ id }) => id))
 	}
 
--- a/packages/member/src/lib/EntryInstance.ts
+++ b/packages/member/src/lib/EntryInstance.ts
@@ -7,6 +7,7 @@
 import { answerQuestion } from './AskingPeers'
 import type { Finality } from './LeaderCalls'
 import { decodeCall } from './linkBodies'
+import { ENTRY_NEWS_KEPT } from './LeaderView'
 import { EntryLoad } from './load/EntryLoad'
 import type { InstanceCapacity } from './load/InstanceCapacity'
 import { MemberEvent } from './MemberEvent'
@@ -48,6 +49,7 @@
 		this.load = new EntryLoad({ ...parts, period: DIAL_PERIOD })
 		this.links = new PeerLinks({
 			self: ID_PREFIX + parts.name,
+			newsKept: ENTRY_NEWS_KEPT,
 			clock: parts.clock,
 			log: parts.log,
 			meter: parts.meter,
--- a/packages/member/src/lib/PeerLinks.ts
+++ b/packages/member/src/lib/PeerLinks.ts
@@ -14,6 +14,8 @@
 export interface PeerLinksParts {
 	/** Its id; other instances dial a core instance by it. */
 	readonly self: string
+	/** Milliseconds for which it counts what peers other than the leader tell of who leads. */
+	readonly newsKept: number
 	readonly clock: Clock
 	readonly log: Log
 	readonly meter: Meter
@@ -35,12 +37,13 @@
 	/** Calls to single peers. */
 	readonly calls: PeerCalls
 	/** Who leads, as the peers tell it. */
-	readonly view = new LeaderView()
+	readonly view: LeaderView
 	/** Calls to whoever leads. */
 	readonly leaderCalls: LeaderCalls
 
 	constructor(private readonly parts: PeerLinksParts) {
-		const { self, clock, log, meter, receive, local } = parts
+		const { self, clock, log, meter, receive, local, newsKept } = parts
+		this.view = new LeaderView(newsKept)
 		this.hub = new LinkHub({
 			self,
 			clock,
--- a/packages/protocol/src/lib/LinkHub.test.ts
+++ b/packages/protocol/src/lib/LinkHub.test.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict'
 import { createServer, type AddressInfo, type Socket } from 'node:net'
 import { test } from 'node:test'
-import { ManualClock } from '@rillrudder/utils'
+import { ManualClock, type Timer } from '@rillrudder/utils'
 import { LinkHub } from './LinkHub'
 import { linkSecurity } from './security'
 
@@ -75,3 +75,35 @@
 	for (const socket of sockets) socket.destroy()
 	await new Promise((done) => server.close(done))
 })
+
+/** A clock that counts how often it wakes anybody. */
+class WakingClock extends ManualClock {
+	wakes = 0
+
+	override after(delay: number, call: () => void): Timer {
+		return super.after(delay, () => {
+			this.wakes += 1
+			call()
+		})
+	}
+}
+
+// Guards against processes that are woken many times a second to find that nothing has happened.
+test('a hub wakes its process only when a connection may be silent for too long', async () => {
+	const clock = new WakingClock()
+	const quiet = new LinkHub({
+		self: 'a',
+		clock,
+		...linkSecurity(undefined),
+		receive: () => undefined,
+		changed: () => undefined,
+		silence: SILENCE,
+	})
+	clock.advance(10 * SILENCE)
+	assert.equal(clock.wakes, 0)
+	const address = await deadAddress()
+	quiet.dial('b', address)
+	clock.advance(250)
+	assert.equal(clock.wakes, 0)
+	quiet.close()
+})
--- a/packages/protocol/src/lib/LinkHub.ts
+++ b/packages/protocol/src/lib/LinkHub.ts
@@ -21,8 +21,8 @@
 const FIRST_PATIENCE = 300
 /** What the patience is multiplied by after each try, for peers that are only slow. */
 const PATIENCE_GROWTH = 1.5
-/** Milliseconds between two looks for connections that are silent for too long. */
-const WATCH_PERIOD = 100
+/** Milliseconds to which looks for connections that are silent for too long are rounded up. */
+const WATCH_STEP = 100
 const MOST_MESSAGE_BYTES = 16 * 1024 * 1024
 /** Bytes that a peer may send on a dialled link before they are read; by default a busy process sends 64 KiB a turn. */
 const LINK_WINDOW = 1024 * 1024
@@ -92,7 +92,10 @@
 	private readonly accepted = new Map<string, number>()
 	private readonly server: Server
 	private closed = false
-	private readonly timers: readonly Timer[]
+	/** Greets those that have dialled in; set from the first of them on. */
+	private greeting: Timer | undefined
+	/** The next look for silent connections, and when that is. */
+	private watching: { readonly timer: Timer; readonly at: number } | undefined
 
 	/** @param parts - identity, credentials and callbacks. */
 	constructor(private readonly parts: LinkHubParts) {
@@ -100,14 +103,6 @@
 		this.server.addService(LinkService, {
 			connect: (stream: ServerDuplexStream<Parcel, Parcel>) => this.accept(stream),
 		})
-		const { silence, clock } = parts
-		this.timers =
-			silence === undefined
-				? []
-				: [
-						clock.every(silence / GREETINGS_A_SILENCE, () => this.greetAll()),
-						clock.every(WATCH_PERIOD, () => this.replaceSilent(silence)),
-					]
 	}
 
 	/** The peers that there is a stream to. */
@@ -178,7 +173,8 @@
 	/** Ends all streams. */
 	close(): void {
 		this.closed = true
-		for (const timer of this.timers) timer.cancel()
+		this.greeting?.cancel()
+		this.watching?.timer.cancel()
 		for (const { client, timer } of this.dialled.values()) {
 			timer?.cancel()
 			client.close()
@@ -211,6 +207,7 @@
 		outbox.connect(stream)
 		outbox.greet()
 		this.parts.changed(peer, true)
+		this.watch()
 	}
 
 	private get now(): number {
@@ -234,17 +231,36 @@
 		dialled.patience = FIRST_PATIENCE
 	}
 
+	private greetFromNowOn(): void {
+		const { silence, clock } = this.parts
+		if (silence === undefined) return
+		this.greeting ??= clock.every(silence / GREETINGS_A_SILENCE, () => this.greetAll())
+	}
+
 	/** Only who has dialled in listens for greetings: it replaces a connection that is silent. */
 	private greetAll(): void {
 		for (const [peer, outbox] of this.outboxes) if (this.accepted.has(peer)) outbox.greetAll()
 	}
 
+	/** Looks for silent connections once the first of them may be: a quiet process is woken for little else. */
+	private watch(): void {
+		const { silence, clock } = this.parts
+		if (silence === undefined || this.closed) return
+		const deadlines = [...this.dialled.values()].map((dialled) => deadlineOf(dialled, silence))
+		const wait = Math.ceil((Math.min(...deadlines) - this.now) / WATCH_STEP) * WATCH_STEP
+		if (!Number.isFinite(wait)) return
+		const at = this.now + Math.max(wait, WATCH_STEP)
+		if (this.watching && this.watching.at <= at) return
+		this.watching?.timer.cancel()
+		this.watching = { at, timer: clock.after(at - this.now, () => this.replaceSilent(silence)) }
+	}
+
 	private replaceSilent(silence: number): void {
+		this.watching = undefined
 		for (const [peer, dialled] of this.dialled) {
-			if (!dialled.stream) continue
-			const limit = dialled.heard ? silence : Math.min(silence, dialled.patience)
-			if (this.now - dialled.heardAt >= limit) this.replace(peer, dialled)
+			if (this.now >= deadlineOf(dialled, silence)) this.replace(peer, dialled)
 		}
+		this.watch()
 	}
 
 	/** A new channel opens a new connection; the old one may take seconds to notice that it is dead. */
@@ -292,6 +308,7 @@
 	private welcome(peer: string, stream: Stream): void {
 		const outbox = this.outbox(peer)
 		this.countAccepted(peer, 1)
+		this.greetFromNowOn()
 		outbox.connect(stream)
 		outbox.greet()
 		this.parts.changed(peer, true)
@@ -328,6 +345,12 @@
 	}
 }
 
+/** When a connection has been silent for too long; never while there is none. */
+function deadlineOf({ stream, heard, heardAt, patience }: Dialled, silence: number): number {
+	if (!stream) return Number.POSITIVE_INFINITY
+	return heardAt + (heard ? silence : Math.min(silence, patience))
+}
+
 function once(act: () => void): () => void {
 	let done = false
 	return () => {
