Heartbeats that a busy leader has not answered are told again together, never each by itself

Cause: gathering took any failure for an instance without a leader, and rested: its workers' heartbeats then went to the leader by themselves, 330 a second from each instance, because it was busy. A retry that adds to the load it failed by (metastable failure).

Change: a leader that is known and gives no answer is told again with what has come since; after 1.5 s, in which a worker calls once, an instance that gets no answer sends workers to others at once (503), without a call to the leader. Without a leader all is as before.

Tests: two in GatheredHeartbeats.test.ts, which fail before (the second heartbeat was passed on by itself).

--- a/packages/member/src/lib/CoreInstance.ts
+++ b/packages/member/src/lib/CoreInstance.ts
@@ -14,7 +14,7 @@
 import type { Event, Member, PeerCall } from '@rillrudder/protocol'
 import { Ending, GroupStore, SystemDisk } from '@rillrudder/store'
 import { Measure, type Log, type Meter } from '@rillrudder/telemetry'
-import { Random, type Clock, type Timer } from '@rillrudder/utils'
+import { exhaustive, Random, type Clock, type Timer } from '@rillrudder/utils'
 import type { Adviser } from './Adviser'
 import { answerQuestion, AskingPeers } from './AskingPeers'
 import { CarriedOrders } from './carriers/CarriedOrders'
@@ -29,7 +29,7 @@
 import { CarrierSpread } from './load/CarrierSpread'
 import type { InstanceCapacity } from './load/InstanceCapacity'
 import { InstanceLoad } from './load/InstanceLoad'
-import { GatheredHeartbeats } from './GatheredHeartbeats'
+import { GatheredHeartbeats, HeartbeatFate } from './GatheredHeartbeats'
 import { CORE_NEWS_KEPT, NEWS_PERIOD } from './LeaderView'
 import { Leading } from './Leading'
 import { TICK_PERIOD } from './linkTiming'
@@ -48,6 +48,12 @@
 
 /** How long the leader is told of heartbeats that others heard; the next ones say it again. */
 const HEARD_FINALITY = { patience: 300, limit: 600 }
+/** What a worker is told whose heartbeat can't be brought to the leader for now. */
+const LEADER_SILENT: CellReply = {
+	kind: 'not-run',
+	reason: 'the leader does not answer',
+	retryAfter: 1000,
+}
 
 /** What an instance of the core is made with. @public */
 export interface CoreParts {
@@ -175,10 +181,19 @@
 
 	/** Brings a call to the leader, here or elsewhere. */
 	call(call: CellCall, finality: Finality): Promise<CellReply> {
-		const gathered =
-			call.kind === 'heartbeat' && !this.leading && this.heartbeats.take(call.heartbeat)
-		if (gathered) return Promise.resolve({ kind: 'noted' })
-		return this.links.leaderCalls.call(call, finality)
+		if (call.kind !== 'heartbeat' || this.leading)
+			return this.links.leaderCalls.call(call, finality)
+		const fate = this.heartbeats.take(call.heartbeat)
+		switch (fate) {
+			case HeartbeatFate.Gathered:
+				return Promise.resolve({ kind: 'noted' })
+			case HeartbeatFate.Refused:
+				return Promise.resolve(LEADER_SILENT)
+			case HeartbeatFate.Passed:
+				return this.links.leaderCalls.call(call, finality)
+			default:
+				return exhaustive(fate)
+		}
 	}
 
 	/** Hands leadership over and stops. */
--- a/packages/member/src/lib/GatheredHeartbeats.test.ts
+++ b/packages/member/src/lib/GatheredHeartbeats.test.ts
@@ -9,7 +9,7 @@
 	type Worker,
 } from '@rillrudder/jobs'
 import { ManualClock } from '@rillrudder/utils'
-import { GatheredHeartbeats } from './GatheredHeartbeats'
+import { GatheredHeartbeats, HeartbeatFate } from './GatheredHeartbeats'
 
 const WORKER: Worker = {
 	id: 'w1',
@@ -43,8 +43,21 @@
 	}
 
 	beat(sequence: number, changes: Partial<Worker> = {}, draining = false): boolean {
+		return this.fateOf(sequence, changes, draining) === HeartbeatFate.Gathered
+	}
+
+	fateOf(sequence: number, changes: Partial<Worker> = {}, draining = false): HeartbeatFate {
 		return this.heartbeats.take({ worker: { ...WORKER, ...changes }, sequence, draining })
 	}
+
+	/** Lets time pass, and answers come. */
+	async run(span: number): Promise<void> {
+		for (let spent = 0; spent < span; spent += 100) {
+			this.clock.advance(100)
+			await Promise.resolve()
+			await Promise.resolve()
+		}
+	}
 }
 
 test('heartbeats of a while are told at once, each worker once, with how long ago it was heard', () => {
@@ -80,3 +93,31 @@
 	subject.clock.advance(1500)
 	assert.ok(subject.beat(4))
 })
+
+// Guards against a busy leader that is kept busy: what it could not answer in time was sent again singly, thousands of calls a second.
+test('heartbeats that a busy leader has not answered are told again with later ones, and never each by itself', async () => {
+	const subject = new Subject()
+	subject.answer = { kind: 'unknown', reason: 'no answer from a leader' }
+	assert.equal(subject.fateOf(1), HeartbeatFate.Gathered)
+	await subject.run(400)
+	assert.equal(subject.fateOf(2), HeartbeatFate.Gathered)
+	subject.answer = { kind: 'noted' }
+	await subject.run(400)
+	assert.equal(subject.told.at(-1)?.[0].sequence, 2)
+	assert.ok(subject.told.length <= 3)
+	const before = subject.told.length
+	await subject.run(1000)
+	assert.equal(subject.told.length, before)
+})
+
+test('where the leader goes on giving no answer, workers are sent to other instances at once, until it answers', async () => {
+	const subject = new Subject()
+	subject.answer = { kind: 'unknown', reason: 'no answer from a leader' }
+	assert.equal(subject.fateOf(1), HeartbeatFate.Gathered)
+	await subject.run(2000)
+	assert.equal(subject.fateOf(2), HeartbeatFate.Refused)
+	subject.answer = { kind: 'noted' }
+	await subject.run(400)
+	assert.equal(subject.told.at(-1)?.[0].sequence, 1)
+	assert.equal(subject.fateOf(3), HeartbeatFate.Gathered)
+})
--- a/packages/member/src/lib/GatheredHeartbeats.ts
+++ b/packages/member/src/lib/GatheredHeartbeats.ts
@@ -13,8 +13,25 @@
 
 /** Milliseconds for which heartbeats gather; a fifth of the time between two of them. */
 const GATHER = 300
-/** Milliseconds for which nothing is gathered after the leader could not be told: the workers then call another instance. */
+/** Milliseconds for which nothing is gathered after there was no leader to tell: the workers then call another instance. */
 const REST = 1500
+/**
+ * Milliseconds for which heartbeats are gathered while a leader that is known gives no answer. It may only be busy, and is told again; it is not
+ * told of each by itself, which would keep it busy. An instance that can't reach it for longer sends workers to others.
+ */
+const MOST_UNANSWERED = 1500
+
+/** What becomes of a heartbeat. @internal */
+export const HeartbeatFate = {
+	/** The leader will be told of it with others. */
+	Gathered: 'gathered',
+	/** It has to be brought to the leader by itself. */
+	Passed: 'passed',
+	/** The leader can't be told: the worker should call another instance. */
+	Refused: 'refused',
+} as const
+/** One of the answers. @internal */
+export type HeartbeatFate = (typeof HeartbeatFate)[keyof typeof HeartbeatFate]
 
 /** What gathering needs of its instance. @internal */
 export interface GatheredHeartbeatsParts {
@@ -36,17 +53,23 @@
 	/** For each worker what it said last, and when. */
 	private gathered = new Map<string, { readonly heartbeat: Heartbeat; readonly at: number }>()
 	private restsUntil = Number.NEGATIVE_INFINITY
+	/** Since when the leader has not answered; undefined once it has. */
+	private unansweredSince: number | undefined
+	private isFlushDue = false
 
 	constructor(private readonly parts: GatheredHeartbeatsParts) {}
 
-	/** @returns whether the leader will be told; otherwise the heartbeat has to be brought to it. */
-	take(heartbeat: Heartbeat): boolean {
+	/** Takes a heartbeat. @returns what becomes of it. */
+	take(heartbeat: Heartbeat): HeartbeatFate {
 		const { clock, mayTell } = this.parts
 		const now = clock.now()
-		if (now < this.restsUntil || !mayTell() || !this.isRoutine(heartbeat)) return false
-		if (this.gathered.size === 0) clock.after(GATHER, () => void this.flush())
+		if (now < this.restsUntil || !mayTell() || !this.isRoutine(heartbeat))
+			return HeartbeatFate.Passed
+		const unanswered = this.unansweredSince === undefined ? 0 : now - this.unansweredSince
+		if (unanswered > MOST_UNANSWERED) return HeartbeatFate.Refused
 		this.gathered.set(heartbeat.worker.id, { heartbeat, at: now })
-		return true
+		this.flushSoon()
+		return HeartbeatFate.Gathered
 	}
 
 	/** Whether it only says that a worker is there as this replica knows it. */
@@ -57,17 +80,36 @@
 		return workers.at(worker.address) === known && sameWorker(known.worker, worker)
 	}
 
+	private flushSoon(): void {
+		if (this.isFlushDue) return
+		this.isFlushDue = true
+		this.parts.clock.after(GATHER, () => void this.flush())
+	}
+
 	private async flush(): Promise<void> {
 		const { clock, tell } = this.parts
 		const now = clock.now()
-		const heard = [...this.gathered.values()].map(({ heartbeat, at }) => ({
+		const told = this.gathered
+		this.gathered = new Map()
+		this.isFlushDue = false
+		const heard = [...told.values()].map(({ heartbeat, at }) => ({
 			worker: heartbeat.worker.id,
 			sequence: heartbeat.sequence,
 			clock: heartbeat.clock,
 			age: now - at,
 		}))
-		this.gathered.clear()
 		const { kind } = await tell(heard)
-		if (kind !== 'noted') this.restsUntil = clock.now() + REST
+		if (kind === 'unknown') this.tellAgain(told, now)
+		else this.unansweredSince = undefined
+		if (kind === 'not-run') this.restsUntil = clock.now() + REST
+	}
+
+	/** Nothing is known of what became of heartbeats: they are told again with those that have come since. */
+	private tellAgain(told: GatheredHeartbeats['gathered'], since: number): void {
+		this.unansweredSince ??= since
+		for (const [worker, entry] of told) {
+			if (!this.gathered.has(worker)) this.gathered.set(worker, entry)
+		}
+		this.flushSoon()
 	}
 }
