A stand-in's task crashes its worker only while it runs there

By their traces the check counted a crash that the task cannot have done: its run had ended as broken (another member of its gang had ended) 15 to 25 ms after it began, and the stand-in crashed the worker after that, with nothing of the task on it. The leader reads the end in the worker's list and rightly counts nothing. The bound and the check are unchanged; a task that is at work when it crashes counts as before.

--- a/packages/runs/src/lib/jobs/CrashingTasks.ts
+++ b/packages/runs/src/lib/jobs/CrashingTasks.ts
@@ -70,7 +70,9 @@
 		invariant(allowed, 'a task that crashes its workers begins no more', { task, before })
 		const { id } = machine.worker
 		this.parts.clock.after(this.random.integer(...CRASHES_AFTER), () => {
-			if (machine.up && machine.worker.id === id) this.crash(machine, task)
+			// Its gang may have broken meanwhile: a run that has ended crashes nothing.
+			const isAtWork = machine.up && machine.worker.id === id && machine.isRunning(task)
+			if (isAtWork) this.crash(machine, task)
 		})
 	}
 
--- a/packages/runs/src/lib/jobs/FleetWorker.ts
+++ b/packages/runs/src/lib/jobs/FleetWorker.ts
@@ -121,6 +121,11 @@
 		return this.runs.size
 	}
 
+	/** @returns whether a run of a task is on it. */
+	isRunning(task: string): boolean {
+		return this.runs.has(task)
+	}
+
 	/** What its own clock shows, in whole milliseconds. */
 	get ownClock(): number {
 		return Math.floor(this.offset + this.parts.clock.now() * this.rate)
