A job counts as waiting until a worker has confirmed a task of it

Cause: the count took a job as begun once the beginning of a task was decided; an overloaded leader reaches the worker seconds later.

Change: what a worker has confirmed counts, or what an earlier leader began.

Test: pendingCounts.test.ts, 'a job whose start has reached no worker still waits', fails before.

--- a/packages/jobs/src/lib/leader/JobController.ts
+++ b/packages/jobs/src/lib/leader/JobController.ts
@@ -81,7 +81,7 @@
 		})
 		const { workers, runs, precedence, accounts, shares } = this
 		this.steps = new StepScheduler(context, workers, runs, precedence, accounts, shares)
-		this.clients = new ClientCalls(context)
+		this.clients = new ClientCalls(context, (job) => this.runs.hasBegun(job))
 		this.reconciliation = new Reconciliation(context, this.steps)
 		for (const job of state.jobs.all()) this.takeUp(job)
 		log.info(LeaderEvent.LeadershipGained, {
--- a/packages/jobs/src/lib/leader/callers/ClientCalls.ts
+++ b/packages/jobs/src/lib/leader/callers/ClientCalls.ts
@@ -5,7 +5,7 @@
 import { SendingRate } from '../../accounts/SendingRate'
 import { objectiveOf } from '../../placement/stepTimes'
 import { countTasks } from '../../records/checkJob'
-import { JobState, type JobRequest } from '../../records/Job'
+import type { JobRequest } from '../../records/Job'
 import type { CellConfiguration } from '../../records/Cell'
 import { isActive, type JobRecord } from '../../state/JobRecord'
 import {
@@ -18,6 +18,7 @@
 import { shapeOf } from '../explainJob'
 import { epochOf, type LeaderContext } from '../LeaderContext'
 import { LeaderEvent } from '../LeaderEvent'
+import { PendingCounts } from './PendingCounts'
 import { QueueTable, type Addressed } from './QueueTable'
 import { RefusedCalls } from './RefusedCalls'
 
@@ -57,8 +58,18 @@
 	private readonly refusedCalls = new RefusedCalls()
 	/** Jobs refused by account name. */
 	private readonly refusals = new Map<string, number>()
+	private readonly pending: PendingCounts
 
-	constructor(private readonly context: LeaderContext) {
+	/**
+	 * @param context - what the parts of the leader share.
+	 * @param hasBegun - whether a task of a running job has begun at a worker.
+	 */
+	constructor(
+		private readonly context: LeaderContext,
+		hasBegun: (job: JobRecord) => boolean
+	) {
+		const { clock, state } = context
+		this.pending = new PendingCounts(clock, () => state.jobs.all(), hasBegun)
 		this.rate = new SendingRate(context.timing.rateWindow)
 		if (context.policy.overload) {
 			this.rate.restore(context.state.jobs.all(), epochOf(context))
@@ -121,7 +132,7 @@
 		const admitted = this.admit(to)
 		if ('kind' in admitted) return admitted
 		const { id, queue, caller } = admitted
-		if (id === '') return { kind: 'pending', count: this.pending(queue.name) }
+		if (id === '') return { kind: 'pending', count: this.pending.of(queue.name) }
 		const job = this.context.state.jobs.find(id)
 		if (!job || !mayUse(caller, queue, job)) return { kind: 'no-such-job' }
 		return { kind: 'state', state: job.state }
@@ -236,14 +247,6 @@
 		this.submitting.delete(id)
 		for (const reply of replies) reply({ kind: 'accepted' })
 	}
-
-	private pending(queue: string): number {
-		let count = 0
-		for (const job of this.context.state.jobs.all()) {
-			if (job.queue.name === queue && job.state === JobState.Queued) count += 1
-		}
-		return count
-	}
 }
 
 const NO_SUCH_JOB: CellReply = { kind: 'no-such-job' }
--- /dev/null
+++ b/packages/jobs/src/lib/leader/callers/pendingCounts.test.ts
@@ -0,0 +1,43 @@
+/** What callers are told of how many jobs have not begun. */
+import assert from 'node:assert/strict'
+import { test } from 'node:test'
+import { LeaderSubject } from '../../testing/LeaderSubject'
+import { jobOf, QUEUE } from '../../testing/samples'
+
+const ID = '00000000000000aa'
+
+function pendingOf(subject: LeaderSubject): number {
+	const reply = subject.call({ kind: 'show', to: { queue: QUEUE.name, id: '' } })
+	assert.equal(reply?.kind, 'pending')
+	return reply.count
+}
+
+test('a job waits until it has a worker, and no more once it runs there', () => {
+	const subject = new LeaderSubject()
+	subject.submit(ID, jobOf({}))
+	assert.equal(pendingOf(subject), 1)
+	subject.heartbeat('w1')
+	subject.run(500, 'w1')
+	assert.equal(pendingOf(subject), 0)
+})
+
+// Guards against a count that says that nothing waits while starts are decided and reach no worker.
+test('a job whose start has reached no worker still waits', () => {
+	const subject = new LeaderSubject()
+	subject.heartbeat('w1')
+	subject.run(500, 'w1')
+	subject.worker('w1').silent = true
+	subject.submit(ID, jobOf({}))
+	subject.run(300)
+	assert.equal(pendingOf(subject), 1)
+})
+
+test('a job that has begun counts as such under the next leader too', () => {
+	const subject = new LeaderSubject()
+	subject.heartbeat('w1')
+	subject.submit(ID, jobOf({ count: 2 }))
+	subject.run(500, 'w1')
+	subject.lead()
+	subject.run(500, 'w1')
+	assert.equal(pendingOf(subject), 0)
+})
--- a/packages/jobs/src/lib/leader/runs/RunController.ts
+++ b/packages/jobs/src/lib/leader/runs/RunController.ts
@@ -94,6 +94,16 @@
 		return this.runs.size
 	}
 
+	/** @returns whether a worker has confirmed a run of a job, as far as is known; what an earlier leader began counts as confirmed. */
+	hasBegun(job: JobRecord): boolean {
+		for (const { text, task } of tasksOf(job)) {
+			if (task.status === TaskStatus.Done || task.failures > 0 || task.lost) return true
+			const run = this.runs.get(text)
+			if (run && (run.restored || run.confirmedAt !== undefined)) return true
+		}
+		return false
+	}
+
 	/** Takes up the runs that an earlier leader began. */
 	restore(job: JobRecord): void {
 		const members: Run[] = []
