Orders that are dropped and heartbeats that are refused are told

A line when a carrier drops orders that were held up, with how many and for how long, and one when an instance begins to refuse heartbeats since its leader does not answer, and when it no longer does.

--- a/packages/member/src/lib/CoreInstance.ts
+++ b/packages/member/src/lib/CoreInstance.ts
@@ -143,6 +143,7 @@
 			clock,
 			tell: (heard) => this.links.leaderCalls.call({ kind: 'heartbeats', heard }, HEARD_FINALITY),
 			mayTell: () => this.links.view.leader(clock.now()) !== undefined,
+			refusing: (active) => parts.log.warn(MemberEvent.HeartbeatsRefused, { active }),
 		})
 		this.news = new CoreNews({
 			self,
@@ -156,7 +157,9 @@
 		this.carrier = new OrderCarrier(
 			parts.orders,
 			clock,
-			(to, value) => void this.links.hub.send(to, { body: { $case: 'orderResults', value } })
+			(to, value) => void this.links.hub.send(to, { body: { $case: 'orderResults', value } }),
+			(peer, orders, heldUp) =>
+				parts.log.warn(MemberEvent.OrdersDropped, { peer, orders, heldUp: Math.round(heldUp) })
 		)
 	}
 
--- a/packages/member/src/lib/GatheredHeartbeats.ts
+++ b/packages/member/src/lib/GatheredHeartbeats.ts
@@ -42,6 +42,8 @@
 	readonly tell: (heard: readonly HeardWorker[]) => Promise<CellReply>
 	/** Whether a leader is known that can be told. */
 	readonly mayTell: () => boolean
+	/** Told when heartbeats begin to be refused, and when they are no longer. */
+	readonly refusing?: (active: boolean) => void
 }
 
 /**
@@ -56,6 +58,7 @@
 	/** Since when the leader has not answered; undefined once it has. */
 	private unansweredSince: number | undefined
 	private isFlushDue = false
+	private isRefusing = false
 
 	constructor(private readonly parts: GatheredHeartbeatsParts) {}
 
@@ -66,7 +69,8 @@
 		if (now < this.restsUntil || !mayTell() || !this.isRoutine(heartbeat))
 			return HeartbeatFate.Passed
 		const unanswered = this.unansweredSince === undefined ? 0 : now - this.unansweredSince
-		if (unanswered > MOST_UNANSWERED) return HeartbeatFate.Refused
+		this.setRefusing(unanswered > MOST_UNANSWERED)
+		if (this.isRefusing) return HeartbeatFate.Refused
 		this.gathered.set(heartbeat.worker.id, { heartbeat, at: now })
 		this.flushSoon()
 		return HeartbeatFate.Gathered
@@ -80,6 +84,12 @@
 		return workers.at(worker.address) === known && sameWorker(known.worker, worker)
 	}
 
+	private setRefusing(active: boolean): void {
+		if (active === this.isRefusing) return
+		this.isRefusing = active
+		this.parts.refusing?.(active)
+	}
+
 	private flushSoon(): void {
 		if (this.isFlushDue) return
 		this.isFlushDue = true
--- a/packages/member/src/lib/MemberEvent.ts
+++ b/packages/member/src/lib/MemberEvent.ts
@@ -14,6 +14,10 @@
 	PeerLost: 'peer-lost',
 	/** An instance did not carry orders to workers for this leader, which gives them itself for now; `peer`, `reason`, `orders`. */
 	CarrierLost: 'carrier-lost',
+	/** Orders of a leader were held up on their way here and are not carried; `peer`, `orders`, for how long they were `heldUp`, milliseconds. */
+	OrdersDropped: 'orders-dropped',
+	/** The leader does not answer what is told of workers, so their heartbeats are refused here (`active`), or no longer. */
+	HeartbeatsRefused: 'heartbeats-refused',
 	/** The leader gives an instance more or fewer orders to carry; `peer`, the share of its workers that it has `kept`, its `loopDelay` and the `age` of that, milliseconds. */
 	CarrierWeightChanged: 'carrier-weight-changed',
 	/** An entry instance sends new connections elsewhere (`active`), or no longer; `delay` of its event loop in milliseconds, `calls` under way. */
