Steps ask about the same few workers first, so that work stays on few

Cause: had each step look first at 500 workers of its own, by the hash of its name. So steps were spread over all workers, and each worker that runs something holds connections and is polled.

Change: all steps look at the same 500 first.

Test: workersToAsk.test.ts, 'steps ask about the same few of them'; it fails on the code before.

--- a/packages/jobs/src/lib/leader/advice/workersToAsk.test.ts
+++ b/packages/jobs/src/lib/leader/advice/workersToAsk.test.ts
@@ -48,3 +48,16 @@
 	assert.ok(subject.questions.length > 0)
 	assert.ok(looks <= MOST_LOOKED_AT, `${looks} looks`)
 })
+
+// Guards against work that is spread over all workers: each that runs something holds connections and is polled.
+test('where thousands of workers have room, steps ask about the same few of them', () => {
+	const subject = new LeaderSubject({ advice: { base: 30, each: 0.3, valid: 2000 } })
+	subject.instances = Array.from({ length: 40 }, (_, number) => `instance-${number}`)
+	for (let number = 0; number < THOUSANDS; number++) subject.heartbeat(`w${number}`)
+	for (let number = 1; number <= 40; number++) {
+		subject.submit(number.toString(16).padStart(16, '0'), jobOf({ count: 4 }))
+	}
+	const asked = new Set(subject.questions.flatMap(({ question }) => question.workers))
+	assert.equal(subject.questions.length, 40)
+	assert.ok(asked.size <= 40, `${asked.size} workers`)
+})
--- a/packages/jobs/src/lib/leader/advice/workersToAsk.ts
+++ b/packages/jobs/src/lib/leader/advice/workersToAsk.ts
@@ -1,6 +1,5 @@
 /** Chooses the workers to ask about: few, since each one makes the answer later. */
 import type { Resources } from '@rillrudder/scheduler'
-import { textHash } from '@rillrudder/utils'
 import type { AdviceTerms } from '../../records/Cell'
 import type { Option } from '../steps/chooseForStep'
 import type { StepWork } from '../steps/StepWork'
@@ -17,7 +16,10 @@
 /** Workers beyond that, so that bad luck does not cost another question. */
 const SPARE_WORKERS = 2
 
-/** Workers among which a question looks first where there are more; with free room there it needs no look at the others. */
+/**
+ * Workers among which a question looks first where there are more; with free room there it needs no look at the others. They are the same for all
+ * steps: each worker that runs something is polled over connections of its own, so work stays on few workers while these have room.
+ */
 const LOOKED_AT_FIRST = 500
 
 /** What a question is for. @internal */
@@ -65,7 +67,7 @@
 ): string[] {
 	const { advice } = work
 	if (eligible.length > LOOKED_AT_FIRST) {
-		const first = usefulAmong(work, firstOf(eligible, work.name), need)
+		const first = usefulAmong(work, eligible.slice(0, LOOKED_AT_FIRST), need)
 		const choice = pick(work, candidates(work, first, freeOf), need, 0)
 		if (choice.isEnough) return choice.workers
 	}
@@ -81,13 +83,6 @@
 	return pick(work, candidates(work, useful, capacityOf), need, covered).workers
 }
 
-/** Other steps look at other workers first. */
-function firstOf(eligible: readonly Option[], step: string): Option[] {
-	const start = textHash(step) % eligible.length
-	const first = eligible.slice(start, start + LOOKED_AT_FIRST)
-	return first.concat(eligible.slice(0, LOOKED_AT_FIRST - first.length))
-}
-
 /** Workers of which an answer would bring something: not known yet, or allowed with a ticket that runs out. */
 function usefulAmong(
 	{ advice }: StepWork,
