Time at work counts by the worker's clock, not by when its answers come

Cause: crashEvidence took the time between two arrivals at the leader for the run's time at work. An answer made before the crash that came 0.2 s later made the crash weak, so fewer than five counted as early. The stand-in could not show it: its answers took 9 ms at most and were lost with their worker. They may now take 60 to 290 ms and outlive it, crashed workers may start again under their names, and the leader's process may stand still. Why it works: every answer has the worker's clock, which does not depend on its way. Only lists of the life that is meant, which have the run, lengthen its time.

--- a/packages/jobs/src/lib/leader/runs/RunController.ts
+++ b/packages/jobs/src/lib/leader/runs/RunController.ts
@@ -19,7 +19,6 @@
 import { newRun } from './newRun'
 import { RunOrders } from './RunOrders'
 import { RunPhase, type Run } from './Run'
-import { hasOutlivedBeginning } from '../workers/crashEvidence'
 import { tellWaste } from './tellWaste'
 import { StopReason } from './WastedWork'
 import type { WorkerRegistry } from '../workers/WorkerRegistry'
@@ -243,8 +242,9 @@
 			if (checkpoint !== run.checkpoint) run.checkpointAt = now
 			Object.assign(run, { checkpoint, percent, measure, absent: 0 })
 			run.progress.read(percent, result.clock, now)
+			run.atWork.listed(result.clock)
 			this.clearIfHarmless(run)
-			this.noteAtWork(run, view)
+			this.noteAtWork(run)
 			if (run.phase === RunPhase.Starting) this.enter(run, RunPhase.Running)
 			this.gangs.progressed(run)
 		}
@@ -261,17 +261,16 @@
 
 	/** Workers that crashed under a lasting task which is at work for long were not its doing. */
 	private clearIfHarmless(run: Run): void {
-		const { state, clock, proposals } = this.context
-		if (!run.step.lasting || run.confirmedAt === undefined) return
-		if (clock.now() - run.confirmedAt < HARMLESS_AFTER) return
+		const { state, proposals } = this.context
+		if (!run.step.lasting || run.atWork.least < HARMLESS_AFTER) return
 		if (!state.jobs.locate(run.text)?.task.crashed || run.clearing) return
 		run.clearing = true
 		proposals.propose({ kind: 'cleared', tasks: [run.text] })
 	}
 
 	/** What a leader has seen of a suspected task outlives it: if the worker crashes under the next leader, the task is not blamed as if it had just begun. */
-	private noteAtWork(run: Run, view: WorkerView): void {
-		if (!run.suspected || run.seenAtWork || !hasOutlivedBeginning(run, view)) return
+	private noteAtWork(run: Run): void {
+		if (!run.suspected || run.seenAtWork || !run.atWork.hasOutlivedBeginning) return
 		run.seenAtWork = true
 		const { text: task, attempt } = run
 		this.context.proposals.propose({ kind: 'at-work', runs: [{ task, attempt }] })
--- a/packages/jobs/src/lib/leader/runs/RunOrders.ts
+++ b/packages/jobs/src/lib/leader/runs/RunOrders.ts
@@ -150,7 +150,7 @@
 		switch (result.kind) {
 			case 'done':
 				this.workers.answered(view, result.clock)
-				return this.obeyed(run, asked)
+				return this.obeyed(run, asked, result.clock)
 			case 'refused':
 				this.workers.answered(view, result.clock)
 				return this.refused(run, view, asked, result.reason)
@@ -170,8 +170,9 @@
 		if (run.phase === RunPhase.Starting || run.phase === RunPhase.Stopping) this.order(run)
 	}
 
-	private obeyed(run: Run, asked: RunPhase): void {
+	private obeyed(run: Run, asked: RunPhase, clock: number | undefined): void {
 		if (asked === RunPhase.Starting) {
+			run.atWork.confirmed(clock)
 			if (run.phase === RunPhase.Starting) this.host.enter(run, RunPhase.Running)
 			else if (run.phase === RunPhase.Stopping) this.orderStopOfBegun(run)
 			this.host.progressed(run)
--- a/packages/jobs/src/lib/leader/runs/newRun.ts
+++ b/packages/jobs/src/lib/leader/runs/newRun.ts
@@ -1,6 +1,7 @@
 /** A run as it is before its worker has been told of it. */
 import { RunProgress } from '../../placement/RunProgress'
 import { RunPhase, type Run } from './Run'
+import { TimeAtWork } from './TimeAtWork'
 
 /** What tells one run from others. @internal */
 export type RunOrigin = Pick<
@@ -38,6 +39,7 @@
 		seenAtWork: false,
 		ordered: false,
 		confirmedAt: undefined,
+		atWork: new TimeAtWork(),
 		busy: false,
 		retryAt: 0,
 		checkpoint: '',
--- a/packages/jobs/src/lib/leader/workers/crashEvidence.ts
+++ b/packages/jobs/src/lib/leader/workers/crashEvidence.ts
@@ -5,27 +5,24 @@
  * | the run, when its worker was last heard of                                    | evidence |
  * | ------------------------------------------------------------------------------ | -------- |
  * | no order to start it can have reached its worker                               | none     |
- * | an earlier leader saw it at work for longer than `JUST_BEGUN`                  | weak     |
+ * | an earlier leader saw it outlive its beginning                                 | weak     |
  * | it was never confirmed, so its worker may have been gone before                | doubtful |
  * | it lasts, and had been at work for longer than `SETTLED`                       | none     |
- * | it had been at work for longer than `JUST_BEGUN`                               | weak     |
+ * | it had outlived its beginning                                                  | weak     |
  * | its worker had said it leaves                                                  | doubtful |
  * | an earlier leader had ordered it, so it is not known how long it was at work   | doubtful |
  * | other workers of the service fell silent at the same time                      | doubtful |
  * | it had just begun                                                              | strong   |
  *
- * How long it had been at work is counted from when its worker confirmed it to the worker's last answer, so it was at work
- * for at least that long.
+ * How long it had been at work is what its worker's clock showed between the answer that confirmed it and the last list that had it, so it
+ * was at work for at least that long, however late those answers came.
  */
 import { CrashEvidence } from '../../state/TaskCrashes'
 import type { Run } from '../runs/Run'
 import type { WorkerView } from './WorkerView'
 
-/**
- * Milliseconds after its confirmation up to which a run counts as just begun. A task that crashes its worker was seen to do so within
- * 10 ms; the rest is the way of an answer, and a busy instance.
- */
-const JUST_BEGUN = 200
+/** Milliseconds after its confirmation from which the worker of a suspected task is asked whether it lives on. */
+const ASK_AFTER = 200
 /** Milliseconds at work after which a lasting run has shown that it does not crash its worker; it may see many of them fail. */
 const SETTLED = 5000
 
@@ -39,17 +36,16 @@
 export function crashEvidence(
 	run: Pick<
 		Run,
-		'ordered' | 'busy' | 'isInDoubt' | 'confirmedAt' | 'restored' | 'seenAtWork' | 'step'
+		'ordered' | 'busy' | 'isInDoubt' | 'confirmedAt' | 'atWork' | 'restored' | 'seenAtWork' | 'step'
 	>,
-	view: Pick<WorkerView, 'draining' | 'left' | 'answeredAt'>,
+	view: Pick<WorkerView, 'draining' | 'left'>,
 	inWave: boolean
 ): CrashEvidence | undefined {
-	const { restored, confirmedAt } = run
+	const { restored, confirmedAt, atWork } = run
 	if (!mayHaveBegun(run)) return undefined
 	if (confirmedAt === undefined) return run.seenAtWork ? CrashEvidence.Weak : CrashEvidence.Doubtful
-	const atWork = view.answeredAt - confirmedAt
-	if (run.step.lasting && atWork > SETTLED) return undefined
-	if (atWork > JUST_BEGUN || run.seenAtWork) return CrashEvidence.Weak
+	if (run.step.lasting && atWork.least > SETTLED) return undefined
+	if (atWork.hasOutlivedBeginning || run.seenAtWork) return CrashEvidence.Weak
 	const leaves = view.draining || view.left
 	return leaves || restored || inWave ? CrashEvidence.Doubtful : CrashEvidence.Strong
 }
@@ -66,26 +62,15 @@
 	return ordered && (confirmedAt !== undefined || busy || isInDoubt)
 }
 
-/**
- * @returns whether a run that its worker lists has outlived its beginning, in which a task that crashes its worker does so.
- * @internal
- */
-export function hasOutlivedBeginning(
-	{ confirmedAt }: Pick<Run, 'confirmedAt'>,
-	{ answeredAt }: Pick<WorkerView, 'answeredAt'>
-): boolean {
-	return confirmedAt !== undefined && answeredAt - confirmedAt > JUST_BEGUN
-}
-
 /**
  * @returns whether a task under suspicion has begun on a worker of which no answer tells yet that it has lived on: the
  * sooner it is asked, the fewer chance failures count against the task.
  * @internal
  */
 export function hidesSurvival(view: WorkerView, now: number): boolean {
-	for (const { suspected, confirmedAt } of view.runs.values()) {
+	for (const { suspected, confirmedAt, atWork } of view.runs.values()) {
 		if (!suspected || confirmedAt === undefined) continue
-		if (now - confirmedAt > JUST_BEGUN && view.answeredAt - confirmedAt <= JUST_BEGUN) return true
+		if (now - confirmedAt > ASK_AFTER && !atWork.hasOutlivedBeginning) return true
 	}
 	return false
 }
--- a/packages/runs/src/lib/jobs/CrashingTasks.ts
+++ b/packages/runs/src/lib/jobs/CrashingTasks.ts
@@ -9,6 +9,8 @@
 const CRASHES_AFTER = [3, 30] as const
 /** Milliseconds for which the worker is away, the least and the most. */
 const AWAY = [2000, 5000] as const
+/** The same where it starts again under its name. */
+const AWAY_FOR_RESTART = [10, 5000] as const
 /** Starts of such a task that may follow once three workers have crashed under it. */
 const MOST_AFTER_THIRD = 2
 const THIRD = 3
@@ -19,6 +21,10 @@
 	readonly clock: Clock
 	/** A worker ends without a word and is back after a while, in milliseconds. */
 	readonly crash: (machine: FleetWorker, away: number) => void
+	/** The same, and it is back under the name that it had. */
+	readonly restart: (machine: FleetWorker, away: number) => void
+	/** Share of crashed workers that are back under their names. */
+	readonly restartedShare: number
 }
 
 /** What crashing tasks did. @public */
@@ -84,6 +90,9 @@
 		tally.workers += 1
 		tally.most = Math.max(tally.most, before + 1)
 		tally.neighbours += machine.runCount - 1
-		this.parts.crash(machine, this.random.integer(...AWAY))
+		const { restartedShare, restart, crash } = this.parts
+		const isRestarted = restartedShare > 0 && this.random.chance(restartedShare)
+		if (isRestarted) restart(machine, this.random.integer(...AWAY_FOR_RESTART))
+		else crash(machine, this.random.integer(...AWAY))
 	}
 }
--- a/packages/runs/src/lib/jobs/FleetOrders.ts
+++ b/packages/runs/src/lib/jobs/FleetOrders.ts
@@ -12,11 +12,14 @@
 } from '@rillrudder/jobs'
 import type { Clock, Random } from '@rillrudder/utils'
 import type { FleetWorker } from './FleetWorker'
+import type { LeaderLoop } from './LeaderLoop'
 
 /** Milliseconds after which a call without an answer is given up. */
 const ANSWER_LIMIT = 250
 /** Milliseconds each way, the least and the most. */
 const WAY = [1, 9] as const
+/** Milliseconds that a slow answer takes, the least and the most; it may come after its call was given up. */
+const SLOW = [60, 290] as const
 /** Seconds after which a late order is carried out, the least and the most, in milliseconds. */
 const LATE = [2000, 12_000] as const
 
@@ -34,6 +37,10 @@
 	readonly lateShare: () => number
 	/** Share of orders that are carried out and whose answer is lost. */
 	readonly lostShare: () => number
+	/** Share of answers that take long; where there are any, an answer comes although the worker that sent it has ended. */
+	readonly slowShare: number
+	/** Brings answers and limits to the instance that gives the orders. */
+	readonly loop?: LeaderLoop
 }
 
 /**
@@ -97,8 +104,14 @@
 	}
 
 	private answer<T>(machine: FleetWorker, answer: (result: T) => void, result: T): void {
-		this.after(() => {
-			if (machine.up && !machine.cut && !this.parts.cut()) answer(result)
+		const { clock, random, slowShare, loop } = this.parts
+		const isSlow = slowShare > 0 && random.chance(slowShare)
+		const [least, most] = isSlow ? SLOW : WAY
+		clock.after(random.integer(least, most), () => {
+			const isSent = slowShare > 0 || machine.up
+			if (!isSent || machine.cut || this.parts.cut()) return
+			if (loop) loop.arrived(() => answer(result))
+			else answer(result)
 		})
 	}
 
@@ -115,7 +128,9 @@
 			settled = true
 			done(result)
 		}
-		this.parts.clock.after(limit, () => settle({ kind: 'unknown', message: 'no answer' }))
+		const { clock, loop } = this.parts
+		const giveUp = (): void => settle({ kind: 'unknown', message: 'no answer' })
+		clock.after(limit, () => (loop ? loop.timerDue(giveUp) : giveUp()))
 		return settle
 	}
 }
--- a/packages/runs/src/lib/jobs/JobFaults.ts
+++ b/packages/runs/src/lib/jobs/JobFaults.ts
@@ -37,6 +37,8 @@
 	RackRestarted: 'rack-restarted',
 	/** Workers refuse some of the starts that they are ordered. */
 	StartsRefused: 'starts-refused',
+	/** The leader's process stands still, and then reads all that came meanwhile. */
+	LeaderStalled: 'leader-stalled',
 } as const
 /** One of the faults. @public */
 export type JobFault = (typeof JobFault)[keyof typeof JobFault]
@@ -44,6 +46,11 @@
 /** Everything that can go wrong. @public */
 export const ALL_FAULTS: readonly JobFault[] = Object.values(JobFault)
 
+/** Everything but leaders that stand still: what seeds are played with that failed in such runs. @internal */
+export const PROMPT_LEADER_FAULTS: readonly JobFault[] = ALL_FAULTS.filter(
+	(fault) => fault !== JobFault.LeaderStalled
+)
+
 /** What only runs that ask for it have. */
 const RARE_FAULTS: readonly JobFault[] = [
 	'rack-lost',
@@ -53,6 +60,7 @@
 	'worker-restarted-at-once',
 	'rack-restarted',
 	'starts-refused',
+	'leader-stalled',
 ]
 
 /** What goes wrong in a run unless it says otherwise. @public */
@@ -90,6 +98,8 @@
 const AT_ONCE = [10, 200] as const
 /** How long there is no leader, the least and the most, in milliseconds. */
 const LEADERLESS = [50, 1500] as const
+/** How long a leader stands still, the least and the most, in milliseconds. */
+const STALLS = [100, 1200] as const
 const LATE_SHARE = 0.06
 const LOST_SHARE = 0.2
 const CANCELLED_SHARE = 0.3
@@ -176,6 +186,8 @@
 		switch (fault) {
 			case JobFault.LeaderLost:
 				return this.run.loseLeader(random.integer(...LEADERLESS))
+			case JobFault.LeaderStalled:
+				return this.run.loop.stall(random.integer(...STALLS))
 			case JobFault.WorkerLost:
 				return fleet.crash(machine, span)
 			case JobFault.RackLost:
--- a/packages/runs/src/lib/jobs/JobRun.ts
+++ b/packages/runs/src/lib/jobs/JobRun.ts
@@ -26,6 +26,7 @@
 import type { FleetWorker } from './FleetWorker'
 import { COMMON_FAULTS, JobFaults, RESTARTS, type JobFault } from './JobFaults'
 import { JobInvariants } from './JobInvariants'
+import { LeaderLoop } from './LeaderLoop'
 import { randomJob, WIDE, wideGang } from './randomJob'
 import { checkOutcome, type Asked } from './checkOutcome'
 import { CrashingTasks, type CrashTally } from './CrashingTasks'
@@ -63,6 +64,10 @@
 	readonly tellBorn?: boolean
 	/** Whether some tasks crash the workers that start them. */
 	readonly crashingTasks?: boolean
+	/** Share of workers crashed by tasks that start again under their names; none if absent. */
+	readonly restartedShare?: number
+	/** Share of workers' answers that take long; where it is given, what a worker has sent comes although it has ended. */
+	readonly slowAnswers?: number
 	/** How fast each worker works, by its number; as fast as tasks declare if absent. */
 	readonly speedOf?: (worker: number) => number
 	/** Whether jobs are wide gangs whose tickets run out soon after they have come. */
@@ -145,6 +150,7 @@
 	/** Instances that carry orders, one in each data centre but the leader's. */
 	readonly carriers: readonly FleetCarrier[]
 	private readonly direct: FleetOrders
+	readonly loop: LeaderLoop
 	private orders: CarriedOrders | undefined
 	readonly advisers: RunAdvisers
 	private readonly queues: readonly Queue[]
@@ -164,10 +170,11 @@
 		this.accounts = this.competing ?? (options.accounts ? new RunAccounts(seed) : undefined)
 		this.witness = new JobInvariants(this.accounts)
 		const { clock, random, witness } = this
+		this.loop = new LeaderLoop(clock)
 		this.crashing = options.crashingTasks ? this.crashingTasks() : undefined
 		const advice = options.wideGangs ? SCARCE_ADVICE : PLENTIFUL_ADVICE
 		this.queues = [URGENT, { ...BATCH, advice: termsOf(advice) }]
-		this.advisers = new RunAdvisers(clock, random, advice)
+		this.advisers = new RunAdvisers(clock, random, advice, this.loop)
 		this.faults = new JobFaults(this, options.faultRate, options.faults ?? COMMON_FAULTS)
 		this.fleet = new Fleet({
 			clock,
@@ -182,9 +189,9 @@
 			heldShare: () => this.faults.heldShare,
 			refusal: () => this.faults.refusal(),
 			began: (machine, task) => this.crashing?.began(machine, task),
-			call: (call, reply) => this.controller?.call(call, reply),
+			call: (call, reply) => this.loop.arrived(() => this.controller?.call(call, reply)),
 		})
-		this.direct = this.ordersFrom(() => false)
+		this.direct = this.ordersFrom(() => false, this.loop)
 		this.carriers = DATA_CENTRES.slice(1).map((dataCentre) => this.carrierIn(dataCentre))
 		this.lead()
 		this.configure()
@@ -257,6 +264,7 @@
 		this.state.observer = undefined
 		this.log?.end()
 		this.orders?.end()
+		this.loop.end()
 		this.controller = undefined
 		this.log = undefined
 		this.clock.after(gap, () => this.lead())
@@ -280,7 +288,7 @@
 		const state = new CellState()
 		state.restore(this.state.snapshot())
 		this.state = state
-		const log = new RunLog(clock, random, state)
+		const log = new RunLog(clock, random, state, this.loop)
 		const silent = (): void => undefined
 		const controller: JobController = new JobController({
 			state,
@@ -329,10 +337,12 @@
 
 	private crashingTasks(): CrashingTasks {
 		const crash = (machine: FleetWorker, away: number): void => this.fleet.crash(machine, away)
-		return new CrashingTasks({ seed: this.options.seed, clock: this.clock, crash })
+		const restart = (machine: FleetWorker, away: number): void => this.fleet.restart(machine, away)
+		const { seed, restartedShare = 0 } = this.options
+		return new CrashingTasks({ seed, clock: this.clock, crash, restart, restartedShare })
 	}
 
-	private ordersFrom(cut: () => boolean): FleetOrders {
+	private ordersFrom(cut: () => boolean, loop?: LeaderLoop): FleetOrders {
 		const { clock, random } = this
 		return new FleetOrders({
 			clock,
@@ -341,6 +351,8 @@
 			cut,
 			lateShare: () => this.faults.lateShare,
 			lostShare: () => this.faults.lostShare,
+			slowShare: this.options.slowAnswers ?? 0,
+			loop,
 		})
 	}
 
@@ -352,7 +364,7 @@
 			clock,
 			random,
 			orders: this.ordersFrom(() => carrier.cut),
-			results: (results) => this.orders?.taken(results),
+			results: (results) => this.loop.arrived(() => this.orders?.taken(results)),
 		})
 		return carrier
 	}
@@ -391,15 +403,21 @@
 			this.clock.advance(STEP)
 			this.fleet.tick()
 			for (const carrier of this.carriers) carrier.tick()
-			if (this.clock.now() >= this.tickAt) {
-				this.tickAt = this.clock.now() + TICK
-				this.orders?.tick(this.clock.now())
-				this.controller?.tick()
-			}
-			this.controller?.place()
-			this.log?.flush()
-			this.orders?.flush()
+			if (!this.loop.isStalled) this.turn()
+		}
+	}
+
+	/** The leader reads what has come, and acts. */
+	private turn(): void {
+		this.loop.resume()
+		if (this.clock.now() >= this.tickAt) {
+			this.tickAt = this.clock.now() + TICK
+			this.orders?.tick(this.clock.now())
+			this.controller?.tick()
 		}
+		this.controller?.place()
+		this.log?.flush()
+		this.orders?.flush()
 	}
 
 	private handIn(): void {
@@ -447,11 +465,13 @@
 		const keyDigest = this.accounts?.owned(job.id, job.request)
 		const to = { queue, id: job.id, keyDigest }
 		if (this.controller) job.unanswered += 1
-		this.controller?.call({ kind: 'submit', to, job: job.request }, ({ kind }: CellReply) => {
+		const answered = ({ kind }: CellReply): void => {
 			job.unanswered -= 1
 			if (kind === 'accepted') job.accepted = true
 			if (kind === 'unauthorized' || kind === 'impossible') this.refused(job)
-		})
+		}
+		const call = { kind: 'submit', to, job: job.request } as const
+		this.loop.arrived(() => this.controller?.call(call, answered))
 		this.clock.after(ASK_AGAIN, () => this.submit(job, queue))
 	}
 
@@ -463,11 +483,13 @@
 
 	private cancel(job: Asked): void {
 		if (job.cancelled) return
-		this.controller?.call({ kind: 'cancel', to: { id: job.id } }, ({ kind }: CellReply) => {
+		const answered = ({ kind }: CellReply): void => {
 			if (kind !== 'noted') return
 			job.cancelled = true
 			this.witness.cancelled(job.id, this.clock.now())
-		})
+		}
+		const call = { kind: 'cancel', to: { id: job.id } } as const
+		this.loop.arrived(() => this.controller?.call(call, answered))
 		this.clock.after(ASK_AGAIN, () => this.cancel(job))
 	}
 
--- a/packages/runs/src/lib/jobs/RunAdvisers.ts
+++ b/packages/runs/src/lib/jobs/RunAdvisers.ts
@@ -7,6 +7,7 @@
 	type AdviceTerms,
 } from '@rillrudder/jobs'
 import type { Clock, Random } from '@rillrudder/utils'
+import type { LeaderLoop } from './LeaderLoop'
 
 /** What the service of a run allows, and what its answers cost. @internal */
 export interface RunAdvice extends AdviceTerms {
@@ -47,7 +48,8 @@
 	constructor(
 		private readonly clock: Clock,
 		private readonly random: Random,
-		private readonly terms: RunAdvice
+		private readonly terms: RunAdvice,
+		private readonly loop: LeaderLoop
 	) {
 		super()
 	}
@@ -66,7 +68,7 @@
 			const until = this.clock.now() + valid
 			const good = workers.filter((worker) => allows(hashOf(step, worker)))
 			const tickets = new Map(good.map((worker) => [worker, `${step}|${worker}|${until}`]))
-			done({ kind: 'answered', tickets })
+			this.loop.arrived(() => done({ kind: 'answered', tickets }))
 		})
 	}
 
--- a/packages/runs/src/lib/jobs/RunLog.ts
+++ b/packages/runs/src/lib/jobs/RunLog.ts
@@ -1,6 +1,7 @@
 /** The replicated log of a run of jobs: commits take time, and what was not committed may be lost. */
 import { encodeCommands, Proposals, type CellCommand, type CellState } from '@rillrudder/jobs'
 import type { Clock, Random } from '@rillrudder/utils'
+import type { LeaderLoop } from './LeaderLoop'
 
 /** Milliseconds that a commit takes, the least and the most. */
 const COMMIT = [4, 40] as const
@@ -25,7 +26,8 @@
 	constructor(
 		private readonly clock: Clock,
 		private readonly random: Random,
-		private readonly state: CellState
+		private readonly state: CellState,
+		private readonly loop: LeaderLoop
 	) {
 		super()
 	}
@@ -44,7 +46,7 @@
 		this.entries.push(entry)
 		this.clock.after(this.random.integer(...COMMIT), () => {
 			entry.committed = true
-			this.applyCommitted()
+			this.loop.arrived(() => this.applyCommitted())
 		})
 	}
 
