An answer from before a crash does not clear the tasks whose runs were given up

Callers: a crash counted for nothing, so a task that crashes its workers might begin once more. Cause: a list that a worker had made before it crashed, and that came after its runs were given up, was noted as the worker's answer. Evidence: the directed test (crashingTask.test.ts) with answers held up by 1.5 s: the crash was never counted. It failed before. Now only the answer to a call that was sent after runs were given up clears them, and a worker whose fate a task waits for is asked until it is known.

--- a/packages/jobs/src/lib/leader/crashingTask.test.ts
+++ b/packages/jobs/src/lib/leader/crashingTask.test.ts
@@ -101,3 +101,26 @@
 	const place = cell.subject.state.jobs.find(INNOCENT)!.repeats[0][0]
 	assert.ok(place.tasks.every((task) => task.worker !== ''))
 })
+
+// Guards against a crash that counts for nothing: a list that was made before it, and came after the run had been given up, said that the worker answers.
+test('a list from before a crash, which comes once its runs were given up, does not clear their tasks', () => {
+	const subject = new LeaderSubject()
+	const worker = subject.worker('w1')
+	subject.heartbeat('w1')
+	subject.submit(POISON, jobOf({ copies: true }))
+	worker.answersHeldUp = 1500
+	subject.run(1100, 'w1')
+	worker.silent = true
+	subject.submit(INNOCENT, jobOf({}))
+	subject.run(800)
+	const { task } = subject.state.jobs.locate(`${POISON}.0.0.0`)!
+	assert.equal(task.silent?.length, 1, 'its run was given up')
+	subject.run(1200)
+	worker.silent = false
+	worker.replaced = true
+	subject.run(1000)
+	assert.deepEqual(
+		task.crashed?.map((lost) => lost.worker),
+		['w1']
+	)
+})
--- a/packages/jobs/src/lib/leader/workers/WorkerRegistry.ts
+++ b/packages/jobs/src/lib/leader/workers/WorkerRegistry.ts
@@ -302,10 +302,13 @@
 		proposals.propose({ kind: 'gone', worker: id, at: epochOf(this.context), crash }, done)
 	}
 
-	/** Runs were given up while it was silent; that it answers is kept, since it tells that they did it no harm. */
-	private noteAnswer(view: WorkerView): void {
+	/**
+	 * Runs were given up while it was silent; that it answers is kept, since it tells that they did it no harm. An answer to an earlier
+	 * call may have been made before it crashed.
+	 */
+	private noteAnswer(view: WorkerView, sentAt: number): void {
 		const { state, proposals } = this.context
-		if (view.noting || !state.jobs.isAwaited(view.id)) return
+		if (view.noting || sentAt < view.gaveUpAt || !state.jobs.isAwaited(view.id)) return
 		view.noting = true
 		proposals.propose({ kind: 'answered', worker: view.id }, () => (view.noting = false))
 	}
@@ -313,7 +316,7 @@
 	/** Whether something about it is not known that a short poll tells. */
 	private isUnclear(view: WorkerView, now: number): boolean {
 		const { unreachable, suspects, lease, listed } = view
-		const unknown = !lease.known || !listed
+		const unknown = !lease.known || !listed || this.context.state.jobs.isAwaited(view.id)
 		return unreachable || suspects.size > 0 || unknown || this.losses.isSuspect(view, now)
 	}
 
@@ -326,7 +329,7 @@
 				view.listed = true
 				view.provenAt = this.context.clock.now()
 				view.pollDue = 0
-				this.noteAnswer(view)
+				this.noteAnswer(view, sentAt)
 				this.takeEnds(view, result.ended)
 				this.suspects.drop(view, result.running, sentAt)
 				this.listener.polled(view, result, sentAt)
--- a/packages/jobs/src/lib/leader/workers/WorkerView.ts
+++ b/packages/jobs/src/lib/leader/workers/WorkerView.ts
@@ -41,6 +41,8 @@
 	lostAt = Number.NEGATIVE_INFINITY
 	/** When a list last came that its own life had sent, on the leader's clock. */
 	provenAt = Number.NEGATIVE_INFINITY
+	/** When runs were last given up on it while it was silent, on the leader's clock. */
+	gaveUpAt = Number.NEGATIVE_INFINITY
 	/** When it last answered, on the leader's clock. */
 	answeredAt = Number.NEGATIVE_INFINITY
 	/** Runs that were given up although they may still be there, or may yet begin, by task name. */
--- a/packages/jobs/src/lib/testing/LeaderSubject.ts
+++ b/packages/jobs/src/lib/testing/LeaderSubject.ts
@@ -62,6 +62,8 @@
 	born: number | undefined
 	/** Where it is, if orders to elsewhere are to reach nobody. */
 	address: string | undefined
+	/** Milliseconds by which answers to polls are held up on their way; they come although it has crashed meanwhile. */
+	answersHeldUp = 0
 	/** What its clock shows beyond that of the others. */
 	clockAhead = 0
 	/** Number of its latest heartbeat. */
@@ -164,7 +166,9 @@
 			fake.work()
 			const { running, ended, born } = fake
 			const clock = this.subject.clockOf(fake)
-			done({ kind: 'done', clock, born, running, ended: [...ended] })
+			const result = { kind: 'done', clock, born, running, ended: [...ended] } as const
+			if (fake.answersHeldUp === 0) done(result)
+			else this.subject.clock.after(fake.answersHeldUp, () => done(result))
 		}
 		this.subject.clock.after(order.wait > 0 && fake.ended.length === 0 ? order.wait : 1, answer)
 	}
