A list proves that its worker's life is there for the moment at which it was made

Callers: an end of a new life could be forgotten before anyone had heard of it, so that its task ran again or was waited for for ever. Cause: ends were named as seen within 100 ms of a list that had come, however late it came; its worker might have started again under its id since. Evidence: LifeChanges.test.ts with answers held up by 0.9 s, which failed before (the new life was told end 1). Now the proof counts from when the poll was sent, or as much later as the worker's clock has gone on since an earlier list, and holds for 100 ms beside the shortest way to the worker that was seen, so that far workers keep it too.

--- a/packages/jobs/src/lib/leader/workers/LifeChanges.test.ts
+++ b/packages/jobs/src/lib/leader/workers/LifeChanges.test.ts
@@ -88,6 +88,23 @@
 	assert.equal(worker.polls[before].endsSeen, 0)
 })
 
+// Guards against ends of a new life that are forgotten before anyone has heard of them: a list of the earlier life came after its end.
+test('a list that was held up until its worker had started again names no ends to the new life', () => {
+	const { subject, worker } = cellWithRun()
+	subject.submit('00000000000000bb', jobOf({ count: 8 }))
+	subject.run(1000, WORKER, OTHER)
+	worker.end(TASK, 'done')
+	subject.run(2000, WORKER, OTHER)
+	worker.answersHeldUp = 900
+	subject.run(3000, WORKER, OTHER)
+	const before = worker.polls.length
+	worker.restart(FIRST + 5000)
+	subject.run(1800, OTHER)
+	const named = worker.polls.slice(before).map(({ endsSeen }) => endsSeen)
+	assert.ok(named.length > 0)
+	assert.deepEqual([...new Set(named)], [0])
+})
+
 test('a heartbeat of the earlier life that was held back changes nothing', () => {
 	const { subject } = cellWithRun()
 	const held = subject.nextHeartbeat(WORKER)
--- a/packages/jobs/src/lib/leader/workers/WorkerView.ts
+++ b/packages/jobs/src/lib/leader/workers/WorkerView.ts
@@ -2,6 +2,7 @@
 import type { Worker } from '../../records/Cell'
 import type { CountedRun } from '../../accounts/AccountUsage'
 import type { Lease } from './Lease'
+import { LifeProof } from './LifeProof'
 import type { Run } from '../runs/Run'
 
 /** A run that was given up early: what it takes is not known until the worker has stopped it. @internal */
@@ -18,12 +19,6 @@
 /** Milliseconds for which a reading of a worker's clock tells the age of a heartbeat: at 2% of drift it errs by 0.2 s then. */
 const READING_HOLDS = 10_000
 
-/**
- * Milliseconds after a list has come for which the worker can't have started again and ended a run besides: tasks take longer than that, and
- * committing what the list told takes 10 to 40.
- */
-const PROOF_HOLDS = 100
-
 /** A worker as the controller sees it. @internal */
 export class WorkerView {
 	draining = false
@@ -39,8 +34,8 @@
 	unreachable = false
 	/** When it was found unreachable, on the leader's clock. */
 	lostAt = Number.NEGATIVE_INFINITY
-	/** When a list last came that its own life had sent, on the leader's clock. */
-	provenAt = Number.NEGATIVE_INFINITY
+	/** Until when this life was certainly there. */
+	readonly proof = new LifeProof()
 	/** When runs were last given up on it while it was silent, on the leader's clock. */
 	gaveUpAt = Number.NEGATIVE_INFINITY
 	/** When it last answered, on the leader's clock. */
@@ -109,7 +104,7 @@
 	 * just after a list of the life that is meant: the next one can't have ended anything by then.
 	 */
 	endsSeen(now: number): number {
-		const proven = this.worker.born === undefined || now - this.provenAt <= PROOF_HOLDS
+		const proven = this.worker.born === undefined || this.proof.holds(now)
 		return proven ? this.endsCommitted : 0
 	}
 
