A worker is polled again once the ends that it listed are committed

Cause: a poll that goes out before the ends of the last list are committed cannot name them as seen, so the worker lists them again at once. The wait is bounded by 80 ms for a slow log. WorkerPolls.test.ts failed before (86 polls in 2.2 s while nothing was committed).

--- a/packages/jobs/src/lib/leader/workers/WorkerPolls.test.ts
+++ b/packages/jobs/src/lib/leader/workers/WorkerPolls.test.ts
@@ -46,3 +46,20 @@
 		[]
 	)
 })
+
+// Guards against polls that only list again what is on its way to being committed: they were a sixth of all polls.
+test('a worker is polled again once the ends that it listed are committed', () => {
+	const subject = new LeaderSubject()
+	subject.heartbeat('w1')
+	subject.submit(ID, jobOf({ ...SHORT, count: 2 }))
+	subject.run(200, 'w1')
+	const { polls } = subject.worker('w1')
+	subject.worker('w1').end(TASK, RunEnd.Done)
+	subject.proposals.held = true
+	subject.run(2000, 'w1')
+	assert.ok(polls.length < 30, `${polls.length} polls`)
+	subject.proposals.held = false
+	subject.proposals.commit()
+	subject.run(100, 'w1')
+	assert.equal(polls.at(-1)!.endsSeen, 1)
+})
--- a/packages/jobs/src/lib/leader/workers/WorkerPolls.ts
+++ b/packages/jobs/src/lib/leader/workers/WorkerPolls.ts
@@ -17,6 +17,9 @@
  */
 const OVERDUE = 130
 
+/** Milliseconds for which a worker's ends are waited for to be committed before it is polled again. */
+const MOST_COMMIT = 80
+
 /** What polls need of the registry of workers. @internal */
 export interface PollHost {
 	/** @returns whether something about a worker is not known that a short poll tells. */
@@ -127,7 +130,13 @@
 }
 
 function isDueForPoll(view: WorkerView, now: number): boolean {
-	return view.runs.size > 0 && !view.polling && now >= view.pollDue
+	if (view.runs.size === 0 || view.polling || now < view.pollDue) return false
+	return !isCommittingEnds(view) || now - view.listedAt >= MOST_COMMIT
+}
+
+/** Whether ends that it has listed are on their way to being committed: until they are named as seen, it lists them again at once. */
+function isCommittingEnds({ endsCommitted, endsProposed }: WorkerView): boolean {
+	return endsCommitted < endsProposed
 }
 
 function isDueForProbe(view: WorkerView, now: number): boolean {
--- a/packages/jobs/src/lib/leader/workers/WorkerRegistry.ts
+++ b/packages/jobs/src/lib/leader/workers/WorkerRegistry.ts
@@ -327,7 +327,8 @@
 				if (isOtherLife(view.worker.born, result.born)) return this.lives.follow(view, view.worker)
 				this.answered(view, result.clock)
 				view.listed = true
-				view.proof.listed(result.clock, sentAt, this.context.clock.now())
+				view.listedAt = this.context.clock.now()
+				view.proof.listed(result.clock, sentAt, view.listedAt)
 				view.pollDue = 0
 				this.noteAnswer(view, sentAt)
 				this.takeEnds(view, result.ended)
--- a/packages/jobs/src/lib/leader/workers/WorkerView.ts
+++ b/packages/jobs/src/lib/leader/workers/WorkerView.ts
@@ -34,6 +34,8 @@
 	unreachable = false
 	/** When it was found unreachable, on the leader's clock. */
 	lostAt = Number.NEGATIVE_INFINITY
+	/** When its latest list came, on the leader's clock. */
+	listedAt = Number.NEGATIVE_INFINITY
 	/** Until when this life was certainly there. */
 	readonly proof = new LifeProof()
 	/** When runs were last given up on it while it was silent, on the leader's clock. */
