A leader's turns are at least 4 ms apart

Cause: every event of a busy leader (an answer, a commit, a call) brought a turn of its own, in which it looks at all that waits and sends what little there is.

--- a/packages/member/src/lib/Leading.ts
+++ b/packages/member/src/lib/Leading.ts
@@ -18,6 +18,12 @@
 import type { CarriedOrders } from './carriers/CarriedOrders'
 import { WakingOrders } from './WakingOrders'
 
+/**
+ * Milliseconds between two turns at least. Each looks at what can begin and sends what it has decided, whatever few events there were since the last
+ * one; a decision is later by no more than that.
+ */
+const TURN_GAP = 4
+
 /** What a leadership is made with. @internal */
 export interface LeadingParts {
 	readonly group: Group
@@ -46,6 +52,8 @@
 	private readonly waiting = new Set<(reply: CellReply) => void>()
 	private flushing = false
 	private over = false
+	/** When the last turn began. */
+	private turnAt = Number.NEGATIVE_INFINITY
 
 	constructor(private readonly parts: LeadingParts) {
 		const { group, state, clock, random, timing, policy, advisers, log, meter, term } = parts
@@ -114,12 +122,18 @@
 	flushSoon(): void {
 		if (this.flushing || this.over) return
 		this.flushing = true
-		setImmediate(() => {
-			this.flushing = false
-			if (this.over || !this.parts.group.mayAct) return
-			this.controller.place()
-			this.flush()
-		})
+		const { clock } = this.parts
+		const rest = this.turnAt + TURN_GAP - clock.now()
+		if (rest > 0) clock.after(rest, () => this.turn())
+		else setImmediate(() => this.turn())
+	}
+
+	private turn(): void {
+		this.flushing = false
+		if (this.over || !this.parts.group.mayAct) return
+		this.turnAt = this.parts.clock.now()
+		this.controller.place()
+		this.flush()
 	}
 
 	/** Sends what this turn has proposed and ordered. */
