--- a/packages/jobs/src/lib/leader/startWindow.test.ts
+++ b/packages/jobs/src/lib/leader/behindWithStarts.test.ts
@@ -10,7 +10,7 @@
 
 const URGENT = { name: 'urgent', prefix: '/urgent/', priority: 0, latencyTarget: 250 }
 const WORKERS = Array.from({ length: 40 }, (_, number) => `w${number}`)
-const EACH = 4
+const TASKS_EACH = 4
 const NOT_CARRIED = { kind: 'not-carried' } as const
 
 /** A cell that is behind: its workers have not confirmed what they were ordered a second ago. */
@@ -29,7 +29,7 @@
 test('a cell that is behind with its starts decides no more of them than it can confirm', () => {
 	const subject = subjectBehind()
 	const before = begunIn(subject)
-	subject.submit('00000000000000a2', jobOf({ count: WORKERS.length * EACH - 30 }))
+	subject.submit('00000000000000a2', jobOf({ count: WORKERS.length * TASKS_EACH - 30 }))
 	subject.run(1000, ...WORKERS)
 	assert.equal(begunIn(subject), before)
 	assert.ok(subject.lines.some((line) => line.includes('start-window-changed')))
@@ -53,7 +53,7 @@
 	subject.run(1000, ...WORKERS)
 	const cut = WORKERS.slice(0, WORKERS.length / 2)
 	for (const id of cut) subject.worker(id).silent = true
-	subject.submit('00000000000000a1', jobOf({ count: WORKERS.length * EACH }))
+	subject.submit('00000000000000a1', jobOf({ count: WORKERS.length * TASKS_EACH }))
 	subject.run(1500, ...WORKERS.slice(WORKERS.length / 2))
 	for (const id of WORKERS.slice(WORKERS.length / 2)) endAll(subject, id)
 	subject.submit('00000000000000a2', jobOf({ count: 60 }))
