--- a/apps/bench/src/soak.ts
+++ b/apps/bench/src/soak.ts
@@ -10,6 +10,9 @@
 const REQUEST_RATE = 40
 const JOB_RATE = 4
 const FAULT_RATES = [0.5, 1.5, 4]
+/** Share of workers' answers that take long, and of crashed workers that keep their names, in runs with these. */
+const SLOW_ANSWERS = 0.2
+const RESTARTED_SHARE = 0.3
 const GROUP_FAULT_RATES = [0.005, 0.01, 0.02, 0.04]
 const voter = (id: string, durable: boolean, local: boolean) => ({ id, durable, local })
 const LAYOUTS = [
@@ -102,6 +105,9 @@
 			// Runs of all mixes: accounts, tasks that crash their workers, waves of crashes and room that shrinks.
 			crashingTasks: seed % 4 >= 2,
 			faults: seed % 8 >= 4 ? ALL_FAULTS : undefined,
+			// Answers that come late, also after their workers have ended; some of these start again under their names.
+			slowAnswers: seed % 16 >= 8 ? SLOW_ANSWERS : undefined,
+			restartedShare: seed % 16 >= 12 ? RESTARTED_SHARE : undefined,
 		})
 	return soakRuns('job', { first, count }, make, (run) => run.tally.starts)
 }
