Starts on silent workers count as under way for 1.5 s

Callers: left them out altogether, and a cell that is too late to read its workers' answers takes these for silent: the window lost its effect just where it is needed. Now starts that are ordered and not confirmed count for 1.5 s once their worker is silent, and for 10 s while it answers: no start that nobody will confirm holds a cell up for longer.

--- a/packages/jobs/src/lib/leader/runs/RunController.ts
+++ b/packages/jobs/src/lib/leader/runs/RunController.ts
@@ -27,6 +27,13 @@
 /** WorkerPolls in a row that must not list a run before it is given up. */
 const ABSENT_POLLS = 2
 
+/**
+ * Milliseconds after which a start that is not confirmed tells of its worker and no more of the cell: one whose worker answers, and one whose
+ * worker has fallen silent, as workers seem to where it is the cell that is too late to read their answers.
+ */
+const MOST_AWAITED = 10_000
+const MOST_AWAITED_IN_SILENCE = 1500
+
 /**
  * Milliseconds at work after which workers that crashed under a lasting task count no more. It sees many workers fail in
  * months; one that crashes its worker does so as it begins. Other tasks end by themselves, and theirs count for good.
@@ -112,22 +119,29 @@
 		return this.pending.size
 	}
 
-	/** How many starts are decided that no worker has confirmed, of those whose workers can be reached. */
+	/** How many starts are decided that no worker has confirmed; what a worker has that has been silent for a while holds nothing up. */
 	get startsUnderWay(): number {
-		return this.pending.size + this.awaited.length
+		return this.pending.size + [...this.awaited()].length
 	}
 
-	/** @returns milliseconds since each start was decided that its worker has not confirmed, though it can be reached. */
+	/** @returns milliseconds since each start was decided that its worker has not confirmed. */
 	*awaitedStarts(): Generator<number> {
 		const now = this.context.clock.now()
-		for (const { decidedAt = now } of this.awaited) yield now - decidedAt
+		for (const { decidedAt = now } of this.awaited()) yield now - decidedAt
+	}
+
+	/** Starts that have been ordered and not confirmed, but for those that are so late that they tell of their workers. */
+	private *awaited(): Generator<Run> {
+		const now = this.context.clock.now()
+		for (const run of this.unconfirmed) {
+			const { ordered, decidedAt = now } = run
+			const most = this.isReachable(run) ? MOST_AWAITED : MOST_AWAITED_IN_SILENCE
+			if (ordered && now - decidedAt <= most) yield run
+		}
 	}
 
-	/** What was not ordered waits for something else, and what a silent worker has is settled by its lease. */
-	private get awaited(): Run[] {
-		return [...this.unconfirmed].filter(
-			({ ordered, worker }) => ordered && this.workers.find(worker)?.unreachable === false
-		)
+	private isReachable({ worker }: Run): boolean {
+		return this.workers.find(worker)?.unreachable === false
 	}
 
 	/** Takes up the runs that an earlier leader began. */
