--- a/packages/jobs/src/lib/leader/JobController.ts
+++ b/packages/jobs/src/lib/leader/JobController.ts
@@ -55,7 +55,7 @@
 	private readonly steps: StepScheduler
 	private readonly clients: ClientCalls
 	private readonly startDelays: StartDelays
-	private readonly window = new StartWindow()
+	private readonly startWindow = new StartWindow()
 	private readonly accounts: AccountUsage
 	private readonly shares: LeaderShares
 	private readonly reconciliation: Reconciliation
@@ -95,7 +95,7 @@
 			precedence,
 			accounts,
 			shares,
-			this.window
+			this.startWindow
 		)
 		this.clients = new ClientCalls(context, (job) => this.runs.hasBegun(job))
 		this.reconciliation = new Reconciliation(context, this.steps)
@@ -218,7 +218,7 @@
 
 	/** A cell is behind when half of its starts take longer than its most urgent queue allows a whole job. */
 	private judgeStarts(now: number): void {
-		const { runs, window, context } = this
+		const { runs, startWindow: window, context } = this
 		const delay = this.startDelays.take(now, () => runs.awaitedStarts())
 		if (delay === undefined) return
 		const { size: before } = window
--- a/packages/jobs/src/lib/leader/steps/StepScheduler.ts
+++ b/packages/jobs/src/lib/leader/steps/StepScheduler.ts
@@ -71,7 +71,7 @@
 		private readonly precedence: Precedence,
 		private readonly accounts: AccountUsage,
 		shares: LeaderShares,
-		private readonly window: StartWindow
+		private readonly startWindow: StartWindow
 	) {
 		this.openWorkers = new OpenWorkerList(context, workers)
 		this.quarantine = new Quarantine(context.state, runs)
@@ -276,9 +276,9 @@
 		this.urgentRoom.beginPass(this.openAtFullPass, now)
 		this.reservations.beginPass(now, full)
 		const before = this.runs.decidedStarts
-		const underWay = this.window.isBounded ? this.runs.startsUnderWay : 0
+		const underWay = this.startWindow.isBounded ? this.runs.startsUnderWay : 0
 		for (const work of this.shares.inOrder(tried)) {
-			if (this.window.admits(underWay + this.runs.decidedStarts - before))
+			if (this.startWindow.admits(underWay + this.runs.decidedStarts - before))
 				this.placeStep(work, pass)
 			else putOff(work, pass)
 		}
@@ -286,7 +286,7 @@
 
 	/** Whether nothing more may begin before starts that are under way are confirmed. */
 	private get isWindowFull(): boolean {
-		return this.window.isBounded && !this.window.admits(this.runs.startsUnderWay)
+		return this.startWindow.isBounded && !this.startWindow.admits(this.runs.startsUnderWay)
 	}
 
 	private isReady({ job, repeat, number }: StepWork): boolean {
