--- a/packages/jobs/src/lib/leader/runs/StartDelays.ts
+++ b/packages/jobs/src/lib/leader/runs/StartDelays.ts
@@ -36,11 +36,11 @@
 		this.since = now
 		const delays = [...this.delays, ...awaited()]
 		this.delays = []
-		return delays.length < LEAST_STARTS ? 0 : medianOf(delays)
+		return delays.length < LEAST_STARTS ? 0 : upperMedianOf(delays)
 	}
 }
 
-function medianOf(numbers: number[]): number {
+function upperMedianOf(numbers: number[]): number {
 	numbers.sort((left, right) => left - right)
 	return numbers[Math.floor(numbers.length / 2)]
 }
--- a/packages/jobs/src/lib/leader/steps/StepScheduler.ts
+++ b/packages/jobs/src/lib/leader/steps/StepScheduler.ts
@@ -136,7 +136,7 @@
 		const kept = this.reservations.expectedAt(work)
 		const withinQuota = this.accounts.mayBegin(work.account, work.step)
 		const held = this.quarantine.mayBegin(work).length === 0
-		const behind = this.isWindowFull
+		const behind = !this.startWindow.admits(this.boundedStarts)
 		const now = this.context.clock.now()
 		return waitOf(work, { eligible, room, held, withinQuota, kept, behind, now })
 	}
@@ -261,8 +261,9 @@
 	 * @param full - whether steps that found no room are tried although nothing has come free.
 	 */
 	place(now: number, full: boolean): void {
+		const underWay = this.boundedStarts
 		// What comes free meanwhile is kept for the next pass.
-		if (!full && this.isWindowFull) return
+		if (!full && !this.startWindow.admits(underWay)) return
 		if (this.stale) this.sort()
 		if (full && this.noteClaims(now)) this.sort()
 		if (full) this.openWorkers.renew()
@@ -276,7 +277,6 @@
 		this.urgentRoom.beginPass(this.openAtFullPass, now)
 		this.reservations.beginPass(now, full)
 		const before = this.runs.decidedStarts
-		const underWay = this.startWindow.isBounded ? this.runs.startsUnderWay : 0
 		for (const work of this.shares.inOrder(tried)) {
 			if (this.startWindow.admits(underWay + this.runs.decidedStarts - before))
 				this.placeStep(work, pass)
@@ -284,9 +284,9 @@
 		}
 	}
 
-	/** Whether nothing more may begin before starts that are under way are confirmed. */
-	private get isWindowFull(): boolean {
-		return this.startWindow.isBounded && !this.startWindow.admits(this.runs.startsUnderWay)
+	/** How many starts are under way; they are counted only where there is a bound. */
+	private get boundedStarts(): number {
+		return this.startWindow.isBounded ? this.runs.startsUnderWay : 0
 	}
 
 	private isReady({ job, repeat, number }: StepWork): boolean {
