Unreachable workers count as crashed after 7 s, in time that outlives leaders

Cause: a task that has lost two workers just after its starts is held until the fate of each unreachable one is known. A worker that is lost for good never tells.

Change: when a run is abandoned, the time since when its worker has been unreachable is replicated with it. Once that is 7 s, by the wall clock or by the leader's own clock since it took over, the leader commits that the worker counts as crashed, until it answers (presume-crashed). The bound is from the promise for tasks that last: at work again within 6 + 3 s of their last run, less the time for detection, commit and order. Workers are forgotten as late as before, since a forgotten worker is not used again.

Version 7 of the commands; the test of versions now names 6 for runs at work and asks 7 of the new command.

--- a/packages/jobs/src/lib/commands/CellCommand.ts
+++ b/packages/jobs/src/lib/commands/CellCommand.ts
@@ -9,11 +9,13 @@
 /**
  * Newest version of the command format. All earlier versions are read: version 1 lacks crashes,
  * version 2 the start times of workers, version 3 the shares of accounts, version 4 all-or-none
- * starts of runs, version 5 the runs seen at work.
+ * starts of runs, version 5 the runs seen at work, version 6 presumed crashes.
  *
  * @public
  */
-export const COMMAND_VERSION = 6
+export const COMMAND_VERSION = 7
+/** Version of commands that record runs seen at work. */
+const VERSION_WITH_RUNS_AT_WORK = 6
 /** Version of commands that start all of their runs or none. */
 const VERSION_WITH_WHOLE_GANGS = 5
 /** Version of commands that record the shares of accounts. */
@@ -47,6 +49,11 @@
 	 * has crashed.
 	 */
 	readonly evidence?: CrashEvidence
+	/**
+	 * Of a run abandoned on an unreachable worker: when the worker became unreachable, milliseconds
+	 * since the epoch by the leader's clock; absent in older commands.
+	 */
+	readonly unreachableSince?: number
 }
 
 /**
@@ -105,6 +112,8 @@
 	  }
 	/** A worker answers again on which runs were abandoned while it was unreachable. */
 	| { readonly kind: 'answered'; readonly worker: string }
+	/** Workers have been unreachable for so long that they count as crashed until they answer. */
+	| { readonly kind: 'presume-crashed'; readonly workers: readonly string[]; readonly at: number }
 	/** Tasks under which workers crashed have been at work for long without harm. */
 	| { readonly kind: 'cleared'; readonly tasks: readonly string[] }
 	/** Runs of tasks under which workers crashed were seen at work after their start. */
@@ -126,7 +135,8 @@
 }
 
 function versionOf(command: CellCommand): number {
-	if (command.kind === 'at-work') return COMMAND_VERSION
+	if (command.kind === 'presume-crashed') return COMMAND_VERSION
+	if (command.kind === 'at-work') return VERSION_WITH_RUNS_AT_WORK
 	if (command.kind === 'begin' && command.whole) return VERSION_WITH_WHOLE_GANGS
 	return command.kind === 'shares' ? VERSION_WITH_SHARES : VERSION_OF_OTHERS
 }
--- a/packages/jobs/src/lib/leader/LeaderEvent.ts
+++ b/packages/jobs/src/lib/leader/LeaderEvent.ts
@@ -31,6 +31,11 @@
 	 * `runs` on it.
 	 */
 	WorkerRestarted: 'worker-restarted',
+	/**
+	 * A worker counts as crashed for the tasks whose runs on it were abandoned, until it answers;
+	 * `worker`, the milliseconds for which it has been unreachable (`silent`).
+	 */
+	WorkerPresumedCrashed: 'worker-presumed-crashed',
 	/** A `worker` that was lost answers again. */
 	WorkerRegained: 'worker-regained',
 	/**
--- a/packages/jobs/src/lib/leader/LeaderTiming.ts
+++ b/packages/jobs/src/lib/leader/LeaderTiming.ts
@@ -32,6 +32,11 @@
 	readonly heartbeatOverdue: number
 	/** A worker without heartbeat for this long gets no new work. */
 	readonly heartbeatTimeout: number
+	/**
+	 * A worker that has been unreachable for this long counts as crashed for the tasks whose runs on
+	 * it were abandoned, until it answers.
+	 */
+	readonly crashPresumption: number
 	/** A worker without heartbeat for this long that runs nothing is forgotten. */
 	readonly idleWorkerRetention: number
 	/** Minimum time for which a member of a gang waits on its worker for the other members. */
@@ -67,6 +72,9 @@
 	// Two missed heartbeats at an interval of 1.5 s. A reduced capacity must take effect within 3 s
 	// plus one heartbeat (4.5 s), which leaves half a second.
 	heartbeatTimeout: 4000,
+	// A long-running task has to be at work again within 9 s of its last run. Detecting the loss takes
+	// up to 1.5 s, and committing and ordering the next start up to 0.5 s.
+	crashPresumption: 7000,
 	idleWorkerRetention: 60_000,
 	gangWait: 3000,
 	// A commit (sync of 9 ms) and the delivery of the order to the worker, with a reserve for a slow
--- a/packages/jobs/src/lib/leader/runs/LostRunHandler.ts
+++ b/packages/jobs/src/lib/leader/runs/LostRunHandler.ts
@@ -47,14 +47,17 @@
 
 	private abandon(view: WorkerView, lost: readonly Run[], reason: string): void {
 		if (lost.length === 0) return
-		view.runsAbandonedAt = this.context.clock.now()
+		const { clock } = this.context
+		view.runsAbandonedAt = clock.now()
 		const evidenceOf = this.losses.evidenceFrom(view)
+		const unreachableSince = epochTimeOf(this.context) - (clock.now() - view.lostAt)
 		const runs = lost.map((run) => ({
 			task: run.taskId,
 			attempt: run.attempt,
 			how: RunEnd.Lost,
 			checkpoint: run.checkpoint,
 			evidence: evidenceOf(run),
+			unreachableSince,
 		}))
 		this.context.log.warn(LeaderEvent.RunsLost, { worker: view.id, runs: runs.length, reason })
 		for (const run of lost) {
--- a/packages/jobs/src/lib/leader/runs/RunController.ts
+++ b/packages/jobs/src/lib/leader/runs/RunController.ts
@@ -10,7 +10,7 @@
 import type { JobRecord, TaskRecord } from '../../state/JobRecord'
 import { tasksOf } from '../../state/JobTable'
 import { isActive, TaskStatus } from '../../state/JobRecord'
-import { Suspicion, suspicionOf } from '../../state/TaskCrashes'
+import { countedCrashesOf, Suspicion, suspicionOf } from '../../state/TaskCrashes'
 import { epochTimeOf, type LeaderContext } from '../LeaderContext'
 import { LeaderEvent } from '../LeaderEvent'
 import { RunPacer } from './RunPacer'
@@ -323,9 +323,11 @@
 	private clearIfHarmless(run: Run): void {
 		const { state, proposals } = this.context
 		if (!run.step.lasting || run.observedTime.minimum < HARMLESS_AFTER_MS) return
-		if (!state.jobs.locate(run.taskId)?.task.crashed || run.isClearProposed) return
+		const task = state.jobs.locate(run.taskId)?.task
+		if (!task || countedCrashesOf(task).length === 0 || run.isClearProposed) return
 		run.isClearProposed = true
-		proposals.propose({ kind: 'cleared', tasks: [run.taskId] })
+		const done = (): void => void (run.isClearProposed = false)
+		proposals.propose({ kind: 'cleared', tasks: [run.taskId] }, done)
 	}
 
 	/**
--- a/packages/jobs/src/lib/leader/workers/WorkerRegistry.ts
+++ b/packages/jobs/src/lib/leader/workers/WorkerRegistry.ts
@@ -9,6 +9,7 @@
 import { WorkerPolls } from './WorkerPolls'
 import { LostRunHandler } from '../runs/LostRunHandler'
 import { toCommandEnds } from '../runs/toCommandEnds'
+import { CrashPresumption } from './CrashPresumption'
 import { FenceTokens } from './FenceTokens'
 import { IncarnationChanges } from './IncarnationChanges'
 import { isOtherIncarnation, parseIncarnation } from '../../records/Incarnation'
@@ -59,6 +60,7 @@
 	private readonly fences: FenceTokens
 	private readonly incarnations: IncarnationChanges
 	private readonly silentRecorder: SilentWorkerRecorder
+	private readonly crashPresumption: CrashPresumption
 
 	constructor(
 		private readonly context: LeaderContext,
@@ -75,6 +77,7 @@
 		this.losses = new WorkerLosses(context, this.views)
 		this.lostRuns = new LostRunHandler(context, this.suspects, this.losses)
 		this.silentRecorder = new SilentWorkerRecorder(context)
+		this.crashPresumption = new CrashPresumption(context)
 		this.fences = new FenceTokens(context.term)
 		this.incarnations = new IncarnationChanges(context, this.fences, {
 			onIncarnationChanged: (view) => this.onIncarnationChanged(view),
@@ -217,6 +220,7 @@
 	 */
 	tick(now: number): void {
 		this.silentRecorder.tick(this.views.values(), now)
+		this.crashPresumption.tick(now)
 		this.incarnations.tick(now)
 		this.polls.sendDue(this.views.values(), now)
 		for (const view of this.views.values()) {
--- a/packages/jobs/src/lib/state/CellState.test.ts
+++ b/packages/jobs/src/lib/state/CellState.test.ts
@@ -141,5 +141,7 @@
 	const whole = { kind: 'begin', runs: [], whole: true } as const
 	assert.equal(versionOf(encodeCommands([whole])), 5)
 	const atWork = { kind: 'at-work', runs: [{ task: 'a.0.0.0', attempt: 1 }] } as const
-	assert.equal(versionOf(encodeCommands([atWork])), COMMAND_VERSION)
+	assert.equal(versionOf(encodeCommands([atWork])), 6)
+	const presumed = { kind: 'presume-crashed', workers: ['w1'], at: 7 } as const
+	assert.equal(versionOf(encodeCommands([presumed])), COMMAND_VERSION)
 })
--- a/packages/jobs/src/lib/state/CellState.ts
+++ b/packages/jobs/src/lib/state/CellState.ts
@@ -109,6 +109,8 @@
 				return this.removeWorker(command)
 			case 'answered':
 				return this.jobs.onWorkerAnswered(command.worker)
+			case 'presume-crashed':
+				return command.workers.forEach((id) => this.jobs.presumeCrashed(id, command.at))
 			case 'cleared':
 				return this.jobs.clearCrashes(command.tasks)
 			case 'at-work':
--- a/packages/jobs/src/lib/state/JobTable.ts
+++ b/packages/jobs/src/lib/state/JobTable.ts
@@ -17,6 +17,8 @@
 import {
 	CrashEvidence,
 	clearCrashes,
+	countedCrashesOf,
+	presumeCrashed,
 	removeSilentWorker,
 	addCrash,
 	addSilentWorker,
@@ -27,6 +29,17 @@
 /** Most abandoned attempts remembered per task. */
 const MAX_LOST_ATTEMPTS = 16
 
+/** An unreachable worker of which is not decided yet whether it counts as crashed. @public */
+export interface UndecidedWorker {
+	/** Id of the worker's incarnation. */
+	readonly worker: string
+	/**
+	 * When it became unreachable, milliseconds since the epoch by the clock of the leader that found
+	 * it so; undefined if not recorded.
+	 */
+	readonly since: number | undefined
+}
+
 /** A task with its name, job and step. @public */
 export interface LocatedTask {
 	readonly name: TaskName
@@ -84,6 +97,22 @@
 		return this.silentWorkers.has(worker)
 	}
 
+	/**
+	 * @returns the unreachable workers on which runs of tasks were abandoned that do not count as
+	 * crashed yet.
+	 */
+	undecidedWorkers(): UndecidedWorker[] {
+		const found: UndecidedWorker[] = []
+		for (const worker of this.silentWorkers.workers()) {
+			const undecided = this.silentWorkers
+				.tasksOf(worker)
+				.flatMap((text) => this.locate(text)?.task.silent ?? [])
+				.find((lost) => lost.worker === worker && !lost.presumedCrashed)
+			if (undecided) found.push({ worker, since: undecided.since })
+		}
+		return found
+	}
+
 	/** @returns a task by its name in text form; undefined when there is none. */
 	locate(text: string): LocatedTask | undefined {
 		const name = parseTaskName(text)
@@ -144,7 +173,10 @@
 		const { task } = located
 		const isCurrent = task.status === TaskStatus.Placed && task.attempt === run.attempt
 		if (!isCurrent) return this.endLost(located, run, at)
-		if (run.evidence) this.recordSilent(located, run.task, run.evidence)
+		if (run.evidence) {
+			const since = run.unreachableSince ?? at
+			this.recordSilent(located, run.task, { evidence: run.evidence, since })
+		}
 		this.endCurrent(located, run, at)
 	}
 
@@ -181,11 +213,26 @@
 		}
 	}
 
+	/**
+	 * Counts an unreachable worker as crashed by the tasks whose runs on it were abandoned, until it
+	 * answers.
+	 */
+	presumeCrashed(worker: string, at: number): void {
+		for (const text of this.silentWorkers.tasksOf(worker)) {
+			const located = this.locate(text)
+			if (!located || !presumeCrashed(located.task, worker)) continue
+			this.reportCrash(located, worker)
+			this.endIfFinished(located, at)
+			this.report({ kind: 'task-cleared', task: located.name })
+		}
+	}
+
 	/** Drops the crashes counted against tasks that have been at work for long without harm. */
 	clearCrashes(tasks: readonly string[]): void {
 		for (const text of tasks) {
 			const located = this.locate(text)
-			if (located) clearCrashes(located.task)
+			if (!located) continue
+			for (const worker of clearCrashes(located.task)) this.silentWorkers.remove(worker, text)
 		}
 	}
 
@@ -253,14 +300,24 @@
 	/**
 	 * Records that a run was abandoned on an unreachable worker, which may turn out to have crashed.
 	 */
-	private recordSilent({ task }: LocatedTask, text: string, evidence: CrashEvidence): void {
-		addSilentWorker(task, { worker: task.worker, evidence })
+	private recordSilent(
+		{ task }: LocatedTask,
+		text: string,
+		loss: { readonly evidence: CrashEvidence; readonly since: number }
+	): void {
+		addSilentWorker(task, { worker: task.worker, ...loss })
 		this.silentWorkers.add(task.worker, text)
 	}
 
-	private countCrash({ name, task }: LocatedTask, worker: string, evidence: CrashEvidence): void {
+	private countCrash(located: LocatedTask, worker: string, evidence: CrashEvidence): void {
+		const { task } = located
+		const isCounted = countedCrashesOf(task).some((lost) => lost.worker === worker)
 		addCrash(task, worker, evidence)
-		this.report({ kind: 'crash-counted', task: name, worker, crashed: task.crashed ?? [] })
+		if (!isCounted) this.reportCrash(located, worker)
+	}
+
+	private reportCrash({ name, task }: LocatedTask, worker: string): void {
+		this.report({ kind: 'crash-counted', task: name, worker, crashed: countedCrashesOf(task) })
 	}
 
 	/** Updates a task once the fate of a worker is known on which a run of it was abandoned. */
--- a/packages/jobs/src/lib/state/SilentWorkerIndex.ts
+++ b/packages/jobs/src/lib/state/SilentWorkerIndex.ts
@@ -18,6 +18,16 @@
 		return this.tasks.has(worker)
 	}
 
+	/** The unreachable workers whose fate matters to some task. */
+	workers(): IterableIterator<string> {
+		return this.tasks.keys()
+	}
+
+	/** @returns the names of the tasks whose runs on a worker were abandoned. */
+	tasksOf(worker: string): string[] {
+		return [...(this.tasks.get(worker) ?? [])]
+	}
+
 	/** Adds a task whose run on a worker was abandoned. */
 	add(worker: string, task: string): void {
 		const tasks = this.tasks.get(worker) ?? new Set()
@@ -31,11 +41,18 @@
 	 * @returns the names of its tasks.
 	 */
 	take(worker: string): string[] {
-		const tasks = [...(this.tasks.get(worker) ?? [])]
+		const tasks = this.tasksOf(worker)
 		this.tasks.delete(worker)
 		return tasks
 	}
 
+	/** Removes the entry of a task. */
+	remove(worker: string, task: string): void {
+		const tasks = this.tasks.get(worker)
+		tasks?.delete(task)
+		if (tasks?.size === 0) this.tasks.delete(worker)
+	}
+
 	/** Removes the entries of a job's tasks. */
 	removeJob(job: JobRecord): void {
 		job.repeats.forEach((steps, repeat) =>
@@ -52,10 +69,4 @@
 	clear(): void {
 		this.tasks.clear()
 	}
-
-	private remove(worker: string, task: string): void {
-		const tasks = this.tasks.get(worker)
-		tasks?.delete(task)
-		if (tasks?.size === 0) this.tasks.delete(worker)
-	}
 }
--- a/packages/jobs/src/lib/state/TaskCrashes.ts
+++ b/packages/jobs/src/lib/state/TaskCrashes.ts
@@ -31,12 +31,23 @@
 	readonly evidence: CrashEvidence
 }
 
+/** An unreachable worker on which a run of a task was abandoned. @public */
+export interface SilentWorker extends LostWorker {
+	/**
+	 * When it became unreachable, milliseconds since the epoch by the leader's clock; absent in
+	 * older records.
+	 */
+	readonly since?: number
+	/** Whether it has been unreachable for so long that it counts as crashed until it answers. */
+	readonly presumedCrashed?: true
+}
+
 /** The workers that a task has lost; absent lists are empty. @public */
 export interface TaskCrashes {
 	/** Workers that crashed while it ran there. */
 	crashed?: readonly LostWorker[]
 	/** Workers that became unreachable, on which its run was abandoned and whose fate is unknown. */
-	silent?: readonly LostWorker[]
+	silent?: readonly SilentWorker[]
 }
 
 /** How a task is treated because of the workers that it has lost. @public */
@@ -48,8 +59,8 @@
 	/** Like `Suspected`, and no task of another job starts on its worker meanwhile. */
 	Isolated: 'isolated',
 	/**
-	 * It does not start until it is known whether the unreachable workers that it has lost have
-	 * crashed.
+	 * It does not start until each unreachable worker that it has lost has answered, has crashed or is
+	 * presumed to have crashed.
 	 */
 	Held: 'held',
 	/** It crashes its workers, and is never started again. */
@@ -85,22 +96,43 @@
 const MIN_EARLY_FOR_ISOLATION = 2
 
 /** @returns how a task is treated because of the workers that it has lost. @public */
-export function suspicionOf({ crashed, silent }: TaskCrashes): Suspicion {
+export function suspicionOf(task: TaskCrashes): Suspicion {
+	const { crashed, silent } = task
 	if (!crashed && !silent) return Suspicion.None
-	if (crashed && isProof(crashed)) return Suspicion.Proven
+	if (isProof(countedCrashesOf(task))) return Suspicion.Proven
 	const lost = [...(crashed ?? []), ...(silent ?? [])]
 	const early = lost.filter(isEarly).length
-	if (early >= MIN_EARLY_FOR_ISOLATION && silent?.some(isEarly)) return Suspicion.Held
+	const isFateAwaited = silent?.some((worker) => isEarly(worker) && !worker.presumedCrashed)
+	if (early >= MIN_EARLY_FOR_ISOLATION && isFateAwaited) return Suspicion.Held
 	if (early >= MIN_EARLY_FOR_ISOLATION || countStrong(lost) >= MIN_STRONG_FOR_ISOLATION)
 		return Suspicion.Isolated
 	return early > 0 ? Suspicion.Suspected : Suspicion.None
 }
 
+/** @returns the workers that count as crashed by a task, including those presumed so. @public */
+export function countedCrashesOf({ crashed = [], silent = [] }: TaskCrashes): LostWorker[] {
+	return [...crashed, ...silent.filter(({ presumedCrashed }) => presumedCrashed)]
+}
+
 /** Records a worker that became unreachable, on which a run of the task was abandoned. @public */
-export function addSilentWorker(task: TaskCrashes, lost: LostWorker): void {
+export function addSilentWorker(task: TaskCrashes, lost: SilentWorker): void {
 	task.silent = withLostWorker(task.silent, lost)
 }
 
+/**
+ * Counts an unreachable worker as crashed until it answers.
+ *
+ * @returns whether it did not count as crashed before.
+ * @public
+ */
+export function presumeCrashed(task: TaskCrashes, worker: string): boolean {
+	const isCounted = countedCrashesOf(task).some((lost) => lost.worker === worker)
+	task.silent = task.silent?.map((lost) =>
+		lost.worker === worker ? { ...lost, presumedCrashed: true } : lost
+	)
+	return !isCounted
+}
+
 /**
  * Records a worker that crashed while the task ran there; a second report of the same crash changes
  * nothing.
@@ -112,7 +144,8 @@
 export function addCrash(task: TaskCrashes, worker: string, evidence: CrashEvidence): void {
 	const earlier = task.silent?.find((lost) => lost.worker === worker)
 	removeSilentWorker(task, worker)
-	task.crashed = withLostWorker(task.crashed, earlier ?? { worker, evidence })
+	const lost = { worker, evidence: earlier?.evidence ?? evidence }
+	task.crashed = withLostWorker(task.crashed, lost)
 }
 
 /** Removes an unreachable worker that turned out not to have crashed. @public */
@@ -124,10 +157,15 @@
 
 /**
  * Drops the crashes of a task that was at work for long without harm: it did not cause them.
+ *
+ * @returns the unreachable workers among them, which were presumed to have crashed.
  * @public
  */
-export function clearCrashes(task: TaskCrashes): void {
+export function clearCrashes(task: TaskCrashes): string[] {
+	const presumed = (task.silent ?? []).filter(({ presumedCrashed }) => presumedCrashed)
 	delete task.crashed
+	for (const { worker } of presumed) removeSilentWorker(task, worker)
+	return presumed.map(({ worker }) => worker)
 }
 
 function isProof(crashed: readonly LostWorker[]): boolean {
@@ -135,7 +173,10 @@
 	return crashed.filter(isEarly).length >= MIN_EARLY_FOR_PROOF || crashed.length >= MIN_FOR_PROOF
 }
 
-function withLostWorker(list: readonly LostWorker[] = [], lost: LostWorker): readonly LostWorker[] {
+function withLostWorker<Lost extends LostWorker>(
+	list: readonly Lost[] = [],
+	lost: Lost
+): readonly Lost[] {
 	return list.some(({ worker }) => worker === lost.worker) ? list : [...list, lost]
 }
 
