A step prefers other workers after a start is refused or a run disappears

What callers saw: nothing yet; a task is tried again and again on one worker that refuses it for want of room or as unhealthy, or confirms it and runs nothing, while nine others are free.

Cause: only runs that failed counted against a worker in the choice for their step, so the same worker stayed the best one.

--- a/packages/jobs/src/lib/leader/JobController.ts
+++ b/packages/jobs/src/lib/leader/JobController.ts
@@ -87,7 +87,7 @@
 		this.precedence.onQueuesConfigured(state.configuration?.queues ?? [], context.clock.now())
 		this.runs = new RunController(context, this.workers, this.precedence, this.accounts, {
 			onTicketRefused: (task, worker) => this.steps.onTicketRefused(task, worker),
-			onMoved: (task, worker) => this.steps.onRunMoved(task, worker),
+			onNotServed: (task, worker) => this.steps.onRunNotServed(task, worker),
 			onStarted: (delay) => this.startDelays.record(delay),
 		})
 		const { workers, runs, precedence, accounts, shares } = this
--- a/packages/jobs/src/lib/leader/runs/RunController.ts
+++ b/packages/jobs/src/lib/leader/runs/RunController.ts
@@ -61,8 +61,8 @@
 	onTicketRefused(task: TaskName, worker: string): void
 	/** A worker has confirmed a run, `delay` milliseconds after this leader decided to start it. */
 	onStarted(delay: number): void
-	/** A run is moved away from a worker on which it stalled. */
-	onMoved(task: TaskName, worker: string): void
+	/** A worker does not serve a run, which stalled or was refused there. */
+	onNotServed(task: TaskName, worker: string): void
 }
 
 /**
@@ -96,6 +96,7 @@
 			onProgress: (run) => this.gangs.onProgress(run),
 			onGangMemberFailed: (run, failure, detail) => this.gangs.onMemberFailed(run, failure, detail),
 			onTicketRefused: ({ name, worker }) => this.listener.onTicketRefused(name, worker),
+			onStartRefused: ({ name, worker }) => this.listener.onNotServed(name, worker),
 		})
 		this.gangs = new GangAttempts(context, {
 			startObstacleOf: (run) => this.orders.startObstacleOf(run),
@@ -369,7 +370,7 @@
 		const { taskId: task, attempt, worker, percent } = run
 		this.context.log.info(LeaderEvent.RunMoved, { task, attempt, worker, percent })
 		this.context.meter.count(Measure.Moves)
-		this.listener.onMoved(run.name, worker)
+		this.listener.onNotServed(run.name, worker)
 		this.requestStop(run, StopReason.Moved)
 	}
 
--- a/packages/jobs/src/lib/leader/runs/RunOrders.ts
+++ b/packages/jobs/src/lib/leader/runs/RunOrders.ts
@@ -46,6 +46,8 @@
 	onGangMemberFailed(run: Run, failure: GangFailure, detail: string): void
 	/** A worker has refused the ticket of a start order. */
 	onTicketRefused(run: Run): void
+	/** A worker has refused a start for a reason of its own. */
+	onStartRefused(run: Run): void
 }
 
 /**
@@ -233,6 +235,7 @@
 			return
 		}
 		if (reason === Refusal.Ticket) this.host.onTicketRefused(run)
+		else this.host.onStartRefused(run)
 		if (reason === Refusal.Unhealthy) health.onFailure(worker, run.name.job, clock.now())
 		// An earlier copy of the order may still arrive; a stop order makes it ineffective.
 		if (run.isInDoubt) this.host.requestStop(run, StopReason.Withdrawn)
--- a/packages/jobs/src/lib/leader/steps/StepScheduler.ts
+++ b/packages/jobs/src/lib/leader/steps/StepScheduler.ts
@@ -200,7 +200,7 @@
 		this.quarantine.onRunEnded(formatTaskName(task), worker)
 		const work = this.steps.get(stepNameOf(task))
 		work?.adjustTaskCount(worker, -1)
-		if (how === RunEnd.Failed) work?.recordFailure(worker)
+		if (how === RunEnd.Failed || how === RunEnd.Lost) work?.recordFailure(worker)
 		this.onTaskSettled(task)
 	}
 
@@ -269,9 +269,10 @@
 	}
 
 	/**
-	 * Handles a run that was moved because it stalled: the step prefers other workers from now on.
+	 * Handles a run that its worker does not serve, because it stalls or is refused there: the step
+	 * prefers other workers from now on.
 	 */
-	onRunMoved(task: TaskName, worker: string): void {
+	onRunNotServed(task: TaskName, worker: string): void {
 		this.steps.get(stepNameOf(task))?.recordFailure(worker)
 	}
 
