An isolated task starts beside settled runs that are suspected

Callers saw a task without a run, up to as long as the suspected runs of others lasted, while workers had room: in the new test it had none in 200 s, the length of the test (both cases), where 17 s are allowed, and 9 s to a lasting task. No worker admitted an isolated task as long as a suspected run of another job was there, however long that one had been at work, and where each open worker had one, nothing ended the wait.

A run that has settled is weak evidence if its worker crashes later, so it is now only a reason to prefer other workers. A third test holds the preference; it fails with the preference taken out.

--- /dev/null
+++ b/packages/jobs/src/lib/leader/isolatedTask.test.ts
@@ -0,0 +1,141 @@
+/**
+ * How long an isolated task waits while workers have capacity. The bounds are those of the
+ * platform: a task whose turn has come has a run 14 s after the last event, and is in default 3 s
+ * after that; a lasting task 6 s after its last run, and 3 s.
+ */
+import assert from 'node:assert/strict'
+import { test } from 'node:test'
+import type { Step } from '../records/Job'
+import type { TaskRecord } from '../state/JobRecord'
+import { CrashEvidence, suspicionOf, Suspicion, type LostWorker } from '../state/TaskCrashes'
+import { LeaderSubject } from '../testing/LeaderSubject'
+import { jobOf } from '../testing/samples'
+
+const TICK_MS = 20
+const BEAT_MS = 1000
+/** From the start of a run until its worker is lost: well before it counts as settled. */
+const STARTUP_MS = 140
+const MAX_WAIT_MS = 14_000 + 3000
+const MAX_LASTING_WAIT_MS = 6000 + 3000
+
+const JOB = '00000000000000aa'
+const TASK = `${JOB}.0.0.0`
+/** The first task of the second step of the job. */
+const LATER_TASK = `${JOB}.0.1.0`
+const OTHERS = [1, 2, 3, 4].map((number) => `00000000000000c${number}`)
+const NEED = { cpu: 100, memory: 64, accelerators: 0 }
+/** Runs of others that outlast each test. */
+const LONG_STEP: Partial<Step> = { need: NEED, expectedTime: 600_000 }
+const STRONG: LostWorker = { worker: 'lost-1', evidence: CrashEvidence.Strong }
+
+/** A cell whose workers can be lost for good. */
+class IsolationCell {
+	readonly subject = new LeaderSubject({ maxAttempts: 4 })
+
+	constructor(readonly up: Set<string>) {
+		// No run ends or counts as stalled meanwhile.
+		for (const id of up) this.subject.worker(id).progressPerPoll = 0.1
+		this.run(BEAT_MS)
+	}
+
+	/** Runs until something is so. @returns the milliseconds that it took, at most `span`. */
+	run(span: number, isOver: () => boolean = () => false): number {
+		const { subject } = this
+		const since = subject.clock.now()
+		while (subject.clock.now() - since < span && !isOver()) {
+			const isBeat = subject.clock.now() % BEAT_MS < TICK_MS
+			if (isBeat) for (const id of this.up) subject.heartbeat(id, { labels: [id] })
+			subject.clock.advance(TICK_MS)
+			subject.controller.tick()
+		}
+		return subject.clock.now() - since
+	}
+
+	recordOf(task: string): TaskRecord {
+		return this.subject.state.jobs.locate(task)!.task
+	}
+
+	isRunning(task: string): boolean {
+		return [...this.up].some((id) => this.isOn(id, task))
+	}
+
+	isOn(worker: string, task: string): boolean {
+		return this.subject.worker(worker).running.some((run) => run.task === task)
+	}
+
+	/** Runs until tasks have started, and loses their workers before they have settled. */
+	loseDuringStartup(...tasks: string[]): void {
+		this.run(5000, () => tasks.every((task) => this.isRunning(task)))
+		this.run(STARTUP_MS)
+		for (const task of tasks) this.lose(this.recordOf(task).worker)
+	}
+
+	/** Submits a job with a step of which each task has lost a worker, and lets this step begin. */
+	submitWithCrashes(step: Partial<Step>, crashes: readonly LostWorker[]): void {
+		const second = { ...step, count: crashes.length, dependsOn: [0] }
+		this.subject.submit(JOB, jobOf({ need: NEED }, second))
+		this.run(5000, () => this.isRunning(TASK))
+		crashes.forEach((lost, index) => {
+			this.recordOf(`${JOB}.0.1.${index}`).crashed = [lost]
+		})
+		this.subject.worker(this.recordOf(TASK).worker).end(TASK, 'done')
+	}
+
+	private lose(id: string): void {
+		this.up.delete(id)
+		this.subject.worker(id).isUnresponsive = true
+		this.subject.worker(id).running = []
+	}
+}
+
+function workersNamed(count: number): Set<string> {
+	return new Set(Array.from({ length: count }, (_, number) => `w${number + 1}`))
+}
+
+/** A cell in which each worker that is left has a settled run of another job that is isolated. */
+function cellOfIsolatedRuns(): IsolationCell {
+	const cell = new IsolationCell(workersNamed(OTHERS.length + 1))
+	for (const id of OTHERS) cell.subject.submit(id, jobOf(LONG_STEP))
+	const tasks = OTHERS.map((id) => `${id}.0.0.0`)
+	cell.loseDuringStartup(...tasks)
+	cell.run(30_000, () => tasks.every((task) => cell.isRunning(task)))
+	cell.run(3000)
+	for (const id of cell.up) {
+		const isolated = tasks.filter((task) => cell.isOn(id, task))
+		assert.ok(isolated.length > 0, `${id} runs an isolated task`)
+		for (const task of isolated) {
+			assert.equal(suspicionOf(cell.recordOf(task)), Suspicion.Isolated)
+		}
+	}
+	return cell
+}
+
+// Guards against a wait for as long as suspected runs of others last: no worker admitted an isolated
+// task beside one, however long that one had been at work.
+for (const { lasting, bound } of [
+	{ lasting: false, bound: MAX_WAIT_MS },
+	{ lasting: true, bound: MAX_LASTING_WAIT_MS },
+]) {
+	test(`an isolated task starts beside settled runs that are suspected, lasting: ${lasting}`, () => {
+		const cell = cellOfIsolatedRuns()
+		cell.subject.submit(JOB, jobOf({ need: NEED, lasting }))
+		cell.loseDuringStartup(TASK)
+		const took = cell.run(200_000, () => cell.isRunning(TASK))
+		assert.equal(suspicionOf(cell.recordOf(TASK)), Suspicion.Isolated)
+		console.log('TOOK', took)
+		assert.ok(took <= bound, `${took} ms without a run`)
+	})
+}
+
+// Guards against losing one more worker than needed: a suspected run may crash its worker late.
+test('an isolated task starts where no run is suspected if it can, even if more work is at risk', () => {
+	const cell = new IsolationCell(workersNamed(2))
+	const [suspected, ...settled] = OTHERS
+	for (const id of settled) cell.subject.submit(id, jobOf({ ...LONG_STEP, requires: 'w1' }))
+	cell.subject.submit(suspected, jobOf({ ...LONG_STEP, requires: 'w2' }))
+	cell.recordOf(`${suspected}.0.0.0`).crashed = [STRONG]
+	cell.run(3000)
+	cell.submitWithCrashes({ need: NEED }, [STRONG])
+	cell.run(3000, () => cell.isRunning(LATER_TASK))
+	assert.equal(cell.recordOf(LATER_TASK).worker, 'w1')
+})
--- a/packages/jobs/src/lib/leader/steps/Quarantine.ts
+++ b/packages/jobs/src/lib/leader/steps/Quarantine.ts
@@ -3,8 +3,8 @@
  * innocent: they merely shared the worker with the task that crashed it. So none of them waits for
  * an empty worker. A suspected task goes where the least work is lost if its worker crashes. An
  * isolated task needs, besides, a worker on which all tasks of other jobs have been running for a
- * while and none is suspected; no task of another job starts beside it until it has outlived the
- * time in which it would have crashed its worker.
+ * while, preferably one on which none of them is suspected; no task of another job starts beside it
+ * until it has outlived the time in which it would have crashed its worker.
  *
  * This keeps a cell working in which a few tasks crash every worker that starts them.
  */
@@ -86,18 +86,15 @@
 		const needsOwnWorker = isIsolated && !work.step.gang
 		const job = work.job.id
 		const probationWorker = needsOwnWorker ? this.probationWorkerOf(job, now) : undefined
-		let best: WorkerOption | undefined
-		let least = Number.POSITIVE_INFINITY
-		for (const option of options) {
-			if (probationWorker !== undefined && probationWorker !== option.view.id) continue
-			if (!hasCapacity(work, option) || !isFree(work, option)) continue
-			if (needsOwnWorker && !this.hasOnlySettledRuns(option.view, job, now)) continue
-			const loss = lossOn(option.view, job)
-			if (loss >= least) continue
-			least = loss
-			best = option
-		}
-		return best
+		const admitting = options.filter((option) => {
+			if (probationWorker !== undefined && probationWorker !== option.view.id) return false
+			if (!hasCapacity(work, option) || !isFree(work, option)) return false
+			return !needsOwnWorker || this.hasOnlySettledRuns(option.view, job, now)
+		})
+		if (!needsOwnWorker) return leastLossAmong(admitting, job)
+		// Suspected runs may last for hours, and one that has settled is unlikely to crash its worker.
+		const unsuspected = admitting.filter(({ view }) => !this.hasSuspectedRun(view, job))
+		return leastLossAmong(unsuspected, job) ?? leastLossAmong(admitting, job)
 	}
 
 	/**
@@ -148,19 +145,40 @@
 	}
 
 	/**
-	 * Whether every run of other jobs on a worker has been running for a while and none is
-	 * suspected, so that none of them is likely to crash it.
+	 * Whether every run of other jobs on a worker has been running for a while, so that none of them
+	 * is likely to crash it.
 	 */
 	private hasOnlySettledRuns(view: WorkerView, job: string, now: number): boolean {
 		if (this.decidedStarts.decidedFor(view.id).some((other) => other !== job)) return false
-		for (const { taskId, name, confirmedAt } of view.runs.values()) {
+		for (const { name, confirmedAt } of view.runs.values()) {
 			if (name.job === job) continue
 			if (confirmedAt === undefined || now - confirmedAt < PROBATION_MS) return false
-			const task = this.state.jobs.locate(taskId)?.task
-			if (task && suspicionOf(task) !== Suspicion.None) return false
 		}
 		return true
 	}
+
+	/** Whether a run of another job on a worker is suspected. */
+	private hasSuspectedRun(view: WorkerView, job: string): boolean {
+		for (const { taskId, name } of view.runs.values()) {
+			if (name.job === job) continue
+			const task = this.state.jobs.locate(taskId)?.task
+			if (task && suspicionOf(task) !== Suspicion.None) return true
+		}
+		return false
+	}
+}
+
+/** @returns the worker on which a crash would lose the least work; undefined if there is none. */
+function leastLossAmong(options: readonly WorkerOption[], job: string): WorkerOption | undefined {
+	let best: WorkerOption | undefined
+	let least = Number.POSITIVE_INFINITY
+	for (const option of options) {
+		const loss = lossOn(option.view, job)
+		if (loss >= least) continue
+		least = loss
+		best = option
+	}
+	return best
 }
 
 /**
