A suspected task does not wait behind an isolated task of its step

Placement of a step ends at the first task that cannot be placed. That is right only if no later one can be: suspected tasks came in the order of their index, and an isolated one needs more of a worker than one that is only suspected.

The tasks of a step that may start are now in the order of what they need of a worker: unsuspected, suspected, isolated. So where one finds none, none after it does, and ending there is right for all.

--- a/packages/jobs/src/lib/leader/isolatedTask.test.ts
+++ b/packages/jobs/src/lib/leader/isolatedTask.test.ts
@@ -27,6 +27,9 @@
 /** Runs of others that outlast each test. */
 const LONG_STEP: Partial<Step> = { need: NEED, expectedTime: 600_000 }
 const STRONG: LostWorker = { worker: 'lost-1', evidence: CrashEvidence.Strong }
+const DOUBTFUL: LostWorker = { worker: 'lost-2', evidence: CrashEvidence.Doubtful }
+/** Less than it takes a run to count as settled. */
+const TRAFFIC_PERIOD_MS = 200
 
 /** A cell whose workers can be lost for good. */
 class IsolationCell {
@@ -81,6 +84,24 @@
 		this.subject.worker(this.recordOf(TASK).worker).end(TASK, 'done')
 	}
 
+	/**
+	 * Starts a short run of another job on each worker every {@link TRAFFIC_PERIOD_MS}, so that no
+	 * worker admits an isolated task.
+	 */
+	startTraffic(): void {
+		let count = 0
+		const start = (): void => {
+			for (const id of this.up) {
+				const worker = this.subject.worker(id)
+				for (const { task } of worker.running) if (!task.startsWith(JOB)) worker.end(task, 'done')
+				const job = `000000000001${(count++).toString(16).padStart(4, '0')}`
+				this.subject.submit(job, jobOf({ need: NEED, requires: id }))
+			}
+			this.subject.clock.after(TRAFFIC_PERIOD_MS, start)
+		}
+		start()
+	}
+
 	private lose(id: string): void {
 		this.up.delete(id)
 		this.subject.worker(id).isUnresponsive = true
@@ -139,3 +160,16 @@
 	cell.run(3000, () => cell.isRunning(LATER_TASK))
 	assert.equal(cell.recordOf(LATER_TASK).worker, 'w1')
 })
+
+// Guards against a task that waits for a worker that it does not need: placement ended at the first
+// task of the step that no worker admitted, and an isolated one came before those under less doubt.
+test('a suspected task does not wait behind an isolated task of its step that no worker admits', () => {
+	const cell = new IsolationCell(workersNamed(2))
+	cell.startTraffic()
+	cell.submitWithCrashes({ need: NEED }, [STRONG, DOUBTFUL])
+	const sibling = `${JOB}.0.1.1`
+	const took = cell.run(60_000, () => cell.isRunning(sibling))
+	assert.equal(cell.isRunning(LATER_TASK), false, 'the isolated task waits')
+	assert.equal(suspicionOf(cell.recordOf(sibling)), Suspicion.Suspected)
+	assert.ok(took <= MAX_WAIT_MS, `${took} ms without a run`)
+})
--- a/packages/jobs/src/lib/leader/steps/Quarantine.ts
+++ b/packages/jobs/src/lib/leader/steps/Quarantine.ts
@@ -81,9 +81,8 @@
 		isFree: CapacityCheck,
 		now: number
 	): WorkerOption | undefined {
-		const isIsolated = this.suspicionOf(work, index) === Suspicion.Isolated
 		// Members of a gang start together or not at all, so none of them can wait for another one.
-		const needsOwnWorker = isIsolated && !work.step.gang
+		const needsOwnWorker = this.isIsolated(work, index) && !work.step.gang
 		const job = work.job.id
 		const probationWorker = needsOwnWorker ? this.probationWorkerOf(job, now) : undefined
 		const admitting = options.filter((option) => {
@@ -98,8 +97,9 @@
 	}
 
 	/**
-	 * @returns indexes of waiting tasks that may start, unsuspected ones first; all or none for a
-	 * gang.
+	 * @returns indexes of waiting tasks that may start, unsuspected ones first and isolated ones
+	 * last; all or none for a gang. A worker that admits a task admits those before it too, so if
+	 * one cannot be placed, none after it can.
 	 */
 	getStartableTasks(work: StepWork): number[] {
 		const waiting = work.getWaitingTasks()
@@ -108,7 +108,10 @@
 		const isHeld = (index: number): boolean => this.suspicionOf(work, index) === Suspicion.Held
 		if (work.step.gang) return suspected.some(isHeld) ? [] : waiting
 		const unsuspected = waiting.filter((index) => !suspected.includes(index))
-		return [...unsuspected, ...suspected.filter((index) => !isHeld(index))]
+		const startable = suspected.filter((index) => !isHeld(index))
+		const isolated = startable.filter((index) => this.isIsolated(work, index))
+		const others = startable.filter((index) => !this.isIsolated(work, index))
+		return [...unsuspected, ...others, ...isolated]
 	}
 
 	/** @returns whether a task of a step is suspected. */
@@ -116,6 +119,11 @@
 		return this.suspicionOf(work, index) !== Suspicion.None
 	}
 
+	/** @returns whether a task of a step is isolated. */
+	isIsolated(work: StepWork, index: number): boolean {
+		return this.suspicionOf(work, index) === Suspicion.Isolated
+	}
+
 	/** Records that the start of an isolated task on a worker is decided. */
 	onStartDecided(task: string, job: string, worker: string): void {
 		this.probations.set(worker, { job, task, until: Number.POSITIVE_INFINITY })
