Isolation is a wait reason of its own

`isolated` holds where all tasks of the step that may start are isolated, no worker admits them, and one with room would admit them otherwise. It is not among the reasons that only others can end, so `step-waits-long` tells of it, as before.

--- a/packages/jobs/src/lib/leader/isolatedTask.test.ts
+++ b/packages/jobs/src/lib/leader/isolatedTask.test.ts
@@ -9,7 +9,7 @@
 import type { TaskRecord } from '../state/JobRecord'
 import { CrashEvidence, suspicionOf, Suspicion, type LostWorker } from '../state/TaskCrashes'
 import { LeaderSubject } from '../testing/LeaderSubject'
-import { jobOf } from '../testing/samples'
+import { jobOf, QUEUE } from '../testing/samples'
 
 const TICK_MS = 20
 const BEAT_MS = 1000
@@ -102,6 +102,12 @@
 		start()
 	}
 
+	/** @returns what the job's caller is told about the wait of its second step. */
+	explain(): string {
+		const reply = this.subject.call({ kind: 'explain-job', id: JOB })
+		return reply?.kind === 'explanation' ? reply.explanation.steps[1].reason : ''
+	}
+
 	private lose(id: string): void {
 		this.up.delete(id)
 		this.subject.worker(id).isUnresponsive = true
@@ -173,3 +179,27 @@
 	assert.equal(suspicionOf(cell.recordOf(sibling)), Suspicion.Suspected)
 	assert.ok(took <= MAX_WAIT_MS, `${took} ms without a run`)
 })
+
+// Guards against a long wait that is explained as being about to end, and that is counted as one for
+// reserved capacity: no reason named the isolation of tasks.
+test('a step whose tasks wait for isolation says so', () => {
+	const cell = new IsolationCell(workersNamed(2))
+	cell.startTraffic()
+	cell.submitWithCrashes({ need: NEED }, [STRONG])
+	cell.run(MAX_WAIT_MS)
+	assert.equal(cell.isRunning(LATER_TASK), false, 'the isolated task waits')
+	assert.match(cell.explain(), /^its tasks are isolated/)
+	cell.subject.call({ kind: 'cancel', to: { queue: QUEUE.name, id: JOB } })
+	cell.run(BEAT_MS)
+	const dropped = cell.subject.logLines.find((line) => line.includes('step-dropped'))
+	assert.match(dropped ?? '', /"waits":"isolated:\d{5}"/)
+})
+
+// Guards against naming isolation where a step has tasks that it does not keep waiting.
+test('a step without capacity for its isolated tasks is not said to wait for isolation', () => {
+	const cell = new IsolationCell(workersNamed(2))
+	cell.startTraffic()
+	cell.submitWithCrashes({ need: { ...NEED, cpu: 4000 } }, [STRONG])
+	cell.run(BEAT_MS)
+	assert.match(cell.explain(), /has room for one task/)
+})
--- a/packages/jobs/src/lib/leader/steps/StepPlacement.ts
+++ b/packages/jobs/src/lib/leader/steps/StepPlacement.ts
@@ -8,7 +8,12 @@
 import type { Reservations } from '../../placement/Reservations'
 import type { UrgentCapacity } from '../../placement/UrgentCapacity'
 import { epochTimeOf, type LeaderContext } from '../LeaderContext'
-import { chooseWorkerForStep, type WorkerOption, type CapacityCheck } from './chooseWorkerForStep'
+import {
+	chooseWorkerForStep,
+	hasCapacity,
+	type WorkerOption,
+	type CapacityCheck,
+} from './chooseWorkerForStep'
 import { placeGang, type PlacedTask, type TaskChooser } from './placeGang'
 import type { OpenWorkerList } from './OpenWorkerList'
 import type { Quarantine } from './Quarantine'
@@ -31,16 +36,19 @@
  */
 export class StepPlacement {
 	/**
-	 * Whether a task may start on a worker: the worker is open, its capacity is neither kept for
-	 * urgent work nor reserved for a more urgent step, and no task of another job is isolated
-	 * there.
+	 * Whether a worker is open, and its capacity is neither kept for urgent work nor reserved for a
+	 * more urgent step.
 	 */
-	private readonly isFree: CapacityCheck = (work, option) =>
+	private readonly isUnreserved: CapacityCheck = (work, option) =>
 		this.dependencies.openWorkers.isOpen(option) &&
 		this.dependencies.urgentCapacity.allows(work) &&
-		this.dependencies.quarantine.admits(work.job.id, option.view.id, this.context.clock.now()) &&
 		this.dependencies.reservations.allows(work, option)
 
+	/** Whether a task may start on a worker: besides, no task of another job is isolated there. */
+	private readonly isFree: CapacityCheck = (work, option) =>
+		this.dependencies.quarantine.admits(work.job.id, option.view.id, this.context.clock.now()) &&
+		this.isUnreserved(work, option)
+
 	/**
 	 * @param context - state and services that the parts of the leader share.
 	 * @param accounts - the quotas of accounts and their use.
@@ -70,6 +78,21 @@
 			: this.placeSeparately(work, waiting, options, now)
 	}
 
+	/**
+	 * @param work - the step.
+	 * @param options - workers that may run it.
+	 * @param now - the current time, on the leader's clock.
+	 * @returns whether only the isolation of its tasks keeps them from starting.
+	 */
+	isIsolated(work: StepWork, options: readonly WorkerOption[], now: number): boolean {
+		const { quarantine } = this.dependencies
+		const [first] = quarantine.getStartableTasks(work)
+		// Isolated tasks come last, so all of them are isolated if the first one is.
+		if (first === undefined || work.step.gang || !quarantine.isIsolated(work, first)) return false
+		if (quarantine.chooseWorker(work, first, options, this.isFree, now)) return false
+		return options.some((option) => hasCapacity(work, option) && this.isUnreserved(work, option))
+	}
+
 	private chooserFor(work: StepWork, now: number): TaskChooser {
 		return (index, options) =>
 			this.dependencies.quarantine.isSuspected(work, index)
--- a/packages/jobs/src/lib/leader/steps/StepScheduler.ts
+++ b/packages/jobs/src/lib/leader/steps/StepScheduler.ts
@@ -152,10 +152,13 @@
 		const isHeld = this.quarantine.getStartableTasks(work).length === 0
 		const isStartWindowFull = !this.startWindow.admits(this.countedStarts)
 		const now = this.context.clock.now()
+		const allowed = this.filterReady(work, withCapacity, now)
+		const isIsolated = this.placement.isIsolated(work, allowed, now)
 		return explainWait(work, {
 			eligible,
 			withCapacity,
 			isHeld,
+			isIsolated,
 			isWithinQuota,
 			reservation,
 			isStartWindowFull,
@@ -431,7 +434,10 @@
 		if (!work.hasLoggedBarred && isBarred(work, eligible)) this.log.logBarred(work, eligible.length)
 		const left = this.placeAmong(work, waiting, options, now)
 		if (left === 0) return
-		if (full) work.waits.setReason(waitReasonInPass(work, { eligible, options }), now)
+		if (full) {
+			const isIsolated = (): boolean => this.placement.isIsolated(work, options, now)
+			work.waits.setReason(waitReasonInPass(work, { eligible, options, isIsolated }), now)
+		}
 		if (shouldPlanGang(work)) return full ? this.gangs.plan(work, eligible, now) : undefined
 		if (full && this.reservations.canReserve(work))
 			this.reservations.reserveIfNeeded(work, left, workers.allowed)
@@ -477,14 +483,14 @@
 		return 0
 	}
 
-	/** Of workers where capacity was released, those that may run the step now. */
+	/** Of some workers, those that may run the step now. */
 	private filterReady(
 		work: StepWork,
-		freed: readonly WorkerOption[],
+		options: readonly WorkerOption[],
 		now: number
 	): readonly WorkerOption[] {
-		if (!work.queue.advice) return freed
-		return freed.filter(({ view }) => work.advice.ticketOf(view.id, now) !== undefined)
+		if (!work.queue.advice) return options
+		return options.filter(({ view }) => work.advice.ticketOf(view.id, now) !== undefined)
 	}
 
 	private startTasks(work: StepWork, placed: readonly PlacedTask[], now: number): void {
--- a/packages/jobs/src/lib/leader/steps/waitReason.ts
+++ b/packages/jobs/src/lib/leader/steps/waitReason.ts
@@ -17,6 +17,8 @@
 	Quota: 'quota',
 	/** No open worker has capacity for a task. */
 	Capacity: 'room',
+	/** They are isolated, and no worker with capacity admits them yet. */
+	Isolated: 'isolated',
 	/** Capacity is reserved until there is enough. */
 	Reservation: 'reservation',
 	/** There is not enough capacity for a whole gang. */
@@ -52,6 +54,8 @@
 	 * lost have crashed.
 	 */
 	readonly isHeld: boolean
+	/** Whether only the isolation of its tasks keeps them from starting. */
+	readonly isIsolated: boolean
 	/** Whether its account's quota allows what the step starts at a time. */
 	readonly isWithinQuota: boolean
 	/** When its reserved capacity is expected; undefined without a reservation. */
@@ -72,6 +76,8 @@
 	readonly eligible: readonly WorkerOption[]
 	/** Those of them that may run it now. */
 	readonly options: readonly WorkerOption[]
+	/** @returns whether only the isolation of its tasks keeps them from starting. */
+	readonly isIsolated: () => boolean
 }
 
 /**
@@ -83,11 +89,12 @@
  */
 export function waitReasonInPass(
 	work: StepWork,
-	{ eligible, options }: StepCandidates
+	{ eligible, options, isIsolated }: StepCandidates
 ): WaitReason {
 	if (eligible.length === 0) return WaitReason.Worker
 	if (options.some((option) => hasCapacity(work, option))) {
-		return work.step.gang ? WaitReason.Gang : WaitReason.Reservation
+		if (work.step.gang) return WaitReason.Gang
+		return isIsolated() ? WaitReason.Isolated : WaitReason.Reservation
 	}
 	const { advice } = work
 	const others = eligible.some(
@@ -109,8 +116,8 @@
 
 /** @returns why tasks of a step wait. @internal */
 export function explainWait(work: StepWork, context: WaitContext): WaitExplanation {
-	const { eligible, withCapacity, isWithinQuota, reservation, isStartWindowFull, now, isHeld } =
-		context
+	const { eligible, withCapacity, isWithinQuota, reservation, isStartWindowFull, now } = context
+	const { isHeld, isIsolated } = context
 	if (isHeld) {
 		return {
 			reason: WaitReason.Held,
@@ -147,6 +154,13 @@
 			until: 'runs end, or urgent work makes room',
 		}
 	}
+	if (isIsolated) {
+		return {
+			reason: WaitReason.Isolated,
+			text: 'its tasks are isolated since they lost workers, and no worker with room admits them',
+			until: 'runs of other jobs on one, and isolated ones of its job, have run for 0.5 s',
+		}
+	}
 	if (reservation) {
 		const wait = Math.round(Math.max(0, reservation.last - now))
 		return {
