--- a/packages/jobs/src/lib/leader/steps/Quarantine.ts
+++ b/packages/jobs/src/lib/leader/steps/Quarantine.ts
@@ -3,8 +3,8 @@
  * innocent: they merely shared the worker with the task that crashed it. So none of them waits for
  * an empty worker. A suspected task goes where the least work is lost if its worker crashes. An
  * isolated task needs, besides, a worker on which all tasks of other jobs have been running for a
- * while and none is suspected; no task of another job starts beside it until it has outlived the
- * time in which it would have crashed its worker.
+ * while, preferably one on which none of them is suspected; no task of another job starts beside it
+ * until it has outlived the time in which it would have crashed its worker.
  *
  * This keeps a cell working in which a few tasks crash every worker that starts them.
  */
@@ -81,28 +81,25 @@
 		isFree: CapacityCheck,
 		now: number
 	): WorkerOption | undefined {
-		const isIsolated = this.suspicionOf(work, index) === Suspicion.Isolated
 		// Members of a gang start together or not at all, so none of them can wait for another one.
-		const needsOwnWorker = isIsolated && !work.step.gang
+		const needsOwnWorker = this.isIsolated(work, index) && !work.step.gang
 		const job = work.job.id
 		const probationWorker = needsOwnWorker ? this.probationWorkerOf(job, now) : undefined
-		let best: WorkerOption | undefined
-		let least = Number.POSITIVE_INFINITY
-		for (const option of options) {
-			if (probationWorker !== undefined && probationWorker !== option.view.id) continue
-			if (!hasCapacity(work, option) || !isFree(work, option)) continue
-			if (needsOwnWorker && !this.hasOnlySettledRuns(option.view, job, now)) continue
-			const loss = lossOn(option.view, job)
-			if (loss >= least) continue
-			least = loss
-			best = option
-		}
-		return best
+		const admitting = options.filter((option) => {
+			if (probationWorker !== undefined && probationWorker !== option.view.id) return false
+			if (!hasCapacity(work, option) || !isFree(work, option)) return false
+			return !needsOwnWorker || this.hasOnlySettledRuns(option.view, job, now)
+		})
+		if (!needsOwnWorker) return leastLossAmong(admitting, job)
+		// Suspected runs may last for hours, and one that has settled is unlikely to crash its worker.
+		const unsuspected = admitting.filter(({ view }) => !this.hasSuspectedRun(view, job))
+		return leastLossAmong(unsuspected, job) ?? leastLossAmong(admitting, job)
 	}
 
 	/**
-	 * @returns indexes of waiting tasks that may start, unsuspected ones first; all or none for a
-	 * gang.
+	 * @returns indexes of waiting tasks that may start, unsuspected ones first and isolated ones
+	 * last; all or none for a gang. A worker that admits a task admits those before it too, so if
+	 * one cannot be placed, none after it can.
 	 */
 	getStartableTasks(work: StepWork): number[] {
 		const waiting = work.getWaitingTasks()
@@ -111,7 +108,10 @@
 		const isHeld = (index: number): boolean => this.suspicionOf(work, index) === Suspicion.Held
 		if (work.step.gang) return suspected.some(isHeld) ? [] : waiting
 		const unsuspected = waiting.filter((index) => !suspected.includes(index))
-		return [...unsuspected, ...suspected.filter((index) => !isHeld(index))]
+		const startable = suspected.filter((index) => !isHeld(index))
+		const isolated = startable.filter((index) => this.isIsolated(work, index))
+		const others = startable.filter((index) => !this.isIsolated(work, index))
+		return [...unsuspected, ...others, ...isolated]
 	}
 
 	/** @returns whether a task of a step is suspected. */
@@ -119,6 +119,11 @@
 		return this.suspicionOf(work, index) !== Suspicion.None
 	}
 
+	/** @returns whether a task of a step is isolated. */
+	isIsolated(work: StepWork, index: number): boolean {
+		return this.suspicionOf(work, index) === Suspicion.Isolated
+	}
+
 	/** Records that the start of an isolated task on a worker is decided. */
 	onStartDecided(task: string, job: string, worker: string): void {
 		this.probations.set(worker, { job, task, until: Number.POSITIVE_INFINITY })
@@ -148,19 +153,40 @@
 	}
 
 	/**
-	 * Whether every run of other jobs on a worker has been running for a while and none is
-	 * suspected, so that none of them is likely to crash it.
+	 * Whether every run of other jobs on a worker has been running for a while, so that none of them
+	 * is likely to crash it.
 	 */
 	private hasOnlySettledRuns(view: WorkerView, job: string, now: number): boolean {
 		if (this.decidedStarts.decidedFor(view.id).some((other) => other !== job)) return false
-		for (const { taskId, name, confirmedAt } of view.runs.values()) {
+		for (const { name, confirmedAt } of view.runs.values()) {
 			if (name.job === job) continue
 			if (confirmedAt === undefined || now - confirmedAt < PROBATION_MS) return false
-			const task = this.state.jobs.locate(taskId)?.task
-			if (task && suspicionOf(task) !== Suspicion.None) return false
 		}
 		return true
 	}
+
+	/** Whether a run of another job on a worker is suspected. */
+	private hasSuspectedRun(view: WorkerView, job: string): boolean {
+		for (const { taskId, name } of view.runs.values()) {
+			if (name.job === job) continue
+			const task = this.state.jobs.locate(taskId)?.task
+			if (task && suspicionOf(task) !== Suspicion.None) return true
+		}
+		return false
+	}
+}
+
+/** @returns the worker on which a crash would lose the least work; undefined if there is none. */
+function leastLossAmong(options: readonly WorkerOption[], job: string): WorkerOption | undefined {
+	let best: WorkerOption | undefined
+	let least = Number.POSITIVE_INFINITY
+	for (const option of options) {
+		const loss = lossOn(option.view, job)
+		if (loss >= least) continue
+		least = loss
+		best = option
+	}
+	return best
 }
 
 /**
