--- a/packages/runs/src/lib/jobs/Fleet.ts
+++ b/packages/runs/src/lib/jobs/Fleet.ts
@@ -15,6 +15,8 @@
 /** How long a leaving worker waits for the acknowledgement before it ends anyway. */
 const DRAIN_TIMEOUT_MS = 8000
 const RACK_SIZE = 3
+/** Most machines of a rack that are lost for good. */
+const MAX_GONE_IN_RACK = 1
 /** Minimum and maximum delay of a heartbeat that the network holds back. */
 const HELD_HEARTBEAT_MS = [100, 6000] as const
 
@@ -81,6 +83,19 @@
 		this.parts.clock.after(downtime, () => machine.restart())
 	}
 
+	/**
+	 * Crashes a worker whose machine never comes back, unless its rack would keep too few machines
+	 * for the work.
+	 */
+	loseForGood(machine: FleetWorker): void {
+		if (!machine.isUp) return
+		const { rack } = machine.worker
+		const gone = this.machines.filter((other) => other.isGone && other.worker.rack === rack)
+		if (gone.length >= MAX_GONE_IN_RACK) return
+		machine.isGone = true
+		machine.crash()
+	}
+
 	/** Drains a worker, which leaves; its machine starts another worker later. */
 	drain(machine: FleetWorker): void {
 		if (!machine.isUp || machine.isDraining) return
--- a/packages/runs/src/lib/jobs/FleetWorker.ts
+++ b/packages/runs/src/lib/jobs/FleetWorker.ts
@@ -87,6 +87,8 @@
 	 */
 	worker: Worker
 	isUp = true
+	/** Whether the machine was lost for good. */
+	isGone = false
 	/** Whether the machine is cut off from the network. */
 	isCutOff = false
 	isDraining = false
@@ -126,6 +128,11 @@
 		return this.runs.size
 	}
 
+	/** Processor share that its runs take, in thousandths of a core. */
+	get usedCpu(): number {
+		return [...this.runs.values()].reduce((sum, { step }) => sum + step.need.cpu, 0)
+	}
+
 	/** @returns whether a task runs on this worker. */
 	isRunning(task: string): boolean {
 		return this.runs.has(task)
--- a/packages/runs/src/lib/jobs/JobFaults.ts
+++ b/packages/runs/src/lib/jobs/JobFaults.ts
@@ -41,12 +41,21 @@
 	StartsRefused: 'starts-refused',
 	/** The leader's process stalls, and then handles all that arrived meanwhile. */
 	LeaderStalled: 'leader-stalled',
+	/** A worker crashes and its machine never comes back. */
+	WorkerGone: 'worker-gone',
+	/** A worker of each of several racks crashes at the same time, and none comes back. */
+	WorkersGone: 'workers-gone',
 } as const
 /** One of the kinds of faults. @public */
 export type JobFault = (typeof JobFault)[keyof typeof JobFault]
 
-/** All faults. @public */
-export const ALL_FAULTS: readonly JobFault[] = Object.values(JobFault)
+/** Faults whose workers never come back; a run has them only if it lists them. @public */
+export const PERMANENT_LOSSES: readonly JobFault[] = [JobFault.WorkerGone, JobFault.WorkersGone]
+
+/** All faults that end. @public */
+export const ALL_FAULTS: readonly JobFault[] = Object.values(JobFault).filter(
+	(fault) => !PERMANENT_LOSSES.includes(fault)
+)
 
 /**
  * All faults except stalled leaders, for regression seeds that were found without this fault.
@@ -114,6 +123,8 @@
 const CANCELLED_SHARE = 0.3
 const HELD_SHARE = 0.5
 const REFUSED_SHARE = 0.08
+/** Share of the workers that a wave of permanent losses takes, as far as their racks allow. */
+const GONE_SHARE = 0.15
 /**
  * Reasons for refusing a start that could be carried out; the other reasons follow from the state
  * of the worker.
@@ -219,6 +230,13 @@
 			case JobFault.CapacityShrinks:
 				machine.resize(random.fraction())
 				return this.after(duration, () => machine.resize(1))
+			case JobFault.WorkerGone:
+				return fleet.loseForGood(machine)
+			case JobFault.WorkersGone:
+				for (const other of fleet.machines) {
+					if (random.chance(GONE_SHARE)) fleet.loseForGood(other)
+				}
+				return
 			case JobFault.WorkerCut:
 				return this.cut([machine], duration)
 			case JobFault.DataCentreCut:
--- a/packages/runs/src/lib/jobs/JobRun.ts
+++ b/packages/runs/src/lib/jobs/JobRun.ts
@@ -7,6 +7,8 @@
 	DEFAULT_LEADER_TIMING,
 	JobController,
 	JobState,
+	isActive,
+	TaskStatus,
 	DEFAULT_LEADER_POLICY,
 	type AdviceTerms,
 	type CellConfiguration,
@@ -83,6 +85,23 @@
 	readonly wideGangs?: boolean
 	/** The policy of the leaders; {@link DEFAULT_LEADER_POLICY} if absent. */
 	readonly policy?: LeaderPolicy
+	/** Writes the lines of the leaders' logs; they are dropped if absent. */
+	readonly writeLog?: (line: string) => void
+}
+
+/** A task that waits although its turn has come and workers have capacity for it. @public */
+export interface LeftTask {
+	readonly task: string
+	/** Number of its runs so far. */
+	readonly attempt: number
+	/** Why its step waits, as the leader explains it. */
+	readonly reason: string
+	/** How the leader treats it because of the workers that it has lost. */
+	readonly suspicion: string
+	readonly crashed: readonly string[]
+	readonly silent: readonly string[]
+	/** Whether its job has nothing running. */
+	readonly isAlone: boolean
 }
 
 /** Counts of a run. @public */
@@ -109,6 +128,8 @@
 /** A number of workers that makes a leader send its orders through carriers. */
 const CARRIED_WORKER_COUNT = 1000
 const SERVICE = 'controller'
+/** Explanations of steps whose turn has not come. */
+const NOT_DUE = /^(it is not due yet|earlier steps are not done|the job is )/
 const URGENT = queueOf('urgent', 0, 2)
 const BATCH = queueOf('batch', 2, 3)
 /** Workers in each data centre of a run with wide gangs: advice about all of them takes long. */
@@ -254,6 +275,65 @@
 		}
 	}
 
+	/** Ends all faults, except that workers lost for good stay away. */
+	endFaults(): void {
+		this.faults.endAll()
+		if (!this.controller) this.startLeader()
+	}
+
+	/** Waits for a number of milliseconds, without faults or new jobs. */
+	wait(span: number): void {
+		this.advance(span)
+	}
+
+	/**
+	 * @returns the tasks that wait although their turn has come, workers have capacity for them twice
+	 * over, and under half of all capacity is in use.
+	 */
+	findLeftTasks(): LeftTask[] {
+		const up = this.fleet.machines.filter(({ isUp }) => isUp)
+		const total = up.reduce((sum, { worker }) => sum + worker.capacity.cpu, 0)
+		const used = up.reduce((sum, { usedCpu }) => sum + usedCpu, 0)
+		if (used * 2 >= total) return []
+		return [...this.state.jobs.all()].filter(isActive).flatMap((job) => this.findLeftIn(job, up))
+	}
+
+	private findLeftIn(job: JobRecord, up: readonly FleetWorker[]): LeftTask[] {
+		const left: LeftTask[] = []
+		this.controller?.call({ kind: 'explain-job', id: job.id }, (reply) => {
+			if (reply.kind !== 'explanation') return
+			const { steps } = reply.explanation
+			const isAlone = steps.every(({ placed }) => placed === 0)
+			for (const { step: name, reason, losses } of steps) {
+				if (reason === '' || NOT_DUE.test(reason)) continue
+				const [, repeat, number] = name.split('.').map(Number)
+				const step = job.request.steps[number]
+				const tasks = job.repeats[repeat][number].tasks
+				const need = step.need.cpu * (step.gang ? step.count : 1)
+				const fits = up.filter(
+					({ worker }) => !step.requires || worker.labels.includes(step.requires)
+				)
+				const room = fits.reduce((sum, one) => sum + one.worker.capacity.cpu - one.usedCpu, 0)
+				if (room < need * 2) continue
+				tasks.forEach(({ status, attempt }, index) => {
+					if (status !== TaskStatus.Waiting) return
+					const loss = losses.find((one) => one.index === index)
+					const { suspicion = 'none', crashed = [], silent = [] } = loss ?? {}
+					left.push({
+						task: `${name}.${index}`,
+						attempt,
+						reason,
+						suspicion,
+						crashed,
+						silent,
+						isAlone,
+					})
+				})
+			}
+		})
+		return left
+	}
+
 	/**
 	 * Ends all faults, waits for the jobs to end, and checks that no accepted job is lost.
 	 * @throws InvariantBroken
@@ -264,7 +344,8 @@
 		this.accounts?.liftQuotas()
 		if (this.accounts) this.configure()
 		this.advance(SETTLE_MS)
-		for (const { worker } of this.fleet.machines) {
+		for (const { worker, isGone } of this.fleet.machines) {
+			if (isGone) continue
 			const known = this.state.workers.find(worker.id) !== undefined
 			invariant(known, 'a worker that reports is known by its present life', {
 				worker: worker.id,
@@ -308,6 +389,7 @@
 		this.state = state
 		const log = new RunLog(clock, random, state, this.loop)
 		const discard = (): void => undefined
+		const { writeLog } = this.options
 		const controller: JobController = new JobController({
 			state,
 			ledger: new Ledger(new Random(this.options.seed)),
@@ -320,7 +402,7 @@
 			orders,
 			advisers,
 			proposals: log,
-			log: new Log('run', clock, 'silent', discard),
+			log: new Log('run', clock, writeLog ? 'debug' : 'silent', writeLog ?? discard),
 			meter: new Meter(),
 			onDeposed: () => this.onDeposed(controller),
 		})
