--- a/apps/bench/src/soak.ts
+++ b/apps/bench/src/soak.ts
@@ -1,6 +1,6 @@
 /** `npm run soak`: long seeded runs of groups and of whole cells; every failure prints its seed. */
 import { ExitCode, runCommand } from '@rillrudder/program'
-import { ALL_FAULTS, CellRun, GroupRun, JobRun } from '@rillrudder/runs'
+import { ALL_FAULTS, CellRun, GroupRun, JobRun, type JobRunOptions } from '@rillrudder/runs'
 import { command, flag, number, option } from 'cmd-ts'
 
 const STEPS_A_GROUP_RUN = 6000
@@ -13,6 +13,12 @@
 /** Share of workers' answers that take long, and of crashed workers that keep their names, in runs with these. */
 const SLOW_ANSWERS = 0.2
 const RESTARTED_SHARE = 0.3
+/** Share of the runs of jobs that take their seeds from those with losses. */
+const LOSSES_SHARE = 1 / 3
+/** First seed of runs with machines that never come back and with leaders lost after the traffic. */
+const FIRST_SEED_WITH_LOSSES = 100_000
+const GONE_SHARE = 0.3
+const QUIET_LEADER_PERIOD = 20_000
 const GROUP_FAULT_RATES = [0.005, 0.01, 0.02, 0.04]
 const voter = (id: string, durable: boolean, local: boolean) => ({ id, durable, local })
 const LAYOUTS = [
@@ -95,6 +101,15 @@
 	return soakRuns('cell', { first, count }, make, (run) => run.tally.callers.sent)
 }
 
+/** Runs of seeds below the first one keep the courses that earlier soaks recorded. */
+function lossesOf(seed: number): Pick<JobRunOptions, 'goneShare' | 'quietLeaderPeriod'> {
+	if (seed < FIRST_SEED_WITH_LOSSES) return {}
+	return {
+		goneShare: GONE_SHARE,
+		quietLeaderPeriod: seed % 32 >= 16 ? QUIET_LEADER_PERIOD : undefined,
+	}
+}
+
 function soakJobs(first: number, count: number): Soaked {
 	const make = (seed: number, faultRate: number): JobRun =>
 		new JobRun({
@@ -108,8 +123,18 @@
 			// Answers that come late, also after their workers have ended; some of these start again under their names.
 			slowAnswers: seed % 16 >= 8 ? SLOW_ANSWERS : undefined,
 			restartedShare: seed % 16 >= 12 ? RESTARTED_SHARE : undefined,
+			...lossesOf(seed),
 		})
-	return soakRuns('job', { first, count }, make, (run) => run.tally.starts)
+	const starts = (run: JobRun): number => run.tally.starts
+	const withLosses = first < FIRST_SEED_WITH_LOSSES ? Math.floor(count * LOSSES_SHARE) : 0
+	const total = soakRuns('job', { first, count: count - withLosses }, make, starts)
+	const seeds = { first: first + FIRST_SEED_WITH_LOSSES, count: withLosses }
+	const more = soakRuns('job', seeds, make, starts)
+	total.steps += more.steps
+	total.runs += more.runs
+	total.failed += more.failed
+	add(total.faults, more.faults)
+	return total
 }
 
 const soak = command({
