--- a/packages/runs/src/lib/jobs/Fleet.ts
+++ b/packages/runs/src/lib/jobs/Fleet.ts
@@ -15,6 +15,8 @@
 /** How long a leaving worker waits for the acknowledgement before it ends anyway. */
 const DRAIN_TIMEOUT_MS = 8000
 const RACK_SIZE = 3
+/** Most machines of a rack that are lost for good. */
+const MAX_GONE_IN_RACK = 1
 /** Minimum and maximum delay of a heartbeat that the network holds back. */
 const HELD_HEARTBEAT_MS = [100, 6000] as const
 
@@ -27,6 +29,10 @@
 	readonly reportsStartTime: boolean
 	/** Relative speed of each worker, by its number; 1 if absent. */
 	readonly speedOf?: (worker: number) => number
+	/**
+	 * @returns whether a machine that crashes now never comes back, and a fresh one joins instead.
+	 */
+	readonly isReplaced: () => boolean
 	/** Share of heartbeats that the network holds back. */
 	readonly heldHeartbeatShare: () => number
 	/** Delivers a call to the leader, if there is one. */
@@ -63,13 +69,15 @@
 	}
 
 	/**
-	 * Crashes a worker; its machine starts a worker with another name after a downtime in
-	 * milliseconds.
+	 * Crashes a worker. After a downtime in milliseconds its machine, or a fresh one at another
+	 * address, starts a worker with another name.
 	 */
 	crash(machine: FleetWorker, downtime: number): void {
 		if (!machine.isUp) return
+		if (!this.parts.isReplaced()) return this.end(machine, downtime)
+		machine.isGone = true
 		machine.crash()
-		this.parts.clock.after(downtime, () => machine.startAs(this.nextId()))
+		this.parts.clock.after(downtime, () => this.replace(machine))
 	}
 
 	/**
@@ -81,6 +89,19 @@
 		this.parts.clock.after(downtime, () => machine.restart())
 	}
 
+	/**
+	 * Crashes a worker whose machine never comes back, unless its rack would keep too few machines
+	 * for the work.
+	 */
+	loseForGood(machine: FleetWorker): void {
+		if (!machine.isUp) return
+		const { rack } = machine.worker
+		const gone = this.machines.filter((other) => other.isGone && other.worker.rack === rack)
+		if (gone.length >= MAX_GONE_IN_RACK) return
+		machine.isGone = true
+		machine.crash()
+	}
+
 	/** Drains a worker, which leaves; its machine starts another worker later. */
 	drain(machine: FleetWorker): void {
 		if (!machine.isUp || machine.isDraining) return
@@ -94,30 +115,47 @@
 	private leave(machine: FleetWorker, id: string): void {
 		if (!machine.isUp || machine.worker.id !== id) return
 		this.parts.call({ kind: 'leave', worker: id }, () => undefined)
-		this.crash(machine, DRAIN_MS)
+		this.end(machine, DRAIN_MS)
+	}
+
+	private end(machine: FleetWorker, downtime: number): void {
+		machine.crash()
+		this.parts.clock.after(downtime, () => machine.startAs(this.nextId()))
+	}
+
+	private replace(gone: FleetWorker): void {
+		const { dataCentre, rack, labels } = gone.worker
+		const fresh = this.newMachine({ dataCentre, rack, labels }, gone.speed)
+		this.machines[this.machines.indexOf(gone)] = fresh
 	}
 
 	private add(dataCentre: string): void {
 		const number = this.machines.length
 		const rack = `r${Math.floor(number / RACK_SIZE)}`
 		const kind = WORKER_KINDS[number % WORKER_KINDS.length]
+		const speed = this.parts.speedOf?.(number) ?? 1
+		this.machines.push(this.newMachine({ dataCentre, rack, labels: [kind, rack] }, speed))
+	}
+
+	private newMachine(
+		place: Pick<Worker, 'dataCentre' | 'rack' | 'labels'>,
+		speed: number
+	): FleetWorker {
 		const born = this.parts.reportsStartTime ? this.parts.clock.date().getTime() : undefined
 		const worker: Worker = {
+			...place,
 			id: formatIncarnation({ name: this.nextId(), born }),
 			born,
 			service: this.parts.service,
-			address: `10.0.0.${number}:80`,
-			dataCentre,
-			rack,
-			labels: [kind, rack],
+			address: `10.0.0.${this.byAddress.size}:80`,
 			capacity: { cpu: 4000, memory: 8192, accelerators: 0 },
 			slots: 8,
 		}
 		const machine = new FleetWorker({ ...this.parts, gangs: this.gangs }, worker)
-		machine.speed = this.parts.speedOf?.(number) ?? 1
-		this.machines.push(machine)
+		machine.speed = speed
 		this.byAddress.set(worker.address, machine)
 		this.repeatHeartbeats(machine)
+		return machine
 	}
 
 	private repeatHeartbeats(machine: FleetWorker): void {
--- a/packages/runs/src/lib/jobs/FleetWorker.ts
+++ b/packages/runs/src/lib/jobs/FleetWorker.ts
@@ -18,6 +18,7 @@
 	type StopOrder,
 	type Worker,
 } from '@rillrudder/jobs'
+import { NO_RESOURCES, plus, type Resources } from '@rillrudder/scheduler'
 import type { Clock, Random } from '@rillrudder/utils'
 import type { GangRegistry } from './GangRegistry'
 import type { JobInvariants } from './JobInvariants'
@@ -87,6 +88,8 @@
 	 */
 	worker: Worker
 	isUp = true
+	/** Whether the machine was lost for good. */
+	isGone = false
 	/** Whether the machine is cut off from the network. */
 	isCutOff = false
 	isDraining = false
@@ -126,6 +129,11 @@
 		return this.runs.size
 	}
 
+	/** What its runs take. */
+	get used(): Resources {
+		return [...this.runs.values()].reduce((sum, { step }) => plus(sum, step.need), NO_RESOURCES)
+	}
+
 	/** @returns whether a task runs on this worker. */
 	isRunning(task: string): boolean {
 		return this.runs.has(task)
@@ -140,7 +148,7 @@
 	crash(): void {
 		this.isUp = false
 		const { invariants, gangs } = this.parts
-		invariants.onWorkerDied(this.worker.id)
+		invariants.onWorkerDied(this.worker.id, this.parts.clock.now())
 		for (const run of this.runs.values()) gangs.onRunEnded(run)
 		this.runs.clear()
 		this.pendingPolls = []
--- a/packages/runs/src/lib/jobs/JobRun.ts
+++ b/packages/runs/src/lib/jobs/JobRun.ts
@@ -25,6 +25,7 @@
 import { FleetOrders } from './FleetOrders'
 import type { FleetWorker } from './FleetWorker'
 import { COMMON_FAULTS, JobFaults, RESTART_FAULTS, type JobFault } from './JobFaults'
+import { IdleJobs } from './IdleJobs'
 import { JobInvariants } from './JobInvariants'
 import { LeaderLoop } from './LeaderLoop'
 import { randomJob, WIDE_GANG_SPEC, wideGangJob } from './randomJob'
@@ -46,6 +47,12 @@
 const RETRY_MS = 400
 /** Time after the end of all faults within which all jobs must end. */
 const SETTLE_MS = 90_000
+/** Interval between two looks for jobs that are left while a run settles. */
+const IDLE_CHECK_MS = 100
+/** Time without a leader when one is lost while a run settles. */
+const QUIET_LEADERLESS_MS = 500
+/** Sets the random generator of permanent losses apart from the run's own. */
+const LOSSES_SEED_MASK = 0x5bd1
 
 /** Options of a {@link JobRun}. @public */
 export interface JobRunOptions {
@@ -72,6 +79,13 @@
 	readonly crashingTasks?: boolean
 	/** Share of the workers crashed by tasks that restart under their names; 0 if absent. */
 	readonly restartedShare?: number
+	/**
+	 * Share of crashed workers whose machines never come back, while fresh machines join in their
+	 * place; 0 if absent.
+	 */
+	readonly goneShare?: number
+	/** Interval at which leaders are lost while the run settles, in milliseconds; never if absent. */
+	readonly quietLeaderPeriod?: number
 	/**
 	 * Share of slow answers of workers; if it is above 0, answers also arrive after the worker has
 	 * ended.
@@ -83,6 +97,8 @@
 	readonly wideGangs?: boolean
 	/** The policy of the leaders; {@link DEFAULT_LEADER_POLICY} if absent. */
 	readonly policy?: LeaderPolicy
+	/** Writes the lines of the leaders' logs; they are dropped if absent. */
+	readonly writeLog?: (line: string) => void
 }
 
 /** Counts of a run. @public */
@@ -176,7 +192,8 @@
 	/** @param options - the seed, rates and faults. */
 	constructor(private readonly options: JobRunOptions) {
 		this.random = new Random(options.seed)
-		const { seed, competition } = options
+		const { seed, competition, goneShare = 0 } = options
+		const losses = new Random(seed ^ LOSSES_SEED_MASK)
 		this.jobRandom = options.wideGangs ? new Random(seed) : this.random
 		this.competingAccounts = competition && new CompetingAccounts(seed, competition)
 		this.accounts = this.competingAccounts ?? (options.accounts ? new RunAccounts(seed) : undefined)
@@ -197,6 +214,7 @@
 			reportsStartTime:
 				options.reportsStartTime ?? RESTART_FAULTS.some((fault) => this.faults.has(fault)),
 			speedOf: options.speedOf,
+			isReplaced: () => goneShare > 0 && losses.chance(goneShare),
 			stepOf: (task) => this.stepOf(task),
 			mayRun: (task, worker, ticket) => this.mayRun(task, worker, ticket),
 			heldHeartbeatShare: () => this.faults.heldHeartbeatShare,
@@ -255,7 +273,8 @@
 	}
 
 	/**
-	 * Ends all faults, waits for the jobs to end, and checks that no accepted job is lost.
+	 * Ends all faults, waits for the jobs to end, and checks that no accepted job is lost, nor left
+	 * without a run while there is room for it.
 	 * @throws InvariantBroken
 	 */
 	settle(): void {
@@ -263,8 +282,10 @@
 		if (!this.controller) this.startLeader()
 		this.accounts?.liftQuotas()
 		if (this.accounts) this.configure()
-		this.advance(SETTLE_MS)
-		for (const { worker } of this.fleet.machines) {
+		const idleJobs = this.newIdleJobs()
+		this.waitQuietly(idleJobs)
+		for (const { worker, isGone } of this.fleet.machines) {
+			if (isGone) continue
 			const known = this.state.workers.find(worker.id) !== undefined
 			invariant(known, 'a worker that reports is known by its present life', {
 				worker: worker.id,
@@ -274,6 +295,29 @@
 			const crashes = this.crashingTasks?.hasCrashingTask(job.id) ?? false
 			checkOutcome(job, this.state.jobs.find(job.id), this.invariants, crashes)
 		}
+		idleJobs.check()
+	}
+
+	/** Waits for the jobs to end, under a new leader from time to time if the options say so. */
+	private waitQuietly(idleJobs: IdleJobs): void {
+		const { quietLeaderPeriod = SETTLE_MS } = this.options
+		for (let spent = 0; spent < SETTLE_MS; spent += IDLE_CHECK_MS) {
+			if (spent > 0 && spent % quietLeaderPeriod === 0) this.loseLeader(QUIET_LEADERLESS_MS)
+			this.advance(IDLE_CHECK_MS)
+			idleJobs.observe()
+		}
+	}
+
+	private newIdleJobs(): IdleJobs {
+		return new IdleJobs({
+			clock: this.clock,
+			invariants: this.invariants,
+			submitted: this.submitted,
+			machinesUp: () => this.fleet.machines.filter(({ isUp }) => isUp),
+			recordOf: (id) => this.state.jobs.find(id),
+			isAllowed: ({ queue }, step, worker) =>
+				queue.advice === undefined || this.advisers.allows(step, worker),
+		})
 	}
 
 	/** Ends the leader; another one starts after `gap` milliseconds. */
@@ -308,6 +352,7 @@
 		this.state = state
 		const log = new RunLog(clock, random, state, this.loop)
 		const discard = (): void => undefined
+		const { writeLog } = this.options
 		const controller: JobController = new JobController({
 			state,
 			ledger: new Ledger(new Random(this.options.seed)),
@@ -320,7 +365,7 @@
 			orders,
 			advisers,
 			proposals: log,
-			log: new Log('run', clock, 'silent', discard),
+			log: new Log('run', clock, writeLog ? 'debug' : 'silent', writeLog ?? discard),
 			meter: new Meter(),
 			onDeposed: () => this.onDeposed(controller),
 		})
