A held task is logged as a long wait and not as overlooked

Cause: the pass marks such a step as fully placed, which the reconciliation took for overlooked; and held counted as a reason that only workers end. Its end is the leader's own decision now. lostForGood.test.ts failed before (7 lines work-missed, 0 wanted).

--- a/packages/jobs/src/lib/leader/lostForGood.test.ts
+++ b/packages/jobs/src/lib/leader/lostForGood.test.ts
@@ -137,6 +137,20 @@
 	assert.equal(cell.subject.state.jobs.find(JOB)?.state, 'failed')
 })
 
+// Guards against a held task that is logged as overlooked twice a second, and whose wait is not.
+test('a held task is logged as a long wait and not as overlooked', () => {
+	const cell = new ShrinkingCell({ lasting: true })
+	cell.loseAtStart()
+	cell.loseAtStart()
+	cell.run(LASTING_MS, () => cell.suspicion === Suspicion.Held)
+	cell.run(1000)
+	const { controller, logLines } = cell.subject
+	controller.measure()
+	assert.equal(logLines.filter((line) => line.includes('work-missed')).length, 0)
+	const [wait] = logLines.filter((line) => line.includes('step-waits-long'))
+	assert.match(wait ?? '', /whether they crashed is awaited/)
+})
+
 // Guards against a job that fails because of workers that were cut off and ran on.
 test('a worker that counts as crashed and answers again is no longer counted', () => {
 	const cell = new ShrinkingCell()
--- a/packages/jobs/src/lib/leader/steps/StepScheduler.ts
+++ b/packages/jobs/src/lib/leader/steps/StepScheduler.ts
@@ -246,7 +246,9 @@
 	private reopenIfMissed(job: JobRecord, repeat: number, step: number): boolean {
 		const known = this.steps.get(stepName(job.id, repeat, step))
 		const work = known ?? this.open(job, repeat, step)
-		const wasOverlooked = work.isFullyPlaced && work.getWaitingTasks().length > 0
+		// Held tasks can't be placed, so a step with no others counts as fully placed.
+		const wasOverlooked =
+			work.isFullyPlaced && this.quarantine.getStartableTasks(work).length > 0
 		if (wasOverlooked) work.isFullyPlaced = false
 		return !known || wasOverlooked
 	}
--- a/packages/jobs/src/lib/leader/steps/StepWaitMonitor.ts
+++ b/packages/jobs/src/lib/leader/steps/StepWaitMonitor.ts
@@ -26,7 +26,6 @@
 const LONG_WAIT_MS = 5000
 /** Reasons that only workers, callers or operators can end. */
 const EXTERNAL_REASONS: readonly WaitReason[] = [
-	WaitReason.Held,
 	WaitReason.Worker,
 	WaitReason.Barred,
 	WaitReason.Quota,
--- a/packages/runs/src/lib/jobs/restartedRun.test.ts
+++ b/packages/runs/src/lib/jobs/restartedRun.test.ts
@@ -179,7 +179,7 @@
 for (const { rule, without, patches, runSeed } of PATCHES) {
 	test(`runs with restarts fail without ${without}`, () => {
 		assert.match(
-			withPatchedMethods(patches(), () => firstFailure(runSeed, MAX_SEEDS)),
+			withPatchedMethods(patches(), () => firstFailure(runSeed, MAX_SEEDS, rule)),
 			rule
 		)
 	})
