Undecided workers are found without visiting abandoned runs

At the design size a region that is cut off leaves thousands of unreachable workers with tens of thousands of abandoned runs; looking at each of them five times a second for as long as the cut lasts is work of the leader's loop for nothing. The index keeps the undecided workers apart.

--- a/packages/jobs/src/lib/leader/steps/StepScheduler.ts
+++ b/packages/jobs/src/lib/leader/steps/StepScheduler.ts
@@ -247,8 +247,7 @@
 		const known = this.steps.get(stepName(job.id, repeat, step))
 		const work = known ?? this.open(job, repeat, step)
 		// Held tasks can't be placed, so a step with no others counts as fully placed.
-		const wasOverlooked =
-			work.isFullyPlaced && this.quarantine.getStartableTasks(work).length > 0
+		const wasOverlooked = work.isFullyPlaced && this.quarantine.getStartableTasks(work).length > 0
 		if (wasOverlooked) work.isFullyPlaced = false
 		return !known || wasOverlooked
 	}
--- a/packages/jobs/src/lib/leader/workers/CrashPresumption.test.ts
+++ b/packages/jobs/src/lib/leader/workers/CrashPresumption.test.ts
@@ -4,7 +4,7 @@
 import { Log } from '@rillrudder/telemetry'
 import { ManualClock } from '@rillrudder/utils'
 import type { CellCommand } from '../../commands/CellCommand'
-import type { UndecidedWorker } from '../../state/JobTable'
+import type { UndecidedWorker } from '../../state/SilentWorkerIndex'
 import type { LeaderContext } from '../LeaderContext'
 import { DEFAULT_LEADER_TIMING } from '../LeaderTiming'
 import { CrashPresumption } from './CrashPresumption'
@@ -26,7 +26,7 @@
 		const context = {
 			clock: this.clock,
 			timing: DEFAULT_LEADER_TIMING,
-			state: { jobs: { undecidedWorkers: () => this.undecided(started, this.clock.now()) } },
+			state: { jobs: this.jobsSince(started) },
 			log: new Log('test', this.clock, 'silent', () => undefined),
 			proposals: {
 				propose: (command: CellCommand, done: () => void) => {
@@ -38,6 +38,15 @@
 		this.presumption = new CrashPresumption(context as unknown as LeaderContext)
 	}
 
+	private jobsSince(started: number): { readonly undecidedWorkers: UndecidedWorker[] } {
+		const read = (): UndecidedWorker[] => this.undecided(started, this.clock.now())
+		return {
+			get undecidedWorkers() {
+				return read()
+			},
+		}
+	}
+
 	/** @returns after how many milliseconds a proposal was made; `span` if none was. */
 	run(span: number): number {
 		const since = this.clock.now()
--- a/packages/jobs/src/lib/leader/workers/CrashPresumption.ts
+++ b/packages/jobs/src/lib/leader/workers/CrashPresumption.ts
@@ -9,9 +9,9 @@
  */
 import { epochTimeOf, type LeaderContext } from '../LeaderContext'
 import { LeaderEvent } from '../LeaderEvent'
-import type { UndecidedWorker } from '../../state/JobTable'
+import type { UndecidedWorker } from '../../state/SilentWorkerIndex'
 
-/** Interval between two checks, each of which visits the abandoned runs. */
+/** Interval between two checks, each of which visits the undecided workers. */
 const CHECK_INTERVAL_MS = 200
 
 /**
@@ -31,7 +31,7 @@
 	tick(now: number): void {
 		if (now < this.dueAt || this.isPending) return
 		this.dueAt = now + CHECK_INTERVAL_MS
-		const undecided = this.context.state.jobs.undecidedWorkers()
+		const undecided = this.context.state.jobs.undecidedWorkers
 		this.firstSeen = new Map(
 			undecided.map(({ worker }) => [worker, this.firstSeen.get(worker) ?? now])
 		)
--- a/packages/jobs/src/lib/state/CellState.test.ts
+++ b/packages/jobs/src/lib/state/CellState.test.ts
@@ -70,6 +70,28 @@
 	}
 })
 
+const PRESUMED: CellCommand = { kind: 'presume-crashed', workers: ['w1'], at: 9 }
+
+test('since when a worker has been unreachable, and that it counts as crashed, are in snapshots', () => {
+	const { state, changes } = stateWith(SUBMIT, JOIN, BEGIN, lost(1))
+	const next = new CellState()
+	next.restore(state.snapshot())
+	assert.deepEqual(next.jobs.undecidedWorkers, [{ worker: 'w1', since: 1 }])
+	state.apply(encodeCommands([PRESUMED, PRESUMED]))
+	assert.equal(changes.filter(({ kind }) => kind === 'crash-counted').length, 1)
+	next.restore(state.snapshot())
+	assert.deepEqual(next.jobs.undecidedWorkers, [])
+	assert.equal(suspicionIn(next), Suspicion.Isolated)
+})
+
+test('a worker that counts as crashed and turns out to have crashed counts once', () => {
+	const gone: CellCommand = { kind: 'gone', worker: 'w1', at: 10, crash: {} }
+	const { state, changes } = stateWith(SUBMIT, JOIN, BEGIN, lost(1), PRESUMED, gone)
+	const { crashed, silent } = state.jobs.locate(TASK)!.task
+	assert.deepEqual([crashed, silent], [[{ worker: 'w1', evidence: Strong }], undefined])
+	assert.equal(changes.filter(({ kind }) => kind === 'crash-counted').length, 1)
+})
+
 test('a job whose task crashes its workers fails at once, also while another run of the task is running', () => {
 	const commands: CellCommand[] = [SUBMIT, JOIN, BEGIN, lost(1)]
 	for (const attempt of [2, 3, 4]) {
--- a/packages/jobs/src/lib/state/JobTable.ts
+++ b/packages/jobs/src/lib/state/JobTable.ts
@@ -13,7 +13,7 @@
 	type Submission,
 	type TaskRecord,
 } from './JobRecord'
-import { SilentWorkerIndex } from './SilentWorkerIndex'
+import { SilentWorkerIndex, type UndecidedWorker } from './SilentWorkerIndex'
 import {
 	CrashEvidence,
 	clearCrashes,
@@ -29,17 +29,6 @@
 /** Most abandoned attempts remembered per task. */
 const MAX_LOST_ATTEMPTS = 16
 
-/** An unreachable worker of which is not decided yet whether it counts as crashed. @public */
-export interface UndecidedWorker {
-	/** Id of the worker's incarnation. */
-	readonly worker: string
-	/**
-	 * When it became unreachable, milliseconds since the epoch by the clock of the leader that found
-	 * it so; undefined if not recorded.
-	 */
-	readonly since: number | undefined
-}
-
 /** A task with its name, job and step. @public */
 export interface LocatedTask {
 	readonly name: TaskName
@@ -98,19 +87,10 @@
 	}
 
 	/**
-	 * @returns the unreachable workers on which runs of tasks were abandoned that do not count as
-	 * crashed yet.
+	 * The unreachable workers on which runs of tasks were abandoned that do not count as crashed yet.
 	 */
-	undecidedWorkers(): UndecidedWorker[] {
-		const found: UndecidedWorker[] = []
-		for (const worker of this.silentWorkers.workers()) {
-			const undecided = this.silentWorkers
-				.tasksOf(worker)
-				.flatMap((text) => this.locate(text)?.task.silent ?? [])
-				.find((lost) => lost.worker === worker && !lost.presumedCrashed)
-			if (undecided) found.push({ worker, since: undecided.since })
-		}
-		return found
+	get undecidedWorkers(): readonly UndecidedWorker[] {
+		return [...this.silentWorkers.undecidedWorkers()]
 	}
 
 	/** @returns a task by its name in text form; undefined when there is none. */
@@ -218,6 +198,7 @@
 	 * answers.
 	 */
 	presumeCrashed(worker: string, at: number): void {
+		this.silentWorkers.decide(worker)
 		for (const text of this.silentWorkers.tasksOf(worker)) {
 			const located = this.locate(text)
 			if (!located || !presumeCrashed(located.task, worker)) continue
@@ -271,7 +252,7 @@
 			this.add(job)
 			for (const { text, task } of tasksOf(job)) {
 				if (task.status === TaskStatus.Placed) this.placedSetOf(task.worker).add(text)
-				for (const { worker } of task.silent ?? []) this.silentWorkers.add(worker, text)
+				for (const lost of task.silent ?? []) this.silentWorkers.add(lost, text)
 			}
 		}
 	}
@@ -305,8 +286,9 @@
 		text: string,
 		loss: { readonly evidence: CrashEvidence; readonly since: number }
 	): void {
-		addSilentWorker(task, { worker: task.worker, ...loss })
-		this.silentWorkers.add(task.worker, text)
+		const lost = { worker: task.worker, ...loss }
+		addSilentWorker(task, lost)
+		this.silentWorkers.add(lost, text)
 	}
 
 	private countCrash(located: LocatedTask, worker: string, evidence: CrashEvidence): void {
