--- a/packages/jobs/src/lib/leader/steps/Quarantine.ts
+++ b/packages/jobs/src/lib/leader/steps/Quarantine.ts
@@ -90,10 +90,10 @@
 			if (!hasCapacity(work, option) || !isFree(work, option)) return false
 			return !needsOwnWorker || this.hasOnlySettledRuns(option.view, job, now)
 		})
-		if (!needsOwnWorker) return leastLossAmong(admitting, job)
+		if (!needsOwnWorker) return leastLossAmong(work, admitting)
 		// Suspected runs may last for hours, and one that has settled is unlikely to crash its worker.
 		const unsuspected = admitting.filter(({ view }) => !this.hasSuspectedRun(view, job))
-		return leastLossAmong(unsuspected, job) ?? leastLossAmong(admitting, job)
+		return leastLossAmong(work, unsuspected) ?? leastLossAmong(work, admitting)
 	}
 
 	/**
@@ -176,13 +176,23 @@
 	}
 }
 
-/** @returns the worker on which a crash would lose the least work; undefined if there is none. */
-function leastLossAmong(options: readonly WorkerOption[], job: string): WorkerOption | undefined {
+/**
+ * @returns the worker on which a crash would lose the least work, of those that failed the fewest
+ * runs of the step; undefined if there is none.
+ */
+function leastLossAmong(
+	work: StepWork,
+	options: readonly WorkerOption[]
+): WorkerOption | undefined {
 	let best: WorkerOption | undefined
+	let fewest = Number.POSITIVE_INFINITY
 	let least = Number.POSITIVE_INFINITY
 	for (const option of options) {
-		const loss = lossOn(option.view, job)
-		if (loss >= least) continue
+		const failures = work.failureCountByWorker.get(option.view.id) ?? 0
+		if (failures > fewest) continue
+		const loss = lossOn(option.view, work.job.id)
+		if (failures === fewest && loss >= least) continue
+		fewest = failures
 		least = loss
 		best = option
 	}
--- a/packages/jobs/src/lib/leader/waitsAcrossLeaders.test.ts
+++ b/packages/jobs/src/lib/leader/waitsAcrossLeaders.test.ts
@@ -5,6 +5,7 @@
 import assert from 'node:assert/strict'
 import { test } from 'node:test'
 import type { TaskRecord } from '../state/JobRecord'
+import { CrashEvidence } from '../state/TaskCrashes'
 import { accountNamed, jobOf, QUEUE } from '../testing/samples'
 import {
 	badStarts,
@@ -17,10 +18,13 @@
 	WaitingCell,
 	type Wait,
 } from '../testing/WaitingCell'
-import { Refusal } from './ports'
+import { Refusal, type OrderResult } from './ports'
 
 const OTHER = '00000000000000bb'
 const WHOLE = { cpu: 4000, memory: 512, accelerators: 0 }
+const NO_ROOM: OrderResult = { kind: 'refused', reason: Refusal.NoCapacity }
+/** Confirms starts without carrying them out. */
+const RUNS_NOTHING: OrderResult = { kind: 'done' }
 const ADVICE = { base: 19, each: 0.28, valid: 2000 }
 
 /** Ends the runs of the first step as soon as they are there. */
@@ -126,6 +130,27 @@
 	return attempt > 0
 }
 
+/**
+ * The first of ten workers, on which a crash would lose the least work, does not serve a task that
+ * has lost a worker with this evidence.
+ */
+function suspectedCell(result: OrderResult, evidence: CrashEvidence): WaitingCell {
+	const cell = new WaitingCell().join(10)
+	cell.run(1000)
+	const need = { cpu: 100, memory: 64, accelerators: 0 }
+	cell.submit(jobOf({ count: 9, mostPerWorker: 1, need, expectedTime: 600_000 }), OTHER)
+	for (const id of cell.up) cell.worker(id).progressPerPoll = 0.1
+	cell.run(1000)
+	const idle = [...cell.up].find((id) => cell.worker(id).running.length === 0)!
+	cell.submit(jobOf({ need }, { need, dependsOn: [0] }))
+	cell.run(1500, () => cell.isAtWork())
+	const later = cell.subject.state.jobs.locate(`${ID}.0.1.0`)!.task
+	later.crashed = [{ worker: 'lost', evidence }]
+	cell.worker(idle).startResult = result
+	cell.worker(cell.runnerOf()!).end(TASK, 'done')
+	return cell
+}
+
 function lostPollsCell(): WaitingCell {
 	const cell = new WaitingCell().join(8)
 	cell.submit(jobOf({}, { dependsOn: [0] }))
@@ -191,6 +216,14 @@
 		begin: () => badStarts({ kind: 'refused', reason: Refusal.Unhealthy }),
 		isOver: isSpreadAtWork,
 	},
+	...[NO_ROOM, RUNS_NOTHING].flatMap((result) =>
+		[CrashEvidence.Doubtful, CrashEvidence.Strong].map((evidence) => ({
+			row: 'an order under way',
+			cause: `the idle worker of ten answers ${result.kind}, evidence ${evidence}`,
+			begin: () => suspectedCell(result, evidence),
+			isOver: (cell: WaitingCell) => cell.runnerOf(`${ID}.0.1.0`) !== undefined,
+		}))
+	),
 	{
 		row: 'starts under way',
 		cause: 'workers that answer never confirm 20 starts',
@@ -200,7 +233,7 @@
 	{
 		row: 'an order under way',
 		cause: 'one worker of ten refuses each start for want of room',
-		begin: () => badStarts({ kind: 'refused', reason: Refusal.NoCapacity }),
+		begin: () => badStarts(NO_ROOM),
 		isOver: isSpreadAtWork,
 	},
 	{
@@ -228,7 +261,7 @@
 	{
 		row: 'a run that its worker does not list',
 		cause: 'one worker of ten confirms starts and runs nothing',
-		begin: () => badStarts({ kind: 'done' }),
+		begin: () => badStarts(RUNS_NOTHING),
 		isOver: isSpreadAtWork,
 	},
 ]
