Runs abandoned long ago do not fill a quota again under each leader

Found by the review: a new leader counts each run that earlier ones abandoned on an unreachable worker against its account, for a whole lease, also when every lease that the worker may have had is long over. With a leader each 3 or 4 s a full account started nothing for 40 s and more, though its lost run was 15 s old.

A worker that lost a task, answered and loses it again before that answer is committed counts from the second loss.

--- a/packages/jobs/src/lib/leader/lostForGood.test.ts
+++ b/packages/jobs/src/lib/leader/lostForGood.test.ts
@@ -5,14 +5,17 @@
  */
 import assert from 'node:assert/strict'
 import { test } from 'node:test'
+import type { ClientAccount } from '../accounts/ClientAccount'
 import type { Step } from '../records/Job'
 import type { TaskRecord } from '../state/JobRecord'
 import { Suspicion, suspicionOf } from '../state/TaskCrashes'
 import { LeaderSubject, type FakeWorker } from '../testing/LeaderSubject'
-import { jobOf } from '../testing/samples'
+import { accountNamed, jobOf, QUEUE } from '../testing/samples'
 
 const JOB = '00000000000000aa'
 const TASK = `${JOB}.0.0.0`
+const OTHER_JOB = '00000000000000bb'
+const ACCOUNT = 'town'
 const TICK_MS = 20
 const HEARTBEAT_INTERVAL_MS = 1000
 /** From its start until the worker of a run is lost. */
@@ -27,9 +30,18 @@
 	readonly subject = new LeaderSubject({ maxAttempts: 4 })
 	private readonly alive = new Set(Array.from({ length: 10 }, (_, number) => `w${number}`))
 
-	constructor(step: Partial<Step> = {}) {
+	/** @param quota - the quota of the account of the job; no accounts if absent. */
+	constructor(step: Partial<Step> = {}, quota?: ClientAccount['quota']) {
+		if (quota) {
+			this.subject.accounts = [accountNamed(ACCOUNT, { quota })]
+			this.subject.configure({ maxAttempts: 4 })
+		}
 		this.run(1000)
-		this.subject.submit(JOB, jobOf(step))
+		this.submit(JOB, step)
+	}
+
+	submit(job: string, step: Partial<Step>): void {
+		this.subject.submit(job, jobOf(step), QUEUE.name, ACCOUNT.toUpperCase())
 	}
 
 	/** @returns the time that it took until `isOver`, or `span` if it did not occur. */
@@ -137,6 +149,24 @@
 	assert.equal(cell.subject.state.jobs.find(JOB)?.state, 'failed')
 })
 
+// Guards against a quota that runs abandoned long ago fill again for a whole lease under each leader.
+test('an abandoned run whose lease is long over does not fill the quota under new leaders', () => {
+	const cell = new ShrinkingCell({}, { cpu: 1000 })
+	cell.loseAtStart()
+	cell.run(FINISH_MS)
+	cell.subject.lead()
+	cell.run(500)
+	cell.subject.worker(cell.record().worker).end(TASK, 'done')
+	cell.run(500)
+	cell.submit(OTHER_JOB, {})
+	const other = `${OTHER_JOB}.0.0.0`
+	for (let took = 0; took < FINISH_MS; took += 3000) {
+		cell.subject.lead()
+		cell.run(3000, () => cell.isRunning(other))
+	}
+	assert.equal(cell.isRunning(other), true)
+})
+
 // Guards against a held task that is logged as overlooked twice a second, and whose wait is not.
 test('a held task is logged as a long wait and not as overlooked', () => {
 	const cell = new ShrinkingCell({ lasting: true })
--- a/packages/jobs/src/lib/leader/workers/WorkerRegistry.ts
+++ b/packages/jobs/src/lib/leader/workers/WorkerRegistry.ts
@@ -280,13 +280,26 @@
 	 */
 	restoreAbandonedRuns(job: JobRecord): void {
 		for (const { text, task } of tasksOf(job)) {
-			for (const { worker } of task.silent ?? []) {
+			for (const { worker, since } of task.silent ?? []) {
 				const view = this.views.get(worker)
-				if (view) this.suspects.add(view, text, Math.max(0, ...(task.lost ?? [])))
+				if (!view || this.isLeaseLongOver(since)) continue
+				this.suspects.add(view, text, Math.max(0, ...(task.lost ?? [])))
 			}
 		}
 	}
 
+	/**
+	 * @param since - when a worker became unreachable, milliseconds since the epoch by the clock of
+	 * any leader.
+	 * @returns whether every lease that it may have had is certainly over.
+	 */
+	private isLeaseLongOver(since: number | undefined): boolean {
+		if (since === undefined) return false
+		const { maxLease, clockDrift, leaseMargin } = this.context.timing
+		const longest = maxLease / (1 - clockDrift) + leaseMargin
+		return epochTimeOf(this.context) - since > longest + MAX_WALL_CLOCK_SKEW_MS
+	}
+
 	/**
 	 * A worker lists a run that it should not have: of a job that ended, or one abandoned earlier.
 	 */
--- a/packages/jobs/src/lib/state/SilentWorkerIndex.ts
+++ b/packages/jobs/src/lib/state/SilentWorkerIndex.ts
@@ -52,8 +52,7 @@
 		const tasks = this.tasks.get(worker) ?? new Set()
 		tasks.add(task)
 		this.tasks.set(worker, tasks)
-		if (!presumedCrashed && !this.undecided.has(worker))
-			this.undecided.set(worker, { worker, since })
+		if (!presumedCrashed) this.undecided.set(worker, { worker, since })
 	}
 
 	/**
--- a/packages/jobs/src/lib/state/TaskCrashes.ts
+++ b/packages/jobs/src/lib/state/TaskCrashes.ts
@@ -116,6 +116,8 @@
 
 /** Records a worker that became unreachable, on which a run of the task was abandoned. @public */
 export function addSilentWorker(task: TaskCrashes, lost: SilentWorker): void {
+	// A worker that has the task again had answered since it was lost before.
+	removeSilentWorker(task, lost.worker)
 	task.silent = withLostWorker(task.silent, lost)
 }
 
