--- a/packages/jobs/src/lib/leader/lostForGood.test.ts
+++ b/packages/jobs/src/lib/leader/lostForGood.test.ts
@@ -9,61 +9,31 @@
 import type { Step } from '../records/Job'
 import type { TaskRecord } from '../state/JobRecord'
 import { Suspicion, suspicionOf } from '../state/TaskCrashes'
-import { LeaderSubject, type FakeWorker } from '../testing/LeaderSubject'
 import { accountNamed, jobOf, QUEUE } from '../testing/samples'
+import { FINISH_MS, ID, LASTING_MS, TASK, WaitingCell } from '../testing/WaitingCell'
 
-const JOB = '00000000000000aa'
-const TASK = `${JOB}.0.0.0`
 const OTHER_JOB = '00000000000000bb'
 const ACCOUNT = 'town'
-const TICK_MS = 20
-const HEARTBEAT_INTERVAL_MS = 1000
 /** From its start until the worker of a run is lost. */
 const SHORT_RUN_MS = 140
-/** The platform's `finish_s` and 3 s more: a task that could run has a run by then. */
-const FINISH_MS = 14_000 + 3000
-/** Of a long-running task: from the end of its last run until it is at work again. */
-const LASTING_MS = 6000 + 3000
-
-/** A cell whose workers can be lost for good. */
-class ShrinkingCell {
-	readonly subject = new LeaderSubject({ maxAttempts: 4 })
-	private readonly alive = new Set(Array.from({ length: 10 }, (_, number) => `w${number}`))
 
+/** A cell of ten workers with a job. */
+class CellWithJob extends WaitingCell {
 	/** @param quota - the quota of the account of the job; no accounts if absent. */
 	constructor(step: Partial<Step> = {}, quota?: ClientAccount['quota']) {
+		super()
 		if (quota) {
 			this.subject.accounts = [accountNamed(ACCOUNT, { quota })]
 			this.subject.configure({ maxAttempts: 4 })
 		}
-		this.run(1000)
-		this.submit(JOB, step)
+		this.join(10).run(1000)
+		this.submitAs(ID, step)
 	}
 
-	submit(job: string, step: Partial<Step>): void {
+	submitAs(job: string, step: Partial<Step>): void {
 		this.subject.submit(job, jobOf(step), QUEUE.name, ACCOUNT.toUpperCase())
 	}
 
-	/** @returns the time that it took until `isOver`, or `span` if it did not occur. */
-	run(span: number, isOver: () => boolean = () => false): number {
-		const { clock, controller } = this.subject
-		const since = clock.now()
-		while (clock.now() - since < span && !isOver()) {
-			const isBeat = Math.floor(clock.now() / TICK_MS) % (HEARTBEAT_INTERVAL_MS / TICK_MS) === 0
-			if (isBeat) for (const id of this.alive) this.subject.heartbeat(id)
-			clock.advance(TICK_MS)
-			controller.tick()
-		}
-		return clock.now() - since
-	}
-
-	lose(id: string): void {
-		this.alive.delete(id)
-		const worker = this.subject.worker(id)
-		worker.isUnresponsive = true
-		worker.running = []
-	}
-
 	record(task = TASK): TaskRecord {
 		return this.subject.state.jobs.locate(task)!.task
 	}
@@ -73,15 +43,14 @@
 	}
 
 	isRunning(task = TASK): boolean {
-		const runs = (id: string): FakeWorker['running'] => this.subject.worker(id).running
-		return [...this.alive].some((id) => runs(id).some((run) => run.task === task))
+		return this.runnerOf(task) !== undefined
 	}
 
 	/** Loses the worker of a task just after the run started there. */
 	loseAtStart(task = TASK): void {
 		this.run(FINISH_MS, () => this.isRunning(task))
 		this.run(SHORT_RUN_MS)
-		this.lose(this.record(task).worker)
+		this.end(this.workerOf(task))
 	}
 
 	/** Loses the next worker that is ordered to start a task, before the order reaches it. */
@@ -90,24 +59,24 @@
 		this.answerStarts(false)
 		this.run(FINISH_MS, () => this.record(task).attempt > attempt)
 		this.answerStarts(true)
-		this.lose(this.record(task).worker)
+		this.end(this.workerOf(task))
 	}
 
 	private answerStarts(isAnswered: boolean): void {
 		const lost = { kind: 'unknown', message: 'no answer' } as const
-		for (const id of this.alive) this.subject.worker(id).startResult = isAnswered ? undefined : lost
+		for (const id of this.up) this.worker(id).startResult = isAnswered ? undefined : lost
 	}
 }
 
 /** Checks how long a task stays without a run. */
-function assertStarts(cell: ShrinkingCell, bound: number, task = TASK): void {
+function assertStarts(cell: CellWithJob, bound: number, task = TASK): void {
 	const took = cell.run(bound, () => cell.isRunning(task))
 	assert.ok(took < bound, `${task} has no run after ${took} ms, it is ${cell.suspicion}`)
 }
 
 for (const changes of [0, 1, 2, 3]) {
 	test(`a task that has lost two workers for good starts again in time under ${changes} new leaders`, () => {
-		const cell = new ShrinkingCell()
+		const cell = new CellWithJob()
 		cell.loseAtStart()
 		cell.loseBeforeStart()
 		for (let change = 0; change < changes; change++) {
@@ -119,14 +88,14 @@
 }
 
 test('a gang of which one member has lost two workers for good starts again in time', () => {
-	const cell = new ShrinkingCell({ gang: true, count: 3, mostPerWorker: 1 })
-	const [first, second, member] = [0, 1, 2].map((index) => `${JOB}.0.0.${index}`)
+	const cell = new CellWithJob({ gang: true, count: 3, mostPerWorker: 1 })
+	const [first, second, member] = [0, 1, 2].map((index) => `${ID}.0.0.${index}`)
 	for (const attempt of [1, 2]) {
 		cell.run(FINISH_MS, () => cell.record(member).attempt === attempt && cell.isRunning(member))
 		cell.run(SHORT_RUN_MS)
-		cell.lose(cell.record(member).worker)
+		cell.end(cell.workerOf(member))
 		for (const other of [first, second]) {
-			cell.subject.worker(cell.record(other).worker).end(other, 'broken')
+			cell.worker(cell.workerOf(other)).end(other, 'broken')
 		}
 	}
 	cell.run(500)
@@ -134,31 +103,31 @@
 })
 
 test('a long-running task that has lost two workers for good is at work again in time', () => {
-	const cell = new ShrinkingCell({ lasting: true })
+	const cell = new CellWithJob({ lasting: true })
 	cell.loseAtStart()
 	cell.loseAtStart()
 	assertStarts(cell, LASTING_MS)
 })
 
 test('the job of a task that has lost three workers for good just after its start fails in time', () => {
-	const cell = new ShrinkingCell()
+	const cell = new CellWithJob()
 	for (let lost = 0; lost < 3; lost++) cell.loseAtStart()
 	const bound = FINISH_MS - cell.run(FINISH_MS, () => cell.record().silent?.length === 1)
 	cell.subject.lead()
 	cell.run(bound, () => cell.suspicion === Suspicion.Proven)
-	assert.equal(cell.subject.state.jobs.find(JOB)?.state, 'failed')
+	assert.equal(cell.subject.state.jobs.find(ID)?.state, 'failed')
 })
 
 // Guards against a quota that runs abandoned long ago fill again for a whole lease under each leader.
 test('an abandoned run whose lease is long over does not fill the quota under new leaders', () => {
-	const cell = new ShrinkingCell({}, { cpu: 1000 })
+	const cell = new CellWithJob({}, { cpu: 1000 })
 	cell.loseAtStart()
 	cell.run(FINISH_MS)
 	cell.subject.lead()
 	cell.run(500)
-	cell.subject.worker(cell.record().worker).end(TASK, 'done')
+	cell.worker(cell.workerOf()).end(TASK, 'done')
 	cell.run(500)
-	cell.submit(OTHER_JOB, {})
+	cell.submitAs(OTHER_JOB, {})
 	const other = `${OTHER_JOB}.0.0.0`
 	for (let took = 0; took < FINISH_MS; took += 3000) {
 		cell.subject.lead()
@@ -169,7 +138,7 @@
 
 // Guards against a held task that is logged as overlooked twice a second, and whose wait is not.
 test('a held task is logged as a long wait and not as overlooked', () => {
-	const cell = new ShrinkingCell({ lasting: true })
+	const cell = new CellWithJob({ lasting: true })
 	cell.loseAtStart()
 	cell.loseAtStart()
 	cell.run(LASTING_MS, () => cell.suspicion === Suspicion.Held)
@@ -183,15 +152,15 @@
 
 // Guards against a job that fails because of workers that were cut off and ran on.
 test('a worker that counts as crashed and answers again is no longer counted', () => {
-	const cell = new ShrinkingCell()
+	const cell = new CellWithJob()
 	cell.loseAtStart()
-	const { worker } = cell.record()
+	const worker = cell.workerOf()
 	cell.run(FINISH_MS)
 	assert.deepEqual(
 		cell.record().silent?.map((lost) => lost.presumedCrashed),
 		[true]
 	)
-	cell.subject.worker(worker).isUnresponsive = false
+	cell.worker(worker).isUnresponsive = false
 	cell.run(1000)
 	assert.equal(cell.record().silent, undefined)
 	assert.equal(cell.suspicion, Suspicion.None)
@@ -199,7 +168,7 @@
 
 // Guards against a long-running task that fails because of losses long before.
 test('a worker that counts as crashed is dropped once the long-running task has been at work for long', () => {
-	const cell = new ShrinkingCell({ lasting: true })
+	const cell = new CellWithJob({ lasting: true })
 	cell.loseAtStart()
 	cell.run(30_000)
 	assert.deepEqual([cell.record().silent, cell.record().crashed], [undefined, undefined])
--- a/packages/jobs/src/lib/testing/WaitingCell.ts
+++ b/packages/jobs/src/lib/testing/WaitingCell.ts
@@ -6,7 +6,7 @@
  * before were disturbed.
  */
 import assert from 'node:assert/strict'
-import type { Queue } from '../records/Cell'
+import type { Queue, Worker } from '../records/Cell'
 import type { JobRequest, Step } from '../records/Job'
 import type { OrderResult } from '../leader/ports'
 import { LeaderSubject, type FakeWorker } from './LeaderSubject'
@@ -17,8 +17,10 @@
 export const TASK = `${ID}.0.0.0`
 const TICK_MS = 20
 const BEAT_MS = 1000
-const FINISH_MS = 14_000 + 3000
-const LASTING_MS = 6000 + 3000
+/** The platform's `finish_s` and 3 s more: a task that could run has a run by then. */
+export const FINISH_MS = 14_000 + 3000
+/** Of a long-running task: from the end of its last run until it is at work again. */
+export const LASTING_MS = 6000 + 3000
 const CALM_MS = 3000 + 4000
 /** Waits that are longer count as without end. */
 const LONGEST_MS = 60_000
@@ -43,7 +45,7 @@
 	}
 
 	/** Adds workers of this data centre, w1 and the following. */
-	join(count: number, dataCentre = 'vake', changes: { rack?: string } = {}): this {
+	join(count: number, dataCentre = 'vake', changes: Partial<Worker> = {}): this {
 		for (let number = 0; number < count; number++) {
 			const id = `w${this.up.size + 1}`
 			this.up.add(id)
