Members of the core relay the calls of entry instances to the leader in batches

Change: in a core with 100 workers or more (as for orders) entry instances send their calls to a linked member that does not lead, which batches them for 8 ms; the leader itself is the last resort. News say so in a new field, so that instances of the version before go on as they did.

--- a/packages/member/src/lib/CoreInstance.ts
+++ b/packages/member/src/lib/CoreInstance.ts
@@ -24,6 +24,7 @@
 import type { Carrier } from './carriers/CarrierSelector'
 import { OrderCarrier } from './carriers/OrderCarrier'
 import { CallFaults } from './CallFaults'
+import { CallRelay } from './CallRelay'
 import { CellMachine } from './CellMachine'
 import type { RetryLimits, LocalLeader } from './LeaderCalls'
 import { NewsBroadcaster } from './NewsBroadcaster'
@@ -46,8 +47,11 @@
 const HAND_OVER_TIMEOUT_MS = 1500
 /** Milliseconds for which a stopping instance still forwards calls to its successor. */
 const LAST_CALLS_MS = 300
-/** Timeout of a call that is forwarded to the leader, in milliseconds. */
-const RELAY_TIMEOUT_MS = 1200
+/**
+ * Number of workers from which calls of entry instances are relayed by members that do not lead.
+ * With fewer, the leader has processor time to spare, and a hop would only add latency.
+ */
+const MIN_WORKERS_TO_RELAY = 100
 
 /**
  * Retry limits for reporting batched heartbeats to the leader. Short, since the next batch reports
@@ -110,6 +114,7 @@
 	private readonly links: PeerLinks
 	private readonly advisers: PeerAdvisers
 	private readonly carrier: OrderCarrier
+	private readonly relay: CallRelay
 	private readonly heartbeats: HeartbeatBatcher
 	private readonly news: NewsBroadcaster
 	private readonly faults: CallFaults
@@ -139,6 +144,7 @@
 			onPeerLost: (peer) => this.onPeerLost(peer),
 			localLeader: () => this.localLeader(),
 		})
+		this.relay = new CallRelay(this.links.calls, clock)
 		const peers = (): readonly string[] => this.links.hub.connected
 		this.advisers = new PeerAdvisers({
 			self,
@@ -162,6 +168,7 @@
 			links: this.links,
 			replica: () => this.group.replica,
 			load: () => this.loads.report(),
+			isRelayed: () => this.state.workers.size >= MIN_WORKERS_TO_RELAY,
 			linkedMembers: () => this.linkedMembers(),
 		})
 		this.carrier = new OrderCarrier(
@@ -383,31 +390,26 @@
 		}
 	}
 
-	private onPeerCall(from: string, { id, body, hops, term }: PeerCall): void {
-		const reply = (value: CellReply): void => this.links.calls.reply(from, id, value)
-		const call = decodeCall(body)
-		if (!call) return this.faults.onUnreadable(from)
-		if (call.kind === 'advise') {
-			void answerQuestion(this.parts.adviser, call.question).then(reply)
+	private onPeerCall(from: string, call: PeerCall): void {
+		const reply = (value: CellReply): void => this.links.calls.reply(from, call.id, value)
+		const decoded = decodeCall(call.body)
+		if (!decoded) return this.faults.onUnreadable(from)
+		if (decoded.kind === 'advise') {
+			void answerQuestion(this.parts.adviser, decoded.question).then(reply)
 			return
 		}
 		if (this.session) {
 			const leader = this.localLeader()
-			if (leader?.term === term) leader.call(call, reply)
+			if (leader?.term === call.term) leader.call(decoded, reply)
 			else reply({ kind: 'not-leader' })
 			return
 		}
 		const leader = this.group.replica.status.leader
-		if (hops > 0 || leader === '') {
+		if (call.hops > 0 || leader === '') {
 			reply({ kind: 'not-leader' })
 			return
 		}
-		const to = { peer: leader, term, hops: hops + 1 }
-		this.links.calls.callEncoded(to, body, RELAY_TIMEOUT_MS, (outcome) => {
-			if (outcome.kind === 'replied') reply(outcome.reply)
-			else if (outcome.kind === 'not-sent') reply({ kind: 'not-leader' })
-			else reply({ kind: 'unknown', reason: 'the leader did not answer' })
-		})
+		this.relay.relay(leader, call, reply)
 	}
 
 	/**
--- a/packages/member/src/lib/EntryInstance.ts
+++ b/packages/member/src/lib/EntryInstance.ts
@@ -53,6 +53,7 @@
 		this.links = new PeerLinks({
 			self: ID_PREFIX + parts.name,
 			newsTtl: ENTRY_NEWS_TTL_MS,
+			usesRelays: true,
 			clock: parts.clock,
 			log: parts.log,
 			meter: parts.meter,
--- a/packages/member/src/lib/LeaderView.ts
+++ b/packages/member/src/lib/LeaderView.ts
@@ -28,7 +28,10 @@
 export interface KnownLeader {
 	readonly id: string
 	readonly term: number
-	/** Peers that have heard from it recently, the leader itself first if it is linked. */
+	/**
+	 * Peers that have heard from it recently, in the order in which they are tried: the leader
+	 * itself first if it is linked, or last where calls are relayed.
+	 */
 	readonly via: readonly string[]
 }
 
@@ -45,8 +48,14 @@
 export class LeaderView {
 	private readonly newsByPeer = new Map<string, ReceivedNews>()
 
-	/** @param ttl - milliseconds for which news from peers other than the leader are accepted. */
-	constructor(private readonly ttl: number) {}
+	/**
+	 * @param ttl - milliseconds for which news from peers other than the leader are accepted.
+	 * @param usesRelays - whether this instance sends calls through relays where the core asks for it.
+	 */
+	constructor(
+		private readonly ttl: number,
+		private readonly usesRelays = false
+	) {}
 
 	/** Records the news of a peer. */
 	update(from: string, news: CellNews, now: number): void {
@@ -62,20 +71,28 @@
 	leader(now: number): KnownLeader | undefined {
 		let term = 0
 		let id = ''
+		let relayed = false
 		for (const [peer, received] of this.newsByPeer) {
 			const { news } = received
 			if (news.term <= term || !this.isCurrent(peer, received, now)) continue
 			term = news.term
 			id = news.leader
+			relayed = news.relayed
 		}
 		if (id === '') return undefined
-		const via: string[] = []
+		return { id, term, via: this.routesTo(id, now, relayed && this.usesRelays) }
+	}
+
+	/** @returns the peers that have heard from a leader recently, in the order to try them. */
+	private routesTo(leader: string, now: number, relayed: boolean): string[] {
+		const relays: string[] = []
+		let direct: string[] = []
 		for (const [peer, received] of this.newsByPeer) {
-			if (received.news.leader !== id || !this.isCurrent(peer, received, now)) continue
-			if (peer === id) via.unshift(peer)
-			else via.push(peer)
+			if (received.news.leader !== leader || !this.isCurrent(peer, received, now)) continue
+			if (peer === leader) direct = [peer]
+			else relays.push(peer)
 		}
-		return { id, term, via }
+		return relayed ? [...relays, ...direct] : [...direct, ...relays]
 	}
 
 	/** @returns the peers whose news are fresh. */
--- a/packages/member/src/lib/NewsBroadcaster.test.ts
+++ b/packages/member/src/lib/NewsBroadcaster.test.ts
@@ -37,6 +37,7 @@
 				holdsLease: () => true,
 			}) as unknown as Replica,
 		load: () => LOAD as never,
+		isRelayed: () => false,
 		linkedMembers: () => [{ id: MEMBER }],
 	})
 	clock.every(NEWS_INTERVAL_MS, () => news.broadcastPeriodically())
@@ -56,7 +57,7 @@
 
 test('an entry instance keeps its leader after one lost message, but not after a second one', () => {
 	const view = new LeaderView(ENTRY_NEWS_TTL_MS)
-	const news: CellNews = { leader: 'c', term: 3, members: [], fresh: true }
+	const news: CellNews = { leader: 'c', term: 3, members: [], fresh: true, relayed: false }
 	view.update('a', news, 0)
 	assert.equal(view.leader(600)?.id, 'c')
 	assert.equal(view.leader(900), undefined)
--- a/packages/member/src/lib/NewsBroadcaster.ts
+++ b/packages/member/src/lib/NewsBroadcaster.ts
@@ -22,6 +22,8 @@
 	readonly replica: () => Replica
 	/** The load of this instance. */
 	readonly load: () => LoadReport
+	/** Whether entry instances send their calls through members that do not lead. */
+	readonly isRelayed: () => boolean
 	/** Members of the core that are linked at the moment, without this one. */
 	readonly linkedMembers: () => readonly { readonly id: string }[]
 }
@@ -67,6 +69,7 @@
 			: now - replica.leaderHeardAt < LEADER_CONTACT_TTL_MS
 		const ids = members.map((member) => member.id)
 		const sent = { life: this.parts.incarnation, at: now }
-		return { leader, term, members: ids, fresh, load: this.parts.load(), sent }
+		const { load, isRelayed } = this.parts
+		return { leader, term, members: ids, fresh, load: load(), sent, relayed: isRelayed() }
 	}
 }
--- a/packages/member/src/lib/PeerLinks.ts
+++ b/packages/member/src/lib/PeerLinks.ts
@@ -16,6 +16,8 @@
 	readonly self: string
 	/** Milliseconds for which news from peers other than the leader are accepted. */
 	readonly newsTtl: number
+	/** Whether calls go through relays where the core asks for it; by default they do not. */
+	readonly usesRelays?: boolean
 	readonly clock: Clock
 	readonly log: Log
 	readonly meter: Meter
@@ -42,8 +44,8 @@
 	readonly leaderCalls: LeaderCalls
 
 	constructor(private readonly parts: PeerLinksParts) {
-		const { self, clock, log, meter, onEvent, localLeader, newsTtl } = parts
-		this.view = new LeaderView(newsTtl)
+		const { self, clock, log, meter, onEvent, localLeader, newsTtl, usesRelays } = parts
+		this.view = new LeaderView(newsTtl, usesRelays)
 		this.hub = new LinkHub({
 			self,
 			clock,
