--- a/packages/member/src/lib/CoreInstance.ts
+++ b/packages/member/src/lib/CoreInstance.ts
@@ -10,6 +10,7 @@
 	CellState,
 	type CellCall,
 	type CellReply,
+	type Heartbeat,
 	type LeaderPolicy,
 	type LeaderTiming,
 	type WorkerOrders,
@@ -208,6 +209,8 @@
 				return Promise.resolve({ kind: 'noted' })
 			case HeartbeatHandling.Refused:
 				return Promise.resolve(LEADER_UNREACHABLE)
+			case HeartbeatHandling.Deferred:
+				return this.deferHeartbeat(call.heartbeat)
 			case HeartbeatHandling.Forwarded:
 				return this.links.leaderCalls.call(call, limits)
 			default:
@@ -215,6 +218,11 @@
 		}
 	}
 
+	private async deferHeartbeat(heartbeat: Heartbeat): Promise<CellReply> {
+		const isBatched = await this.heartbeats.defer(heartbeat)
+		return isBatched ? { kind: 'noted' } : LEADER_UNREACHABLE
+	}
+
 	/** Hands leadership over, if this instance leads, and stops. */
 	async stop(): Promise<void> {
 		const { clock } = this.parts
--- a/packages/member/src/lib/HeartbeatBatcher.test.ts
+++ b/packages/member/src/lib/HeartbeatBatcher.test.ts
@@ -22,6 +22,8 @@
 	slots: 8,
 }
 
+const OTHER_WORKER: Worker = { ...WORKER, id: 'w2', address: 'h:2' }
+
 class Subject {
 	readonly clock = new ManualClock()
 	readonly reports: (readonly RelayedHeartbeat[])[] = []
@@ -50,6 +52,10 @@
 		return this.heartbeats.handle({ worker: { ...WORKER, ...changes }, sequence, draining })
 	}
 
+	defer(sequence: number, worker = WORKER): Promise<boolean> {
+		return this.heartbeats.defer({ worker, sequence, draining: false })
+	}
+
 	/** Advances the clock and lets replies resolve. */
 	async advance(span: number): Promise<void> {
 		for (let spent = 0; spent < span; spent += 100) {
@@ -122,3 +128,34 @@
 	assert.equal(subject.reports.at(-1)?.[0].sequence, 1)
 	assert.equal(subject.handle(3), HeartbeatHandling.Batched)
 })
+
+// Guards against a new leader that loses its lease to what arrives in its first second: heartbeats that
+// had waited for it one by one, each a call of its own.
+test('heartbeats that wait for a leader are reported to the new one in one batch', async () => {
+	const subject = new Subject()
+	subject.state.apply(encodeCommands([{ kind: 'worker', worker: OTHER_WORKER }]))
+	subject.hasLeader = false
+	assert.equal(subject.handle(1), HeartbeatHandling.Deferred)
+	const first = subject.defer(1)
+	const second = subject.defer(1, OTHER_WORKER)
+	await subject.advance(300)
+	assert.equal(subject.reports.length, 0)
+	subject.hasLeader = true
+	await subject.advance(500)
+	assert.deepEqual(await Promise.all([first, second]), [true, true])
+	assert.deepEqual(
+		subject.reports.map((report) => report.map(({ worker }) => worker)),
+		[['w1', 'w2']]
+	)
+})
+
+test('a heartbeat that finds no leader in time is refused, so that its worker calls another instance', async () => {
+	const subject = new Subject()
+	subject.hasLeader = false
+	const outcome = subject.defer(1)
+	await subject.advance(800)
+	assert.equal(await outcome, false)
+	subject.hasLeader = true
+	await subject.advance(500)
+	assert.equal(subject.reports.length, 0)
+})
--- a/packages/member/src/lib/HeartbeatBatcher.ts
+++ b/packages/member/src/lib/HeartbeatBatcher.ts
@@ -15,10 +15,14 @@
 /** Milliseconds for which heartbeats are collected into a batch: a fifth of the heartbeat interval. */
 const BATCH_DELAY_MS = 300
 /**
- * Milliseconds for which nothing is batched after no leader was found: workers then call another
- * instance.
+ * Milliseconds for which no heartbeat is acknowledged at once after no leader was found: workers
+ * then call another instance.
  */
 const NO_LEADER_BACKOFF_MS = 1500
+/** Milliseconds for which a heartbeat waits for a leader; a leader change takes less. */
+const MAX_DEFERRAL_MS = 700
+/** Milliseconds between two checks whether a leader is known. */
+const DEFERRAL_CHECK_MS = 50
 /**
  * Milliseconds for which heartbeats are batched while a known leader does not answer. It may only
  * be busy, so the batch is sent again; forwarding heartbeats one by one would keep it busy. After
@@ -30,6 +34,8 @@
 export const HeartbeatHandling = {
 	/** It will be reported to the leader in a batch. */
 	Batched: 'gathered',
+	/** It will be reported in a batch once a leader is known, or refused if there is none in time. */
+	Deferred: 'deferred',
 	/** It has to be forwarded to the leader by itself. */
 	Forwarded: 'passed',
 	/** The leader is unreachable: the worker should call another instance. */
@@ -51,6 +57,13 @@
 	readonly onRefusingChanged?: (active: boolean) => void
 }
 
+interface DeferredHeartbeat {
+	readonly heartbeat: Heartbeat
+	readonly at: number
+	/** Called with whether it will be reported in a batch. */
+	readonly done: (isBatched: boolean) => void
+}
+
 /**
  * Batches heartbeats for the leader.
  *
@@ -59,6 +72,7 @@
 export class HeartbeatBatcher {
 	/** The last heartbeat of each worker, and when it arrived. */
 	private pending = new Map<string, { readonly heartbeat: Heartbeat; readonly at: number }>()
+	private deferred: DeferredHeartbeat[] = []
 	private backoffUntil = Number.NEGATIVE_INFINITY
 	/** Since when the leader has not answered; undefined while it answers. */
 	private unansweredSince: number | undefined
@@ -71,16 +85,53 @@
 	handle(heartbeat: Heartbeat): HeartbeatHandling {
 		const { clock, canReport: mayTell } = this.parts
 		const now = clock.now()
-		if (now < this.backoffUntil || !mayTell() || !this.isRoutine(heartbeat))
-			return HeartbeatHandling.Forwarded
+		if (!this.isRoutine(heartbeat)) return HeartbeatHandling.Forwarded
+		if (now < this.backoffUntil || !mayTell()) return HeartbeatHandling.Deferred
 		const unanswered = this.unansweredSince === undefined ? 0 : now - this.unansweredSince
 		this.setRefusing(unanswered > MAX_UNANSWERED_MS)
 		if (this.isRefusing) return HeartbeatHandling.Refused
-		this.pending.set(heartbeat.worker.id, { heartbeat, at: now })
-		this.scheduleFlush()
+		this.add(heartbeat, now)
 		return HeartbeatHandling.Batched
 	}
 
+	/**
+	 * Keeps a deferred heartbeat until a leader is known. Forwarded one by one, all that waited would
+	 * reach a new leader in its first moments.
+	 *
+	 * @returns whether it will be reported in a batch; false if no leader became known in time.
+	 */
+	defer(heartbeat: Heartbeat): Promise<boolean> {
+		return new Promise((done) => {
+			this.deferred.push({ heartbeat, at: this.parts.clock.now(), done })
+			if (this.deferred.length === 1) this.scheduleDeferralCheck()
+		})
+	}
+
+	private scheduleDeferralCheck(): void {
+		this.parts.clock.after(DEFERRAL_CHECK_MS, () => this.checkDeferred())
+	}
+
+	private checkDeferred(): void {
+		const { clock, canReport } = this.parts
+		const now = clock.now()
+		const isLeaderKnown = canReport()
+		const { deferred } = this
+		this.deferred = deferred.filter(({ at }) => !isLeaderKnown && now - at < MAX_DEFERRAL_MS)
+		if (this.deferred.length > 0) this.scheduleDeferralCheck()
+		for (const { heartbeat, at, done } of deferred) {
+			if (isLeaderKnown) this.add(heartbeat, at)
+			if (isLeaderKnown || now - at >= MAX_DEFERRAL_MS) done(isLeaderKnown)
+		}
+	}
+
+	/** Adds a heartbeat to the next batch, unless a later one of its worker is in it. */
+	private add(heartbeat: Heartbeat, at: number): void {
+		const pending = this.pending.get(heartbeat.worker.id)
+		if (pending && pending.heartbeat.sequence > heartbeat.sequence) return
+		this.pending.set(heartbeat.worker.id, { heartbeat, at })
+		this.scheduleFlush()
+	}
+
 	/** Whether a heartbeat only confirms a worker as this replica knows it. */
 	private isRoutine({ worker, draining }: Heartbeat): boolean {
 		const { workers } = this.parts
