Idle workers are checked ten times a second, not at each tick

Change: at most ticks only workers with runs, or with something unclear, are checked; urgent use is summed without a look-up for each worker.

--- a/packages/jobs/src/lib/leader/workers/WorkerRegistry.ts
+++ b/packages/jobs/src/lib/leader/workers/WorkerRegistry.ts
@@ -32,6 +32,9 @@
 /** How far a worker's clock may seem to go back because answers arrive out of order. */
 const MAX_CLOCK_REORDERING_MS = 1000
 
+/** Milliseconds between two checks of idle workers, about which mostly messages tell news. */
+const IDLE_CHECK_PERIOD_MS = 100
+
 /** Receives the results of polls. @internal */
 export interface PollListener {
 	/**
@@ -61,6 +64,7 @@
 	private readonly incarnations: IncarnationChanges
 	private readonly silentRecorder: SilentWorkerRecorder
 	private readonly crashPresumption: CrashPresumption
+	private idleCheckDue = Number.NEGATIVE_INFINITY
 
 	constructor(
 		private readonly context: LeaderContext,
@@ -222,8 +226,9 @@
 		this.silentRecorder.tick(this.views.values(), now)
 		this.crashPresumption.tick(now)
 		this.incarnations.tick(now)
-		this.polls.sendDue(this.views.values(), now)
-		for (const view of this.views.values()) {
+		const views = this.viewsToCheck(now)
+		this.polls.sendDue(views, now)
+		for (const view of views) {
 			if (view.isUnreachable) this.lostRuns.abandonRepeatable(view, now)
 			if (!view.isUnreachable) this.suspects.stopAll(view)
 			if (view.hasLeft && (view.runs.size === 0 || view.lease.isOver(now))) {
@@ -238,6 +243,14 @@
 		}
 	}
 
+	/** @returns the workers to check: idle ones, of which there may be thousands, only at times. */
+	private viewsToCheck(now: number): readonly WorkerView[] {
+		const all = [...this.views.values()]
+		if (now < this.idleCheckDue) return all.filter((view) => !isIdle(view))
+		this.idleCheckDue = now + IDLE_CHECK_PERIOD_MS
+		return all
+	}
+
 	/** A worker has answered a call; `clock` is the reading of its own clock, if reported. */
 	onAnswered(view: WorkerView, clock: number | undefined): void {
 		const now = this.context.clock.now()
@@ -459,3 +472,8 @@
 function namesOf(tasks: Iterable<string>): string {
 	return [...tasks].slice(0, MAX_LOGGED_TASKS).join(' ')
 }
+
+/** Whether a worker has no runs and nothing about it is unclear. */
+function isIdle({ runs, suspects, isListed, isUnreachable, hasLeft }: WorkerView): boolean {
+	return runs.size === 0 && suspects.size === 0 && isListed && !isUnreachable && !hasLeft
+}
--- a/packages/jobs/src/lib/placement/UrgentCapacity.ts
+++ b/packages/jobs/src/lib/placement/UrgentCapacity.ts
@@ -54,13 +54,18 @@
 	beginPass(open: readonly WorkerOption[], now: number): void {
 		this.now = now
 		this.usages = new Map()
+		let usage: ServiceUsage | undefined
+		let service = ''
 		for (const { view, account } of open) {
-			const usage = this.usageOf(view.worker.service)
+			if (!usage || view.worker.service !== service) {
+				service = view.worker.service
+				usage = this.usageOf(service)
+			}
 			usage.reserved += account.capacity.cpu - account.free.cpu
 			usage.capacity += account.capacity.cpu
 			usage.urgent += account.urgentCpu
 		}
-		for (const [service, { urgent }] of this.usages) this.updatePeak(service, urgent)
+		for (const [name, { urgent }] of this.usages) this.updatePeak(name, urgent)
 	}
 
 	/** Records that tasks of a step were placed in this pass. */
