--- a/scripts/knownRed.mjs
+++ b/scripts/knownRed.mjs
@@ -3,8 +3,8 @@
 import { existsSync, readFileSync } from 'node:fs'
 
 const FILE = 'KNOWN-RED.txt'
-/** Faults that may wait to be mended at a time. */
-const MOST = 3
+/** Entries of the list; more of them ask for a sitting of their own. */
+const MOST = 5
 
 /** @returns the listed tests by their names, each with its whole line. */
 export function knownRed() {
