--- a/packages/jobs/src/lib/leader/JobController.ts
+++ b/packages/jobs/src/lib/leader/JobController.ts
@@ -116,11 +116,12 @@
 		})
 	}
 
-	/** Updates the gauges of runs, configuration, steps, shares, workers and speeds. */
+	/** Updates the gauges of runs, configuration, admission, steps, shares, workers and speeds. */
 	measure(): void {
 		const { meter, state } = this.context
 		meter.gauge(Measure.Runs, this.runs.size)
 		meter.gauge(Measure.Configuration, state.configuration?.version ?? 0)
+		meter.gauge(Measure.AdmittedShare, this.admission.share)
 		this.steps.measure()
 		this.shares.updateMetrics()
 		this.workers.updateGauges()
@@ -265,7 +266,6 @@
 			share: Number(share.toFixed(3)),
 			delay: Math.round(delay),
 		})
-		context.meter.gauge(Measure.AdmittedShare, share)
 	}
 
 	private restoreJob(job: JobRecord): void {
