The accepted share of new jobs falls by three tenths at most, and from 10 ms of delay on

Cause: it halves the share each quarter of a second, is at a tenth 0.8 s after traffic begins, and comes back in 7 s; a refused job is five calls.

--- a/packages/jobs/src/lib/leader/callers/AdmissionControl.ts
+++ b/packages/jobs/src/lib/leader/callers/AdmissionControl.ts
@@ -8,13 +8,13 @@
 
 /**
  * Target of the event loop's delay in milliseconds. A start passes the leader's loop about six
- * times, and all of them together may take a third of the 250 ms of an interactive job.
+ * times, and all of them together may take a quarter of the 250 ms of an interactive job.
  */
-const TARGET_DELAY_MS = 15
+const TARGET_DELAY_MS = 10
 /** Relative increase of the accepted share in a period in which the loop is not delayed at all. */
 const MAX_INCREASE = 0.25
 /** Smallest factor that one decrease applies to the accepted share. */
-const MIN_DECREASE_FACTOR = 0.5
+const MIN_DECREASE_FACTOR = 0.7
 /** Smallest accepted share, so that the end of an overload without other work is noticed. */
 const MIN_SHARE = 0.1
 /** Milliseconds after which a client may retry when nearly all jobs are accepted. */
@@ -60,6 +60,5 @@
 
 /** @returns the factor that a period with this delay applies to the accepted share. */
 function factorFor(delay: number): number {
-	if (delay > TARGET_DELAY_MS) return Math.max(MIN_DECREASE_FACTOR, TARGET_DELAY_MS / delay)
-	return 1 + MAX_INCREASE * (1 - delay / TARGET_DELAY_MS)
+	return Math.max(MIN_DECREASE_FACTOR, 1 + MAX_INCREASE * (1 - delay / TARGET_DELAY_MS))
 }
