--- /dev/null
+++ b/review/lib/http.mjs
@@ -0,0 +1,35 @@
+/** One HTTP call with a JSON body, as clients, workers and operators make them. */
+import { request } from 'node:http'
+
+/**
+ * @returns the status and the parsed body; status 0 when there was no complete answer in time.
+ */
+export function call({ address, method, path, headers = {}, body, timeout = 1000 }) {
+	const [host, port] = address.split(':')
+	const text = body === undefined ? '' : JSON.stringify(body)
+	const sent = { ...headers, 'content-length': Buffer.byteLength(text) }
+	if (text !== '') sent['content-type'] = 'application/json'
+	return new Promise((done) => {
+		const settle = (status, answer) => {
+			clearTimeout(timer)
+			done({ status, body: answer })
+		}
+		const outgoing = request({ host, port, method, path, headers: sent, agent: false }, (reply) => {
+			const pieces = []
+			reply.on('data', (piece) => pieces.push(piece))
+			reply.on('error', () => settle(0))
+			reply.on('end', () => settle(reply.statusCode, parse(Buffer.concat(pieces).toString())))
+		})
+		outgoing.on('error', () => settle(0))
+		const timer = setTimeout(() => outgoing.destroy(new Error('no answer in time')), timeout)
+		outgoing.end(text)
+	})
+}
+
+function parse(text) {
+	try {
+		return JSON.parse(text)
+	} catch {
+		return undefined
+	}
+}
