Review case 2: one heartbeat with unreadable bytes ends every core process, again and again

Tried: a heartbeat of another writer, with a service that is not named, two bytes of its address that are no UTF-8 and no clockMs, sent once to one core instance of a running cell of three.

--- a/review/lib/http.mjs
+++ b/review/lib/http.mjs
@@ -2,13 +2,14 @@
 import { request } from 'node:http'
 
 /**
+ * @param bytes - the body as it is sent, in place of `body`.
  * @returns the status and the parsed body; status 0 when there was no complete answer in time.
  */
-export function call({ address, method, path, headers = {}, body, timeout = 1000 }) {
+export function call({ address, method, path, headers = {}, body, bytes, timeout = 1000 }) {
 	const [host, port] = address.split(':')
-	const text = body === undefined ? '' : JSON.stringify(body)
-	const sent = { ...headers, 'content-length': Buffer.byteLength(text) }
-	if (text !== '') sent['content-type'] = 'application/json'
+	const content = bytes ?? Buffer.from(body === undefined ? '' : JSON.stringify(body))
+	const sent = { ...headers, 'content-length': content.length }
+	if (content.length > 0) sent['content-type'] = 'application/json'
 	return new Promise((done) => {
 		const settle = (status, answer) => {
 			clearTimeout(timer)
@@ -22,7 +23,7 @@
 		})
 		outgoing.on('error', () => settle(0))
 		const timer = setTimeout(() => outgoing.destroy(new Error('no answer in time')), timeout)
-		outgoing.end(text)
+		outgoing.end(content)
 	})
 }
 
