--- a/review/lib/runCase.mjs
+++ b/review/lib/runCase.mjs
@@ -19,10 +19,13 @@
 		record.add(`exit ${code}`)
 		process.exit(code)
 	}
-	const timer = setTimeout(() => {
-		record.add('could not run: out of time')
+	const giveUp = (reason) => {
+		record.add(`could not run: ${reason}`)
 		void finish()
-	}, LIMIT_MS)
+	}
+	const timer = setTimeout(() => giveUp('out of time'), LIMIT_MS)
+	process.once('SIGTERM', () => giveUp('stopped'))
+	process.once('SIGINT', () => giveUp('stopped'))
 	try {
 		const breaks = await play({ cell, record, hasTrouble })
 		for (const text of breaks) record.add(`BROKEN: ${text}`)
