--- /dev/null
+++ b/review/4/case.mjs
@@ -0,0 +1,109 @@
+/**
+ * A worker fails all that it runs for 6.5 s. It alone has the label that two jobs with tasks that
+ * last require. How long are these tasks without a run once it is sound again?
+ */
+import { dirname } from 'node:path'
+import { fileURLToPath } from 'node:url'
+import { firstBreak } from '../lib-2/lasting.mjs'
+import { sleep } from '../lib-2/record.mjs'
+import { runCase } from '../lib-2/runCase.mjs'
+import { Worker } from '../lib-2/worker.mjs'
+
+const WORKERS = 12
+const FAILS_FOR_MS = 6500
+const WATCH_MS = 30_000
+const LASTING_JOBS = ['00000000000000a1', '00000000000000a2']
+const TASKS = LASTING_JOBS.flatMap((id) => [0, 1].map((index) => `${id}.0.0.${index}`))
+
+const route = (name, pathPrefix, priority) => ({
+	name,
+	host: 'nony24.example',
+	pathPrefix,
+	kind: 'non_idempotent',
+	timeoutMs: 3000,
+	targetLatencyMs: 1000,
+	priority,
+	service: 'huvo11a',
+	maxAttempts: 3,
+	extension: 2,
+})
+
+await runCase(
+	dirname(fileURLToPath(import.meta.url)),
+	async ({ cell, record, trouble, workers }) => {
+		await cell.configure(
+			1,
+			[route('checks', '/checks/', 0), route('watch', '/watch/', 1)],
+			'huvo11a'
+		)
+		for (let number = 0; number < WORKERS; number++) {
+			const parts = {
+				id: `i-${number}`,
+				service: 'huvo11a',
+				zone: ['vake', 'saburtalo', 'isani'][number % 3],
+				labels: [number === 0 ? 'b' : 'a', `r1-${number}`],
+				cpu: 16_000,
+				memMb: 32_768,
+				control: cell.control,
+				ip: '127.0.0.1',
+				work: (task) =>
+					LASTING_JOBS.includes(task.slice(0, 16))
+						? { ms: Number.POSITIVE_INFINITY }
+						: { ms: 600, how: 'done' },
+			}
+			const worker = new Worker(parts, record)
+			workers.push(worker)
+			await worker.start()
+		}
+		await sleep(1000)
+		// Other customers' work on all workers but the labelled one.
+		const traffic = startTraffic(cell)
+		for (const id of LASTING_JOBS) {
+			const steps = [
+				{ count: 2, cpu: 1000, memMb: 256, estMs: 400, longRunning: true, requires: 'b' },
+			]
+			if (!(await cell.submit(`/watch/${id}`, { spec: 'watch', steps })))
+				throw new Error('not accepted')
+		}
+		const [labelled] = workers
+		for (let turn = 0; labelled.runs.size < TASKS.length; turn++) {
+			if (turn > 100) throw new Error('the tasks that last did not start')
+			await sleep(100)
+		}
+		await sleep(6000)
+		if (trouble) labelled.fail()
+		await sleep(FAILS_FOR_MS)
+		if (trouble) labelled.recover()
+		const calmFrom = record.now
+		await sleep(WATCH_MS)
+		clearInterval(traffic)
+		return breakOf(record, labelled, calmFrom)
+	}
+)
+
+function startTraffic(cell) {
+	let count = 0
+	return setInterval(() => {
+		const id = (0xb00000000000 + count++).toString(16).padStart(16, '0')
+		const steps = [{ count: 4, cpu: 1000, memMb: 256, estMs: 600, requires: 'a' }]
+		void cell.client('POST', `/checks/${id}`, { spec: 'check', steps }, count)
+	}, 250)
+}
+
+function breakOf(record, worker, calmFrom) {
+	let broken = ''
+	for (const task of TASKS) {
+		const open = worker.runs.get(task)
+		const runs = worker.history.filter((run) => run.task === task)
+		const at = firstBreak(open ? [...runs, { from: open.from }] : runs, calmFrom, record.now)
+		const gaps = runs.map(
+			({ to }, index) => (runs[index + 1]?.from ?? open?.from ?? record.now) - to
+		)
+		record.add(
+			`${task}: ${runs.length + (open ? 1 : 0)} runs, longest without one ${Math.max(0, ...gaps)} ms, LOST at ${at ?? '-'}`
+		)
+		if (at !== undefined)
+			broken ||= `LOST: ${task} had no run for 3 s at ${at} ms, 6 s after its last; its worker was sound from ${calmFrom} ms`
+	}
+	return broken
+}
