Review case 4: a worker that failed for 6.5 s is closed for minutes

Tried: a cell of three core and two entry processes, twelve stand-in workers, two jobs of tasks that last which only one worker may run; that worker fails all that it starts for 6.5 s.

None of the eight tasks had a run in the 30 s after the worker was sound again.

--- a/review/4/case.mjs
+++ b/review/4/case.mjs
@@ -1,6 +1,6 @@
 /**
- * A worker fails all that it runs for 6.5 s. It alone has the label that two jobs with tasks that
- * last require. How long are these tasks without a run once it is sound again?
+ * A worker fails all that it starts for 6.5 s. It alone has the label that two jobs with tasks that
+ * last require, which come meanwhile. When do these tasks run once it is sound again?
  */
 import { dirname } from 'node:path'
 import { fileURLToPath } from 'node:url'
@@ -13,7 +13,10 @@
 const FAILS_FOR_MS = 6500
 const WATCH_MS = 30_000
 const LASTING_JOBS = ['00000000000000a1', '00000000000000a2']
-const TASKS = LASTING_JOBS.flatMap((id) => [0, 1].map((index) => `${id}.0.0.${index}`))
+const TASKS_A_JOB = 4
+const TASKS = LASTING_JOBS.flatMap((id) =>
+	Array.from({ length: TASKS_A_JOB }, (_, index) => `${id}.0.0.${index}`)
+)
 
 const route = (name, pathPrefix, priority) => ({
 	name,
@@ -58,21 +61,18 @@
 		await sleep(1000)
 		// Other customers' work on all workers but the labelled one.
 		const traffic = startTraffic(cell)
+		await sleep(3000)
+		const [labelled] = workers
+		if (trouble) labelled.fail()
+		const soundAt = record.now + FAILS_FOR_MS
 		for (const id of LASTING_JOBS) {
 			const steps = [
-				{ count: 2, cpu: 1000, memMb: 256, estMs: 400, longRunning: true, requires: 'b' },
+				{ count: TASKS_A_JOB, cpu: 1000, memMb: 256, estMs: 400, longRunning: true, requires: 'b' },
 			]
-			if (!(await cell.submit(`/watch/${id}`, { spec: 'watch', steps })))
-				throw new Error('not accepted')
+			const accepted = await cell.submit(`/watch/${id}`, { spec: 'watch', steps })
+			if (!accepted) throw new Error('a job was not accepted')
 		}
-		const [labelled] = workers
-		for (let turn = 0; labelled.runs.size < TASKS.length; turn++) {
-			if (turn > 100) throw new Error('the tasks that last did not start')
-			await sleep(100)
-		}
-		await sleep(6000)
-		if (trouble) labelled.fail()
-		await sleep(FAILS_FOR_MS)
+		await sleep(soundAt - record.now)
 		if (trouble) labelled.recover()
 		const calmFrom = record.now
 		await sleep(WATCH_MS)
--- a/review/lib-2/cell.mjs
+++ b/review/lib-2/cell.mjs
@@ -99,18 +99,16 @@
 	}
 
 	/** Sends a manifest until it is acknowledged. */
-	async configure(version, routes, service) {
-		const services = [
-			{
-				name: service,
-				healthPath: '/healthz',
-				maxConns: 64,
-				protocol: 'h1',
-				tls: false,
-				enforcesCapacity: false,
-				headroom: false,
-			},
-		]
+	async configure(version, routes, ...names) {
+		const services = names.map((name) => ({
+			name,
+			healthPath: '/healthz',
+			maxConns: 64,
+			protocol: 'h1',
+			tls: false,
+			enforcesCapacity: false,
+			headroom: false,
+		}))
 		const limits = {
 			maxHeaderBytes: 16_384,
 			maxBodyBytes: 262_144,
--- a/review/lib-2/worker.mjs
+++ b/review/lib-2/worker.mjs
@@ -7,6 +7,7 @@
 import { createServer } from 'node:http'
 import { BOUNDS } from './cell.mjs'
 import { call } from './http.mjs'
+import { sleep } from './record.mjs'
 
 const HEARTBEAT_MS = 1500
 const HEARTBEAT_TIMEOUT_MS = 1000
@@ -36,6 +37,7 @@
 		this.target = 0
 		this.isCut = false
 		this.isFailing = false
+		this.isDraining = false
 		/** Every run: task, attempt, from, to, how. */
 		this.history = []
 		this.heartbeatsTaken = 0
@@ -77,11 +79,35 @@
 		this.close('crashed')
 	}
 
-	/** From now on it fails all that it runs and starts, until `recover`. */
+	/**
+	 * It leaves as planned: says that it is draining until that is acknowledged, serves on for
+	 * `drainMs` and a little longer, deregisters and ends.
+	 */
+	async leave() {
+		const { id, control } = this.parts
+		this.record.add(`trouble: worker ${id} drains`)
+		this.isDraining = true
+		const before = this.heartbeatsTaken
+		for (let turn = 0; this.heartbeatsTaken === before; turn++) {
+			if (turn > 20) throw new Error('the draining was not acknowledged')
+			await this.heartbeat()
+		}
+		await sleep(BOUNDS.drainMs + 500)
+		const path = `/rillrudder/instances/${id}/deregister`
+		for (let turn = 0; turn < 10; turn++) {
+			const address = control[turn % control.length]
+			const { status } = await call({ address, method: 'POST', path, timeout: 1000 })
+			this.record.add(`worker ${id}: deregisters -> ${status}`)
+			if (status === 200) break
+		}
+		this.record.add(`trouble: worker ${id} has left`)
+		this.close('left')
+	}
+
+	/** From now on it fails all that it starts, until `recover`. */
 	fail() {
-		this.record.add(`trouble: worker ${this.parts.id} fails all that it runs`)
+		this.record.add(`trouble: worker ${this.parts.id} fails all that it starts`)
 		this.isFailing = true
-		for (const run of [...this.runs.values()]) this.end(run, 'failed')
 	}
 
 	recover() {
@@ -115,7 +141,8 @@
 				zone,
 				version: 'v1',
 				slots: 8,
-				state: 'ready',
+				state: this.isDraining ? 'draining' : 'ready',
+				...(this.isDraining && { remainingMs: BOUNDS.drainMs }),
 				coldRemainingMs: 0,
 				capacity: { cpu, memMb, gpu: 0 },
 				labels,
