Review case 8: jobs whose start never arrived are not given as pending

Tried: the one worker of nine that has room is cut off for 8 s as twelve jobs come; none of them can begin meanwhile.

--- /dev/null
+++ b/review/8/run.sh
@@ -0,0 +1,4 @@
+#!/usr/bin/env bash
+# Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run; see claim.txt.
+cd "$(dirname "$0")/../.." || exit 2
+exec node review/8/case.mjs
