Review scripts: an error of a script's own ends with 2, and the record holds all traffic

An error thrown by a timer ended a script with 1, as if the rule were broken; tried again with such an error: 2, and no process is left. The record of a case left out the other customers' jobs, short runs and heartbeats. No check, bound or disruption is changed.

--- a/review/4/case.mjs
+++ b/review/4/case.mjs
@@ -86,7 +86,7 @@
 	return setInterval(() => {
 		const id = (0xb00000000000 + count++).toString(16).padStart(16, '0')
 		const steps = [{ count: 4, cpu: 1000, memMb: 256, estMs: 600, requires: 'a' }]
-		void cell.client('POST', `/checks/${id}`, { spec: 'check', steps }, count)
+		void cell.trySubmit(`/checks/${id}`, { spec: 'check', steps }, count)
 	}, 250)
 }
 
--- a/review/6/case.mjs
+++ b/review/6/case.mjs
@@ -102,6 +102,6 @@
 	return setInterval(() => {
 		const id = (0xb00000000000 + count++).toString(16).padStart(16, '0')
 		const steps = [{ count: 14, cpu: 1000, memMb: 256, estMs: 400, antiAffinity: 2 }]
-		void cell.client('POST', `/checks/${id}`, { spec: 'check', steps }, count)
+		void cell.trySubmit(`/checks/${id}`, { spec: 'check', steps }, count)
 	}, 150)
 }
--- a/review/lib-2/cell.mjs
+++ b/review/lib-2/cell.mjs
@@ -133,6 +133,12 @@
 		return call({ address: this.fronts[front % 2], method, path, body, headers, timeout })
 	}
 
+	/** Hands a job of the other customers in, once. */
+	async trySubmit(path, body, front) {
+		const { status } = await this.client('POST', path, body, front)
+		this.record.add(`client: POST ${path} -> ${status}`)
+	}
+
 	/** Hands a job in as a client does: again after no answer, 502, 503 or 504. */
 	async submit(path, body) {
 		for (let turn = 0; turn < 20; turn++) {
--- a/review/lib-2/runCase.mjs
+++ b/review/lib-2/runCase.mjs
@@ -22,6 +22,9 @@
 		console.log(text)
 		process.exit(code)
 	}
+	// An error of the script's own is no break of the rule.
+	process.on('uncaughtException', (fault) => finish(2, `could not run: ${fault.message}`))
+	process.on('unhandledRejection', (fault) => finish(2, `could not run: ${fault}`))
 	process.on('SIGTERM', () => finish(2, 'could not run: ended from outside'))
 	process.on('SIGINT', () => finish(2, 'could not run: ended from outside'))
 	setTimeout(() => finish(2, 'could not run: took too long'), LIMIT_MS)
--- a/review/lib-2/worker.mjs
+++ b/review/lib-2/worker.mjs
@@ -152,7 +152,7 @@
 		})
 		if (status === 200) this.heartbeatsTaken += 1
 		else this.target += 1
-		if (this.isLogged) this.record.add(`worker ${id}: heartbeat ${this.sequence} -> ${status}`)
+		this.record.add(`worker ${id}: heartbeat ${this.sequence} -> ${status}`)
 	}
 
 	serve(request, response) {
@@ -171,6 +171,10 @@
 				return this.answer(response, 400, {})
 			}
 			const [status, value] = await this.handle(request.url, body)
+			if (status !== 200)
+				this.record.add(
+					`worker ${this.parts.id}: ${request.url} -> ${status} ${JSON.stringify(value)}`
+				)
 			if (!this.isCut) this.answer(response, status, value)
 		})
 	}
@@ -204,8 +208,7 @@
 			run.timer = setTimeout(() => this.end(run, end), span)
 		}
 		this.runs.set(task, run)
-		if (this.isLogged || !Number.isFinite(ms))
-			this.record.add(`worker ${this.parts.id}: starts ${task} attempt ${attempt}`)
+		this.record.add(`worker ${this.parts.id}: starts ${task} attempt ${attempt}`)
 		this.parts.onStart?.(this, run)
 		return [200, {}]
 	}
@@ -262,10 +265,9 @@
 	}
 
 	note(run, how) {
-		const { task, attempt, from, ms } = run
+		const { task, attempt, from } = run
 		this.history.push({ task, attempt, from, to: this.record.now, how })
-		if (this.isLogged || !Number.isFinite(ms))
-			this.record.add(`worker ${this.parts.id}: run of ${task} attempt ${attempt} ends ${how}`)
+		this.record.add(`worker ${this.parts.id}: run of ${task} attempt ${attempt} ends ${how}`)
 	}
 
 	checkHold() {
