A worker is kept free of new starts for an isolated task that no worker admits

Cause: an isolated task starts only where all runs of other jobs were confirmed 0.5 s ago. Where every worker starts something twice a second there is no such moment, and nothing made it come.

Change: a worker with room is cordoned, so that no task of another job starts there until the isolated one has. The runs there settle within 0.5 s, so the wait has an end of its own. A worker with a start that is overdue is passed over. The constants: a start is overdue after 0.5 s, as a run is settled by then; a cordon lasts 1 s unless renewed, which full passes do every 0.1 s.

Tests: "a step whose tasks wait for isolation says so" kept a task waiting for 17 s behind traffic, which was the fault. It asks for the same reason, and for all of the time being counted under it, while the cordoned worker settles: to 100 ms now, to within the five digits before.

Found by the new tests and not fixed: a task that has lost two workers waits 16.6 s (lasting, 16 allowed) or 19.9 s (17) if the leader changes within each lease.

--- a/packages/jobs/src/lib/leader/LeaderEvent.ts
+++ b/packages/jobs/src/lib/leader/LeaderEvent.ts
@@ -121,6 +121,11 @@
 	 * its queue's policy prevents it; the fields of `step-overdue`. Logged once for each step.
 	 */
 	StepWaitsLong: 'step-waits-long',
+	/**
+	 * No task of another job starts on a `worker` until an isolated task of a step (`for`) has started
+	 * there; the number of `runs` there. Ends by itself after 1 s without need.
+	 */
+	WorkerCordoned: 'worker-cordoned',
 	/**
 	 * The reconciliation found a `step` with startable tasks that no change had reported. It is
 	 * tried now.
--- a/packages/jobs/src/lib/leader/isolatedTask.test.ts
+++ b/packages/jobs/src/lib/leader/isolatedTask.test.ts
@@ -6,92 +6,29 @@
 import assert from 'node:assert/strict'
 import { test } from 'node:test'
 import type { Step } from '../records/Job'
-import type { TaskRecord } from '../state/JobRecord'
+import { Refusal, type OrderResult } from './ports'
 import { CrashEvidence, suspicionOf, Suspicion, type LostWorker } from '../state/TaskCrashes'
+import { IsolationCell, SMALL_NEED } from '../testing/IsolationCell'
 import { jobOf, QUEUE } from '../testing/samples'
-import { FINISH_MS, ID, LASTING_MS, TASK, WaitingCell } from '../testing/WaitingCell'
+import { FINISH_MS, ID, LASTING_MS, TASK } from '../testing/WaitingCell'
 
 const BEAT_MS = 1000
-/** From the start of a run until its worker is lost: well before it counts as settled. */
-const STARTUP_MS = 140
-
 /** The first task of the second step of the job. */
 const LATER_TASK = `${ID}.0.1.0`
 const OTHERS = [1, 2, 3, 4].map((number) => `00000000000000c${number}`)
-const NEED = { cpu: 100, memory: 64, accelerators: 0 }
 /** Runs of others that outlast each test. */
-const LONG_STEP: Partial<Step> = { need: NEED, expectedTime: 600_000 }
+const LONG_STEP: Partial<Step> = { need: SMALL_NEED, expectedTime: 600_000 }
 const STRONG: LostWorker = { worker: 'lost-1', evidence: CrashEvidence.Strong }
 const DOUBTFUL: LostWorker = { worker: 'lost-2', evidence: CrashEvidence.Doubtful }
-/** Less than it takes a run to count as settled. */
-const TRAFFIC_PERIOD_MS = 200
-
-/** A cell whose workers have their names as labels. */
-class IsolationCell extends WaitingCell {
-	constructor(workers: number) {
-		super()
-		for (let number = 1; number <= workers; number++) {
-			this.join(1, 'vake', { labels: [`w${number}`] })
-			// No run ends or counts as stalled meanwhile.
-			this.worker(`w${number}`).progressPerPoll = 0.1
-		}
-		this.run(BEAT_MS)
-	}
-
-	recordOf(task: string): TaskRecord {
-		return this.subject.state.jobs.locate(task)!.task
-	}
-
-	isRunning(task: string): boolean {
-		return this.runnerOf(task) !== undefined
-	}
-
-	isOn(worker: string, task: string): boolean {
-		return this.subject.worker(worker).running.some((run) => run.task === task)
-	}
-
-	/** Runs until tasks have started, and loses their workers before they have settled. */
-	loseDuringStartup(...tasks: string[]): void {
-		this.run(5000, () => tasks.every((task) => this.isRunning(task)))
-		this.run(STARTUP_MS)
-		for (const task of tasks) this.end(this.workerOf(task))
-	}
-
-	/** Submits a job with a step of which each task has lost a worker, and lets this step begin. */
-	submitWithCrashes(step: Partial<Step>, crashes: readonly LostWorker[]): void {
-		const second = { ...step, count: crashes.length, dependsOn: [0] }
-		this.subject.submit(ID, jobOf({ need: NEED }, second))
-		this.run(5000, () => this.isRunning(TASK))
-		crashes.forEach((lost, index) => {
-			this.recordOf(`${ID}.0.1.${index}`).crashed = [lost]
-		})
-		this.subject.worker(this.recordOf(TASK).worker).end(TASK, 'done')
-	}
-
-	/**
-	 * Starts a short run of another job on each worker every {@link TRAFFIC_PERIOD_MS}, so that no
-	 * worker admits an isolated task.
-	 */
-	startTraffic(): void {
-		let count = 0
-		const start = (): void => {
-			for (const id of this.up) {
-				const worker = this.subject.worker(id)
-				for (const { task } of worker.running) if (!task.startsWith(ID)) worker.end(task, 'done')
-				const job = `000000000001${(count++).toString(16).padStart(4, '0')}`
-				this.subject.submit(job, jobOf({ need: NEED, requires: id }))
-			}
-			this.subject.clock.after(TRAFFIC_PERIOD_MS, start)
-		}
-		start()
-	}
-
-	/** @returns what the job's caller is told about the wait of its second step. */
-	explain(): string {
-		const reply = this.subject.call({ kind: 'explain-job', id: ID })
-		return reply?.kind === 'explanation' ? reply.explanation.steps[1].reason : ''
-	}
-}
+const LATE: OrderResult = { kind: 'refused', reason: Refusal.LeaseExpired }
+/** Less than it takes a worker to settle. */
+const ISOLATED_MS = 300
+/** Reasons are set in full passes. */
+const FULL_PASS_PERIOD_MS = 100
+const BOUNDS = [
+	{ lasting: false, bound: FINISH_MS },
+	{ lasting: true, bound: LASTING_MS },
+]
 
 /** A cell in which each worker that is left has a settled run of another job that is isolated. */
 function cellOfIsolatedRuns(): IsolationCell {
@@ -113,13 +50,10 @@
 
 // Guards against a wait for as long as suspected runs of others last: no worker admitted an isolated
 // task beside one, however long that one had been at work.
-for (const { lasting, bound } of [
-	{ lasting: false, bound: FINISH_MS },
-	{ lasting: true, bound: LASTING_MS },
-]) {
+for (const { lasting, bound } of BOUNDS) {
 	test(`an isolated task starts beside settled runs that are suspected, lasting: ${lasting}`, () => {
 		const cell = cellOfIsolatedRuns()
-		cell.subject.submit(ID, jobOf({ need: NEED, lasting }))
+		cell.subject.submit(ID, jobOf({ need: SMALL_NEED, lasting }))
 		cell.loseDuringStartup(TASK)
 		const took = cell.run(200_000, () => cell.isRunning(TASK))
 		assert.equal(suspicionOf(cell.recordOf(TASK)), Suspicion.Isolated)
@@ -127,6 +61,78 @@
 	})
 }
 
+// Guards against a wait for as long as every worker starts something twice a second: nothing made the
+// moment come at which all runs of others on a worker had settled (review/6, LOST).
+for (const { lasting, bound } of BOUNDS) {
+	test(`an isolated task starts while others start on every worker, lasting: ${lasting}`, () => {
+		const cell = new IsolationCell(8)
+		cell.startTraffic()
+		cell.subject.submit(ID, jobOf({ need: SMALL_NEED, lasting }))
+		cell.loseDuringStartup(TASK)
+		const took = cell.run(60_000, () => cell.isRunning(TASK))
+		assert.equal(suspicionOf(cell.recordOf(TASK)), Suspicion.Isolated)
+		assert.ok(took <= bound, `${took} ms without a run`)
+	})
+}
+
+// Guards against a promise that holds for the first loss only: a held task becomes isolated 7 s after
+// its last worker became unreachable, which leaves 2 s of the promise.
+test('a held task starts in time while others start on every worker', () => {
+	const cell = new IsolationCell(8)
+	cell.startTraffic()
+	cell.subject.submit(ID, jobOf({ need: SMALL_NEED, lasting: true }))
+	cell.loseDuringStartup(TASK)
+	cell.run(60_000, () => cell.isRunning(TASK))
+	cell.loseDuringStartup(TASK)
+	const took = cell.run(60_000, () => cell.isRunning(TASK))
+	assert.ok(took <= LASTING_MS, `${took} ms without a run`)
+})
+
+// Guards against a cordon that keeps more from starting than the isolated task needs.
+test('a cordon keeps others off one worker, and ends with the wait', () => {
+	const cell = new IsolationCell(8)
+	cell.startTraffic()
+	cell.submitWithCrashes({ need: SMALL_NEED }, [STRONG])
+	const idle = new Set<string>()
+	const noteIdle = (): boolean => {
+		for (const id of cell.up) if (cell.worker(id).running.length === 0) idle.add(id)
+		return cell.isRunning(LATER_TASK)
+	}
+	cell.run(FINISH_MS, noteIdle)
+	const worker = cell.recordOf(LATER_TASK).worker
+	assert.deepEqual([...idle], [worker])
+	const before = cell.worker(worker).starts.length
+	cell.run(2 * BEAT_MS)
+	assert.ok(cell.worker(worker).starts.length > before, 'others start there again')
+})
+
+// Guards against a worker that stays closed for a task that needs it no more.
+test('the cordon of a cancelled job ends', () => {
+	const cell = new IsolationCell(2)
+	cell.startTraffic()
+	cell.submitWithCrashes({ need: SMALL_NEED }, [STRONG])
+	cell.run(BEAT_MS, () => cell.cordons.length > 0)
+	cell.subject.call({ kind: 'cancel', to: { queue: QUEUE.name, id: ID } })
+	const [worker] = cell.cordons
+	const before = cell.worker(worker).starts.length
+	cell.run(2 * BEAT_MS)
+	assert.ok(cell.worker(worker).starts.length > before, 'others start there again')
+})
+
+// Guards against a wait for a worker that never settles: one that answers and confirms no start.
+test('no worker with an overdue start is cordoned while another one has none', () => {
+	const cell = new IsolationCell(2)
+	cell.subject.submit(OTHERS[0], jobOf({ ...LONG_STEP, requires: 'w2' }))
+	cell.run(BEAT_MS)
+	cell.startTraffic(['w2'])
+	cell.submitWithCrashes({ need: SMALL_NEED }, [STRONG])
+	cell.worker('w1').startResult = LATE
+	cell.subject.submit(OTHERS[1], jobOf({ need: SMALL_NEED, requires: 'w1' }))
+	const took = cell.run(60_000, () => cell.isRunning(LATER_TASK))
+	assert.equal(cell.recordOf(LATER_TASK).worker, 'w2')
+	assert.ok(took <= LASTING_MS, `${took} ms without a run`)
+})
+
 // Guards against losing one more worker than needed: a suspected run may crash its worker late.
 test('an isolated task starts where no run is suspected if it can, even if more work is at risk', () => {
 	const cell = new IsolationCell(2)
@@ -135,7 +141,7 @@
 	cell.subject.submit(suspected, jobOf({ ...LONG_STEP, requires: 'w2' }))
 	cell.recordOf(`${suspected}.0.0.0`).crashed = [STRONG]
 	cell.run(3000)
-	cell.submitWithCrashes({ need: NEED }, [STRONG])
+	cell.submitWithCrashes({ need: SMALL_NEED }, [STRONG])
 	cell.run(3000, () => cell.isRunning(LATER_TASK))
 	assert.equal(cell.recordOf(LATER_TASK).worker, 'w1')
 })
@@ -145,7 +151,7 @@
 test('a suspected task does not wait behind an isolated task of its step that no worker admits', () => {
 	const cell = new IsolationCell(2)
 	cell.startTraffic()
-	cell.submitWithCrashes({ need: NEED }, [STRONG, DOUBTFUL])
+	cell.submitWithCrashes({ need: SMALL_NEED }, [STRONG, DOUBTFUL])
 	const sibling = `${ID}.0.1.1`
 	const took = cell.run(60_000, () => cell.isRunning(sibling))
 	assert.equal(cell.isRunning(LATER_TASK), false, 'the isolated task waits')
@@ -158,21 +164,23 @@
 test('a step whose tasks wait for isolation says so', () => {
 	const cell = new IsolationCell(2)
 	cell.startTraffic()
-	cell.submitWithCrashes({ need: NEED }, [STRONG])
-	cell.run(FINISH_MS)
+	cell.submitWithCrashes({ need: SMALL_NEED }, [STRONG])
+	cell.run(BEAT_MS, () => cell.cordons.length > 0)
+	const waited = cell.run(ISOLATED_MS)
 	assert.equal(cell.isRunning(LATER_TASK), false, 'the isolated task waits')
 	assert.match(cell.explain(), /^its tasks are isolated/)
 	cell.subject.call({ kind: 'cancel', to: { queue: QUEUE.name, id: ID } })
 	cell.run(BEAT_MS)
 	const dropped = cell.subject.logLines.find((line) => line.includes('step-dropped'))
-	assert.match(dropped ?? '', /"waits":"isolated:\d{5}"/)
+	const counted = /"waits":"isolated:(\d+)"/.exec(dropped ?? '')?.[1]
+	assert.ok(Number(counted) > waited - FULL_PASS_PERIOD_MS, `${counted} of ${waited} ms counted`)
 })
 
 // Guards against naming isolation where a step has tasks that it does not keep waiting.
 test('a step without capacity for its isolated tasks is not said to wait for isolation', () => {
 	const cell = new IsolationCell(2)
 	cell.startTraffic()
-	cell.submitWithCrashes({ need: { ...NEED, cpu: 4000 } }, [STRONG])
+	cell.submitWithCrashes({ need: { ...SMALL_NEED, cpu: 4000 } }, [STRONG])
 	cell.run(BEAT_MS)
 	assert.match(cell.explain(), /has room for one task/)
 })
--- a/packages/jobs/src/lib/leader/overlongWaits.test.ts
+++ b/packages/jobs/src/lib/leader/overlongWaits.test.ts
@@ -4,6 +4,7 @@
  */
 import assert from 'node:assert/strict'
 import { test } from 'node:test'
+import { isolationCell } from '../testing/IsolationCell'
 import { jobOf } from '../testing/samples'
 import {
 	badStarts,
@@ -103,6 +104,12 @@
 		begin: () => loseWorker({ lasting: true }, bornCell(200), 0),
 		lasting: true,
 	},
+	...[false, true].map((lasting) => ({
+		row: "a worker's fate",
+		cause: `it is the second one lost under a task, lasting: ${lasting}`,
+		begin: () => isolationCell({ lasting }, 2),
+		lasting,
+	})),
 	{ row: "a worker's fate", cause: 'no carrier reaches it any more', begin: notCarriedCell },
 	{
 		row: "an earlier life's runs to be gone",
--- a/packages/jobs/src/lib/leader/steps/Quarantine.ts
+++ b/packages/jobs/src/lib/leader/steps/Quarantine.ts
@@ -4,13 +4,16 @@
  * an empty worker. A suspected task goes where the least work is lost if its worker crashes. An
  * isolated task needs, besides, a worker on which all tasks of other jobs have been running for a
  * while, preferably one on which none of them is suspected; no task of another job starts beside it
- * until it has outlived the time in which it would have crashed its worker.
+ * until it has outlived the time in which it would have crashed its worker. While there is no such
+ * worker, one is cordoned: no task of another job starts there, so that those that have started
+ * settle.
  *
  * This keeps a cell working in which a few tasks crash every worker that starts them.
  */
 import { suspicionOf, Suspicion } from '../../state/TaskCrashes'
 import type { CellState } from '../../state/CellState'
 import { hasCapacity, type WorkerOption, type CapacityCheck } from './chooseWorkerForStep'
+import { ExclusiveWorkers, type ExclusiveUse } from './ExclusiveWorkers'
 import type { StepWork } from './StepWork'
 import type { WorkerView } from '../workers/WorkerView'
 
@@ -25,11 +28,16 @@
  */
 const LASTING_WORK_MS = 10_000
 
-interface Probation {
-	readonly job: string
+/**
+ * Milliseconds for which a worker stays cordoned unless the cordon is renewed, which every full pass
+ * does while the task waits.
+ */
+const CORDON_MS = 1000
+
+/** The time after its start in which an isolated task has its worker to itself. */
+interface Probation extends ExclusiveUse {
+	/** The isolated task; its time is infinite until its run has started. */
 	readonly task: string
-	/** When it ends, on the leader's clock; infinite until the run has started. */
-	readonly until: number
 }
 
 /** Runs whose start is decided but not yet committed. @internal */
@@ -44,8 +52,10 @@
  * @internal
  */
 export class Quarantine {
-	/** Isolated tasks that have recently started, by worker id. */
-	private readonly probations = new Map<string, Probation>()
+	/** Workers on which isolated tasks have recently started. */
+	private readonly probations = new ExclusiveWorkers<Probation>()
+	/** Workers on which isolated tasks are about to start. */
+	private readonly cordons = new ExclusiveWorkers<ExclusiveUse>()
 
 	constructor(
 		private readonly state: CellState,
@@ -57,10 +67,12 @@
 		return suspicionOf(record.tasks[index])
 	}
 
-	/** @returns whether a task of a job may start on a worker beside an isolated task there. */
+	/**
+	 * @returns whether a task of a job may start on a worker, which is not the case beside an isolated
+	 * task of another job that has just started or is about to.
+	 */
 	admits(job: string, worker: string, now: number): boolean {
-		const probation = this.probations.get(worker)
-		return !probation || probation.job === job || probation.until <= now
+		return this.probations.admits(job, worker, now) && this.cordons.admits(job, worker, now)
 	}
 
 	/**
@@ -84,16 +96,71 @@
 		// Members of a gang start together or not at all, so none of them can wait for another one.
 		const needsOwnWorker = this.isIsolated(work, index) && !work.step.gang
 		const job = work.job.id
-		const probationWorker = needsOwnWorker ? this.probationWorkerOf(job, now) : undefined
+		const probationWorker = needsOwnWorker ? this.probations.workerFor(job, now) : undefined
 		const admitting = options.filter((option) => {
 			if (probationWorker !== undefined && probationWorker !== option.view.id) return false
 			if (!hasCapacity(work, option) || !isFree(work, option)) return false
 			return !needsOwnWorker || this.hasOnlySettledRuns(option.view, job, now)
 		})
-		if (!needsOwnWorker) return leastLossAmong(work, admitting)
-		// Suspected runs may last for hours, and one that has settled is unlikely to crash its worker.
-		const unsuspected = admitting.filter(({ view }) => !this.hasSuspectedRun(view, job))
-		return leastLossAmong(work, unsuspected) ?? leastLossAmong(work, admitting)
+		return needsOwnWorker
+			? this.preferUnsuspected(work, admitting)
+			: leastLossAmong(work, admitting)
+	}
+
+	/**
+	 * Cordons a worker for an isolated task that no worker admits, or renews the cordon. Otherwise the
+	 * task would wait for as long as other tasks keep starting on every worker.
+	 *
+	 * @param work - the step of the task.
+	 * @param options - workers that may run the step.
+	 * @param isFree - whether a worker has capacity that is not reserved for others.
+	 * @param now - the current time, on the leader's clock.
+	 * @returns the worker, if it was not cordoned for the job before.
+	 */
+	cordonFor(
+		work: StepWork,
+		options: readonly WorkerOption[],
+		isFree: CapacityCheck,
+		now: number
+	): WorkerOption | undefined {
+		const job = work.job.id
+		// Isolated tasks of one job start on one worker.
+		if (this.probations.workerFor(job, now) !== undefined) return undefined
+		const known = this.cordons.workerFor(job, now)
+		if (known !== undefined && !options.some(({ view }) => view.id === known)) return undefined
+		const suitable = this.getSuitableForCordon(work, options, isFree, now)
+		const kept = suitable.find(({ view }) => view.id === known)
+		const chosen = kept ?? this.preferUnsuspected(work, suitable)
+		if (known !== undefined) this.cordons.release(known)
+		if (chosen) this.cordons.set(chosen.view.id, { job, until: now + CORDON_MS })
+		return kept ? undefined : chosen
+	}
+
+	/**
+	 * @returns workers with capacity for a step, those with an overdue start only if all have one:
+	 * it is unknown when these settle.
+	 */
+	private getSuitableForCordon(
+		work: StepWork,
+		options: readonly WorkerOption[],
+		isFree: CapacityCheck,
+		now: number
+	): readonly WorkerOption[] {
+		const free = options.filter((option) => hasCapacity(work, option) && isFree(work, option))
+		const punctual = free.filter(({ view }) => !hasOverdueStart(view, work.job.id, now))
+		return punctual.length > 0 ? punctual : free
+	}
+
+	/**
+	 * @returns the worker on which a crash would lose the least work, preferably one without suspected
+	 * runs of other jobs. Such runs may last for hours, so they do not rule a worker out.
+	 */
+	private preferUnsuspected(
+		work: StepWork,
+		options: readonly WorkerOption[]
+	): WorkerOption | undefined {
+		const unsuspected = options.filter(({ view }) => !this.hasSuspectedRun(view, work.job.id))
+		return leastLossAmong(work, unsuspected) ?? leastLossAmong(work, options)
 	}
 
 	/**
@@ -125,8 +192,10 @@
 	}
 
 	/** Records that the start of an isolated task on a worker is decided. */
-	onStartDecided(task: string, job: string, worker: string): void {
+	onStartDecided(task: string, job: string, worker: string, now: number): void {
 		this.probations.set(worker, { job, task, until: Number.POSITIVE_INFINITY })
+		const cordoned = this.cordons.workerFor(job, now)
+		if (cordoned !== undefined) this.cordons.release(cordoned)
 	}
 
 	/** Records that a run has started. */
@@ -138,18 +207,7 @@
 
 	/** Records that a run has ended or will not start. */
 	onRunEnded(task: string, worker: string): void {
-		if (this.probations.get(worker)?.task === task) this.probations.delete(worker)
-	}
-
-	/**
-	 * @returns the worker on which an isolated task of the job is on probation, if any: other
-	 * isolated tasks of the job start only there.
-	 */
-	private probationWorkerOf(job: string, now: number): string | undefined {
-		for (const [worker, probation] of this.probations) {
-			if (probation.job === job && probation.until > now) return worker
-		}
-		return undefined
+		if (this.probations.get(worker)?.task === task) this.probations.release(worker)
 	}
 
 	/**
@@ -176,6 +234,14 @@
 	}
 }
 
+/** Whether a worker has had an order to start a task of another job for long, unconfirmed. */
+function hasOverdueStart({ runs }: WorkerView, job: string, now: number): boolean {
+	return [...runs.values()].some(
+		({ name, confirmedAt, phaseSince }) =>
+			name.job !== job && confirmedAt === undefined && now - phaseSince >= PROBATION_MS
+	)
+}
+
 /**
  * @returns the worker on which a crash would lose the least work, of those that failed the fewest
  * runs of the step; undefined if there is none.
--- a/packages/jobs/src/lib/leader/steps/StepPlacement.ts
+++ b/packages/jobs/src/lib/leader/steps/StepPlacement.ts
@@ -2,12 +2,14 @@
  * Assigns the tasks of a step to workers that may run them and have capacity beside reservations of
  * others.
  */
+import { Measure } from '@rillrudder/telemetry'
 import type { AccountUsage } from '../../accounts/AccountUsage'
 import type { GangPlanner } from '../../gangs/GangPlanner'
 import { freeResourcesOf, countMembersFitting } from '../../gangs/chooseGangWorkersToAsk'
 import type { Reservations } from '../../placement/Reservations'
 import type { UrgentCapacity } from '../../placement/UrgentCapacity'
 import { epochTimeOf, type LeaderContext } from '../LeaderContext'
+import { LeaderEvent } from '../LeaderEvent'
 import {
 	chooseWorkerForStep,
 	hasCapacity,
@@ -134,6 +136,8 @@
 		for (const index of waiting) {
 			if (!this.accounts.canStart(work.account, work.step)) break
 			const option = choose(index, options)
+			if (!option && this.dependencies.quarantine.isIsolated(work, index))
+				this.cordonFor(work, options, now)
 			if (!option || !tryClaim(this.context.ledger, option.view.id, work)) break
 			work.adjustTaskCount(option.view.id, 1)
 			this.dependencies.urgentCapacity.onPlaced(work, 1)
@@ -141,4 +145,14 @@
 		}
 		return placed
 	}
+
+	/** Keeps a worker free of new starts for an isolated task that no worker admits. */
+	private cordonFor(work: StepWork, options: readonly WorkerOption[], now: number): void {
+		const chosen = this.dependencies.quarantine.cordonFor(work, options, this.isFree, now)
+		if (!chosen) return
+		const { view } = chosen
+		const { log, meter } = this.context
+		log.info(LeaderEvent.WorkerCordoned, { worker: view.id, for: work.name, runs: view.runs.size })
+		meter.count(Measure.Cordons)
+	}
 }
--- a/packages/jobs/src/lib/leader/waitsAcrossLeaders.test.ts
+++ b/packages/jobs/src/lib/leader/waitsAcrossLeaders.test.ts
@@ -6,6 +6,7 @@
 import { test } from 'node:test'
 import type { TaskRecord } from '../state/JobRecord'
 import { CrashEvidence } from '../state/TaskCrashes'
+import { isolationCell } from '../testing/IsolationCell'
 import { accountNamed, jobOf, QUEUE } from '../testing/samples'
 import {
 	badStarts,
@@ -216,6 +217,18 @@
 		begin: () => badStarts({ kind: 'refused', reason: Refusal.Unhealthy }),
 		isOver: isSpreadAtWork,
 	},
+	...[
+		{},
+		{ lasting: true },
+		{ lasting: true, count: 2, mostPerWorker: 1 },
+		{ lasting: true, gang: true, count: 2, mostPerWorker: 1 },
+	].map((step) => ({
+		row: 'isolation of a task under suspicion',
+		cause: `others start on every worker, ${JSON.stringify(step)}`,
+		begin: () => isolationCell(step),
+		isOver: (cell: WaitingCell) => cell.isAtWork(ID, step.count),
+		lasting: step.lasting,
+	})),
 	...[NO_ROOM, RUNS_NOTHING].flatMap((result) =>
 		[CrashEvidence.Doubtful, CrashEvidence.Strong].map((evidence) => ({
 			row: 'an order under way',
--- a/packages/telemetry/src/lib/Meter.ts
+++ b/packages/telemetry/src/lib/Meter.ts
@@ -77,6 +77,8 @@
 	SlowestShare: 'slowest_workers_share',
 	/** Gauge: runs that have started and not ended. */
 	Runs: 'runs',
+	/** Counter: workers that were kept free of new starts for an isolated task. */
+	Cordons: 'cordons_total',
 	/** Gauge by `priority`: steps with tasks that wait to start. */
 	StepsWaiting: 'steps_waiting',
 	/** Gauge by `reason`, milliseconds: the longest current wait of a step for this reason. */
