An isolated task waits a second for a worker that settles by itself

Change: a worker is cordoned once none has admitted the task for 1 s; at once if the task was held before, as 7 s of the promised 9 s are over then.

The 1 s: what is left of 9 s after a lease, detection and a cordon is 3.9 s.

--- a/packages/jobs/src/lib/leader/steps/Quarantine.ts
+++ b/packages/jobs/src/lib/leader/steps/Quarantine.ts
@@ -10,7 +10,7 @@
  *
  * This keeps a cell working in which a few tasks crash every worker that starts them.
  */
-import { suspicionOf, Suspicion } from '../../state/TaskCrashes'
+import { suspicionOf, Suspicion, type TaskCrashes } from '../../state/TaskCrashes'
 import type { CellState } from '../../state/CellState'
 import { hasCapacity, type WorkerOption, type CapacityCheck } from './chooseWorkerForStep'
 import { ExclusiveWorkers, type ExclusiveUse } from './ExclusiveWorkers'
@@ -28,6 +28,11 @@
  */
 const LASTING_WORK_MS = 10_000
 
+/**
+ * Milliseconds that an isolated task waits for a worker that settles by itself before one is
+ * cordoned, since a cordon keeps others waiting.
+ */
+const SETTLE_WAIT_MS = 1000
 /**
  * Milliseconds for which a worker stays cordoned unless the cordon is renewed, which every full pass
  * does while the task waits.
@@ -108,10 +113,11 @@
 	}
 
 	/**
-	 * Cordons a worker for an isolated task that no worker admits, or renews the cordon. Otherwise the
-	 * task would wait for as long as other tasks keep starting on every worker.
+	 * Cordons a worker for an isolated task that no worker has admitted for a while, or renews the
+	 * cordon. Otherwise the task would wait for as long as other tasks keep starting on every worker.
 	 *
 	 * @param work - the step of the task.
+	 * @param index - index of the task.
 	 * @param options - workers that may run the step.
 	 * @param isFree - whether a worker has capacity that is not reserved for others.
 	 * @param now - the current time, on the leader's clock.
@@ -119,10 +125,14 @@
 	 */
 	cordonFor(
 		work: StepWork,
+		index: number,
 		options: readonly WorkerOption[],
 		isFree: CapacityCheck,
 		now: number
 	): WorkerOption | undefined {
+		work.isolatedSince ??= now
+		const hasWaited = now - work.isolatedSince >= SETTLE_WAIT_MS
+		if (!hasWaited && !wasHeld(work.record.tasks[index])) return undefined
 		const job = work.job.id
 		// Isolated tasks of one job start on one worker.
 		if (this.probations.workerFor(job, now) !== undefined) return undefined
@@ -191,8 +201,15 @@
 		return this.suspicionOf(work, index) === Suspicion.Isolated
 	}
 
-	/** Records that the start of an isolated task on a worker is decided. */
-	onStartDecided(task: string, job: string, worker: string, now: number): void {
+	/**
+	 * Records that the start of an isolated task on a worker is decided.
+	 *
+	 * @param work - the step of the task.
+	 * @param task - the task's name in text form.
+	 */
+	onStartDecided(work: StepWork, task: string, worker: string, now: number): void {
+		const job = work.job.id
+		work.isolatedSince = undefined
 		this.probations.set(worker, { job, task, until: Number.POSITIVE_INFINITY })
 		const cordoned = this.cordons.workerFor(job, now)
 		if (cordoned !== undefined) this.cordons.release(cordoned)
@@ -234,6 +251,11 @@
 	}
 }
 
+/** Whether a task was held until a worker that it had lost was presumed to have crashed. */
+function wasHeld({ silent = [] }: TaskCrashes): boolean {
+	return silent.some(({ presumedCrashed }) => presumedCrashed)
+}
+
 /** Whether a worker has had an order to start a task of another job for long, unconfirmed. */
 function hasOverdueStart({ runs }: WorkerView, job: string, now: number): boolean {
 	return [...runs.values()].some(
--- a/packages/jobs/src/lib/leader/steps/StepPlacement.ts
+++ b/packages/jobs/src/lib/leader/steps/StepPlacement.ts
@@ -137,7 +137,7 @@
 			if (!this.accounts.canStart(work.account, work.step)) break
 			const option = choose(index, options)
 			if (!option && this.dependencies.quarantine.isIsolated(work, index))
-				this.cordonFor(work, options, now)
+				this.cordonFor(work, index, options, now)
 			if (!option || !tryClaim(this.context.ledger, option.view.id, work)) break
 			work.adjustTaskCount(option.view.id, 1)
 			this.dependencies.urgentCapacity.onPlaced(work, 1)
@@ -147,8 +147,13 @@
 	}
 
 	/** Keeps a worker free of new starts for an isolated task that no worker admits. */
-	private cordonFor(work: StepWork, options: readonly WorkerOption[], now: number): void {
-		const chosen = this.dependencies.quarantine.cordonFor(work, options, this.isFree, now)
+	private cordonFor(
+		work: StepWork,
+		index: number,
+		options: readonly WorkerOption[],
+		now: number
+	): void {
+		const chosen = this.dependencies.quarantine.cordonFor(work, index, options, this.isFree, now)
 		if (!chosen) return
 		const { view } = chosen
 		const { log, meter } = this.context
--- a/packages/jobs/src/lib/leader/steps/StepScheduler.ts
+++ b/packages/jobs/src/lib/leader/steps/StepScheduler.ts
@@ -503,7 +503,7 @@
 			const attempt = request.gang ? gangAttempt : record.tasks[index].attempt + 1
 			work.proposedTasks.add(index)
 			const isolated = this.quarantine.suspicionOf(work, index) === Suspicion.Isolated
-			if (isolated) this.quarantine.onStartDecided(task, job.id, worker, now)
+			if (isolated) this.quarantine.onStartDecided(work, task, worker, now)
 			const ticket = work.advice.ticketOf(worker, now) ?? ''
 			const { urgent, yields } = work
 			this.runs.onDecided(task, { worker, ticket, urgent, yields, at: now })
--- a/packages/jobs/src/lib/leader/steps/StepWork.ts
+++ b/packages/jobs/src/lib/leader/steps/StepWork.ts
@@ -47,6 +47,11 @@
 	readonly failureCountByWorker = new Map<string, number>()
 	/** When the steps before it were done, on the leader's clock; undefined while they are not. */
 	readyAt: number | undefined
+	/**
+	 * Since when one of its isolated tasks waits for a worker that admits it, on the leader's clock;
+	 * undefined while none does.
+	 */
+	isolatedSince: number | undefined
 	/** Whether a log line has reported that it waits past its latest start. */
 	hasLoggedOverdue = false
 	/** Whether a log line has reported that it waits too long. */
