A job has begun once a worker says so, and the next leader knows it

Cause: whether a job had begun was derived from what a leader had decided or given up. A run abandoned on an unreachable worker counted as begun, and so did each run that an earlier leader had decided.

Change: a job has begun once a worker has confirmed a start, listed a run or listed an end. That is replicated (`begun`, commands of version 8), beside the starts of other runs or by itself after 1 s, so no commit is added in a busy cell. The pending count, `state`, and the lists and explanations of operators come from one function. The delay of 1 s bounds what a leader and a worker that are lost together can take with them.

Tests: the run without the commit of a job expects "an accepted job is kept"; the new probe sees the same fault earlier, as a count without that job, so either message is taken. Commands that presume crashes are still checked to be of version 7; the newest version is that of the new command.

Two metrics counted decisions and said starts; their descriptions say what they count.

--- a/packages/jobs/src/lib/commands/CellCommand.ts
+++ b/packages/jobs/src/lib/commands/CellCommand.ts
@@ -9,11 +9,14 @@
 /**
  * Newest version of the command format. All earlier versions are read: version 1 lacks crashes,
  * version 2 the start times of workers, version 3 the shares of accounts, version 4 all-or-none
- * starts of runs, version 5 the runs seen at work, version 6 presumed crashes.
+ * starts of runs, version 5 the runs seen at work, version 6 presumed crashes, version 7 the jobs that
+ * have begun.
  *
  * @public
  */
-export const COMMAND_VERSION = 7
+export const COMMAND_VERSION = 8
+/** Version of commands that count unreachable workers as crashed. */
+const VERSION_WITH_PRESUMED_CRASHES = 7
 /** Version of commands that record runs seen at work. */
 const VERSION_WITH_RUNS_AT_WORK = 6
 /** Version of commands that start all of their runs or none. */
@@ -118,6 +121,8 @@
 	| { readonly kind: 'cleared'; readonly tasks: readonly string[] }
 	/** Runs of tasks under which workers crashed were seen at work after their start. */
 	| { readonly kind: 'at-work'; readonly runs: readonly RunRef[] }
+	/** Workers have started a task of each of these jobs. */
+	| { readonly kind: 'begun'; readonly jobs: readonly string[] }
 	| { readonly kind: 'forget'; readonly jobs: readonly string[] }
 	/** Records the shares that accounts recently had; replaces the previous record. */
 	| { readonly kind: 'shares'; readonly had: RecentUsage }
@@ -135,7 +140,8 @@
 }
 
 function versionOf(command: CellCommand): number {
-	if (command.kind === 'presume-crashed') return COMMAND_VERSION
+	if (command.kind === 'begun') return COMMAND_VERSION
+	if (command.kind === 'presume-crashed') return VERSION_WITH_PRESUMED_CRASHES
 	if (command.kind === 'at-work') return VERSION_WITH_RUNS_AT_WORK
 	if (command.kind === 'begin' && command.whole) return VERSION_WITH_WHOLE_GANGS
 	return command.kind === 'shares' ? VERSION_WITH_SHARES : VERSION_OF_OTHERS
--- a/packages/jobs/src/lib/leader/JobController.ts
+++ b/packages/jobs/src/lib/leader/JobController.ts
@@ -2,7 +2,7 @@
 import { Measure } from '@rillrudder/telemetry'
 import { exhaustive } from '@rillrudder/utils'
 import type { CellConfiguration, Heartbeat, Queue } from '../records/Cell'
-import { formatTaskName } from '../records/Job'
+import { formatTaskName, type JobState } from '../records/Job'
 import type { Change } from '../state/Change'
 import { UsefulnessOrder } from '../placement/UsefulnessOrder'
 import { Precedence } from '../placement/Precedence'
@@ -68,6 +68,8 @@
 	private forgetDue = 0
 	private admissionDue = 0
 	private isPlacing = false
+	/** The state of a job as callers and operators are told. */
+	private readonly stateOf = (job: JobRecord): JobState => this.runs.stateOf(job)
 
 	/**
 	 * @param context - the state as of the start of this leadership, and the ports of the
@@ -105,7 +107,7 @@
 			shares,
 			this.startWindow
 		)
-		this.clients = new ClientCalls(context, this.admission, (job) => this.runs.hasStarted(job))
+		this.clients = new ClientCalls(context, this.admission, this.stateOf)
 		this.reconciliation = new Reconciliation(context, this.steps)
 		for (const job of state.jobs.all()) this.restoreJob(job)
 		log.info(LeaderEvent.LeadershipGained, {
@@ -141,7 +143,10 @@
 			case 'cancel':
 				return this.clients.cancel(call.to, reply)
 			case 'list-jobs':
-				return reply({ kind: 'jobs', jobs: listJobs(this.context.state, call.filter) })
+				return reply({
+					kind: 'jobs',
+					jobs: listJobs(this.context.state, this.stateOf, call.filter),
+				})
 			case 'explain-job':
 				return reply(this.explain(call.id))
 			case 'list-accounts':
@@ -278,7 +283,10 @@
 		const { state, term } = this.context
 		const job = state.jobs.find(id)
 		if (!job) return { kind: 'no-such-job' }
-		return { kind: 'explanation', explanation: explainJob(state, this.steps, job, term) }
+		return {
+			kind: 'explanation',
+			explanation: explainJob(state, this.stateOf, this.steps, job, term),
+		}
 	}
 
 	private listAccounts(): AccountSummary[] {
--- a/packages/jobs/src/lib/leader/callers/ClientCalls.ts
+++ b/packages/jobs/src/lib/leader/callers/ClientCalls.ts
@@ -5,7 +5,7 @@
 import { SubmissionRate } from '../../accounts/SubmissionRate'
 import { objectiveOf } from '../../placement/stepTimes'
 import { countTasks } from '../../records/checkJob'
-import type { JobRequest } from '../../records/Job'
+import type { JobRequest, JobState } from '../../records/Job'
 import type { CellConfiguration } from '../../records/Cell'
 import { isActive, type JobRecord } from '../../state/JobRecord'
 import { isJobRefusal, type CallId, type CellCall, type CellReply, type Destination } from './calls'
@@ -62,15 +62,15 @@
 	/**
 	 * @param context - the state and ports of the leadership.
 	 * @param admission - decides which new jobs are accepted while the leader is overloaded.
-	 * @param hasStarted - whether a task of a running job has started on a worker.
+	 * @param stateOf - the state of a job as callers are told.
 	 */
 	constructor(
 		private readonly context: LeaderContext,
 		private readonly admission: AdmissionControl,
-		hasStarted: (job: JobRecord) => boolean
+		private readonly stateOf: (job: JobRecord) => JobState
 	) {
 		const { clock, state } = context
-		this.pending = new PendingCounts(clock, () => state.jobs.all(), hasStarted)
+		this.pending = new PendingCounts(clock, () => state.jobs.all(), stateOf)
 		this.rate = new SubmissionRate(context.timing.rateWindow)
 		if (context.policy.overload) {
 			this.rate.restore(context.state.jobs.all(), epochTimeOf(context))
@@ -142,7 +142,7 @@
 		if (id === '') return { kind: 'pending', count: this.pending.countOf(queue) }
 		const job = this.context.state.jobs.find(id)
 		if (!job || !canAccessJob(caller, queue, job)) return { kind: 'no-such-job' }
-		return { kind: 'state', state: job.state }
+		return { kind: 'state', state: this.stateOf(job) }
 	}
 
 	/** Cancels a job. */
--- a/packages/jobs/src/lib/leader/callers/PendingCounts.ts
+++ b/packages/jobs/src/lib/leader/callers/PendingCounts.ts
@@ -22,12 +22,12 @@
 
 	/**
 	 * @param jobs - returns all jobs that are kept.
-	 * @param hasStarted - whether a task of a running job has started on a worker.
+	 * @param stateOf - the state of a job as callers are told.
 	 */
 	constructor(
 		private readonly clock: Clock,
 		private readonly jobs: () => Iterable<JobRecord>,
-		private readonly hasStarted: (job: JobRecord) => boolean
+		private readonly stateOf: (job: JobRecord) => JobState
 	) {}
 
 	/** @returns the number of jobs of a queue that have not started. */
@@ -41,18 +41,9 @@
 		this.countedAt = now
 		this.counts = new Map()
 		for (const job of this.jobs()) {
-			if (!this.isPending(job)) continue
+			if (this.stateOf(job) !== JobState.Queued) continue
 			const place = placeOf(job.queue)
 			this.counts.set(place, 1 + (this.counts.get(place) ?? 0))
 		}
 	}
-
-	/**
-	 * A job is in state running once the start of a task is decided, although no worker may have
-	 * received it yet.
-	 */
-	private isPending(job: JobRecord): boolean {
-		if (job.state === JobState.Queued) return true
-		return job.state === JobState.Running && !this.hasStarted(job)
-	}
 }
--- a/packages/jobs/src/lib/leader/explainJob.ts
+++ b/packages/jobs/src/lib/leader/explainJob.ts
@@ -1,6 +1,6 @@
 /** Lists and describes jobs, including the reason why a job waits. */
 import { countTasks } from '../records/checkJob'
-import type { JobRequest } from '../records/Job'
+import type { JobRequest, JobState } from '../records/Job'
 import {
 	isActive,
 	isStepReady,
@@ -20,6 +20,9 @@
 import type { StepScheduler } from './steps/StepScheduler'
 import { stepName } from './steps/StepWork'
 
+/** @returns the state of a job as callers and operators are told. */
+type StateOf = (job: JobRecord) => JobState
+
 /** A job's shape, as logged when the job is accepted. */
 interface JobShape {
 	readonly steps: number
@@ -33,13 +36,14 @@
 }
 
 /** @returns the jobs that match the filter, newest first. @internal */
-export function listJobs(state: CellState, filter: JobFilter): JobSummary[] {
+export function listJobs(state: CellState, stateOf: StateOf, filter: JobFilter): JobSummary[] {
 	const found: JobSummary[] = []
 	for (const job of [...state.jobs.all()].reverse()) {
 		if (filter.queue !== undefined && job.queue.name !== filter.queue) continue
-		if (filter.state !== undefined && job.state !== filter.state) continue
+		const told = stateOf(job)
+		if (filter.state !== undefined && told !== filter.state) continue
 		if (found.length >= filter.most) break
-		found.push(summaryOf(job))
+		found.push(summaryOf(job, told))
 	}
 	return found
 }
@@ -47,6 +51,7 @@
 /** @returns the state of a job and its steps, with the reason why tasks wait. @internal */
 export function explainJob(
 	state: CellState,
+	stateOf: StateOf,
 	steps: StepScheduler,
 	job: JobRecord,
 	term: number
@@ -58,7 +63,7 @@
 		})
 	})
 	const configuration = state.configuration?.version ?? 0
-	return { ...summaryOf(job), term, configuration, steps: explained }
+	return { ...summaryOf(job, stateOf(job)), term, configuration, steps: explained }
 }
 
 /**
@@ -77,8 +82,8 @@
 	}
 }
 
-function summaryOf(job: JobRecord): JobSummary {
-	const { id, queue, state, submitted, ended } = job
+function summaryOf(job: JobRecord, state: JobState): JobSummary {
+	const { id, queue, submitted, ended } = job
 	const steps = job.repeats.flat()
 	const tasks = steps.reduce((sum, step) => sum + step.tasks.length, 0)
 	const done = steps.reduce((sum, step) => sum + step.done, 0)
--- a/packages/jobs/src/lib/leader/runs/RunController.ts
+++ b/packages/jobs/src/lib/leader/runs/RunController.ts
@@ -1,6 +1,6 @@
 /** Starts, tracks and stops the runs of the cell. Orders are repeated until the worker answers. */
 import { Measure } from '@rillrudder/telemetry'
-import { formatTaskName, RunEnd, type TaskName } from '../../records/Job'
+import { formatTaskName, JobState, RunEnd, type TaskName } from '../../records/Job'
 import { GangFailure } from '../../gangs/GangAttempt'
 import { GangAttempts } from '../../gangs/GangAttempts'
 import { shouldPlanGang } from '../../gangs/shouldPlanGang'
@@ -13,6 +13,7 @@
 import { countedCrashesOf, Suspicion, suspicionOf } from '../../state/TaskCrashes'
 import { epochTimeOf, type LeaderContext } from '../LeaderContext'
 import { LeaderEvent } from '../LeaderEvent'
+import { BegunJobs } from './BegunJobs'
 import { RunPacer } from './RunPacer'
 import type { PollResult } from '../ports'
 import { restoreClaim, claimOf, releaseClaim } from '../steps/resourceClaim'
@@ -79,6 +80,7 @@
 	private readonly pacer: RunPacer
 	private readonly gangs: GangAttempts
 	private readonly orders: RunOrders
+	private readonly begunJobs: BegunJobs
 
 	constructor(
 		private readonly context: LeaderContext,
@@ -88,11 +90,13 @@
 		private readonly listener: RunListener
 	) {
 		this.pacer = new RunPacer(context)
+		this.begunJobs = new BegunJobs(context)
 		this.orders = new RunOrders(context, workers, accounts, {
 			isCurrent: (run) => this.runs.get(run.taskId) === run,
 			enterPhase: (run, phase) => this.enterPhase(run, phase),
 			requestStop: (run, reason) => this.requestStop(run, reason),
 			proposeEnd: (run, how) => this.proposeEnd(run, how),
+			onStartConfirmed: (run) => this.begunJobs.add(run.name.job),
 			onProgress: (run) => this.gangs.onProgress(run),
 			onGangMemberFailed: (run, failure, detail) => this.gangs.onMemberFailed(run, failure, detail),
 			onTicketRefused: ({ name, worker }) => this.listener.onTicketRefused(name, worker),
@@ -111,16 +115,18 @@
 	}
 
 	/**
-	 * @returns whether a worker is known to have confirmed a run of a job. Runs that an earlier
-	 * leader started count as confirmed.
+	 * @returns the state of a job as callers and operators are told: it is queued until a worker is
+	 * known to have started a task of it. A start that is decided, ordered or abandoned does not show
+	 * that.
 	 */
-	hasStarted(job: JobRecord): boolean {
-		for (const { text, task } of tasksOf(job)) {
-			if (task.status === TaskStatus.Done || task.failures > 0 || task.lost) return true
-			const run = this.runs.get(text)
-			if (run && (run.isRestored || run.confirmedAt !== undefined)) return true
-		}
-		return false
+	stateOf(job: JobRecord): JobState {
+		const isUnconfirmed = job.state === JobState.Running && !this.begunJobs.has(job)
+		return isUnconfirmed ? JobState.Queued : job.state
+	}
+
+	/** Records which jobs have begun, together with what else is proposed now. */
+	recordBegunJobs(): void {
+		this.begunJobs.record()
 	}
 
 	/** Number of decided runs whose start is not committed yet. */
@@ -192,7 +198,7 @@
 	 */
 	decidedFor(worker: string): string[] {
 		const tasks = [...this.pending].filter(([, decision]) => decision.worker === worker)
-		return tasks.map(([task]) => task.slice(0, task.indexOf('.')))
+		return tasks.map(([task]) => jobIdOf(task))
 	}
 
 	/** Handles the committed start of a run: its worker is ordered to start it. */
@@ -286,6 +292,7 @@
 				this.orders.sendOrder(run)
 		}
 		this.gangs.tick(now)
+		this.begunJobs.tick(now)
 		for (const view of this.workers.all()) if (view.isDraining) this.stopMovableRuns(view, now)
 	}
 
@@ -294,6 +301,7 @@
 		const listed = new Set<string>()
 		for (const { task, attempt, checkpoint, percent, measure } of result.running) {
 			const run = this.runs.get(task)
+			if (run?.confirmedAt === undefined) this.begunJobs.add(jobIdOf(task))
 			if (!run || run.worker !== view.id || run.attempt !== attempt) {
 				this.workers.onStrayRun(view, task, attempt)
 				continue
@@ -479,6 +487,11 @@
 	}
 }
 
+/** @returns the id of the job of a task, given the task's name in text form. */
+function jobIdOf(task: string): string {
+	return task.slice(0, task.indexOf('.'))
+}
+
 /**
  * @returns whether another member of the gang of a run has completed the work of the whole gang.
  */
--- a/packages/jobs/src/lib/leader/runs/RunOrders.ts
+++ b/packages/jobs/src/lib/leader/runs/RunOrders.ts
@@ -40,6 +40,8 @@
 	requestStop(run: Run, reason: StopReason): void
 	/** Proposes the end of a run that its worker has not reported. */
 	proposeEnd(run: Run, how: RunEnd): void
+	/** A worker has confirmed the start of a run, which may have been abandoned since. */
+	onStartConfirmed(run: Run): void
 	/** A worker has confirmed a run. */
 	onProgress(run: Run): void
 	/** A member of a gang can't start. */
@@ -164,6 +166,7 @@
 		const { meter, clock } = this.context
 		meter.count(Measure.Orders, { order: asked, result: result.kind })
 		meter.observe(Measure.OrderTime, clock.now() - sentAt, { order: asked })
+		if (asked === RunPhase.Starting && result.kind === 'done') this.host.onStartConfirmed(run)
 		const view = this.workers.find(run.worker)
 		if (!view || !this.host.isCurrent(run)) return
 		switch (result.kind) {
--- a/packages/jobs/src/lib/leader/steps/StepScheduler.ts
+++ b/packages/jobs/src/lib/leader/steps/StepScheduler.ts
@@ -512,6 +512,7 @@
 		this.log.logPlaced(work, placed, now)
 		const whole = request.gang ? true : undefined
 		this.context.proposals.propose({ kind: 'begin', runs, whole })
+		this.runs.recordBegunJobs()
 	}
 }
 
--- a/packages/jobs/src/lib/records/Job.ts
+++ b/packages/jobs/src/lib/records/Job.ts
@@ -79,6 +79,7 @@
 export const JobState = {
 	/** Accepted; no task has started. */
 	Queued: 'queued',
+	/** The start of a task is decided; callers are told so once a worker is known to have started it. */
 	Running: 'running',
 	Completed: 'completed',
 	/** A task, or a gang, has failed as often as its queue allows. */
--- a/packages/jobs/src/lib/state/CellState.test.ts
+++ b/packages/jobs/src/lib/state/CellState.test.ts
@@ -165,5 +165,6 @@
 	const atWork = { kind: 'at-work', runs: [{ task: 'a.0.0.0', attempt: 1 }] } as const
 	assert.equal(versionOf(encodeCommands([atWork])), 6)
 	const presumed = { kind: 'presume-crashed', workers: ['w1'], at: 7 } as const
-	assert.equal(versionOf(encodeCommands([presumed])), COMMAND_VERSION)
+	assert.equal(versionOf(encodeCommands([presumed])), 7)
+	assert.equal(versionOf(encodeCommands([{ kind: 'begun', jobs: [ID] }])), COMMAND_VERSION)
 })
--- a/packages/jobs/src/lib/state/CellState.ts
+++ b/packages/jobs/src/lib/state/CellState.ts
@@ -115,6 +115,8 @@
 				return this.jobs.clearCrashes(command.tasks)
 			case 'at-work':
 				return command.runs.forEach((run) => this.jobs.recordAtWork(run))
+			case 'begun':
+				return this.jobs.recordBegun(command.jobs)
 			case 'forget':
 				return this.jobs.forget(command.jobs)
 			case 'shares':
--- a/packages/jobs/src/lib/state/JobRecord.ts
+++ b/packages/jobs/src/lib/state/JobRecord.ts
@@ -66,6 +66,11 @@
 	/** When it was accepted, milliseconds since the epoch. */
 	readonly submitted: number
 	state: JobState
+	/**
+	 * Whether a worker has confirmed or listed a run of one of its tasks, or listed its end; absent
+	 * while that is not known. It is in state running from when the start of a task is decided.
+	 */
+	begun?: true
 	/** When it completed, failed or was cancelled, milliseconds since the epoch; 0 before. */
 	ended: number
 	/** The steps of each repeat; a job that does not repeat has one repeat. */
--- a/packages/jobs/src/lib/state/JobTable.ts
+++ b/packages/jobs/src/lib/state/JobTable.ts
@@ -150,7 +150,8 @@
 	end(run: RunOutcome, at: number): void {
 		const located = this.locate(run.task)
 		if (!located) return
-		const { task } = located
+		const { job, task } = located
+		if (isListedEnd(run.how)) job.begun = true
 		const isCurrent = task.status === TaskStatus.Placed && task.attempt === run.attempt
 		if (!isCurrent) return this.endLost(located, run, at)
 		if (run.evidence) {
@@ -226,6 +227,14 @@
 		if (task?.status === TaskStatus.Placed && task.attempt === attempt) task.seenAtWork = attempt
 	}
 
+	/** Records that workers have started a task of each of these jobs. */
+	recordBegun(ids: readonly string[]): void {
+		for (const id of ids) {
+			const job = this.jobs.get(id)
+			if (job) job.begun = true
+		}
+	}
+
 	/** Removes jobs that have ended. */
 	forget(ids: readonly string[]): void {
 		for (const id of ids) {
@@ -362,6 +371,11 @@
 	}
 }
 
+/** Whether a run ended on its worker, which had started it then. */
+function isListedEnd(how: RunEnd): boolean {
+	return how !== RunEnd.Lost && how !== RunEnd.Refused
+}
+
 /**
  * Marks a task as done; for a gang, all members, of which those still running are done once they
  * end.
--- a/packages/runs/src/lib/jobs/JobInvariants.ts
+++ b/packages/runs/src/lib/jobs/JobInvariants.ts
@@ -51,6 +51,8 @@
 	readonly queue: Queue
 	readonly steps: ReadonlyMap<string, ObservedStep>
 	cancelledAt?: number
+	/** Whether a worker has started one of its tasks. */
+	hasBegun?: true
 	/** When it last lost a run by the crash of a worker. */
 	lostRunAt?: number
 }
@@ -111,6 +113,7 @@
 		const task = this.taskOf(text)
 		const where = { worker: worker.id, task: text, attempt: run.attempt }
 		this.starts += 1
+		job.hasBegun = true
 		invariant(job.request.spec === spec, 'a task begins with its own text', where)
 		const known = run.checkpoint === '' || step.checkpoints.has(run.checkpoint)
 		invariant(known, 'a task goes on from its own checkpoint', where)
@@ -204,6 +207,11 @@
 		return this.namesOf(job, name.job, name.repeat, name.step).some(isKnown)
 	}
 
+	/** @returns whether a worker has started a task of a job. */
+	hasBegun(id: string): boolean {
+		return this.jobs.get(id)?.hasBegun === true
+	}
+
 	/** @returns when a job last lost a run by the crash of a worker. */
 	lastLossAt(id: string): number {
 		return this.jobs.get(id)?.lostRunAt ?? Number.NEGATIVE_INFINITY
--- a/packages/runs/src/lib/jobs/JobRun.ts
+++ b/packages/runs/src/lib/jobs/JobRun.ts
@@ -29,6 +29,7 @@
 import type { FleetWorker } from './FleetWorker'
 import { COMMON_FAULTS, JobFaults, RESTART_FAULTS, type JobFault } from './JobFaults'
 import { IdleJobs } from './IdleJobs'
+import { PendingCountProbe } from './PendingCountProbe'
 import { JobInvariants } from './JobInvariants'
 import { LeaderLoop } from './LeaderLoop'
 import { randomJob, WIDE_GANG_SPEC, wideGangJob } from './randomJob'
@@ -213,6 +214,8 @@
 	private loopDelay: LoopDelay
 	private readonly polls: StatusPolls | undefined
 	private readonly probe: ConfigurationProbe | undefined
+	/** Checks the counts of pending jobs. */
+	readonly pendingCounts: PendingCountProbe
 	private tickAt = 0
 
 	/** @param options - the seed, rates and faults. */
@@ -252,6 +255,12 @@
 		})
 		this.direct = this.newOrders(() => false, this.loop)
 		this.carriers = FLEET_DATA_CENTRES.slice(1).map((dataCentre) => this.newCarrier(dataCentre))
+		this.pendingCounts = new PendingCountProbe({
+			clock,
+			queues: this.queues,
+			call: (call, reply) => this.controller?.call(call, reply),
+			hasBegun: (id) => invariants.hasBegun(id),
+		})
 		this.startLeader()
 		this.configure()
 		this.advance(2000)
@@ -528,6 +537,7 @@
 			else if (this.hasLostLease()) this.loseLeader(ELECTION_MS)
 			this.polls?.tick()
 			this.probe?.tick()
+			this.pendingCounts.tick()
 		}
 	}
 
@@ -599,8 +609,7 @@
 		if (this.controller) job.unansweredCalls += 1
 		const onReply = ({ kind }: CellReply): void => {
 			job.unansweredCalls -= 1
-			if (kind === 'accepted' && !job.isAccepted) this.polls?.add(job.id, queue)
-			if (kind === 'accepted') job.isAccepted = true
+			if (kind === 'accepted' && !job.isAccepted) this.onAccepted(job, queue)
 			if (kind === 'not-run') job.refusals += 1
 			const isFinal = kind === 'unauthorized' || kind === 'impossible'
 			if (isFinal || job.refusals >= MAX_REFUSALS) this.onRefused(job)
@@ -610,6 +619,12 @@
 		this.clock.after(this.retryDelay, () => this.submit(job, queue))
 	}
 
+	private onAccepted(job: SubmittedJob, queue: string): void {
+		job.isAccepted = true
+		this.polls?.add(job.id, queue)
+		this.pendingCounts.add(job, queue)
+	}
+
 	private get retryDelay(): number {
 		return this.options.messageCost === undefined ? RETRY_MS : PATIENT_RETRY_MS
 	}
--- a/packages/runs/src/lib/jobs/jobRun.test.ts
+++ b/packages/runs/src/lib/jobs/jobRun.test.ts
@@ -302,6 +302,13 @@
 	})
 }
 
+// Guards against jobs that are given as begun although their start never arrived (review/8, MIXED).
+for (const seed of [7009, 7010, 7018]) {
+	test(`regression, seed ${seed}: a job was not pending once its start had been given up`, () => {
+		runOnce(seed, [0.5, 1.5, MANY_FAULTS][seed % 3], 20_000)
+	})
+}
+
 interface PatchCase {
 	readonly rule: RegExp
 	readonly without: string
@@ -415,7 +422,8 @@
 		],
 	},
 	{
-		rule: /an accepted job is kept/,
+		// Whichever is looked at first: the job's record at the end, or the count of pending jobs.
+		rule: /an accepted job is kept|jobs that have not begun are given as pending/,
 		without: 'committing a job before it is accepted',
 		patches: () => [
 			[
--- a/packages/telemetry/src/lib/Meter.ts
+++ b/packages/telemetry/src/lib/Meter.ts
@@ -11,7 +11,7 @@
 	JobsEnded: 'jobs_ended_total',
 	/** Histogram by `state`, milliseconds: from the acceptance of a job to its final state. */
 	JobTime: 'job_time_ms',
-	/** Histogram by `priority`, milliseconds: from when a step could start to the start of its runs. */
+	/** Histogram by `priority`, milliseconds: from when a step could start to the decision to start its runs. */
 	StepWait: 'step_wait_ms',
 	/** Counter by `priority` and `reason`, milliseconds: time that steps waited for a start. */
 	StepWaits: 'step_waits_ms_total',
@@ -75,7 +75,7 @@
 	 * speeds are known.
 	 */
 	SlowestShare: 'slowest_workers_share',
-	/** Gauge: runs that have started and not ended. */
+	/** Gauge: runs that are placed on workers and have not ended, whether these have confirmed them or not. */
 	Runs: 'runs',
 	/** Counter: workers that were kept free of new starts for an isolated task. */
 	Cordons: 'cordons_total',
