A closed worker returns by probes, also by lasting tasks that need it

Cause: each failure on a closed worker doubled the time for which it is closed, also those of runs that ran side by side; only ends `done` brought it back, and tasks that last have none; nobody asked whether another worker could run them.

Change: failures of work that was started before a worker was closed are part of the event that closed it, and successes of such work do not reopen it. A closed worker gets one run as a probe, two after the first success, then all. Work that no open worker can run probes a closed one early: lasting tasks 3 s after the last failure, others after 10 s at most. Probes that fail for one job only do not make the next pause longer.

--- a/apps/bench/src/lib/policy/OurPolicy.ts
+++ b/apps/bench/src/lib/policy/OurPolicy.ts
@@ -53,7 +53,7 @@
 		this.placement.onEnded(task.id)
 		if (failed) this.health.onFailure(worker, task.intent, now)
 		else {
-			this.health.onSuccess(worker)
+			this.health.onSuccess(worker, now)
 			this.placement.estimator.recordRunTime(task, runTime)
 		}
 		if (!this.closed.has(worker)) this.ledger.setOpen(worker, this.health.isOpen(worker, now))
--- a/packages/cell/src/lib/leader/DataCentreController.ts
+++ b/packages/cell/src/lib/leader/DataCentreController.ts
@@ -129,7 +129,8 @@
 			if (sign.leaving) this.workers.onLeaving(sign.worker, 'it refused work', moment)
 			for (const customer of sign.failedFor)
 				this.health.onFailure(sign.worker, customer, moment.now)
-			for (let count = sign.succeeded; count > 0; count--) this.health.onSuccess(sign.worker)
+			for (let count = sign.succeeded; count > 0; count--)
+				this.health.onSuccess(sign.worker, moment.now)
 		}
 		this.loans.onHeartbeat(holder, beat, moment)
 	}
@@ -168,7 +169,7 @@
 		for (const one of reply.ended) {
 			const intent = this.parts.state.tasks.find(one.task)?.task.intent ?? one.task
 			if (one.result === 'failed') this.health.onFailure(worker, intent, moment.now)
-			else if (one.result === 'done') this.health.onSuccess(worker)
+			else if (one.result === 'done') this.health.onSuccess(worker, moment.now)
 		}
 	}
 
--- a/packages/jobs/src/lib/leader/LeaderEvent.ts
+++ b/packages/jobs/src/lib/leader/LeaderEvent.ts
@@ -36,6 +36,15 @@
 	 * `worker`, the milliseconds for which it has been unreachable (`silent`).
 	 */
 	WorkerPresumedCrashed: 'worker-presumed-crashed',
+	/**
+	 * A `worker` fails what it starts and gets no new work but probes; the last failed `task` and
+	 * `attempt`, the milliseconds for which it is closed (`pause`).
+	 */
+	WorkerClosed: 'worker-closed',
+	/** The `task` of a run is started on a closed `worker` as a probe. */
+	WorkerProbed: 'worker-probed',
+	/** A `worker` that was closed has passed its probes. */
+	WorkerReopened: 'worker-reopened',
 	/** A `worker` that was lost answers again. */
 	WorkerRegained: 'worker-regained',
 	/**
--- a/packages/jobs/src/lib/leader/runs/RunController.ts
+++ b/packages/jobs/src/lib/leader/runs/RunController.ts
@@ -15,9 +15,10 @@
 import { LeaderEvent } from '../LeaderEvent'
 import { BegunJobs } from './BegunJobs'
 import { RunPacer } from './RunPacer'
-import type { PollResult } from '../ports'
+import { Refusal, type PollResult } from '../ports'
 import { restoreClaim, claimOf, releaseClaim } from '../steps/resourceClaim'
 import { createRun } from './createRun'
+import { RunHealth } from './RunHealth'
 import { RunOrders } from './RunOrders'
 import { RunPhase, type Run } from './Run'
 import { reportWaste } from './reportWaste'
@@ -81,6 +82,7 @@
 	private readonly gangs: GangAttempts
 	private readonly orders: RunOrders
 	private readonly begunJobs: BegunJobs
+	private readonly workerHealth: RunHealth
 
 	constructor(
 		private readonly context: LeaderContext,
@@ -91,6 +93,7 @@
 	) {
 		this.pacer = new RunPacer(context)
 		this.begunJobs = new BegunJobs(context)
+		this.workerHealth = new RunHealth(context)
 		this.orders = new RunOrders(context, workers, accounts, {
 			isCurrent: (run) => this.runs.get(run.taskId) === run,
 			enterPhase: (run, phase) => this.enterPhase(run, phase),
@@ -100,7 +103,10 @@
 			onProgress: (run) => this.gangs.onProgress(run),
 			onGangMemberFailed: (run, failure, detail) => this.gangs.onMemberFailed(run, failure, detail),
 			onTicketRefused: ({ name, worker }) => this.listener.onTicketRefused(name, worker),
-			onStartRefused: ({ name, worker }) => this.listener.onNotServed(name, worker),
+			onStartRefused: (run, reason) => {
+				if (reason === Refusal.Unhealthy) this.workerHealth.onFailure(run)
+				this.listener.onNotServed(run.name, run.worker)
+			},
 		})
 		this.gangs = new GangAttempts(context, {
 			startObstacleOf: (run) => this.orders.startObstacleOf(run),
@@ -215,6 +221,7 @@
 	onStartVoided(name: TaskName, attempt: number, worker: string): void {
 		const job = this.context.state.jobs.find(name.job)
 		const decision = this.takeDecision(formatTaskName(name))
+		this.context.health.onProbeOver(worker, formatTaskName(name))
 		if (!job) return
 		const claimed = claimOf(job, name.step, decision?.urgent ?? false, this.accounts.accountOf(job))
 		releaseClaim(this.context.ledger, worker, claimed)
@@ -233,8 +240,9 @@
 		releaseClaim(this.context.ledger, worker, run)
 		const { health, clock, meter } = this.context
 		meter.count(Measure.RunsEnded, { how })
-		if (how === RunEnd.Done) health.onSuccess(worker)
-		if (how === RunEnd.Failed) health.onFailure(worker, name.job, clock.now())
+		health.onProbeOver(worker, text)
+		if (how === RunEnd.Done) this.workerHealth.onSuccess(run)
+		if (how === RunEnd.Failed) this.workerHealth.onFailure(run)
 		if (how === RunEnd.Failed || how === RunEnd.LeaseExpired)
 			this.workers.losses.reliability.recordFailure(worker, clock.now())
 		this.markGangEnding(run)
@@ -313,6 +321,7 @@
 			run.progress.addReading(percent, result.clock, now)
 			run.observedTime.onListed(result.clock)
 			this.clearIfHarmless(run)
+			this.workerHealth.onListed(run)
 			this.recordSeenAtWork(run)
 			if (run.phase === RunPhase.Starting) this.enterPhase(run, RunPhase.Running)
 			this.gangs.onProgress(run)
--- a/packages/jobs/src/lib/leader/runs/RunOrders.ts
+++ b/packages/jobs/src/lib/leader/runs/RunOrders.ts
@@ -49,7 +49,7 @@
 	/** A worker has refused the ticket of a start order. */
 	onTicketRefused(run: Run): void
 	/** A worker has refused a start for a reason of its own. */
-	onStartRefused(run: Run): void
+	onStartRefused(run: Run, reason: Refusal): void
 }
 
 /**
@@ -215,7 +215,7 @@
 	}
 
 	private onRefused(run: Run, view: WorkerView, asked: RunPhase, reason: Refusal): void {
-		const { log, health, clock, timing } = this.context
+		const { log, clock, timing } = this.context
 		const { taskId, attempt, worker } = run
 		log.info(LeaderEvent.OrderRefused, { task: taskId, attempt, worker, reason, order: asked })
 		if (reason === Refusal.Fence) {
@@ -238,8 +238,7 @@
 			return
 		}
 		if (reason === Refusal.Ticket) this.host.onTicketRefused(run)
-		else this.host.onStartRefused(run)
-		if (reason === Refusal.Unhealthy) health.onFailure(worker, run.name.job, clock.now())
+		else this.host.onStartRefused(run, reason)
 		// An earlier copy of the order may still arrive; a stop order makes it ineffective.
 		if (run.isInDoubt) this.host.requestStop(run, StopReason.Withdrawn)
 		else this.host.proposeEnd(run, RunEnd.Refused)
--- a/packages/jobs/src/lib/leader/steps/OpenWorkerList.ts
+++ b/packages/jobs/src/lib/leader/steps/OpenWorkerList.ts
@@ -4,6 +4,7 @@
 import type { WorkerView } from '../workers/WorkerView'
 import type { WorkerOption } from './chooseWorkerForStep'
 import type { OpenWorkers } from './PlacementPass'
+import type { StepWork } from './StepWork'
 
 /**
  * Most workers that are listed in each pass; with more of them, the list of the last full pass is
@@ -14,7 +15,7 @@
 /**
  * The open workers: those that accept new work. Listing them visits every worker. With thousands of
  * workers, the passes between two full ones therefore use the last list, and a caller that chooses
- * a worker from it checks {@link OpenWorkerList.isOpen} first.
+ * a worker from it checks {@link OpenWorkerList.accepts} first.
  *
  * @internal
  */
@@ -23,7 +24,7 @@
 
 	constructor(
 		private readonly context: Pick<LeaderContext, 'ledger'>,
-		private readonly workers: Pick<WorkerRegistry, 'all' | 'find' | 'isOpen' | 'size'>
+		private readonly workers: Pick<WorkerRegistry, 'all' | 'find' | 'isOpen' | 'canProbe' | 'size'>
 	) {}
 
 	/** Discards the list, so that the next call of {@link OpenWorkerList.all} builds a new one. */
@@ -42,9 +43,23 @@
 		return view && this.optionOf(view)
 	}
 
-	/** @returns whether a listed worker still accepts new work. */
-	isOpen({ view }: WorkerOption): boolean {
-		return this.workers.find(view.id) === view && this.workers.isOpen(view)
+	/**
+	 * @param lasting - whether the work is a lasting task.
+	 * @returns the closed workers that accept a probe by work that no open worker can run.
+	 */
+	probeable(lasting: boolean): WorkerOption[] {
+		const found: WorkerOption[] = []
+		for (const view of this.workers.all()) {
+			const account = this.context.ledger.find(view.id)
+			if (account && this.workers.canProbe(view, lasting)) found.push({ view, account })
+		}
+		return found
+	}
+
+	/** @returns whether a listed worker still accepts a task of a step. */
+	accepts({ step }: StepWork, { view }: WorkerOption): boolean {
+		if (this.workers.find(view.id) !== view) return false
+		return this.workers.isOpen(view) || this.workers.canProbe(view, step.lasting)
 	}
 
 	private list(): WorkerOption[] {
--- a/packages/jobs/src/lib/leader/steps/PlacementPass.ts
+++ b/packages/jobs/src/lib/leader/steps/PlacementPass.ts
@@ -12,6 +12,11 @@
 	all(): readonly WorkerOption[]
 	/** @returns a worker by its id; undefined if it accepts no new work. */
 	find(id: string): WorkerOption | undefined
+	/**
+	 * @param lasting - whether the work is a lasting task.
+	 * @returns the closed workers that accept a probe by work that no open worker can run.
+	 */
+	probeable(lasting: boolean): readonly WorkerOption[]
 }
 
 /**
@@ -66,6 +71,11 @@
 		return found
 	}
 
+	/** @returns closed workers of the right service and label that accept a probe by a step. */
+	getProbeable(work: StepWork): readonly WorkerOption[] {
+		return this.workers.probeable(work.step.lasting).filter((option) => isEligible(work, option))
+	}
+
 	/**
 	 * @returns those of the given workers that are open and eligible. Only these are looked up,
 	 * however many workers there are.
--- a/packages/jobs/src/lib/leader/steps/StepPlacement.ts
+++ b/packages/jobs/src/lib/leader/steps/StepPlacement.ts
@@ -42,7 +42,7 @@
 	 * more urgent step.
 	 */
 	private readonly isUnreserved: CapacityCheck = (work, option) =>
-		this.dependencies.openWorkers.isOpen(option) &&
+		this.dependencies.openWorkers.accepts(work, option) &&
 		this.dependencies.urgentCapacity.allows(work) &&
 		this.dependencies.reservations.allows(work, option)
 
@@ -122,6 +122,7 @@
 			onReliable.length > 0 || reliable.length === options.length ? onReliable : place(options)
 		this.dependencies.urgentCapacity.onPlaced(work, placed.length)
 		if (placed.length > 0) this.dependencies.gangs.onStarted(work, now)
+		for (const task of placed) this.onPlaced(work, task)
 		return placed
 	}
 
@@ -141,11 +142,21 @@
 			if (!option || !tryClaim(this.context.ledger, option.view.id, work)) break
 			work.adjustTaskCount(option.view.id, 1)
 			this.dependencies.urgentCapacity.onPlaced(work, 1)
-			placed.push({ index, worker: option.view.id })
+			const task = { index, worker: option.view.id }
+			placed.push(task)
+			this.onPlaced(work, task)
 		}
 		return placed
 	}
 
+	/** Tells the health of a worker of a task that is placed there, which may be a probe. */
+	private onPlaced(work: StepWork, { index, worker }: PlacedTask): void {
+		const { health, log } = this.context
+		const task = `${work.name}.${index}`
+		health.onStart(worker, task)
+		if (health.isProbe(worker, task)) log.info(LeaderEvent.WorkerProbed, { worker, task })
+	}
+
 	/** Keeps a worker free of new starts for an isolated task that no worker admits. */
 	private cordonFor(
 		work: StepWork,
--- a/packages/jobs/src/lib/leader/steps/StepScheduler.ts
+++ b/packages/jobs/src/lib/leader/steps/StepScheduler.ts
@@ -435,7 +435,7 @@
 		const { eligible, ready: options } = workers
 		if (!work.hasLoggedBarred && isBarred(work, eligible)) this.log.logBarred(work, eligible.length)
 		const left = this.placeAmong(work, waiting, options, now)
-		if (left === 0) return
+		if (left === 0 || (full && this.probeClosed(work, workers, pass))) return
 		if (full) {
 			const isIsolated = (): boolean => this.placement.isIsolated(work, options, now)
 			work.waits.setReason(waitReasonInPass(work, { eligible, options, isIsolated }), now)
@@ -454,6 +454,29 @@
 		}
 	}
 
+	/**
+	 * Places tasks that no open worker can run on workers that are closed because they failed what
+	 * they started: nothing else would show that these are sound again.
+	 *
+	 * @returns whether no task is left.
+	 */
+	private probeClosed(
+		work: StepWork,
+		{ eligible, ready }: StepWorkerOptions,
+		pass: PlacementPass
+	): boolean {
+		const { now } = pass
+		if (eligible.some((option) => hasCapacity(work, option))) return false
+		const closed = pass.getProbeable(work)
+		if (closed.length === 0) return false
+		const probeable = this.filterReady(work, closed, now)
+		const waiting = this.quarantine.getStartableTasks(work)
+		if (work.queue.advice && probeable.length < closed.length)
+			this.questions.ask(work, closed, waiting.length)
+		const options = work.step.gang ? [...ready, ...probeable] : probeable
+		return this.placeAmong(work, waiting, options, now) === 0
+	}
+
 	/**
 	 * Places tasks on workers where capacity was released, and requests advice if nothing is known
 	 * about some of these workers.
--- a/packages/jobs/src/lib/leader/workers/WorkerRegistry.ts
+++ b/packages/jobs/src/lib/leader/workers/WorkerRegistry.ts
@@ -144,12 +144,29 @@
 
 	/** Whether new work may be placed on a worker now. */
 	isOpen(view: WorkerView): boolean {
-		const { clock, timing, health } = this.context
+		const { clock, health } = this.context
 		const now = clock.now()
+		return this.isAvailable(view, now) && health.isOpen(view.id, now)
+	}
+
+	/**
+	 * Whether a worker that fails what it starts, and is closed for this reason only, may be probed by
+	 * work that no open worker can run.
+	 *
+	 * @param lasting - whether the work is a lasting task.
+	 */
+	canProbe(view: WorkerView, lasting: boolean): boolean {
+		const { clock, health } = this.context
+		const now = clock.now()
+		return health.canProbe(view.id, now, lasting) && this.isAvailable(view, now)
+	}
+
+	/** Whether new work may be placed on a worker now if its health allows it. */
+	private isAvailable(view: WorkerView, now: number): boolean {
 		if (view.isDraining || view.isEnding || view.isUnreachable || !view.isListed) return false
 		if (view.suspects.size > 0) return false
 		if (this.losses.isSuspect(view, now) || this.stalls.isStalled(view.id, now)) return false
-		return view.heartbeatAge(now) < timing.heartbeatTimeout && health.isOpen(view.id, now)
+		return view.heartbeatAge(now) < this.context.timing.heartbeatTimeout
 	}
 
 	/** A worker has joined, or its description has changed. */
--- a/packages/scheduler/src/lib/health/WorkerHealth.ts
+++ b/packages/scheduler/src/lib/health/WorkerHealth.ts
@@ -4,6 +4,10 @@
  *
  * A worker is compared with its peers, and only failures of several customers count, so that one
  * customer's bad requests can't close a worker. At most a fixed share of a data centre is closed.
+ *
+ * A closed worker is probed: one run at a time is started there, more as probes succeed. Work that
+ * no open worker can run probes it early, so that it does not wait for long once the worker is
+ * sound again.
  */
 /** Minimum number of decayed results before a worker can be closed. */
 const MIN_SAMPLES = 5
@@ -18,19 +22,34 @@
 /** Factor by which earlier results count less with each new one. */
 const DECAY = 0.98
 const PROBES_TO_RETURN = 3
+/**
+ * Milliseconds between probes by lasting tasks that no open worker can run. They have to be at work
+ * again 9 s after their last run, and a failure costs them none of their attempts.
+ */
+const LASTING_PROBE_INTERVAL_MS = 3000
+/**
+ * Most milliseconds between probes by other work that no open worker can run. It has to run within
+ * 17 s, and each failure costs it one of its attempts.
+ */
+const MAX_PROBE_INTERVAL_MS = 10_000
 
 interface HealthRecord {
 	successes: number
 	failures: number
 	/** Customers and intents whose work has failed since the worker was last reopened. */
 	sources: Set<string>
+	closedAt: number
 	closedUntil: number
 	backoff: number
+	/** The customer or intent whose work failed as the latest probe. */
+	probeSource: string | undefined
 	/**
 	 * Successes that are still needed before a closed worker counts as healthy again; 0 for a healthy
 	 * worker.
 	 */
 	probesLeft: number
+	/** Runs that were started on the worker while it was on probe, and have shown nothing yet. */
+	readonly probes: Set<string>
 }
 
 /**
@@ -49,32 +68,65 @@
 		return this.closedCount
 	}
 
-	/** Handles a success of a worker. */
-	onSuccess(worker: string): void {
+	/**
+	 * Handles a success of a worker. Work that was started before the worker was closed does not show
+	 * that it is sound again.
+	 *
+	 * @param worker - the worker.
+	 * @param now - the moment, in milliseconds.
+	 * @param startedAt - when the work was started; undefined if unknown.
+	 */
+	onSuccess(worker: string, now: number, startedAt?: number): void {
 		const record = this.recordOf(worker)
 		record.successes = record.successes * DECAY + 1
 		record.failures *= DECAY
 		this.successes = this.successes * DECAY + 1
 		this.failures *= DECAY
-		if (record.probesLeft > 0 && --record.probesLeft === 0) this.reopen(record)
+		if (record.probesLeft === 0 || !wasProbe(record, now, startedAt)) return
+		record.probesLeft -= 1
+		if (record.probesLeft === 0) this.reopen(record)
+		else record.closedUntil = Math.min(record.closedUntil, now)
 	}
 
 	/**
-	 * Handles a failure of a worker.
+	 * Handles a failure of a worker. While a worker is closed, failures of work that was started before
+	 * are part of the event that closed it.
 	 *
 	 * @param worker - the worker.
 	 * @param source - the customer or intent whose work failed.
 	 * @param now - the moment, in milliseconds.
+	 * @param startedAt - when the work was started; undefined if unknown.
+	 * @returns for how many milliseconds the worker is closed because of it; undefined if it is not.
 	 */
-	onFailure(worker: string, source: string, now: number): void {
+	onFailure(worker: string, source: string, now: number, startedAt?: number): number | undefined {
 		const record = this.recordOf(worker)
 		record.failures = record.failures * DECAY + 1
 		record.successes *= DECAY
 		record.sources.add(source)
 		this.failures = this.failures * DECAY + 1
 		this.successes *= DECAY
-		if (record.probesLeft > 0) this.close(record, now)
-		else if (this.isFailing(record)) this.close(record, now)
+		if (record.probesLeft === 0) return this.isFailing(record) ? this.close(record, now) : undefined
+		if (!wasProbe(record, now, startedAt)) return undefined
+		// A customer whose work fails everywhere tells nothing about the worker.
+		const isSameSource = record.probeSource === source
+		record.probeSource = source
+		if (!isSameSource) record.backoff = Math.min(MAX_BACKOFF_MS, record.backoff * 2)
+		return this.close(record, now)
+	}
+
+	/** Records that a run is started on a worker, which is a probe unless the worker is healthy. */
+	onStart(worker: string, run: string): void {
+		if (this.isOnProbe(worker)) this.records.get(worker)?.probes.add(run)
+	}
+
+	/** Records that a run on a worker has ended, or has shown that the worker can run it. */
+	onProbeOver(worker: string, run: string): void {
+		this.records.get(worker)?.probes.delete(run)
+	}
+
+	/** @returns whether a run on a worker is a probe that has shown nothing yet. */
+	isProbe(worker: string, run: string): boolean {
+		return this.records.get(worker)?.probes.has(run) ?? false
 	}
 
 	/**
@@ -84,7 +136,21 @@
 	 */
 	isOpen(worker: string, now: number): boolean {
 		const record = this.records.get(worker)
-		return record === undefined || record.closedUntil <= now
+		return record === undefined || (record.closedUntil <= now && hasProbeLeft(record))
+	}
+
+	/**
+	 * @param worker - a worker that is closed.
+	 * @param now - the moment, in milliseconds.
+	 * @param lasting - whether the work is a lasting task.
+	 * @returns whether it accepts work that no open worker can run.
+	 */
+	canProbe(worker: string, now: number, lasting: boolean): boolean {
+		const record = this.records.get(worker)
+		if (!record || record.probesLeft === 0 || !hasProbeLeft(record)) return false
+		const backoff = record.closedUntil - record.closedAt
+		const pause = lasting ? LASTING_PROBE_INTERVAL_MS : MAX_PROBE_INTERVAL_MS
+		return now - record.closedAt >= Math.min(backoff, pause)
 	}
 
 	/** Whether a worker was closed and has not yet passed its probes. */
@@ -108,15 +174,17 @@
 		return rate >= MIN_FAILURE_RATE && rate >= peers * MIN_PEER_RATIO
 	}
 
-	private close(record: HealthRecord, now: number): void {
+	/** @returns for how many milliseconds the worker is closed; undefined if too many are. */
+	private close(record: HealthRecord, now: number): number | undefined {
 		if (record.probesLeft === 0) {
 			const maxClosed = Math.max(1, Math.floor(this.records.size * MAX_CLOSED_SHARE))
-			if (this.closedCount >= maxClosed) return
+			if (this.closedCount >= maxClosed) return undefined
 			this.closedCount += 1
 		}
 		record.probesLeft = PROBES_TO_RETURN
+		record.closedAt = now
 		record.closedUntil = now + record.backoff
-		record.backoff = Math.min(MAX_BACKOFF_MS, record.backoff * 2)
+		return record.backoff
 	}
 
 	private reopen(record: HealthRecord): void {
@@ -124,6 +192,9 @@
 		record.backoff = FIRST_BACKOFF_MS
 		record.failures = 0
 		record.sources.clear()
+		record.probeSource = undefined
+		record.probes.clear()
+		record.closedUntil = Number.NEGATIVE_INFINITY
 	}
 
 	private recordOf(worker: string): HealthRecord {
@@ -133,12 +204,32 @@
 				successes: 0,
 				failures: 0,
 				sources: new Set(),
+				closedAt: Number.NEGATIVE_INFINITY,
 				closedUntil: Number.NEGATIVE_INFINITY,
 				backoff: FIRST_BACKOFF_MS,
+				probeSource: undefined,
 				probesLeft: 0,
+				probes: new Set(),
 			}
 			this.records.set(worker, record)
 		}
 		return record
 	}
 }
+
+/**
+ * Whether work was started after a worker was closed. Where its start is unknown, nothing is started
+ * on a worker before the backoff is over.
+ */
+function wasProbe(
+	{ closedAt, closedUntil }: HealthRecord,
+	now: number,
+	startedAt: number | undefined
+): boolean {
+	return startedAt === undefined ? now >= closedUntil : startedAt > closedAt
+}
+
+/** Whether one more probe may be started: one at first, twice as many after each success. */
+function hasProbeLeft({ probesLeft, probes }: HealthRecord): boolean {
+	return probesLeft === 0 || probes.size < 2 ** (PROBES_TO_RETURN - probesLeft)
+}
--- a/packages/scheduler/src/lib/scheduler.test.ts
+++ b/packages/scheduler/src/lib/scheduler.test.ts
@@ -124,11 +124,12 @@
 
 test('a worker that fails for several customers is closed, probed and reopened', () => {
 	const health = new WorkerHealth()
-	for (let count = 0; count < 20; count++) for (const id of ['w1', 'w2', 'w3']) health.onSuccess(id)
+	for (let count = 0; count < 20; count++)
+		for (const id of ['w1', 'w2', 'w3']) health.onSuccess(id, 0)
 	for (let count = 0; count < 40; count++) health.onFailure('w1', `c${count % 3}`, 0)
 	assert.equal(health.isOpen('w1', 1), false)
 	assert.equal(health.isOpen('w1', 1_000_000), true)
-	for (let count = 0; count < 3; count++) health.onSuccess('w1')
+	for (let count = 0; count < 3; count++) health.onSuccess('w1', 1_000_000)
 	assert.equal(health.isOnProbe('w1'), false)
 	assert.equal(health.closed, 0)
 })
@@ -138,7 +139,7 @@
 	for (let count = 0; count < 50; count++) health.onFailure('w1', 'one customer', 0)
 	assert.equal(health.isOpen('w1', 1), true)
 	const workers = Array.from({ length: 10 }, (_, number) => `x${number}`)
-	for (const id of workers) for (let count = 0; count < 30; count++) health.onSuccess(id)
+	for (const id of workers) for (let count = 0; count < 30; count++) health.onSuccess(id, 0)
 	for (let round = 0; round < 40; round++) {
 		for (const id of workers.slice(0, 6)) health.onFailure(id, `c${round % 4}`, 0)
 	}
