Closed workers are looked for once a pass, and only while there are any

Cause: each waiting step looked at all workers for one that accepts a probe, in every full pass: 300 workers and 500 waiting steps are 1.5 million looks a second, by arithmetic; it was not measured.

Change: without a closed worker nothing is looked at, and a pass keeps the list. Whether a listed worker still accepts a probe is checked when it is chosen, as before.

--- a/packages/jobs/src/lib/leader/steps/OpenWorkerList.ts
+++ b/packages/jobs/src/lib/leader/steps/OpenWorkerList.ts
@@ -23,7 +23,7 @@
 	private listed: readonly WorkerOption[] | undefined
 
 	constructor(
-		private readonly context: Pick<LeaderContext, 'ledger'>,
+		private readonly context: Pick<LeaderContext, 'ledger' | 'health'>,
 		private readonly workers: Pick<WorkerRegistry, 'all' | 'find' | 'isOpen' | 'canProbe' | 'size'>
 	) {}
 
@@ -48,6 +48,7 @@
 	 * @returns the closed workers that accept a probe by work that no open worker can run.
 	 */
 	probeable(lasting: boolean): WorkerOption[] {
+		if (this.context.health.closed === 0) return []
 		const found: WorkerOption[] = []
 		for (const view of this.workers.all()) {
 			const account = this.context.ledger.find(view.id)
--- a/packages/jobs/src/lib/leader/steps/PlacementPass.ts
+++ b/packages/jobs/src/lib/leader/steps/PlacementPass.ts
@@ -27,6 +27,8 @@
 export class PlacementPass {
 	private openWorkers: readonly WorkerOption[] | undefined
 	private freedWorkers: readonly WorkerOption[] | undefined
+	/** Closed workers that accept a probe, by whether it is by a lasting task. */
+	private readonly probeable = new Map<boolean, readonly WorkerOption[]>()
 	private readonly byDemand = new Map<string, readonly WorkerOption[]>()
 
 	/**
@@ -73,7 +75,10 @@
 
 	/** @returns closed workers of the right service and label that accept a probe by a step. */
 	getProbeable(work: StepWork): readonly WorkerOption[] {
-		return this.workers.probeable(work.step.lasting).filter((option) => isEligible(work, option))
+		const { lasting } = work.step
+		const known = this.probeable.get(lasting) ?? this.workers.probeable(lasting)
+		this.probeable.set(lasting, known)
+		return known.filter((option) => isEligible(work, option))
 	}
 
 	/**
--- a/packages/jobs/src/lib/leader/steps/StepScheduler.ts
+++ b/packages/jobs/src/lib/leader/steps/StepScheduler.ts
@@ -466,9 +466,8 @@
 		pass: PlacementPass
 	): boolean {
 		const { now } = pass
-		if (eligible.some((option) => hasCapacity(work, option))) return false
 		const closed = pass.getProbeable(work)
-		if (closed.length === 0) return false
+		if (closed.length === 0 || eligible.some((option) => hasCapacity(work, option))) return false
 		const probeable = this.filterReady(work, closed, now)
 		const waiting = this.quarantine.getStartableTasks(work)
 		if (work.queue.advice && probeable.length < closed.length)
