Open steps and runs follow their queue when it is configured anew

When the worker of the old service left, as planned, the lasting task that had run there was started nowhere, though the new service had room.

Cause: a step copied its queue when it was opened. Steps of lasting tasks are never closed, so they looked for workers of the old service until the next leader; so did steps that waited. The record of a job kept the queue with which it was accepted, so a leader that found the queue removed went back to that.

Change: the record of a job follows the configuration when one is committed, by the place of its queue; open steps and runs are told. A run stays where it is. Attempts stay as accepted. Claims are counted at the service of the worker.

--- a/packages/jobs/src/lib/leader/JobController.ts
+++ b/packages/jobs/src/lib/leader/JobController.ts
@@ -330,6 +330,8 @@
 		this.clients.onConfigured(configuration)
 		this.accounts.configure(accounts ?? [])
 		this.precedence.onQueuesConfigured(queues, this.context.clock.now())
+		this.steps.onConfigured()
+		this.runs.onConfigured()
 		this.context.log.info(LeaderEvent.ConfigurationApplied, {
 			configuration: version,
 			queues: queues.length,
--- a/packages/jobs/src/lib/leader/runs/Run.ts
+++ b/packages/jobs/src/lib/leader/runs/Run.ts
@@ -34,13 +34,13 @@
 	/** The service whose workers run it. */
 	readonly service: string
 	/** Whether it has the highest priority. */
-	readonly urgent: boolean
+	urgent: boolean
 	/** The quota account of its job; undefined if it has none. */
 	readonly account: QuotaAccount | undefined
 	/** Whether it can be preempted by urgent work. */
-	readonly yields: boolean
+	yields: boolean
 	/** Deadline of its job and the work that remains until then. */
-	readonly times: StepTimes
+	times: StepTimes
 	/** Ticket that its start order carries; empty if there is none. */
 	readonly ticket: string
 	/** Whether its worker requires a ticket. */
--- a/packages/jobs/src/lib/leader/runs/RunController.ts
+++ b/packages/jobs/src/lib/leader/runs/RunController.ts
@@ -53,6 +53,8 @@
 	readonly at: number
 	/** Id of the worker that is to run it. */
 	readonly worker: string
+	/** The service of the worker. */
+	readonly service: string
 	/** Ticket that entitles the worker to run it; empty if none is required. */
 	readonly ticket: string
 }
@@ -170,6 +172,31 @@
 		return this.workers.find(worker)?.isUnreachable === false
 	}
 
+	/**
+	 * Applies a new configuration to the runs: they stay where they are, and count as the next leader
+	 * would count them.
+	 */
+	onConfigured(): void {
+		const { state, clock, ledger } = this.context
+		for (const run of this.runs.values()) {
+			const { name, step, worker } = run
+			const job = state.jobs.find(name.job)
+			if (!job) continue
+			run.times = stepTimesOf(job, name.repeat, name.step)
+			const { urgent, yields } = this.precedence.precedenceOf(
+				job.queue,
+				step,
+				clock.now(),
+				job.beyondRate
+			)
+			run.yields = yields
+			if (run.urgent === urgent) continue
+			releaseClaim(ledger, worker, run)
+			run.urgent = urgent
+			restoreClaim(ledger, worker, run)
+		}
+	}
+
 	/** Restores the runs of a job that an earlier leader started. */
 	restoreJob(job: JobRecord): void {
 		const members: Run[] = []
@@ -223,7 +250,9 @@
 		const decision = this.takeDecision(formatTaskName(name))
 		this.context.health.onProbeOver(worker, formatTaskName(name))
 		if (!job) return
-		const claimed = claimOf(job, name.step, decision?.urgent ?? false, this.accounts.accountOf(job))
+		const service = decision?.service ?? job.queue.service
+		const account = this.accounts.accountOf(job)
+		const claimed = claimOf(job, name.step, service, decision?.urgent ?? false, account)
 		releaseClaim(this.context.ledger, worker, claimed)
 		const { gang, count } = claimed.step
 		if (gang) this.gangs.onStartVoided(name, attempt, count)
@@ -397,14 +426,15 @@
 		const now = this.context.clock.now()
 		const { urgent, yields } =
 			decision ?? this.precedence.precedenceOf(job.queue, step, now, job.beyondRate)
+		const service = this.workers.find(worker)?.worker.service ?? job.queue.service
 		const origin = {
-			...claimOf(job, name.step, urgent, this.accounts.accountOf(job)),
+			...claimOf(job, name.step, service, urgent, this.accounts.accountOf(job)),
 			taskId: text,
 			name,
 			attempt,
 			worker,
 			yields,
-			times: stepTimesOf(job, name.repeat, name.step, job.queue),
+			times: stepTimesOf(job, name.repeat, name.step),
 			ticket: decision?.ticket ?? '',
 			decidedAt: decision?.at,
 			needsTicket: job.queue.advice !== undefined,
--- a/packages/jobs/src/lib/leader/steps/StepScheduler.ts
+++ b/packages/jobs/src/lib/leader/steps/StepScheduler.ts
@@ -3,7 +3,6 @@
  * before.
  */
 import { Measure } from '@rillrudder/telemetry'
-import { isSameQueue, type Queue } from '../../records/Cell'
 import { formatTaskName, RunEnd, type TaskName } from '../../records/Job'
 import {
 	isActive,
@@ -15,7 +14,7 @@
 import { Suspicion } from '../../state/TaskCrashes'
 import { GangPlanner } from '../../gangs/GangPlanner'
 import { shouldPlanGang } from '../../gangs/shouldPlanGang'
-import type { Precedence } from '../../placement/Precedence'
+import type { Precedence, StepPrecedence } from '../../placement/Precedence'
 import { Reservations } from '../../placement/Reservations'
 import { stepTimesOf } from '../../placement/stepTimes'
 import type { LeaderShares } from '../../shares/LeaderShares'
@@ -166,6 +165,17 @@
 		})
 	}
 
+	/** Applies a new configuration to the steps that are open. */
+	onConfigured(): void {
+		for (const work of this.steps.values()) {
+			const { job, repeat, stepIndex: step } = work
+			// A reservation is at the workers of the service that the queue may have left.
+			this.reservations.drop(work)
+			work.configure(stepTimesOf(job, repeat, step), this.precedenceOf(job, step))
+		}
+		this.isOrderStale = true
+	}
+
 	/** Adds a job: opens the repeats that are due and keeps the others until they are. */
 	addJob(job: JobRecord): void {
 		this.precedence.recordQueue(job.queue, this.context.clock.now())
@@ -363,30 +373,19 @@
 		const name = stepName(job.id, repeat, step)
 		const known = this.steps.get(name)
 		if (known) return known
-		const queue = this.queueOf(job)
-		const times = stepTimesOf(job, repeat, step, queue)
-		const now = this.context.clock.now()
-		const standing = this.precedence.precedenceOf(
-			queue,
-			job.request.steps[step],
-			now,
-			job.beyondRate
-		)
+		const times = stepTimesOf(job, repeat, step)
+		const standing = this.precedenceOf(job, step)
 		const account = this.accounts.accountOf(job)
-		const work = new StepWork(job, queue, repeat, step, times, standing, account)
+		const work = new StepWork(job, repeat, step, times, standing, account)
 		this.steps.set(name, work)
 		this.isOrderStale = true
 		this.shares.onStepAdded(work)
 		return work
 	}
 
-	/**
-	 * The queue as currently configured; jobs of a removed queue keep the configuration that they
-	 * were accepted with.
-	 */
-	private queueOf(job: JobRecord): Queue {
-		const { configuration } = this.context.state
-		return configuration?.queues.find((queue) => isSameQueue(queue, job.queue)) ?? job.queue
+	private precedenceOf(job: JobRecord, step: number): StepPrecedence {
+		const now = this.context.clock.now()
+		return this.precedence.precedenceOf(job.queue, job.request.steps[step], now, job.beyondRate)
 	}
 
 	/**
@@ -394,7 +393,7 @@
 	 * will soon be done too.
 	 */
 	private requestAdviceAhead(job: JobRecord, repeat: number, step: number): void {
-		if (!this.queueOf(job).advice) return
+		if (!job.queue.advice) return
 		job.request.steps.forEach((laterStep, number) => {
 			if (!laterStep.dependsOn.includes(step)) return
 			const work = this.open(job, repeat, number)
@@ -527,8 +526,8 @@
 			const isolated = this.quarantine.suspicionOf(work, index) === Suspicion.Isolated
 			if (isolated) this.quarantine.onStartDecided(work, task, worker, now)
 			const ticket = work.advice.ticketOf(worker, now) ?? ''
-			const { urgent, yields } = work
-			this.runs.onDecided(task, { worker, ticket, urgent, yields, at: now })
+			const { urgent, yields, service } = work
+			this.runs.onDecided(task, { worker, ticket, urgent, yields, service, at: now })
 			return { task, attempt, worker }
 		})
 		this.log.logPlaced(work, placed, now)
--- a/packages/jobs/src/lib/leader/steps/StepWork.ts
+++ b/packages/jobs/src/lib/leader/steps/StepWork.ts
@@ -30,12 +30,14 @@
 	readonly step: Step
 	readonly record: StepRecord
 	readonly need: Resources
-	/** The service whose workers run it, as configured when its job was accepted. */
-	readonly service: string
+	/** Its queue as configured now. */
+	queue: Queue
+	/** When it has to start. */
+	times: StepTimes
 	/** Whether it has the highest priority at its service. */
-	readonly urgent: boolean
+	urgent: boolean
 	/** Whether it leaves capacity for urgent work. */
-	readonly yields: boolean
+	yields: boolean
 	readonly advice = new StepAdvice()
 	/** How long its tasks have waited, by reason. */
 	readonly waits = new WaitTimes()
@@ -69,7 +71,6 @@
 
 	/**
 	 * @param job - its job.
-	 * @param queue - the queue of the job.
 	 * @param repeat - index of the repeat.
 	 * @param stepIndex - index of the step in the job.
 	 * @param times - when it has to start.
@@ -78,10 +79,9 @@
 	 */
 	constructor(
 		readonly job: JobRecord,
-		readonly queue: Queue,
 		readonly repeat: number,
 		readonly stepIndex: number,
-		readonly times: StepTimes,
+		times: StepTimes,
 		precedence: StepPrecedence,
 		readonly account: QuotaAccount | undefined
 	) {
@@ -89,15 +89,41 @@
 		this.step = job.request.steps[stepIndex]
 		this.record = job.repeats[repeat][stepIndex]
 		this.need = reservedResourcesOf(this.step)
-		this.service = job.queue.service
+		this.queue = job.queue
+		this.times = times
 		this.urgent = precedence.urgent
 		this.yields = precedence.yields
-		const { priority } = queue
-		this.currentUrgency = urgencyOf(times, { priority, beyondRate: job.beyondRate })
+		this.currentUrgency = this.computeUrgency()
 		for (const task of this.record.tasks)
 			if (task.worker !== '') this.adjustTaskCount(task.worker, 1)
 	}
 
+	/** The service whose workers run it. */
+	get service(): string {
+		return this.queue.service
+	}
+
+	/**
+	 * Applies a new configuration: its queue may have moved to another service, or have other terms.
+	 *
+	 * @param times - when it has to start.
+	 * @param precedence - how it relates to other work at its service.
+	 */
+	configure(times: StepTimes, precedence: StepPrecedence): void {
+		this.queue = this.job.queue
+		this.times = times
+		this.urgent = precedence.urgent
+		this.yields = precedence.yields
+		const { usefulness, overShare } = this.currentUrgency
+		this.currentUrgency = { ...this.computeUrgency(), usefulness, overShare }
+		this.shouldTryAllWorkers = true
+	}
+
+	private computeUrgency(): Urgency {
+		const { priority } = this.queue
+		return urgencyOf(this.times, { priority, beyondRate: this.job.beyondRate })
+	}
+
 	/** Its sort key among other steps. */
 	get urgency(): Urgency {
 		return this.currentUrgency
--- a/packages/jobs/src/lib/leader/steps/resourceClaim.ts
+++ b/packages/jobs/src/lib/leader/steps/resourceClaim.ts
@@ -22,15 +22,20 @@
 	readonly account: QuotaAccount | undefined
 }
 
-/** @returns the claim of a task of a step of a job. @internal */
+/**
+ * @param service - the service of its worker, which the job's queue may have left.
+ * @returns the claim of a task of a step of a job.
+ * @internal
+ */
 export function claimOf(
-	{ request, queue }: JobRecord,
+	{ request }: JobRecord,
 	number: number,
+	service: string,
 	urgent: boolean,
 	account: QuotaAccount | undefined
 ): ResourceClaim {
 	const step = request.steps[number]
-	return { step, need: reservedResourcesOf(step), service: queue.service, urgent, account }
+	return { step, need: reservedResourcesOf(step), service, urgent, account }
 }
 
 /**
--- a/packages/jobs/src/lib/placement/stepTimes.ts
+++ b/packages/jobs/src/lib/placement/stepTimes.ts
@@ -28,7 +28,8 @@
 const USEFUL_FACTOR = 3
 
 /** @returns when a step of one of a job's repeats has to start. @internal */
-export function stepTimesOf(job: JobRecord, repeat: number, step: number, queue: Queue): StepTimes {
+export function stepTimesOf(job: JobRecord, repeat: number, step: number): StepTimes {
+	const { queue } = job
 	const { steps, repeat: terms } = job.request
 	const since = terms ? terms.first + repeat * terms.interval : job.submitted
 	// A lasting task has no end to meet a deadline with: its deadline is to be running, and to run
--- a/packages/jobs/src/lib/state/CellState.ts
+++ b/packages/jobs/src/lib/state/CellState.ts
@@ -81,6 +81,8 @@
 		this.configuration = kept.configuration
 		this.workers.restore(kept.workers)
 		this.jobs.restore(kept.jobs)
+		// Earlier releases kept the queues with which the jobs were accepted.
+		this.jobs.configure(kept.configuration?.queues ?? [])
 		this.shares = kept.shares
 	}
 
@@ -137,6 +139,7 @@
 	private configure(configuration: CellConfiguration): void {
 		if (configuration.version <= (this.configuration?.version ?? 0)) return
 		this.configuration = configuration
+		this.jobs.configure(configuration.queues)
 		this.notifyObserver({ kind: 'configured', configuration })
 	}
 
--- a/packages/jobs/src/lib/state/JobRecord.ts
+++ b/packages/jobs/src/lib/state/JobRecord.ts
@@ -54,10 +54,10 @@
 export interface JobRecord {
 	readonly id: string
 	/**
-	 * Its queue as configured when the job was accepted, so that jobs outlive the removal of their
-	 * queue.
+	 * Its queue as last configured, so that jobs outlive the removal of their queue; but the number of
+	 * attempts is that with which the job was accepted, since its failures are counted against it.
 	 */
-	readonly queue: Queue
+	queue: Queue
 	readonly request: JobRequest
 	/** Its account, with the quota terms configured when the job was accepted; absent for none. */
 	readonly account?: QuotaTerms
--- a/packages/jobs/src/lib/state/JobTable.ts
+++ b/packages/jobs/src/lib/state/JobTable.ts
@@ -1,5 +1,6 @@
 /** The jobs of a cell and the runs of their tasks. */
 import type { RunStart, RunOutcome, CrashFindings, RunRef } from '../commands/CellCommand'
+import { placeOf, type Queue } from '../records/Cell'
 import { countTasks } from '../records/checkJob'
 import { withWholeNeeds } from '../records/withWholeNeeds'
 import { formatTaskName, JobState, parseTaskName, RunEnd, type TaskName } from '../records/Job'
@@ -111,6 +112,15 @@
 		this.report({ kind: 'job-accepted', job: record })
 	}
 
+	/** Applies a new configuration to the jobs that have not ended. */
+	configure(queues: readonly Queue[]): void {
+		const byPlace = new Map(queues.map((queue) => [placeOf(queue), queue]))
+		for (const job of this.jobs.values()) {
+			const queue = isActive(job) ? byPlace.get(placeOf(job.queue)) : undefined
+			if (queue) job.queue = withAttempts(queue, job.queue.maxAttempts)
+		}
+	}
+
 	/** Cancels a job that has not ended. */
 	cancel(id: string, at: number): void {
 		const job = this.jobs.get(id)
@@ -371,6 +381,10 @@
 	}
 }
 
+function withAttempts(queue: Queue, maxAttempts: number): Queue {
+	return queue.maxAttempts === maxAttempts ? queue : { ...queue, maxAttempts }
+}
+
 /** Whether a run ended on its worker, which had started it then. */
 function isListedEnd(how: RunEnd): boolean {
 	return how !== RunEnd.Lost && how !== RunEnd.Refused
