--- a/packages/jobs/src/lib/leader/movedQueue.test.ts
+++ b/packages/jobs/src/lib/leader/movedQueue.test.ts
@@ -127,6 +127,18 @@
 	})
 }
 
+// Guards against a job that misses a configuration which is committed just before it.
+test('a job that was proposed before its queue moved and committed after it runs at the new service', () => {
+	const cell = movableCell()
+	const { subject } = cell
+	subject.proposals.held = true
+	subject.configure(MOVED)
+	subject.submit(ID, jobOf({ need: SMALL }))
+	subject.proposals.held = false
+	subject.proposals.commit()
+	assert.ok(cell.run(FINISH_MS, () => isAtNewService(cell)) < FINISH_MS)
+})
+
 test('a step of a queue whose priority has risen goes before others', () => {
 	const low = { name: 'low', prefix: '/low/', priority: 2 }
 	const cell = new WaitingCell().join(1)
--- a/packages/jobs/src/lib/state/CellState.ts
+++ b/packages/jobs/src/lib/state/CellState.ts
@@ -6,7 +6,7 @@
 import { exhaustive } from '@rillrudder/utils'
 import { VError } from 'verror'
 import { decodeCommands, type RunStart, type CellCommand } from '../commands/CellCommand'
-import type { CellConfiguration, Worker } from '../records/Cell'
+import { isSameQueue, type CellConfiguration, type Worker } from '../records/Cell'
 import { workerNameOf } from '../records/Incarnation'
 import type { RecentUsage } from '../shares/RecentUsage'
 import type { Change } from './Change'
@@ -129,7 +129,12 @@
 		}
 	}
 
-	private submit({ id, queue, job, account, beyondRate, at }: SubmitCommand): void {
+	/**
+	 * Adds an accepted job with its queue as configured now: a configuration may have been committed
+	 * since the job was proposed.
+	 */
+	private submit({ id, queue: proposed, job, account, beyondRate, at }: SubmitCommand): void {
+		const queue = this.configuration?.queues.find((one) => isSameQueue(one, proposed)) ?? proposed
 		this.jobs.submit({ id, queue, request: job, account, beyondRate, submitted: at })
 	}
 
